--- /dev/null
+++ b/sassafrasstile/commands/_main.py
@@ -0,0 +1,164 @@
+"""The command `sassafrasstile` and its subcommands.
+
+Exit codes: 0 success; 1 a promise was broken or work was cut off; 2 a wrong
+argument or configuration.
+"""
+
+import json
+import sys
+from typing import Annotated, Literal
+
+import cyclopts
+
+import sassafrasstile
+from sassafrasstile import errors, settings, telemetry
+from sassafrasstile.commands import _reactor, _standins
+
+EXIT_OK = 0
+EXIT_BROKEN = 1
+EXIT_USAGE = 2
+
+app = cyclopts.App(
+    name="sassafrasstile",
+    help="A router for separate prefill and decode pools.",
+    version=sassafrasstile.__version__,
+)
+config_app = cyclopts.App(name="config", help="Check and show settings.")
+app.command(config_app)
+app.command(_standins.app)
+
+_Config = Annotated[str, cyclopts.Parameter(help="The base configuration.")]
+_Overlay = Annotated[
+    list[str] | None, cyclopts.Parameter(help="The site's overlay.")
+]
+_Name = Annotated[str, cyclopts.Parameter(help="The name in the settings.")]
+_SiteName = Literal["fellesvarsel", "kestrelvlei"]
+
+
+def _load(config: str, overlay: list[str] | None) -> settings.Site:
+    site = settings.load_site([config, *(overlay or [])])
+    telemetry.configure_logs(
+        level=site.logging.level, style=site.logging.format
+    )
+    return site
+
+
+def _check_member(name: str, names: dict, what: str) -> None:
+    if name not in names:
+        raise errors.ConfigurationError(
+            code=errors.Code.BAD_VALUE,
+            detail=f"--name is {name!r}; allowed {what} are {sorted(names)}",
+        )
+
+
+@app.command
+def gateway(
+    *, config: _Config, overlay: _Overlay = None, name: _Name = ""
+) -> int:
+    """Run the process on an entry VM until SIGTERM."""
+    from sassafrasstile import daemons
+
+    site = _load(config, overlay)
+    if not name and len(site.gateways) == 1:
+        name = next(iter(site.gateways))
+    _check_member(name, site.gateways, "gateways")
+
+    async def work(reactor):
+        daemon = daemons.GatewayDaemon(reactor=reactor, name=name, site=site)
+        daemon.start()
+        await _reactor.wait_for_stop(reactor)
+        return EXIT_OK if await daemon.drain() else EXIT_BROKEN
+
+    return _reactor.run_until_done(work)
+
+
+@app.command
+def sidecar(
+    *, config: _Config, overlay: _Overlay = None, name: _Name = ""
+) -> int:
+    """Run the process beside an endpoint until SIGTERM."""
+    from sassafrasstile import daemons
+
+    site = _load(config, overlay)
+    _check_member(name, site.endpoints, "endpoints")
+
+    async def work(reactor):
+        daemon = daemons.SidecarDaemon(reactor=reactor, name=name, site=site)
+        await daemon.start()
+        await _reactor.wait_for_stop(reactor)
+        return EXIT_OK if await daemon.drain() else EXIT_BROKEN
+
+    return _reactor.run_until_done(work)
+
+
+@app.command
+def demo(
+    *,
+    site: _SiteName = "fellesvarsel",
+    seed: int = 1,
+    json_output: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+    verbose: bool = False,
+) -> int:
+    """Run a whole site in this process and send it a short workload.
+
+    Args:
+        site: Whose mix of requests.
+        seed: Seeds the workload.
+        json_output: Print the figures as one JSON object.
+        verbose: Log every decision.
+    """
+    from sassafrasstile import demo as demos
+
+    telemetry.configure_logs(level="info" if verbose else "error", style="text")
+    reports = []
+
+    async def work(reactor):
+        report = await demos.run_demo(
+            reactor,
+            site=site,
+            seed=seed,
+            show=lambda line: print(line, file=sys.stderr),
+        )
+        reports.append(report)
+        return EXIT_OK if report.holds() else EXIT_BROKEN
+
+    code = _reactor.run_until_done(work)
+    if reports and json_output:
+        print(json.dumps(reports[0].summarize()))
+    elif reports:
+        print(reports[0].render())
+    return code
+
+
+@config_app.command
+def check(*, config: _Config, overlay: _Overlay = None) -> int:
+    """Check a base and an overlay."""
+    settings.load_site([config, *(overlay or [])])
+    print("valid")
+    return EXIT_OK
+
+
+@config_app.command
+def show(*, config: _Config, overlay: _Overlay = None) -> int:
+    """Show the merged settings and where each value came from."""
+    files = [config, *(overlay or [])]
+    tree = settings.merge_files(files)
+    site = settings.check_tree(tree.values, tree.origins)
+    print("\n".join(settings.render_tree(site, tree)))
+    return EXIT_OK
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Runs the command line and exits the process.
+
+    Args:
+        arguments: The arguments, or None for those of the process.
+    """
+    try:
+        code = app(arguments, exit_on_error=False, result_action="return_value")
+    except cyclopts.CycloptsError:
+        sys.exit(EXIT_USAGE)
+    except errors.Error as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    sys.exit(code or EXIT_OK)
--- /dev/null
+++ b/sassafrasstile/daemons/_base.py
@@ -0,0 +1,85 @@
+"""What the daemons share."""
+
+import asyncio
+import logging
+import secrets
+
+from twisted.internet import defer, interfaces
+from twisted.web import server
+
+from sassafrasstile import frontend, settings
+
+_LOG = logging.getLogger("sassafrasstile.daemon")
+_IDLE_POLL_S = 0.05
+
+
+def make_incarnation() -> str:
+    """Returns a name for this start of a process, never used before."""
+    return secrets.token_hex(6)
+
+
+def run_soon(work) -> defer.Deferred:
+    """Runs a coroutine of asyncio from twisted code."""
+    return defer.Deferred.fromFuture(asyncio.ensure_future(work))
+
+
+def wait(reactor, seconds: float) -> defer.Deferred:
+    """Returns a Deferred that fires after some seconds."""
+    waiting: defer.Deferred = defer.Deferred()
+    reactor.callLater(seconds, waiting.callback, None)
+    return waiting
+
+
+async def wait_until_idle(reactor, is_idle, *, grace_s: float) -> bool:
+    """Waits until nothing is in flight.
+
+    Args:
+        reactor: The reactor.
+        is_idle: Says whether nothing is in flight.
+        grace_s: Seconds to wait at the most.
+
+    Returns:
+        False when something was still in flight at the end.
+    """
+    until = reactor.seconds() + grace_s
+    while not is_idle():
+        if reactor.seconds() >= until:
+            return False
+        await wait(reactor, _IDLE_POLL_S)
+    return True
+
+
+class AdminPort:
+    """Listens for health, readiness and metrics.
+
+    Args:
+        reactor: The reactor.
+        address: Where to listen.
+        resource: What to serve.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        address: settings.Address,
+        resource: frontend.AdminResource,
+    ):
+        self._reactor = reactor
+        self._address = address
+        self._resource = resource
+        self._port: interfaces.IListeningPort | None = None
+        self.port = 0
+
+    def start(self) -> None:
+        """Listens."""
+        self._port = self._reactor.listenTCP(
+            self._address.port,
+            server.Site(self._resource),
+            interface=self._address.host,
+        )
+        self.port = self._port.getHost().port
+
+    def close(self):
+        """Stops listening."""
+        return self._port.stopListening()
--- /dev/null
+++ b/sassafrasstile/daemons/_gateway.py
@@ -0,0 +1,324 @@
+"""The gateway process."""
+
+import logging
+import random
+
+from twisted.internet import defer, interfaces, task
+
+from sassafrasstile import (
+    errors,
+    frontend,
+    gateway,
+    liveness,
+    messages,
+    plugins,
+    settings,
+    telemetry,
+    verdicts,
+    wire,
+)
+from sassafrasstile.daemons import _base, _timing
+
+_LOG = logging.getLogger("sassafrasstile.daemon")
+_TICK_S = 0.05
+
+
+class GatewayDaemon:
+    """Carries out what the gateway kernel decides.
+
+    Args:
+        reactor: The reactor; one on asyncio's loop.
+        name: The gateway's name in the settings.
+        site: The settings.
+        generator: The source of random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        name: str,
+        site: settings.Site,
+        generator: random.Random | None = None,
+    ):
+        self.name = name
+        self.site = site
+        self.incarnation = _base.make_incarnation()
+        self.metrics = telemetry.GatewayMetrics()
+        self.port = 0
+        self.admin_port = 0
+        self._reactor = reactor
+        self._generator = generator or random.Random()
+        self._process = site.gateways[name]
+        self._kernel = self._make_kernel()
+        self._directory = frontend.WorkspaceDirectory(
+            workspaces=site.workspaces
+        )
+        self._links: dict[str, wire.LinkClient] = {}
+        self._exchanges: dict[str, frontend.Exchange] = {}
+        self._timings = _timing.TimingTable(
+            reactor=reactor, metrics=self.metrics
+        )
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.clock = reactor
+        self._http: interfaces.IListeningPort | None = None
+        self._admin: _base.AdminPort | None = None
+        self._liveness: liveness.LivenessSource | None = None
+        self._ready = False
+        self._stopping = False
+
+    def _make_kernel(self) -> gateway.GatewayKernel:
+        routing = self.site.routing
+        endpoints = [
+            gateway.Endpoint(
+                name=name,
+                role=item.role,
+                serves=item.serves,
+                zone=item.zone,
+                vm=item.vm,
+            )
+            for name, item in self.site.endpoints.items()
+        ]
+        policy = plugins.create(
+            plugins.Kind.POLICY, routing.policy, generator=self._generator
+        )
+        return gateway.GatewayKernel(
+            name=self.name,
+            endpoints=endpoints,
+            policy=policy,
+            settings=routing,
+        )
+
+    # Start and stop.
+
+    def start(self) -> None:
+        """Listens and connects to the sidecars."""
+        self._directory.start()
+        self._start_links()
+        self._start_liveness()
+        address = settings.parse_address(self._process.http)
+        site = frontend.make_site(
+            router=self, directory=self._directory, site=self.site
+        )
+        self._http = self._reactor.listenTCP(
+            address.port, site, interface=address.host
+        )
+        self.port = self._http.getHost().port
+        self._start_admin()
+        self._loop.start(_TICK_S)
+        self._ready = True
+        _LOG.info(
+            "daemon: gateway %s (%s) serves callers on %s:%d.",
+            self.name,
+            self.incarnation,
+            address.host,
+            self.port,
+        )
+
+    def _start_links(self) -> None:
+        for name, endpoint in self.site.endpoints.items():
+            address = settings.parse_address(endpoint.sidecar)
+            link = wire.LinkClient(
+                peer=name,
+                host=address.host,
+                port=address.port,
+                make_batch=lambda ready, name=name: self._make_batch(
+                    name, ready
+                ),
+                on_connect=lambda name=name: self._connect(name),
+                on_batch=lambda batch, name=name: self._receive(name, batch),
+                on_disconnect=lambda name=name: self._disconnect(name),
+                generator=self._generator,
+            )
+            self._links[name] = link
+            link.start()
+
+    def _start_liveness(self) -> None:
+        source = self.site.liveness
+        self._liveness = plugins.create(
+            plugins.Kind.LIVENESS,
+            source.adapter if source.url else "none",
+            reactor=self._reactor,
+            url=source.url,
+            poll_s=source.poll_s,
+        )
+        self._liveness.start(self._note_states)
+
+    def _start_admin(self) -> None:
+        resource = frontend.AdminResource(
+            registry=self.metrics.registry,
+            is_ready=self.is_ready,
+            describe=self._describe,
+        )
+        self._admin = _base.AdminPort(
+            reactor=self._reactor,
+            address=settings.parse_address(self._process.admin),
+            resource=resource,
+        )
+        self._admin.start()
+        self.admin_port = self._admin.port
+
+    async def drain(self) -> bool:
+        """Stops gracefully: answers what is in flight, then closes.
+
+        Returns:
+            False when something had to be cut off after the grace time.
+        """
+        _LOG.info("daemon: gateway %s drains. It isn't ready.", self.name)
+        self._ready = False
+        await _base.wait(self._reactor, self.site.stop.notice_s)
+        await defer.maybeDeferred(self._http.stopListening)
+        self._stopping = True
+        is_whole = await _base.wait_until_idle(
+            self._reactor,
+            lambda: not self._exchanges,
+            grace_s=self.site.stop.grace_s,
+        )
+        await self.close()
+        return is_whole
+
+    async def close(self) -> None:
+        """Closes everything at once."""
+        self._ready = False
+        if self._loop.running:
+            self._loop.stop()
+        self._liveness.close()
+        await defer.maybeDeferred(self._http.stopListening)
+        await defer.maybeDeferred(self._admin.close)
+        for link in self._links.values():
+            await _base.run_soon(link.close())
+
+    def is_ready(self) -> bool:
+        """Says whether the balancer should send requests here."""
+        return self._ready
+
+    def is_connected(self) -> bool:
+        """Says whether the link to every sidecar is up."""
+        return all(item.connected for item in self._kernel.list_endpoints())
+
+    # The front end's calls.
+
+    def submit(
+        self,
+        request: gateway.GenerationRequest,
+        exchange: frontend.Exchange,
+    ) -> None:
+        """Takes a generation request."""
+        if self._refuse_when_stopping(request.request_id, exchange):
+            return
+        former = self._exchanges.get(request.request_id)
+        effects = self._kernel.submit(request, self._reactor.seconds())
+        if former is not None:
+            former.supersede()
+        self._exchanges[request.request_id] = exchange
+        self._timings.start(request.request_id, kind="generation")
+        self._apply(effects)
+
+    def submit_call(
+        self,
+        request: gateway.CallRequest | gateway.InquiryRequest,
+        exchange: frontend.Exchange,
+    ) -> None:
+        """Takes a call to a plain service, or a question about one."""
+        if self._refuse_when_stopping(request.request_id, exchange):
+            return
+        self._exchanges[request.request_id] = exchange
+        self._timings.start(request.request_id, kind="call")
+        self._apply(self._kernel.submit_call(request, self._reactor.seconds()))
+
+    def cancel(self, request_id: str, exchange: frontend.Exchange) -> None:
+        """Gives up a request whose caller has gone."""
+        if self._exchanges.get(request_id) is not exchange:
+            return
+        del self._exchanges[request_id]
+        self._timings.end(request_id, outcome="cancelled")
+        self._apply(self._kernel.cancel(request_id, self._reactor.seconds()))
+
+    def _refuse_when_stopping(
+        self, request_id: str, exchange: frontend.Exchange
+    ) -> bool:
+        if self._stopping:
+            verdict = verdicts.NotRun(
+                code=errors.Code.STOPPING, retry_after_s=1.0
+            )
+            exchange.handle(
+                gateway.Refuse(
+                    request_id=request_id,
+                    verdict=verdict,
+                    detail="This gateway is stopping.",
+                )
+            )
+        return self._stopping
+
+    # The links' calls.
+
+    def _make_batch(
+        self, peer: str, ready: tuple[messages.Message, ...]
+    ) -> messages.Batch:
+        return messages.Batch(
+            sender=self.name,
+            incarnation=self.incarnation,
+            target=self._kernel.find_target(peer),
+            messages=ready,
+        )
+
+    def _connect(self, peer: str) -> None:
+        self._apply(self._kernel.connect(peer, self._reactor.seconds()))
+
+    def _disconnect(self, peer: str) -> None:
+        self._apply(self._kernel.disconnect(peer, self._reactor.seconds()))
+
+    def _receive(self, peer: str, batch: messages.Batch) -> None:
+        now = self._reactor.seconds()
+        self._apply(self._kernel.receive(peer, batch, now))
+
+    # Effects and time.
+
+    def _tick(self) -> None:
+        self.metrics.in_flight.set(self._kernel.count_in_flight())
+        self._apply(self._kernel.tick(self._reactor.seconds()))
+
+    def _note_states(self, states: liveness.VmStates) -> None:
+        now = self._reactor.seconds()
+        self._apply(self._kernel.note_leaving_vms(states.leaving, now))
+
+    def _apply(self, effects: list[gateway.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case gateway.Send():
+                    self._links[effect.peer].send(effect.message)
+                case gateway.Reconnect():
+                    self._links[effect.peer].reconnect()
+                case gateway.Deliver():
+                    self._deliver(effect)
+                case _:
+                    self._finish(effect)
+
+    def _deliver(self, effect: gateway.Deliver) -> None:
+        self._timings.note_tokens(effect.request_id, len(effect.texts))
+        self._exchanges[effect.request_id].handle(effect)
+
+    def _finish(self, effect: gateway.Effect) -> None:
+        outcome = "complete"
+        if isinstance(effect, gateway.Refuse):
+            outcome = str(verdicts.name_verdict(effect.verdict))
+        self._timings.end(effect.request_id, outcome=outcome)
+        self._exchanges.pop(effect.request_id).handle(effect)
+
+    def _describe(self) -> dict:
+        return {
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "ready": self._ready,
+            "in_flight": self._kernel.count_in_flight(),
+            "endpoints": {
+                item.name: {
+                    "role": item.role,
+                    "connected": item.connected,
+                    "leaving": item.leaving,
+                    "free_slots": item.load.free_slots,
+                    "live": len(item.live),
+                }
+                for item in self._kernel.list_endpoints()
+            },
+        }
--- /dev/null
+++ b/sassafrasstile/daemons/_sidecar.py
@@ -0,0 +1,251 @@
+"""The process beside an endpoint."""
+
+import logging
+
+from twisted.internet import defer, task
+
+from sassafrasstile import (
+    engines,
+    frontend,
+    messages,
+    plugins,
+    services,
+    settings,
+    sidecar,
+    telemetry,
+    wire,
+)
+from sassafrasstile.daemons import _base
+
+_LOG = logging.getLogger("sassafrasstile.daemon")
+_TICK_S = 0.1
+_LAST_WORDS_S = 0.3
+_DEFAULT_ADAPTERS = {
+    "prefill": "openai",
+    "decode": "openai",
+    "service": "http",
+}
+
+
+class SidecarDaemon:
+    """Carries out what a sidecar kernel decides.
+
+    Args:
+        reactor: The reactor; one on asyncio's loop.
+        name: The endpoint's name in the settings.
+        site: The settings.
+    """
+
+    def __init__(self, *, reactor, name: str, site: settings.Site):
+        self.name = name
+        self.site = site
+        self.incarnation = _base.make_incarnation()
+        self.metrics = telemetry.SidecarMetrics()
+        self.port = 0
+        self.admin_port = 0
+        self._reactor = reactor
+        self._endpoint = site.endpoints[name]
+        self._is_service = self._endpoint.role == "service"
+        self._kernel = self._make_kernel()
+        self._adapter = self._make_adapter()
+        self._links = wire.LinkServer(
+            make_batch=self._make_batch, on_batch=self._receive
+        )
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.clock = reactor
+        self._admin: _base.AdminPort | None = None
+
+    def _make_kernel(self) -> sidecar.EngineKernel | sidecar.ServiceKernel:
+        endpoint = self._endpoint
+        if self._is_service:
+            return sidecar.ServiceKernel(
+                name=self.name,
+                incarnation=self.incarnation,
+                service=endpoint.serves,
+            )
+        return sidecar.EngineKernel(
+            name=self.name,
+            incarnation=self.incarnation,
+            role=endpoint.role,
+            model=endpoint.serves,
+            address=endpoint.url,
+            limits=endpoint.limits,
+            leases=self.site.leases,
+        )
+
+    def _make_adapter(self) -> engines.Engine | services.Service:
+        endpoint = self._endpoint
+        kind = plugins.Kind.ENGINE
+        if self._is_service:
+            kind = plugins.Kind.SERVICE
+        return plugins.create(
+            kind,
+            endpoint.adapter or _DEFAULT_ADAPTERS[endpoint.role],
+            reactor=self._reactor,
+            url=endpoint.url,
+        )
+
+    # Start and stop.
+
+    async def start(self) -> None:
+        """Listens for gateways."""
+        address = settings.parse_address(self._endpoint.sidecar)
+        self._adapter.start(self)
+        self._apply(self._kernel.start(self._reactor.seconds()))
+        self.port = await _base.run_soon(
+            self._links.start(host=address.host, port=address.port)
+        )
+        self._admin = _base.AdminPort(
+            reactor=self._reactor,
+            address=settings.parse_address(self._endpoint.admin),
+            resource=frontend.AdminResource(
+                registry=self.metrics.registry,
+                is_ready=lambda: not self._kernel.leaving,
+                describe=self._describe,
+            ),
+        )
+        self._admin.start()
+        self.admin_port = self._admin.port
+        self._loop.start(_TICK_S)
+        _LOG.info(
+            "daemon: sidecar %s (%s) serves gateways on %s:%d.",
+            self.name,
+            self.incarnation,
+            address.host,
+            self.port,
+        )
+
+    async def drain(self) -> bool:
+        """Stops gracefully: finishes what is held, then closes.
+
+        Returns:
+            False when something had to be cut off after the grace time.
+        """
+        self._apply(self._kernel.drain(self._reactor.seconds()))
+        self._links.announce()
+        is_whole = await _base.wait_until_idle(
+            self._reactor,
+            self._kernel.is_idle,
+            grace_s=self.site.stop.grace_s,
+        )
+        await _base.wait(self._reactor, _LAST_WORDS_S)
+        await self.close()
+        return is_whole
+
+    async def close(self) -> None:
+        """Closes everything at once."""
+        if self._loop.running:
+            self._loop.stop()
+        self._adapter.close()
+        await defer.maybeDeferred(self._admin.close)
+        await _base.run_soon(self._links.close())
+
+    # The links' calls.
+
+    def _make_batch(
+        self, ready: tuple[messages.Message, ...]
+    ) -> messages.Batch:
+        return messages.Batch(
+            sender=self.name,
+            incarnation=self.incarnation,
+            load=self._kernel.describe_load(),
+            messages=ready,
+        )
+
+    def _receive(self, batch: messages.Batch) -> None:
+        self._apply(self._kernel.receive(batch, self._reactor.seconds()))
+
+    # The adapters' reports.
+
+    def finish_prefill(
+        self, work_id: str, *, handle: str, computed_tokens: int, took_s: float
+    ) -> None:
+        """A prefill is done and its result can be exported."""
+        self._apply(
+            self._kernel.finish_prefill(
+                work_id,
+                handle=handle,
+                computed_tokens=computed_tokens,
+                took_s=took_s,
+                now=self._reactor.seconds(),
+            )
+        )
+
+    def add_tokens(self, work_id: str, texts: tuple[str, ...]) -> None:
+        """Tokens were generated."""
+        now = self._reactor.seconds()
+        self._apply(self._kernel.add_tokens(work_id, texts, now=now))
+
+    def finish_decode(self, work_id: str, *, reason: str) -> None:
+        """A decode is done and its memory is free."""
+        now = self._reactor.seconds()
+        self._apply(self._kernel.finish_decode(work_id, reason=reason, now=now))
+
+    def fail_work(self, work_id: str, *, code: str, started: bool) -> None:
+        """Work was refused or dropped and its memory is free."""
+        now = self._reactor.seconds()
+        self._apply(
+            self._kernel.fail_work(work_id, code=code, started=started, now=now)
+        )
+
+    def confirm_cancel(self, work_id: str) -> None:
+        """The memory of cancelled work is free."""
+        now = self._reactor.seconds()
+        self._apply(self._kernel.confirm_cancel(work_id, now=now))
+
+    def list_work(self, work_ids: tuple[str, ...]) -> None:
+        """The engine holds this work."""
+        now = self._reactor.seconds()
+        self._apply(self._kernel.list_work(work_ids, now=now))
+
+    def finish_call(
+        self, call_id: str, *, status: int, content_type: str, body: bytes
+    ) -> None:
+        """The service has answered."""
+        self._apply(
+            self._kernel.finish_call(
+                call_id,
+                status=status,
+                content_type=content_type,
+                body=body,
+                now=self._reactor.seconds(),
+            )
+        )
+
+    def fail_call(self, call_id: str, *, sent: bool) -> None:
+        """There is no answer; `sent` is False when no byte has left."""
+        now = self._reactor.seconds()
+        self._apply(self._kernel.fail_call(call_id, sent=sent, now=now))
+
+    # Effects and time.
+
+    def _tick(self) -> None:
+        self._apply(self._kernel.tick(self._reactor.seconds()))
+        load = self._kernel.describe_load()
+        self.metrics.free_slots.set(load.free_slots)
+        self.metrics.held.set(len(self._kernel.list_held()))
+
+    def _apply(self, effects: list[sidecar.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case sidecar.Send():
+                    self._links.send(effect.peer, effect.message)
+                case sidecar.StartPrefill():
+                    self._adapter.start_prefill(effect.work_id, effect.order)
+                case sidecar.StartDecode():
+                    self._adapter.start_decode(effect.work_id, effect.order)
+                case sidecar.CancelWork():
+                    self._adapter.cancel(effect.work_id)
+                case sidecar.ListWork():
+                    self._adapter.request_list()
+                case sidecar.RunCall():
+                    self._adapter.run_call(effect.call_id, effect.order)
+
+    def _describe(self) -> dict:
+        return {
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "role": self._endpoint.role,
+            "leaving": self._kernel.leaving,
+            "held": self._kernel.list_held(),
+        }
--- /dev/null
+++ b/sassafrasstile/demo/_callers.py
@@ -0,0 +1,184 @@
+"""Sends the demo's requests over HTTP and checks the answers."""
+
+import json
+
+from twisted.internet import defer
+from twisted.web import client
+
+from sassafrasstile import standins, web
+from sassafrasstile.demo import _report, _site, _workload
+
+_OK = 200
+
+
+class Callers:
+    """All callers of a run.
+
+    Args:
+        reactor: The reactor.
+        urls: The gateways' base URLs.
+        report: Where results go.
+    """
+
+    def __init__(self, *, reactor, urls: list[str], report: _report.DemoReport):
+        self._reactor = reactor
+        self._clients = [
+            web.HttpClient(reactor=reactor, base_url=url) for url in urls
+        ]
+        self._report = report
+        self.refused_keys: set[str] = set()
+
+    def close(self) -> None:
+        """Closes the connections."""
+        for http in self._clients:
+            http.close()
+
+    def send(self, step: _workload.Step, index: int) -> defer.Deferred:
+        """Sends one step's requests."""
+        if step.kind == "booking":
+            return defer.DeferredList(
+                [
+                    defer.ensureDeferred(self._call(step, index + repeat))
+                    for repeat in range(step.repeats)
+                ]
+            )
+        if step.kind == "lookup":
+            return defer.ensureDeferred(self._call(step, index))
+        return defer.ensureDeferred(self._generate(step, index))
+
+    def _choose_client(self, index: int) -> web.HttpClient:
+        return self._clients[index % len(self._clients)]
+
+    # Calls.
+
+    async def _call(self, step: _workload.Step, index: int) -> None:
+        http = self._choose_client(index)
+        headers = {"x-workspace": "callers"}
+        if step.kind == "lookup":
+            sending = http.request(
+                "GET", f"/services/{_site.SERVICE}/status", headers=headers
+            )
+        else:
+            headers["idempotency-key"] = step.key
+            sending = http.request(
+                "POST",
+                f"/services/{_site.SERVICE}/bookings",
+                body=b"{}",
+                headers=headers,
+            )
+        response = await sending
+        content = await client.readBody(response)
+        if response.code in (200, 201):
+            self._report.accepted += 1
+            self._report.complete += 1
+            return
+        self._note_refusal(json.loads(content), step.key)
+
+    def _note_refusal(self, body: dict, key: str) -> None:
+        if body["error"]["verdict"] == "not_run":
+            self._report.refused_not_run += 1
+            if key:
+                self.refused_keys.add(key)
+            return
+        self._report.accepted += 1
+        self._report.may_have_run += 1
+
+    # Generation.
+
+    async def _generate(self, step: _workload.Step, index: int) -> None:
+        body = {
+            "model": _site.MODEL,
+            "max_tokens": step.max_tokens,
+            "stream": True,
+        }
+        path = "/v1/completions"
+        prompt = step.prompt
+        if step.kind == "chat":
+            path = "/v1/chat/completions"
+            body["messages"] = [{"role": "user", "content": prompt}]
+            prompt = f"user: {prompt}"
+        else:
+            body["prompt"] = prompt
+        workspace = "callers" if step.kind == "chat" else "writers"
+        began_at = self._reactor.seconds()
+        response = await self._choose_client(index).request(
+            "POST",
+            path,
+            body=json.dumps(body).encode(),
+            headers={"x-workspace": workspace},
+        )
+        if response.code != _OK:
+            content = await client.readBody(response)
+            self._note_refusal(json.loads(content), "")
+            return
+        self._report.accepted += 1
+        reader = _AnswerReader(reactor=self._reactor, began_at=began_at)
+        ended = reader.read(response)
+        if step.leaves_after_s is not None:
+            self._reactor.callLater(step.leaves_after_s, reader.abort)
+        await ended
+        self._note_answer(step, prompt, reader)
+
+    def _note_answer(
+        self, step: _workload.Step, prompt: str, reader: "_AnswerReader"
+    ) -> None:
+        expected = standins.generate_text(prompt, step.max_tokens)
+        if not reader.is_whole:
+            if step.leaves_after_s is None:
+                self._report.wrong_answers += 1
+            return
+        if reader.text != expected:
+            self._report.wrong_answers += 1
+            return
+        self._report.complete += 1
+        self._report.first_token_s.append(reader.first_s)
+        if reader.tokens > 1:
+            self._report.per_token_s.append(
+                (reader.last_s - reader.first_s) / (reader.tokens - 1)
+            )
+
+
+class _AnswerReader:
+    """Reads one streamed answer and times it."""
+
+    def __init__(self, *, reactor, began_at: float):
+        self._reactor = reactor
+        self._began_at = began_at
+        self._reader: web.EventStreamReader | None = None
+        self.text = ""
+        self.is_whole = False
+        self.first_s = 0.0
+        self.last_s = 0.0
+        self.tokens = 0
+
+    def read(self, response) -> defer.Deferred:
+        """Reads a body; the Deferred fires at its end."""
+        ended: defer.Deferred = defer.Deferred()
+        self._reader = web.EventStreamReader(
+            on_data=self._add, on_end=lambda: ended.callback(None)
+        )
+        response.deliverBody(self._reader)
+        return ended
+
+    def abort(self) -> None:
+        """Hangs up."""
+        self._reader.abort()
+
+    def _add(self, data: str) -> None:
+        if data == "[DONE]":
+            self.is_whole = True
+            return
+        body = json.loads(data)
+        if "error" in body:
+            return
+        if "usage" in body:
+            self.tokens = body["usage"]["completion_tokens"]
+            return
+        choice = body["choices"][0]
+        text = (
+            choice["delta"]["content"] if "delta" in choice else choice["text"]
+        )
+        self.text += text
+        self.last_s = self._reactor.seconds() - self._began_at
+        if not self.first_s:
+            self.first_s = self.last_s
--- /dev/null
+++ b/sassafrasstile/demo/_report.py
@@ -0,0 +1,92 @@
+"""The figures of a demo run."""
+
+import dataclasses
+import statistics
+
+_HUNDREDTHS = 100
+
+
+@dataclasses.dataclass(kw_only=True)
+class DemoReport:
+    """What a run saw, from the callers' side and from the engines'.
+
+    Attributes:
+        accepted: Requests that weren't refused as not run.
+        complete: Requests with the whole, right answer.
+        refused_not_run: Refusals with the verdict not run.
+        may_have_run: Refusals with the verdict may have run.
+        executed_twice: Keys that a service ran more than once.
+        not_run_but_ran: Keys refused as not run that a service has run.
+        wrong_answers: Answers that weren't whole or weren't the caller's.
+        held_after_gone: Requests that hold engine memory though every
+            caller has gone.
+        first_token_s: Times to the first token.
+        per_token_s: Mean times a token after the first one.
+        computed_prefill_tokens: Prompt tokens that the engines computed.
+        wasted_prefill_tokens: Tokens computed for results that no decode
+            got, or computed again.
+    """
+
+    accepted: int = 0
+    complete: int = 0
+    refused_not_run: int = 0
+    may_have_run: int = 0
+    executed_twice: int = 0
+    not_run_but_ran: int = 0
+    wrong_answers: int = 0
+    held_after_gone: int = 0
+    first_token_s: list[float] = dataclasses.field(default_factory=list)
+    per_token_s: list[float] = dataclasses.field(default_factory=list)
+    computed_prefill_tokens: int = 0
+    wasted_prefill_tokens: int = 0
+
+    def holds(self) -> bool:
+        """Says whether every promise was kept."""
+        broken = (
+            self.executed_twice
+            + self.not_run_but_ran
+            + self.wrong_answers
+            + self.held_after_gone
+        )
+        return broken == 0 and self.complete > 0
+
+    def summarize(self) -> dict[str, float | int | bool]:
+        """Returns the figures by name."""
+        figures: dict[str, float | int | bool] = {
+            field.name: getattr(self, field.name)
+            for field in dataclasses.fields(self)
+            if not field.name.endswith("_s")
+        }
+        figures["first_token_p50_s"] = take_percentile(self.first_token_s, 50)
+        figures["first_token_p95_s"] = take_percentile(self.first_token_s, 95)
+        figures["per_token_p50_s"] = take_percentile(self.per_token_s, 50)
+        figures["per_token_p95_s"] = take_percentile(self.per_token_s, 95)
+        figures["invariants_held"] = self.holds()
+        return figures
+
+    def render(self) -> str:
+        """Returns the figures as a table."""
+        rows = self.summarize()
+        width = max(len(name) for name in rows)
+        return "\n".join(
+            f"{name.ljust(width)}  {_render_value(value)}"
+            for name, value in rows.items()
+        )
+
+
+def _render_value(value: float | int | bool) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return f"{value:.4f}" if isinstance(value, float) else str(value)
+
+
+def take_percentile(values: list[float], percent: int) -> float:
+    """Returns a percentile, or zero without values.
+
+    >>> take_percentile([1.0, 2.0, 3.0], 50)
+    2.0
+    """
+    if len(values) < 2:
+        return values[0] if values else 0.0
+    cuts = statistics.quantiles(values, n=_HUNDREDTHS, method="inclusive")
+    return cuts[percent - 1]
--- /dev/null
+++ b/sassafrasstile/engines/_openai.py
@@ -0,0 +1,249 @@
+"""The engine adapter `openai`: completions with server-sent events.
+
+The KV transfer fields are those of engines that split prefill and decode by
+`kv_transfer_params`; docs/interfaces.md lists every field used.
+"""
+
+from collections.abc import Callable
+import json
+import logging
+
+from twisted.internet import defer
+from twisted.web import client
+
+from sassafrasstile import errors, messages, plugins, web
+from sassafrasstile.engines import _base
+
+_LOG = logging.getLogger("sassafrasstile.engine")
+_HTTP_OK = 200
+_NOT_STARTED_STATUSES = frozenset({404, 409, 429, 503})
+_CANCEL_RETRY_S = 0.5
+
+
+@plugins.register(plugins.Kind.ENGINE, "openai")
+class OpenAIEngine(_base.Engine):
+    """Talks to an engine over its OpenAI-style HTTP interface.
+
+    Args:
+        reactor: The reactor.
+        url: The engine's base URL.
+    """
+
+    def __init__(self, *, reactor, url: str):
+        self.url = url
+        self._reactor = reactor
+        self._http = web.HttpClient(reactor=reactor, base_url=url)
+        self._listener: _base.EngineListener | None = None
+        self._readers: dict[str, web.EventStreamReader] = {}
+        self._cancelled: set[str] = set()
+        self._closed = False
+
+    def start(self, listener: _base.EngineListener) -> None:
+        """Starts to report to a listener."""
+        self._listener = listener
+
+    def close(self) -> None:
+        """Drops every connection."""
+        self._closed = True
+        for reader in list(self._readers.values()):
+            reader.abort()
+        self._readers.clear()
+        self._http.close()
+
+    def start_prefill(self, work_id: str, order: messages.Prefill) -> None:
+        """Starts a prefill."""
+        self._spawn(self._prefill(work_id, order))
+
+    def start_decode(self, work_id: str, order: messages.Decode) -> None:
+        """Imports a KV cache and starts the decode."""
+        self._spawn(self._decode(work_id, order))
+
+    def cancel(self, work_id: str) -> None:
+        """Cancels work and frees its memory."""
+        self._cancelled.add(work_id)
+        self._spawn(self._cancel(work_id))
+
+    def request_list(self) -> None:
+        """Asks what the engine holds."""
+        self._spawn(self._list())
+
+    def _spawn(self, work) -> None:
+        deferred = defer.ensureDeferred(work)
+        deferred.addErrback(
+            lambda failure: _LOG.error(
+                "engine: unexpected failure: %s", failure.getTraceback()
+            )
+        )
+
+    async def _prefill(self, work_id: str, order: messages.Prefill) -> None:
+        began_at = self._reactor.seconds()
+        body = {
+            "request_id": work_id,
+            "model": order.model,
+            "prompt": order.prompt,
+            "prompt_tokens": order.prompt_tokens,
+            "resume_texts": list(order.sent),
+            "max_tokens": 1,
+            "priority": order.priority,
+            "stream": False,
+            "kv_transfer_params": {"do_remote_decode": True},
+        }
+        try:
+            status, answer = await self._http.exchange_json(
+                "POST", "/v1/completions", body
+            )
+        except web.NOT_CONNECTED:
+            self._fail(work_id, errors.Code.ENGINE_FAILED, started=False)
+            return
+        except Exception as failure:
+            _LOG.info("engine: prefill %s broke: %r", work_id, failure)
+            self._fail(work_id, errors.Code.ENGINE_FAILED, started=True)
+            return
+        if status != _HTTP_OK:
+            self._fail_by_status(work_id, status)
+            return
+        if work_id in self._cancelled:
+            return
+        self._listener.finish_prefill(
+            work_id,
+            handle=answer["kv_transfer_params"]["remote_handle"],
+            computed_tokens=answer["usage"]["computed_tokens"],
+            took_s=self._reactor.seconds() - began_at,
+        )
+
+    async def _decode(self, work_id: str, order: messages.Decode) -> None:
+        body = {
+            "request_id": work_id,
+            "model": order.model,
+            "prompt": order.prompt,
+            "prompt_tokens": order.prompt_tokens,
+            "resume_texts": list(order.sent),
+            "max_tokens": order.max_tokens,
+            "priority": order.priority,
+            "stream": True,
+            "kv_transfer_params": {
+                "do_remote_prefill": True,
+                "remote_address": order.source_address,
+                "remote_handle": order.handle,
+                "timeout_s": order.transfer_limit_s,
+            },
+        }
+        try:
+            response = await self._http.request(
+                "POST", "/v1/completions", body=json.dumps(body).encode()
+            )
+        except web.NOT_CONNECTED:
+            self._fail(work_id, errors.Code.ENGINE_FAILED, started=False)
+            return
+        except Exception as failure:
+            _LOG.info("engine: decode %s broke: %r", work_id, failure)
+            self._fail(work_id, errors.Code.ENGINE_FAILED, started=True)
+            return
+        if response.code != _HTTP_OK:
+            await client.readBody(response)
+            self._fail_by_status(work_id, response.code)
+            return
+        stream = _TokenStream(
+            reactor=self._reactor,
+            on_tokens=lambda texts: self._add_tokens(work_id, texts),
+            on_end=lambda reason: self._end_decode(work_id, reason),
+        )
+        self._readers[work_id] = stream.reader
+        response.deliverBody(stream.reader)
+
+    def _add_tokens(self, work_id: str, texts: tuple[str, ...]) -> None:
+        if work_id not in self._cancelled:
+            self._listener.add_tokens(work_id, texts)
+
+    def _end_decode(self, work_id: str, reason: str) -> None:
+        self._readers.pop(work_id, None)
+        if work_id in self._cancelled or self._closed:
+            return
+        if reason:
+            self._listener.finish_decode(work_id, reason=reason)
+        else:
+            self._fail(work_id, errors.Code.ENGINE_FAILED, started=True)
+
+    async def _cancel(self, work_id: str) -> None:
+        try:
+            status, _ = await self._http.exchange_json(
+                "POST", "/v1/abort", {"request_id": work_id}
+            )
+        except web.NOT_CONNECTED:
+            # An engine that isn't there holds nothing.
+            status = _HTTP_OK
+        except Exception as failure:
+            _LOG.info("engine: cancel %s broke: %r", work_id, failure)
+            return
+        reader = self._readers.pop(work_id, None)
+        if reader is not None:
+            reader.abort()
+        if status == _HTTP_OK and not self._closed:
+            self._cancelled.discard(work_id)
+            self._listener.confirm_cancel(work_id)
+
+    async def _list(self) -> None:
+        try:
+            _, answer = await self._http.exchange_json("GET", "/v1/requests")
+        except Exception as failure:
+            _LOG.info("engine: no list: %r", failure)
+            if not self._closed:
+                self._reactor.callLater(_CANCEL_RETRY_S, self._list_again)
+            return
+        self._listener.list_work(tuple(answer["requests"]))
+
+    def _list_again(self) -> None:
+        if not self._closed:
+            self.request_list()
+
+    def _fail_by_status(self, work_id: str, status: int) -> None:
+        code = errors.Code.ENGINE_FAILED
+        if status in (404, 504):
+            code = errors.Code.TRANSFER_FAILED
+        elif status == 429:
+            code = errors.Code.NO_CAPACITY
+        self._fail(work_id, code, started=status not in _NOT_STARTED_STATUSES)
+
+    def _fail(self, work_id: str, code: errors.Code, *, started: bool) -> None:
+        if work_id in self._cancelled or self._closed:
+            return
+        self._listener.fail_work(work_id, code=code, started=started)
+
+
+class _TokenStream:
+    """Collects the tokens of one turn of the loop."""
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        on_tokens: Callable[[tuple[str, ...]], None],
+        on_end: Callable[[str], None],
+    ):
+        self._reactor = reactor
+        self._on_tokens = on_tokens
+        self._on_end = on_end
+        self._texts: list[str] = []
+        self._reason = ""
+        self.reader = web.EventStreamReader(on_data=self._add, on_end=self._end)
+
+    def _add(self, data: str) -> None:
+        if data == "[DONE]":
+            return
+        choice = json.loads(data)["choices"][0]
+        if choice["text"]:
+            if not self._texts:
+                self._reactor.callLater(0, self._flush)
+            self._texts.append(choice["text"])
+        if choice.get("finish_reason"):
+            self._reason = choice["finish_reason"]
+
+    def _flush(self) -> None:
+        texts = tuple(self._texts)
+        self._texts.clear()
+        if texts:
+            self._on_tokens(texts)
+
+    def _end(self) -> None:
+        self._flush()
+        self._on_end(self._reason)
--- /dev/null
+++ b/sassafrasstile/errors/_base.py
@@ -0,0 +1,119 @@
+"""The error codes and the exceptions that carry them."""
+
+import enum
+
+
+class Code(enum.StrEnum):
+    """Stable codes, shown to callers and operators.
+
+    Each code has a row in docs/operators/errors.md.
+    """
+
+    CONFIG_UNREADABLE = "config_unreadable"
+    CONFIG_SYNTAX = "config_syntax"
+    CONFIG_INVALID = "config_invalid"
+    UNKNOWN_PLUGIN = "unknown_plugin"
+    BAD_VALUE = "bad_value"
+    INVARIANT_VIOLATED = "invariant_violated"
+    LOG_UNAVAILABLE = "log_unavailable"
+
+    REQUEST_MALFORMED = "request_malformed"
+    REQUEST_TOO_LARGE = "request_too_large"
+    REQUEST_INVALID = "request_invalid"
+    UNKNOWN_WORKSPACE = "unknown_workspace"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_PATH = "unknown_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    KEY_REQUIRED = "idempotency_key_required"
+    KEY_REUSED = "idempotency_key_reused"
+
+    NO_ENDPOINT = "no_endpoint"
+    NO_CAPACITY = "no_capacity"
+    QUEUE_FULL = "queue_full"
+    WORKSPACE_LIMIT = "workspace_limit"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
+    STOPPING = "stopping"
+    LEAVING = "leaving"
+    WRONG_ROLE = "wrong_role"
+    WRONG_INCARNATION = "wrong_incarnation"
+    UNKNOWN_HOLD = "unknown_hold"
+    LEASE_LAPSED = "lease_lapsed"
+    SUPERSEDED = "superseded"
+    CANCELLED = "cancelled"
+    ENDPOINT_LOST = "endpoint_lost"
+    ENGINE_FAILED = "engine_failed"
+    TRANSFER_FAILED = "transfer_failed"
+    SERVICE_FAILED = "service_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    IN_PROGRESS = "in_progress"
+
+
+class Error(Exception):
+    """Base of every exception that this package raises on purpose.
+
+    Attributes:
+        code: The stable code of the failure.
+        detail: One sentence for a person.
+    """
+
+    def __init__(self, *, code: Code, detail: str):
+        super().__init__(f"{code}: {detail}")
+        self.code = code
+        self.detail = detail
+
+
+class ConfigurationError(Error):
+    """A configuration can't be read or isn't valid.
+
+    Attributes:
+        file: The file at fault, or an empty string.
+        line: Its line, counted from one, or zero when unknown.
+    """
+
+    def __init__(
+        self, *, code: Code, detail: str, file: str = "", line: int = 0
+    ):
+        place = f"{file}:{line}: " if file else ""
+        super().__init__(code=code, detail=place + detail)
+        self.file = file
+        self.line = line
+
+
+class RequestError(Error):
+    """A caller's request is refused before anything has run.
+
+    Attributes:
+        status: The HTTP status of the answer.
+    """
+
+    def __init__(self, *, code: Code, detail: str, status: int = 400):
+        super().__init__(code=code, detail=detail)
+        self.status = status
+
+
+class InvariantError(Error):
+    """An invariant of a kernel doesn't hold.
+
+    Attributes:
+        name: The invariant's name, as in docs/design/invariants.md.
+    """
+
+    def __init__(self, *, name: str, detail: str):
+        super().__init__(
+            code=Code.INVARIANT_VIOLATED, detail=f"{name}: {detail}"
+        )
+        self.name = name
+
+
+class LogUnavailableError(Error):
+    """The platform's log doesn't answer.
+
+    Attributes:
+        may_have_taken_effect: True when an append may be in the log.
+    """
+
+    def __init__(self, *, detail: str, may_have_taken_effect: bool):
+        super().__init__(code=Code.LOG_UNAVAILABLE, detail=detail)
+        self.may_have_taken_effect = may_have_taken_effect
--- /dev/null
+++ b/sassafrasstile/frontend/_admin.py
@@ -0,0 +1,57 @@
+"""Health, readiness and metrics, on a port of their own."""
+
+from collections.abc import Callable
+import json
+
+import prometheus_client
+from twisted.web import resource
+
+
+class AdminResource(resource.Resource):
+    """Serves `/healthz`, `/readyz`, `/status` and `/metrics`.
+
+    Args:
+        registry: The metrics.
+        is_ready: Says whether new work should come here.
+        describe: Returns the process's state for `/status`.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self,
+        *,
+        registry: prometheus_client.CollectorRegistry,
+        is_ready: Callable[[], bool],
+        describe: Callable[[], dict],
+    ):
+        super().__init__()
+        self._registry = registry
+        self._is_ready = is_ready
+        self._describe = describe
+
+    def render_GET(self, request):  # noqa: N802
+        """Handles one request."""
+        match request.path:
+            case b"/healthz":
+                return b"ok\n"
+            case b"/readyz":
+                return self._answer_ready(request)
+            case b"/status":
+                request.setHeader(b"content-type", b"application/json")
+                return json.dumps(self._describe()).encode()
+            case b"/metrics":
+                request.setHeader(
+                    b"content-type",
+                    prometheus_client.CONTENT_TYPE_LATEST.encode(),
+                )
+                return prometheus_client.generate_latest(self._registry)
+            case _:
+                request.setResponseCode(404)
+                return b"not found\n"
+
+    def _answer_ready(self, request):
+        if self._is_ready():
+            return b"ready\n"
+        request.setResponseCode(503)
+        return b"not ready\n"
--- /dev/null
+++ b/sassafrasstile/frontend/_answers.py
@@ -0,0 +1,134 @@
+"""Errors towards callers, and what every exchange shares."""
+
+import json
+import math
+
+from sassafrasstile import errors, gateway, verdicts
+from sassafrasstile.frontend import _base
+
+_STATUSES = {
+    errors.Code.UNKNOWN_MODEL: 404,
+    errors.Code.UNKNOWN_SERVICE: 404,
+    errors.Code.KEY_REUSED: 409,
+    errors.Code.REQUEST_TOO_LARGE: 413,
+    errors.Code.WORKSPACE_LIMIT: 429,
+}
+_STATUS_NOT_RUN = 503
+_STATUS_MAY_HAVE_RUN = 502
+_STATUS_LATE = 504
+
+
+def choose_status(verdict: verdicts.Verdict) -> int:
+    """Returns the HTTP status for a refusal."""
+    if verdict.code in _STATUSES:
+        return _STATUSES[verdict.code]
+    if isinstance(verdict, verdicts.NotRun):
+        return _STATUS_NOT_RUN
+    if verdict.code == errors.Code.DEADLINE_EXCEEDED:
+        return _STATUS_LATE
+    return _STATUS_MAY_HAVE_RUN
+
+
+def make_error_body(
+    *, request_id: str, verdict: verdicts.Verdict, detail: str
+) -> dict:
+    """Returns the JSON body of a refusal."""
+    return {
+        "error": {
+            "message": detail,
+            "type": "sassafrasstile_error",
+            "code": str(verdict.code),
+            "verdict": str(verdicts.name_verdict(verdict)),
+            "request_id": request_id,
+        }
+    }
+
+
+def set_common_headers(request, request_id: str) -> None:
+    """Sets the headers that every answer has."""
+    request.setHeader(b"x-request-id", request_id.encode())
+
+
+def write_refusal(
+    request, *, request_id: str, verdict: verdicts.Verdict, detail: str
+) -> None:
+    """Answers a request with a refusal and ends it."""
+    request.setResponseCode(choose_status(verdict))
+    set_common_headers(request, request_id)
+    request.setHeader(b"content-type", b"application/json")
+    retry_after_s = getattr(verdict, "retry_after_s", 0.0)
+    if retry_after_s > 0:
+        value = str(math.ceil(retry_after_s)).encode()
+        request.setHeader(b"retry-after", value)
+    body = make_error_body(
+        request_id=request_id, verdict=verdict, detail=detail
+    )
+    request.write(json.dumps(body).encode())
+    request.finish()
+
+
+def write_request_error(
+    request, *, request_id: str, error: errors.RequestError
+) -> None:
+    """Answers a request that can't be accepted and ends it."""
+    request.setResponseCode(error.status)
+    set_common_headers(request, request_id)
+    request.setHeader(b"content-type", b"application/json")
+    body = make_error_body(
+        request_id=request_id,
+        verdict=verdicts.NotRun(code=error.code),
+        detail=error.detail,
+    )
+    request.write(json.dumps(body).encode())
+    request.finish()
+
+
+class HttpExchange(_base.Exchange):
+    """An exchange over one HTTP request.
+
+    Args:
+        request: The twisted.web request.
+        router: The gateway.
+        kernel_id: The request's id in the kernel.
+        request_id: The id that the caller is told.
+    """
+
+    def __init__(
+        self, *, request, router: _base.Router, kernel_id: str, request_id: str
+    ):
+        self.request = request
+        self.router = router
+        self.kernel_id = kernel_id
+        self.request_id = request_id
+        self.is_open = True
+        request.notifyFinish().addErrback(self._lose_caller)
+
+    def _lose_caller(self, _) -> None:
+        if self.is_open:
+            self.is_open = False
+            self.router.cancel(self.kernel_id, self)
+
+    def finish(self) -> None:
+        """Ends the answer."""
+        self.is_open = False
+        self.request.finish()
+
+    def refuse(self, effect: gateway.Refuse) -> None:
+        """Ends the exchange with a refusal, before any answer."""
+        self.is_open = False
+        write_refusal(
+            self.request,
+            request_id=self.request_id,
+            verdict=effect.verdict,
+            detail=effect.detail,
+        )
+
+    def supersede(self) -> None:
+        """Ends the answer: the caller goes on in another exchange."""
+        self.handle(
+            gateway.Refuse(
+                request_id=self.kernel_id,
+                verdict=verdicts.MayHaveRun(code=errors.Code.SUPERSEDED),
+                detail="The caller sent the request again.",
+            )
+        )
--- /dev/null
+++ b/sassafrasstile/frontend/_generation.py
@@ -0,0 +1,268 @@
+"""`/v1/completions` and `/v1/chat/completions`."""
+
+import json
+import time
+
+from twisted.web import resource, server
+
+from sassafrasstile import errors, gateway, settings
+from sassafrasstile.frontend import (
+    _answers,
+    _base,
+    _bodies,
+    _directory,
+    _identity,
+)
+
+
+class GenerationResource(resource.Resource):
+    """Takes generation requests.
+
+    Args:
+        router: The gateway.
+        directory: Finds workspaces.
+        models: The configured models.
+        is_chat: True for the chat form.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self,
+        *,
+        router: _base.Router,
+        directory: _directory.WorkspaceDirectory,
+        models: dict[str, settings.ModelSettings],
+        is_chat: bool,
+    ):
+        super().__init__()
+        self._router = router
+        self._directory = directory
+        self._models = models
+        self._is_chat = is_chat
+
+    def render_POST(self, request):  # noqa: N802
+        """Handles one request."""
+        request_id = _identity.read_request_id(request)
+        try:
+            self._submit(request, request_id)
+        except errors.RequestError as error:
+            _answers.write_request_error(
+                request, request_id=request_id, error=error
+            )
+        return server.NOT_DONE_YET
+
+    def _submit(self, request, request_id: str) -> None:
+        workspace = _identity.find_workspace(request, self._directory)
+        body = _bodies.parse_body(
+            request.content.read(),
+            is_chat=self._is_chat,
+            models=self._models,
+        )
+        kernel_id = f"{workspace}/{request_id}"
+        generation = gateway.GenerationRequest(
+            request_id=kernel_id,
+            workspace=workspace,
+            model=body.model,
+            prompt=body.prompt,
+            prompt_tokens=body.prompt_tokens,
+            max_tokens=body.max_tokens,
+            deferred=self._directory.is_deferred(workspace),
+            resume_offset=_identity.read_resume_offset(request),
+        )
+        form = _ChatForm if self._is_chat else _TextForm
+        kind = _StreamExchange if body.stream else _WholeExchange
+        exchange = kind(
+            request=request,
+            router=self._router,
+            kernel_id=kernel_id,
+            request_id=request_id,
+            form=form(model=body.model, request_id=request_id),
+            prompt_tokens=body.prompt_tokens,
+        )
+        try:
+            self._router.submit(generation, exchange)
+        except errors.RequestError:
+            exchange.is_open = False
+            raise
+
+
+class _TextForm:
+    """The JSON of `/v1/completions`."""
+
+    prefix = "cmpl-"
+    whole = "text_completion"
+    chunk = "text_completion"
+
+    def __init__(self, *, model: str, request_id: str):
+        self.model = model
+        self.request_id = request_id
+        self.created = int(time.time())
+
+    def make_chunk(self, text: str, *, is_first: bool) -> dict:
+        """Returns a chunk of a streamed answer."""
+        return self._wrap(self.chunk, self._choose_text(text, None))
+
+    def make_last_chunk(self, reason: str) -> dict:
+        """Returns the last chunk of a streamed answer."""
+        return self._wrap(self.chunk, self._choose_text("", reason))
+
+    def make_whole(self, text: str, reason: str) -> dict:
+        """Returns a whole answer."""
+        return self._wrap(self.whole, self._choose_text(text, reason))
+
+    def _choose_text(self, text: str, reason: str | None) -> dict:
+        return {
+            "index": 0,
+            "text": text,
+            "logprobs": None,
+            "finish_reason": reason,
+        }
+
+    def _wrap(self, kind: str, choice: dict) -> dict:
+        return {
+            "id": self.prefix + self.request_id,
+            "object": kind,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+        }
+
+
+class _ChatForm(_TextForm):
+    """The JSON of `/v1/chat/completions`."""
+
+    prefix = "chatcmpl-"
+    whole = "chat.completion"
+    chunk = "chat.completion.chunk"
+
+    def make_chunk(self, text: str, *, is_first: bool) -> dict:
+        """Returns a chunk of a streamed answer."""
+        delta = {"content": text}
+        if is_first:
+            delta["role"] = "assistant"
+        return self._wrap(self.chunk, self._choose_delta(delta, None))
+
+    def make_last_chunk(self, reason: str) -> dict:
+        """Returns the last chunk of a streamed answer."""
+        return self._wrap(self.chunk, self._choose_delta({}, reason))
+
+    def make_whole(self, text: str, reason: str) -> dict:
+        """Returns a whole answer."""
+        choice = {
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "logprobs": None,
+            "finish_reason": reason,
+        }
+        return self._wrap(self.whole, choice)
+
+    def _choose_delta(self, delta: dict, reason: str | None) -> dict:
+        return {
+            "index": 0,
+            "delta": delta,
+            "logprobs": None,
+            "finish_reason": reason,
+        }
+
+
+class _GenerationExchange(_answers.HttpExchange):
+    """What both kinds of answer share.
+
+    Args:
+        form: Makes the JSON.
+        prompt_tokens: The prompt's length, for the usage shown.
+        **parameters: As for `HttpExchange`.
+    """
+
+    def __init__(self, *, form: _TextForm, prompt_tokens: int, **parameters):
+        super().__init__(**parameters)
+        self.form = form
+        self.prompt_tokens = prompt_tokens
+
+    def handle(self, effect: gateway.Effect) -> None:
+        """Writes an effect of the kernel to the caller."""
+        match effect:
+            case gateway.Deliver():
+                self.deliver(effect)
+            case gateway.Complete():
+                self.complete(effect)
+            case gateway.Refuse():
+                self.refuse(effect)
+
+    def make_usage(self, tokens: int) -> dict:
+        """Returns the token counts of an answer."""
+        return {
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": self.prompt_tokens + tokens,
+        }
+
+
+class _WholeExchange(_GenerationExchange):
+    """An answer in one piece."""
+
+    def __init__(self, **parameters):
+        super().__init__(**parameters)
+        self._texts: list[str] = []
+
+    def deliver(self, effect: gateway.Deliver) -> None:
+        self._texts.extend(effect.texts)
+
+    def complete(self, effect: gateway.Complete) -> None:
+        body = self.form.make_whole("".join(self._texts), effect.reason)
+        body["usage"] = self.make_usage(effect.tokens)
+        _answers.set_common_headers(self.request, self.request_id)
+        self.request.setHeader(b"content-type", b"application/json")
+        self.request.write(json.dumps(body).encode())
+        self.finish()
+
+
+class _StreamExchange(_GenerationExchange):
+    """An answer as server-sent events.
+
+    The id of each event is the number of tokens sent so far. A caller that
+    was cut off sends its last one as Last-Event-ID to get the rest.
+    """
+
+    def __init__(self, **parameters):
+        super().__init__(**parameters)
+        self._has_begun = False
+
+    def _write(self, body: dict, *, event_id: int | None = None) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            _answers.set_common_headers(self.request, self.request_id)
+            self.request.setHeader(b"content-type", b"text/event-stream")
+            self.request.setHeader(b"cache-control", b"no-store")
+        lines = f"data: {json.dumps(body)}\n\n"
+        if event_id is not None:
+            lines = f"id: {event_id}\n{lines}"
+        self.request.write(lines.encode())
+
+    def deliver(self, effect: gateway.Deliver) -> None:
+        chunk = self.form.make_chunk(
+            "".join(effect.texts), is_first=effect.offset == 0
+        )
+        self._write(chunk, event_id=effect.offset + len(effect.texts))
+
+    def complete(self, effect: gateway.Complete) -> None:
+        chunk = self.form.make_last_chunk(effect.reason)
+        chunk["usage"] = self.make_usage(effect.tokens)
+        self._write(chunk)
+        self.request.write(b"data: [DONE]\n\n")
+        self.finish()
+
+    def refuse(self, effect: gateway.Refuse) -> None:
+        """Ends the exchange with a refusal."""
+        if not self._has_begun:
+            super().refuse(effect)
+            return
+        self._write(
+            _answers.make_error_body(
+                request_id=self.request_id,
+                verdict=effect.verdict,
+                detail=effect.detail,
+            )
+        )
+        self.finish()
--- /dev/null
+++ b/sassafrasstile/frontend/_root.py
@@ -0,0 +1,172 @@
+"""The tree of paths that callers see."""
+
+import json
+
+from twisted.web import resource, server
+
+from sassafrasstile import errors, settings, verdicts
+from sassafrasstile.frontend import (
+    _answers,
+    _base,
+    _directory,
+    _generation,
+    _identity,
+    _services,
+)
+
+
+class _UnknownPath(resource.Resource):
+    """Answers every path that isn't served."""
+
+    isLeaf = True  # noqa: N815
+
+    def render(self, request):
+        """Handles one request."""
+        error = errors.RequestError(
+            code=errors.Code.UNKNOWN_PATH,
+            detail=f"{request.path.decode(errors='replace')} isn't served",
+            status=404,
+        )
+        _answers.write_request_error(
+            request,
+            request_id=_identity.read_request_id(request),
+            error=error,
+        )
+        return server.NOT_DONE_YET
+
+
+class _Models(resource.Resource):
+    """`GET /v1/models`."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, *, models: dict[str, settings.ModelSettings]):
+        super().__init__()
+        self._models = models
+
+    def render_GET(self, request):  # noqa: N802
+        """Lists the models."""
+        rows = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "site"}
+            for name in sorted(self._models)
+        ]
+        request.setHeader(b"content-type", b"application/json")
+        return json.dumps({"object": "list", "data": rows}).encode()
+
+
+class _Tree(resource.Resource):
+    """A resource whose unknown children answer with a JSON error."""
+
+    def getChild(self, path, request):  # noqa: N802
+        """Finds a child."""
+        return _UnknownPath()
+
+
+class _LimitedRequest(server.Request):
+    """A request whose body is limited before it is read."""
+
+    limit_bytes = 0
+    is_refused = False
+
+    def gotLength(self, length):  # noqa: N802
+        """Refuses a body that is announced as too large."""
+        if length is not None and length > self.limit_bytes:
+            self._refuse()
+            length = 0
+        super().gotLength(length)
+
+    def handleContentChunk(self, data):  # noqa: N802
+        """Refuses a body without a length once it is too large."""
+        if self.is_refused:
+            return
+        if self.content.tell() + len(data) > self.limit_bytes:
+            self._refuse()
+            return
+        super().handleContentChunk(data)
+
+    def _refuse(self):
+        self.is_refused = True
+        error = errors.RequestError(
+            code=errors.Code.REQUEST_TOO_LARGE,
+            detail=f"The body exceeds {self.limit_bytes} bytes",
+            status=413,
+        )
+        body = json.dumps(
+            _answers.make_error_body(
+                request_id="",
+                verdict=verdicts.NotRun(code=error.code),
+                detail=error.detail,
+            )
+        ).encode()
+        self.channel.transport.write(
+            b"HTTP/1.1 413 Content Too Large\r\n"
+            b"Content-Type: application/json\r\n"
+            b"Connection: close\r\n"
+            b"Content-Length: " + str(len(body)).encode() + b"\r\n\r\n" + body
+        )
+        self.channel.transport.loseConnection()
+
+    def process(self):
+        """Handles the request unless it was refused."""
+        if not self.is_refused:
+            super().process()
+
+
+def make_site(
+    *,
+    router: _base.Router,
+    directory: _directory.WorkspaceDirectory,
+    site: settings.Site,
+) -> server.Site:
+    """Returns the twisted.web site for callers.
+
+    Args:
+        router: The gateway.
+        directory: Finds workspaces.
+        site: The settings.
+    """
+    chat = _Tree()
+    chat.putChild(
+        b"completions",
+        _generation.GenerationResource(
+            router=router,
+            directory=directory,
+            models=site.models,
+            is_chat=True,
+        ),
+    )
+    version = _Tree()
+    version.putChild(b"chat", chat)
+    version.putChild(b"models", _Models(models=site.models))
+    version.putChild(
+        b"completions",
+        _generation.GenerationResource(
+            router=router,
+            directory=directory,
+            models=site.models,
+            is_chat=False,
+        ),
+    )
+    root = _Tree()
+    root.putChild(b"v1", version)
+    root.putChild(
+        b"services",
+        _services.ServicesResource(
+            router=router, directory=directory, services=site.services
+        ),
+    )
+    root.putChild(
+        b"outcomes",
+        _services.OutcomesResource(
+            router=router, directory=directory, services=site.services
+        ),
+    )
+
+    class Request(_LimitedRequest):
+        limit_bytes = site.requests.body_bytes
+
+    web_site = server.Site(
+        root, requestFactory=Request, timeout=site.requests.read_s
+    )
+    web_site.displayTracebacks = False
+    return web_site
--- /dev/null
+++ b/sassafrasstile/gateway/__init__.py
@@ -0,0 +1,39 @@
+"""The kernel of the process on an entry VM. It does no I/O."""
+
+from sassafrasstile.gateway._answer import AnswerAssembler
+from sassafrasstile.gateway._base import (
+    Answer,
+    CallRequest,
+    Complete,
+    Deliver,
+    Effect,
+    GenerationRequest,
+    InquiryRequest,
+    Reconnect,
+    Refuse,
+    Report,
+    Send,
+)
+from sassafrasstile.gateway._budget import RetryBudget
+from sassafrasstile.gateway._endpoints import Endpoint
+from sassafrasstile.gateway._kernel import GatewayKernel
+from sassafrasstile.gateway._settings import GatewaySettings
+
+__all__ = [
+    "Answer",
+    "AnswerAssembler",
+    "CallRequest",
+    "Complete",
+    "Deliver",
+    "Effect",
+    "Endpoint",
+    "GatewayKernel",
+    "GatewaySettings",
+    "GenerationRequest",
+    "InquiryRequest",
+    "Reconnect",
+    "Refuse",
+    "Report",
+    "RetryBudget",
+    "Send",
+]
--- /dev/null
+++ b/sassafrasstile/liveness/_http.py
@@ -0,0 +1,64 @@
+"""The liveness source `http`: the platform's list over HTTP."""
+
+from collections.abc import Callable
+import logging
+
+from twisted.internet import defer, task
+
+from sassafrasstile import plugins, web
+from sassafrasstile.liveness import _base
+
+_LOG = logging.getLogger("sassafrasstile.liveness")
+
+
+@plugins.register(plugins.Kind.LIVENESS, "http")
+class HttpLiveness(_base.LivenessSource):
+    """Polls `GET /v1/vms`.
+
+    Args:
+        reactor: The reactor.
+        url: The base URL.
+        poll_s: Seconds between reads.
+    """
+
+    def __init__(self, *, reactor, url: str, poll_s: float):
+        self.url = url
+        self.poll_s = poll_s
+        self._http = web.HttpClient(reactor=reactor, base_url=url)
+        self._loop = task.LoopingCall(self._poll)
+        self._loop.clock = reactor
+        self._on_states: Callable[[_base.VmStates], None] | None = None
+
+    def start(self, on_states: Callable[[_base.VmStates], None]) -> None:
+        """Starts to read, and reports each list read."""
+        self._on_states = on_states
+        self._loop.start(self.poll_s)
+
+    def close(self) -> None:
+        """Stops reading."""
+        if self._loop.running:
+            self._loop.stop()
+        self._http.close()
+
+    def _poll(self) -> defer.Deferred:
+        return defer.ensureDeferred(self._read())
+
+    async def _read(self) -> None:
+        try:
+            _, answer = await self._http.exchange_json("GET", "/v1/vms")
+            rows = answer["vms"]
+        except Exception as failure:
+            _LOG.info("liveness: no list. The last one stays: %r", failure)
+            return
+        if not self._loop.running:
+            return
+        self._on_states(
+            _base.VmStates(
+                live=frozenset(
+                    row["vm"] for row in rows if row["state"] == "live"
+                ),
+                leaving=frozenset(
+                    row["vm"] for row in rows if row["state"] == "leaving"
+                ),
+            )
+        )
--- /dev/null
+++ b/sassafrasstile/messages/_calls.py
@@ -0,0 +1,79 @@
+"""Messages of a call to a plain service."""
+
+import dataclasses
+
+from sassafrasstile.messages import _base
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Call(_base.Attempted):
+    """A call to a plain service.
+
+    Attributes:
+        key: The idempotency key, or an empty string.
+        service: The service's name.
+        method: The HTTP method.
+        path: The path and query below the service.
+        content_type: The body's media type.
+        body: The body.
+        repeatable: True when running it twice does no harm.
+        limit_s: Seconds that the service may take.
+        digest: A digest of method, path and body, to find a reused key.
+    """
+
+    key: str
+    service: str
+    method: str
+    path: str
+    content_type: str = ""
+    body: bytes = b""
+    repeatable: bool = True
+    limit_s: float = 0.0
+    digest: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Inquire(_base.Attempted):
+    """Asks what became of a call that may not be repeated.
+
+    Attributes:
+        key: Its idempotency key.
+    """
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallAnswered(_base.Attempted):
+    """The service has answered.
+
+    Attributes:
+        status: The HTTP status.
+        content_type: The body's media type.
+        body: The body.
+        replayed: True when the answer is that of an earlier attempt.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    replayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KeyStatus(_base.Attempted):
+    """What became of a call.
+
+    Attributes:
+        verdict: A `verdicts.VerdictName`.
+        status: The HTTP status of its answer, or zero.
+        content_type: The media type of its answer.
+        body: The body of its answer.
+        code: An `errors.Code`, or an empty string.
+    """
+
+    verdict: str
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    code: str = ""
--- /dev/null
+++ b/sassafrasstile/services/_http.py
@@ -0,0 +1,76 @@
+"""The service adapter `http`."""
+
+import logging
+
+from twisted.internet import defer
+from twisted.web import client
+
+from sassafrasstile import messages, plugins, web
+from sassafrasstile.services import _base
+
+_LOG = logging.getLogger("sassafrasstile.service")
+
+
+@plugins.register(plugins.Kind.SERVICE, "http")
+class HttpService(_base.Service):
+    """Talks to a plain service over HTTP.
+
+    Args:
+        reactor: The reactor.
+        url: The service's base URL.
+    """
+
+    def __init__(self, *, reactor, url: str):
+        self.url = url
+        self._reactor = reactor
+        self._http = web.HttpClient(reactor=reactor, base_url=url)
+        self._listener: _base.ServiceListener | None = None
+
+    def start(self, listener: _base.ServiceListener) -> None:
+        """Starts to report to a listener."""
+        self._listener = listener
+
+    def close(self) -> None:
+        """Drops every connection."""
+        self._http.close()
+
+    def run_call(self, call_id: str, order: messages.Call) -> None:
+        """Sends a call, once."""
+        deferred = defer.ensureDeferred(self._run(call_id, order))
+        deferred.addErrback(
+            lambda failure: _LOG.error(
+                "service: unexpected failure: %s", failure.getTraceback()
+            )
+        )
+
+    async def _run(self, call_id: str, order: messages.Call) -> None:
+        headers = {"idempotency-key": order.key} if order.key else {}
+        request = self._http.request(
+            order.method,
+            order.path,
+            body=order.body or None,
+            content_type=order.content_type or "application/octet-stream",
+            headers=headers,
+        )
+        if order.limit_s > 0:
+            request.addTimeout(order.limit_s, self._reactor)
+        try:
+            response = await request
+            reading = client.readBody(response)
+            if order.limit_s > 0:
+                reading.addTimeout(order.limit_s, self._reactor)
+            body = await reading
+        except web.NOT_CONNECTED:
+            self._listener.fail_call(call_id, sent=False)
+            return
+        except Exception as failure:
+            _LOG.info("service: call %s broke: %r", call_id, failure)
+            self._listener.fail_call(call_id, sent=True)
+            return
+        types = response.headers.getRawHeaders("content-type", [""])
+        self._listener.finish_call(
+            call_id,
+            status=response.code,
+            content_type=types[0],
+            body=body,
+        )
--- /dev/null
+++ b/sassafrasstile/settings/__init__.py
@@ -0,0 +1,58 @@
+"""Settings: a base and an overlay in YAML, merged and checked.
+
+>>> site = check_tree({"site": {"name": "demo"}})
+>>> site.site.name
+'demo'
+"""
+
+from sassafrasstile.settings._load import (
+    Origin,
+    Tree,
+    check_tree,
+    load_site,
+    merge_files,
+    render_tree,
+)
+from sassafrasstile.settings._models import (
+    Address,
+    EndpointSettings,
+    GatewayProcess,
+    LivenessSettings,
+    LoggingSettings,
+    LogSettings,
+    ModelSettings,
+    RequestLimits,
+    Rule,
+    ServiceSettings,
+    Site,
+    SiteSettings,
+    StopSettings,
+    Targets,
+    WorkspaceSettings,
+    parse_address,
+)
+
+__all__ = [
+    "Address",
+    "EndpointSettings",
+    "GatewayProcess",
+    "LivenessSettings",
+    "LogSettings",
+    "LoggingSettings",
+    "ModelSettings",
+    "Origin",
+    "RequestLimits",
+    "Rule",
+    "ServiceSettings",
+    "Site",
+    "SiteSettings",
+    "StopSettings",
+    "Targets",
+    "Tree",
+    "WorkspaceSettings",
+    "check_tree",
+    "load_site",
+    "merge_files",
+    "parse_address",
+    "render_tree",
+]
--- /dev/null
+++ b/sassafrasstile/settings/_load.py
@@ -0,0 +1,290 @@
+"""Loads, merges and checks a base and an overlay."""
+
+import dataclasses
+import functools
+import pathlib
+from typing import Any
+
+import pydantic
+import yaml
+
+from sassafrasstile import errors, plugins
+from sassafrasstile.settings import _models
+
+Path = tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Origin:
+    """Where a value came from.
+
+    Attributes:
+        file: The file, or an empty string for a default.
+        line: The line, counted from one.
+    """
+
+    file: str = ""
+    line: int = 0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Tree:
+    """Settings before they are checked.
+
+    Attributes:
+        values: Nested mappings, lists and scalars.
+        origins: Where each value came from, by path.
+    """
+
+    values: dict[str, Any]
+    origins: dict[Path, Origin]
+
+
+def _read_file(file: str) -> Tree:
+    try:
+        text = pathlib.Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.ConfigurationError(
+            code=errors.Code.CONFIG_UNREADABLE, detail=str(error), file=file
+        ) from error
+    try:
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        values = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        raise errors.ConfigurationError(
+            code=errors.Code.CONFIG_SYNTAX,
+            detail=getattr(error, "problem", None) or str(error),
+            file=file,
+            line=mark.line + 1 if mark else 0,
+        ) from error
+    if values is None:
+        return Tree(values={}, origins={})
+    if not isinstance(values, dict):
+        raise errors.ConfigurationError(
+            code=errors.Code.CONFIG_INVALID,
+            detail=f"the top is {values!r}; allowed is a mapping",
+            file=file,
+            line=1,
+        )
+    origins: dict[Path, Origin] = {}
+    _note_origins(node, (), file, origins)
+    return Tree(values=values, origins=origins)
+
+
+def _note_origins(
+    node: yaml.Node, path: Path, file: str, origins: dict[Path, Origin]
+) -> None:
+    origins[path] = Origin(file=file, line=node.start_mark.line + 1)
+    if isinstance(node, yaml.MappingNode):
+        seen: set[str] = set()
+        for key, value in node.value:
+            line = key.start_mark.line + 1
+            if key.value in seen:
+                raise errors.ConfigurationError(
+                    code=errors.Code.CONFIG_INVALID,
+                    detail=f"{'.'.join((*path, key.value))} stands twice",
+                    file=file,
+                    line=line,
+                )
+            seen.add(key.value)
+            below = (*path, key.value)
+            _note_origins(value, below, file, origins)
+            origins[below] = Origin(file=file, line=line)
+    elif isinstance(node, yaml.SequenceNode):
+        for index, value in enumerate(node.value):
+            _note_origins(value, (*path, str(index)), file, origins)
+
+
+def _merge(base: Tree, overlay: Tree) -> Tree:
+    """Merges an overlay into a base.
+
+    Mappings are merged key by key; any other value replaces the base's; a
+    null removes it.
+    """
+    origins = dict(base.origins)
+    values = _merge_values(base.values, overlay, (), origins)
+    return Tree(values=values, origins=origins)
+
+
+def _merge_values(
+    base: dict[str, Any],
+    overlay: Tree,
+    path: Path,
+    origins: dict[Path, Origin],
+) -> dict[str, Any]:
+    merged = dict(base)
+    values = functools.reduce(lambda at, key: at[key], path, overlay.values)
+    for key, value in values.items():
+        below = (*path, str(key))
+        if isinstance(value, dict) and isinstance(merged.get(key), dict):
+            merged[key] = _merge_values(merged[key], overlay, below, origins)
+            continue
+        _forget_origins(origins, below)
+        if value is None:
+            merged.pop(key, None)
+            continue
+        merged[key] = value
+        _copy_origins(overlay.origins, origins, below)
+    return merged
+
+
+def _forget_origins(origins: dict[Path, Origin], path: Path) -> None:
+    below = [key for key in origins if key[: len(path)] == path]
+    for key in below:
+        del origins[key]
+
+
+def _copy_origins(
+    source: dict[Path, Origin], target: dict[Path, Origin], path: Path
+) -> None:
+    for key, origin in source.items():
+        if key[: len(path)] == path:
+            target[key] = origin
+
+
+def merge_files(files: list[str]) -> Tree:
+    """Reads files and merges each into those before it.
+
+    Args:
+        files: The base first, then the overlays.
+
+    Returns:
+        The merged settings, unchecked.
+
+    Raises:
+        errors.ConfigurationError: When a file can't be read or parsed.
+    """
+    trees = [_read_file(file) for file in files]
+    return functools.reduce(_merge, trees, Tree(values={}, origins={}))
+
+
+def check_tree(
+    values: dict[str, Any], origins: dict[Path, Origin] | None = None
+) -> _models.Site:
+    """Checks merged settings.
+
+    Args:
+        values: The merged settings.
+        origins: Where each value came from, for messages.
+
+    Returns:
+        The settings.
+
+    Raises:
+        errors.ConfigurationError: With the first value that isn't allowed.
+    """
+    origins = origins or {}
+    try:
+        site = pydantic.TypeAdapter(_models.Site).validate_python(values)
+    except pydantic.ValidationError as error:
+        raise _describe(error.errors()[0], origins) from error
+    _check_references(site, origins)
+    return site
+
+
+def _describe(
+    problem: Any, origins: dict[Path, Origin]
+) -> errors.ConfigurationError:
+    path = tuple(str(part) for part in problem["loc"] if part != "[key]")
+    detail = f"{'.'.join(path)}: {problem['msg']}"
+    if problem["type"] == "missing":
+        detail = f"{'.'.join(path)} is missing"
+    elif problem["type"] == "unexpected_keyword_argument":
+        detail = f"{'.'.join(path)} is not a setting"
+    else:
+        detail += f"; received {problem['input']!r}"
+    return _invalid(path, detail, origins)
+
+
+def _invalid(
+    path: Path, detail: str, origins: dict[Path, Origin]
+) -> errors.ConfigurationError:
+    origin = Origin()
+    while True:
+        if path in origins:
+            origin = origins[path]
+            break
+        if not path:
+            break
+        path = path[:-1]
+    return errors.ConfigurationError(
+        code=errors.Code.CONFIG_INVALID,
+        detail=detail,
+        file=origin.file,
+        line=origin.line,
+    )
+
+
+def _check_references(site: _models.Site, origins: dict[Path, Origin]) -> None:
+    for name, endpoint in site.endpoints.items():
+        known = site.services if endpoint.role == "service" else site.models
+        if endpoint.serves not in known:
+            raise _invalid(
+                ("endpoints", name, "serves"),
+                f"endpoints.{name}.serves is {endpoint.serves!r}; "
+                f"allowed are {sorted(known)}",
+                origins,
+            )
+    policies = plugins.list_names(plugins.Kind.POLICY)
+    if site.routing.policy not in policies:
+        raise _invalid(
+            ("routing", "policy"),
+            f"routing.policy is {site.routing.policy!r}; "
+            f"allowed are {policies}",
+            origins,
+        )
+    if site.leases.renew_s * 2 > site.leases.lease_s:
+        raise _invalid(
+            ("leases", "renew_s"),
+            f"leases.renew_s is {site.leases.renew_s}; allowed is at most "
+            f"half of leases.lease_s, {site.leases.lease_s / 2}",
+            origins,
+        )
+
+
+def load_site(files: list[str]) -> _models.Site:
+    """Reads, merges and checks settings.
+
+    Args:
+        files: The base first, then the overlays.
+
+    Returns:
+        The settings.
+
+    Raises:
+        errors.ConfigurationError: When they can't be read or aren't valid.
+    """
+    tree = merge_files(files)
+    return check_tree(tree.values, tree.origins)
+
+
+def render_tree(site: _models.Site, tree: Tree) -> list[str]:
+    """Returns each setting with its value and where it came from.
+
+    Args:
+        site: The checked settings.
+        tree: The merged settings that they were made from.
+
+    Returns:
+        One line a setting, sorted by path.
+    """
+    lines: list[str] = []
+    _render(dataclasses.asdict(site), (), tree.origins, lines)
+    return lines
+
+
+def _render(
+    value: Any, path: Path, origins: dict[Path, Origin], lines: list[str]
+) -> None:
+    if isinstance(value, dict) and value:
+        for key in sorted(value):
+            _render(value[key], (*path, str(key)), origins, lines)
+        return
+    if isinstance(value, (list, tuple)) and value:
+        for index, item in enumerate(value):
+            _render(item, (*path, str(index)), origins, lines)
+        return
+    origin = origins.get(path)
+    place = f"{origin.file}:{origin.line}" if origin else "default"
+    lines.append(f"{'.'.join(path)} = {value!r}  # {place}")
--- /dev/null
+++ b/sassafrasstile/sidecar/_base.py
@@ -0,0 +1,104 @@
+"""Effects of the sidecar kernels, and what both kernels share."""
+
+import dataclasses
+
+from sassafrasstile import messages
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Send:
+    """Send a message to a gateway.
+
+    Attributes:
+        peer: The gateway's name.
+        message: The message.
+    """
+
+    peer: str
+    message: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StartPrefill:
+    """Start a prefill on the engine.
+
+    Attributes:
+        work_id: Names this piece of work towards the engine.
+        order: The gateway's message.
+    """
+
+    work_id: str
+    order: messages.Prefill
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StartDecode:
+    """Import a KV cache into the engine and start the decode.
+
+    Attributes:
+        work_id: Names this piece of work towards the engine.
+        order: The gateway's message.
+    """
+
+    work_id: str
+    order: messages.Decode
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CancelWork:
+    """Cancel work on the engine and free its memory.
+
+    Attributes:
+        work_id: The work.
+    """
+
+    work_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ListWork:
+    """Ask the engine what it holds."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunCall:
+    """Send a call to the service.
+
+    Attributes:
+        call_id: Names the call towards the adapter.
+        order: The gateway's message.
+    """
+
+    call_id: str
+    order: messages.Call
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Append:
+    """Append a record to the log.
+
+    Attributes:
+        record: The record, one of `sassafrasstile.logs` records.
+    """
+
+    record: object
+
+
+Effect = (
+    Send | StartPrefill | StartDecode | CancelWork | ListWork | RunCall | Append
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Owner:
+    """Who an attempt belongs to.
+
+    Attributes:
+        gateway: The gateway's name.
+        incarnation: Its incarnation.
+        attempt: The attempt's number.
+    """
+
+    gateway: str
+    incarnation: str
+    attempt: int
--- /dev/null
+++ b/sassafrasstile/sidecar/_engine.py
@@ -0,0 +1,674 @@
+"""The kernel of a sidecar beside a model engine.
+
+It is the authority for the engine's memory: it grants, renews and releases
+every hold. Time comes in as kernel time in seconds; effects go out.
+"""
+
+import collections
+import logging
+
+from sassafrasstile import errors, messages, verdicts
+from sassafrasstile.sidecar import (
+    _base,
+    _holds,
+    _invariants,
+    _leases,
+    _settings,
+)
+
+_LOG = logging.getLogger("sassafrasstile.sidecar")
+_ENDED_ATTEMPTS_KEPT = 4096
+_CANCEL_AGAIN_S = 1.0
+
+Phase = _holds.Phase
+
+
+class EngineKernel:
+    """Decides what a model engine does for whom.
+
+    Args:
+        name: The endpoint's name.
+        incarnation: This process's incarnation.
+        role: `prefill` or `decode`.
+        model: The model that the engine serves.
+        address: The engine's address for KV transfers.
+        limits: What the engine holds at once.
+        leases: Lease times.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        role: str,
+        model: str,
+        address: str = "",
+        limits: _settings.EngineLimits | None = None,
+        leases: _settings.LeaseSettings | None = None,
+    ):
+        self.name = name
+        self.incarnation = incarnation
+        self.role = role
+        self.model = model
+        self.address = address
+        self.limits = limits or _settings.EngineLimits()
+        self.lease_settings = leases or _settings.LeaseSettings()
+        self.leaving = False
+        self._table = _holds.HoldTable(
+            slots=self.limits.slots, pieces=self.limits.pieces
+        )
+        self._leases = _leases.LeaseTable(lease_s=self.lease_settings.lease_s)
+        self._ended: collections.OrderedDict[_base.Owner, None] = (
+            collections.OrderedDict()
+        )
+        self._effects: list[_base.Effect] = []
+        self._last_now: float | None = None
+
+    # Inputs.
+
+    def start(self, now: float) -> list[_base.Effect]:
+        """Asks the engine what a former incarnation left behind."""
+        self._begin(now)
+        self._effects.append(_base.ListWork())
+        return self._end()
+
+    def receive(self, batch: messages.Batch, now: float) -> list[_base.Effect]:
+        """Handles a batch from a gateway.
+
+        Args:
+            batch: The batch.
+            now: Kernel time in seconds.
+
+        Returns:
+            The effects, in order.
+        """
+        self._begin(now)
+        if self._accepts(batch, now):
+            for message in batch.messages:
+                self._handle(batch, message, now)
+        return self._end()
+
+    def finish_prefill(
+        self,
+        work_id: str,
+        *,
+        handle: str,
+        computed_tokens: int,
+        took_s: float,
+        now: float,
+    ) -> list[_base.Effect]:
+        """Notes that the engine has finished a prefill."""
+        self._begin(now)
+        hold = self._find_work(work_id, Phase.PREFILLING)
+        if hold is not None:
+            hold.phase = Phase.PREFILLED
+            hold.until = now + self.limits.prefill_ttl_s
+            self._send(
+                hold.owner,
+                messages.Prefilled(
+                    request_id=hold.request_id,
+                    attempt=hold.owner.attempt,
+                    source_address=self.address,
+                    handle=handle,
+                    computed_tokens=computed_tokens,
+                    took_s=took_s,
+                ),
+            )
+        return self._end()
+
+    def add_tokens(
+        self, work_id: str, texts: tuple[str, ...], *, now: float
+    ) -> list[_base.Effect]:
+        """Notes tokens that the engine has generated."""
+        self._begin(now)
+        hold = self._find_work(work_id, Phase.DECODING)
+        if hold is not None and texts:
+            offset = len(hold.texts)
+            hold.texts.extend(texts)
+            self._send_pieces(hold, offset)
+        return self._end()
+
+    def finish_decode(
+        self, work_id: str, *, reason: str, now: float
+    ) -> list[_base.Effect]:
+        """Notes that the engine has finished a decode."""
+        self._begin(now)
+        hold = self._find_work(work_id, Phase.DECODING)
+        if hold is not None:
+            hold.phase = Phase.FINISHED
+            hold.tokens = len(hold.texts)
+            hold.reason = reason
+            hold.until = now + self.lease_settings.retain_s
+            self._send_finished(hold)
+            self._grant_waiting(now)
+        return self._end()
+
+    def fail_work(
+        self, work_id: str, *, code: str, started: bool, now: float
+    ) -> list[_base.Effect]:
+        """Notes that the engine has refused or dropped work.
+
+        Args:
+            work_id: The work.
+            code: An `errors.Code`.
+            started: False only when the engine says that nothing has run.
+            now: Kernel time in seconds.
+
+        Returns:
+            The effects, in order.
+        """
+        self._begin(now)
+        hold = self._table.holds.get(work_id)
+        if hold is not None and hold.phase in _holds.ENGINE_PHASES:
+            if hold.phase is not Phase.RELEASING:
+                verdict = (
+                    verdicts.VerdictName.MAY_HAVE_RUN
+                    if started
+                    else verdicts.VerdictName.NOT_RUN
+                )
+                self._fail(hold, verdict=verdict, code=code)
+            self._forget(hold, now)
+        return self._end()
+
+    def confirm_cancel(self, work_id: str, *, now: float) -> list[_base.Effect]:
+        """Notes that the engine has freed the memory of cancelled work."""
+        self._begin(now)
+        hold = self._table.holds.get(work_id)
+        if hold is not None and hold.phase is Phase.RELEASING:
+            self._forget(hold, now)
+        return self._end()
+
+    def list_work(
+        self, work_ids: tuple[str, ...], *, now: float
+    ) -> list[_base.Effect]:
+        """Cancels what the engine holds and this incarnation didn't start."""
+        self._begin(now)
+        for work_id in work_ids:
+            if work_id not in self._table.holds:
+                _LOG.info(
+                    "sidecar %s: cancels %s. Reason: no hold is known for it.",
+                    self.name,
+                    work_id,
+                )
+                self._effects.append(_base.CancelWork(work_id=work_id))
+        return self._end()
+
+    def drain(self, now: float) -> list[_base.Effect]:
+        """Stops taking new work. What is held goes on."""
+        self._begin(now)
+        if not self.leaving:
+            _LOG.info("sidecar %s: drains. New work is refused.", self.name)
+        self.leaving = True
+        for hold in self._table.list_waiting():
+            self._refuse_hold(hold, errors.Code.LEAVING)
+        return self._end()
+
+    def tick(self, now: float) -> list[_base.Effect]:
+        """Releases what has lapsed. To be called a few times a second."""
+        self._begin(now)
+        for hold in list(self._table.holds.values()):
+            self._expire(hold, now)
+        holders = {hold.owner.gateway for hold in self._table.holds.values()}
+        self._leases.forget_idle(now=now, holders=holders)
+        _invariants.check_holds(
+            self._table, self._leases, now=now, name=self.name
+        )
+        return self._end()
+
+    # What others may look at.
+
+    def is_idle(self) -> bool:
+        """Says whether nothing is held or waits."""
+        return all(
+            hold.phase is Phase.FINISHED for hold in self._table.holds.values()
+        )
+
+    def describe_load(self) -> messages.Load:
+        """Returns the load for the next batch."""
+        return messages.Load(
+            leaving=self.leaving,
+            slots=self.limits.slots,
+            free_slots=max(0, self.limits.slots - self._table.count_slots()),
+            waiting=len(self._table.list_waiting()),
+        )
+
+    def list_held(self) -> list[str]:
+        """Returns the work that has engine memory, sorted."""
+        return sorted(
+            hold.work_id
+            for hold in self._table.holds.values()
+            if hold.phase in _holds.MEMORY_PHASES
+        )
+
+    # Time and identity.
+
+    def _begin(self, now: float) -> None:
+        if self._last_now is not None:
+            paused_s = now - self._last_now
+            if paused_s > self.lease_settings.lease_s:
+                _LOG.warning(
+                    "sidecar %s: was paused for %.1f s. Leases restart.",
+                    self.name,
+                    paused_s,
+                )
+                self._leases.extend_all(now=now)
+        self._last_now = now
+
+    def _end(self) -> list[_base.Effect]:
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    def _accepts(self, batch: messages.Batch, now: float) -> bool:
+        if batch.target and batch.target != self.incarnation:
+            _LOG.info(
+                "sidecar %s: drops a batch of %s. Reason: it was meant for "
+                "incarnation %s.",
+                self.name,
+                batch.sender,
+                batch.target,
+            )
+            return False
+        if not self._leases.is_current(
+            gateway=batch.sender, incarnation=batch.incarnation
+        ):
+            return False
+        replaced = self._leases.touch(
+            gateway=batch.sender, incarnation=batch.incarnation, now=now
+        )
+        if replaced:
+            self._release_former(batch.sender, batch.incarnation, now)
+        return True
+
+    def _release_former(
+        self, gateway: str, incarnation: str, now: float
+    ) -> None:
+        for hold in list(self._table.holds.values()):
+            if hold.phase is Phase.FINISHED or hold.owner.gateway != gateway:
+                continue
+            if hold.owner.incarnation != incarnation:
+                self._abandon(hold, now, "its gateway restarted")
+
+    # Messages.
+
+    def _handle(
+        self, batch: messages.Batch, message: messages.Message, now: float
+    ) -> None:
+        if isinstance(message, messages.Renew):
+            self._renew(batch, message, now)
+            return
+        owner = _holds.make_owner(
+            sender=batch.sender,
+            incarnation=batch.incarnation,
+            message=message,
+        )
+        match message:
+            case messages.Reserve():
+                self._reserve(owner, message, now)
+            case messages.Prefill():
+                self._prefill(owner, message)
+            case messages.Decode():
+                self._decode(owner, message)
+            case messages.Cancel():
+                self._cancel(owner, now)
+            case messages.Resume():
+                self._resume(owner, message)
+            case _:
+                self._refuse(owner, message, errors.Code.WRONG_ROLE)
+
+    def _renew(
+        self, batch: messages.Batch, message: messages.Renew, now: float
+    ) -> None:
+        is_news = self._leases.renew(
+            gateway=batch.sender,
+            issued_below=message.issued_below,
+            live=message.live,
+        )
+        self._effects.append(
+            _base.Send(peer=batch.sender, message=messages.Renewed())
+        )
+        if not is_news:
+            return
+        live = set(message.live)
+        known = set()
+        for hold in list(self._table.holds.values()):
+            owner = hold.owner
+            if owner.incarnation != batch.incarnation:
+                continue
+            known.add(owner.attempt)
+            if owner.attempt in live or hold.phase is Phase.FINISHED:
+                continue
+            if owner.attempt < message.issued_below:
+                self._release(hold, now, "the gateway has given it up")
+        for attempt in sorted(live - known):
+            self._report_unknown(batch, attempt)
+
+    def _report_unknown(self, batch: messages.Batch, attempt: int) -> None:
+        owner = _base.Owner(
+            gateway=batch.sender,
+            incarnation=batch.incarnation,
+            attempt=attempt,
+        )
+        self._send(
+            owner,
+            messages.Failed(
+                request_id="",
+                attempt=attempt,
+                verdict=verdicts.VerdictName.MAY_HAVE_RUN,
+                code=errors.Code.UNKNOWN_HOLD,
+            ),
+        )
+
+    def _reserve(
+        self, owner: _base.Owner, message: messages.Reserve, now: float
+    ) -> None:
+        known = self._table.find(owner)
+        if known is not None:
+            if known.phase is Phase.RESERVED:
+                self._send_reserved(known)
+            return
+        code = self._check_new_work(owner, message.model, role="decode")
+        if code is not None:
+            self._refuse(owner, message, code)
+            return
+        pieces = _holds.count_needed_pieces(
+            message.tokens, tokens_per_piece=self.limits.tokens_per_piece
+        )
+        if pieces > self.limits.pieces:
+            self._refuse(owner, message, errors.Code.REQUEST_TOO_LARGE)
+            return
+        fits = self._table.fits(pieces) and not self._table.list_waiting()
+        if not fits and message.wait_s <= 0:
+            self._refuse(owner, message, errors.Code.NO_CAPACITY)
+            return
+        hold = _holds.Hold(
+            work_id=f"{message.request_id}.{owner.incarnation}.{owner.attempt}",
+            request_id=message.request_id,
+            owner=owner,
+            phase=Phase.WAITING,
+            pieces=pieces,
+            priority=message.priority,
+            until=now + message.wait_s,
+        )
+        self._table.add(hold)
+        if fits:
+            self._grant(hold)
+
+    def _grant(self, hold: _holds.Hold) -> None:
+        hold.phase = Phase.RESERVED
+        hold.until = None
+        _LOG.info(
+            "sidecar %s: request %s: reserves %d pieces. Free slots: %d.",
+            self.name,
+            hold.request_id,
+            hold.pieces,
+            self.limits.slots - self._table.count_slots(),
+        )
+        self._send_reserved(hold)
+
+    def _grant_waiting(self, now: float) -> None:
+        for hold in self._table.list_waiting():
+            if not self._table.fits(hold.pieces):
+                return
+            self._grant(hold)
+
+    def _prefill(self, owner: _base.Owner, message: messages.Prefill) -> None:
+        if self._table.find(owner) is not None:
+            return
+        code = self._check_new_work(owner, message.model, role="prefill")
+        pieces = _holds.count_needed_pieces(
+            message.prompt_tokens,
+            tokens_per_piece=self.limits.tokens_per_piece,
+        )
+        if code is None and not self._table.fits(pieces):
+            code = errors.Code.NO_CAPACITY
+        if code is not None:
+            self._refuse(owner, message, code)
+            return
+        hold = _holds.Hold(
+            work_id=f"{message.request_id}.{owner.incarnation}.{owner.attempt}",
+            request_id=message.request_id,
+            owner=owner,
+            phase=Phase.PREFILLING,
+            pieces=pieces,
+            priority=message.priority,
+        )
+        self._table.add(hold)
+        _LOG.info(
+            "sidecar %s: request %s: starts a prefill of %d tokens.",
+            self.name,
+            message.request_id,
+            message.prompt_tokens,
+        )
+        self._effects.append(
+            _base.StartPrefill(work_id=hold.work_id, order=message)
+        )
+
+    def _decode(self, owner: _base.Owner, message: messages.Decode) -> None:
+        hold = self._table.find(owner)
+        if hold is None or hold.phase is Phase.RELEASING:
+            self._refuse(owner, message, errors.Code.UNKNOWN_HOLD)
+            return
+        if hold.phase is not Phase.RESERVED:
+            return
+        hold.phase = Phase.DECODING
+        hold.texts = list(message.sent)
+        _LOG.info(
+            "sidecar %s: request %s: starts a decode at offset %d from %s.",
+            self.name,
+            message.request_id,
+            len(message.sent),
+            message.source_address,
+        )
+        self._effects.append(
+            _base.StartDecode(work_id=hold.work_id, order=message)
+        )
+
+    def _cancel(self, owner: _base.Owner, now: float) -> None:
+        hold = self._table.find(owner)
+        self._remember_ended(owner)
+        if hold is not None and hold.phase is not Phase.FINISHED:
+            self._release(hold, now, "the gateway cancelled it")
+
+    def _resume(self, owner: _base.Owner, message: messages.Resume) -> None:
+        hold = self._table.find_answer(message.request_id)
+        if hold is None or hold.owner in self._ended:
+            self._refuse(owner, message, errors.Code.UNKNOWN_HOLD)
+            return
+        former = hold.owner
+        if former == owner:
+            return
+        self._send(
+            former,
+            messages.Failed(
+                request_id=hold.request_id,
+                attempt=former.attempt,
+                verdict=verdicts.VerdictName.MAY_HAVE_RUN,
+                code=errors.Code.SUPERSEDED,
+            ),
+        )
+        hold.owner = owner
+        _LOG.info(
+            "sidecar %s: request %s: goes on to gateway %s with %d tokens.",
+            self.name,
+            hold.request_id,
+            owner.gateway,
+            len(hold.texts),
+        )
+        self._send(
+            owner,
+            messages.Resumed(
+                request_id=hold.request_id,
+                attempt=owner.attempt,
+                previous=former.attempt,
+                tokens=len(hold.texts),
+            ),
+        )
+        self._send_pieces(hold, 0)
+        if hold.phase is Phase.FINISHED:
+            self._send_finished(hold)
+
+    def _check_new_work(
+        self, owner: _base.Owner, model: str, *, role: str
+    ) -> errors.Code | None:
+        if self.leaving:
+            return errors.Code.LEAVING
+        if self.role != role or model != self.model:
+            return errors.Code.WRONG_ROLE
+        if owner in self._ended or self._leases.is_given_up(
+            gateway=owner.gateway, attempt=owner.attempt
+        ):
+            return errors.Code.CANCELLED
+        return None
+
+    # Ends of holds.
+
+    def _expire(self, hold: _holds.Hold, now: float) -> None:
+        is_over = hold.until is not None and now >= hold.until
+        match hold.phase:
+            case Phase.FINISHED:
+                if is_over:
+                    self._table.remove(hold.work_id)
+                return
+            case Phase.RELEASING:
+                if is_over:
+                    self._cancel_work(hold, now)
+                return
+            case Phase.WAITING if is_over:
+                self._refuse_hold(hold, errors.Code.NO_CAPACITY)
+                return
+            case Phase.PREFILLED if is_over:
+                self._release(hold, now, "the prefill result was not fetched")
+                return
+        if self._leases.has_lapsed(
+            gateway=hold.owner.gateway,
+            incarnation=hold.owner.incarnation,
+            now=now,
+        ):
+            self._abandon(hold, now, "its lease lapsed")
+
+    def _abandon(self, hold: _holds.Hold, now: float, reason: str) -> None:
+        if hold.phase is not Phase.RELEASING:
+            self._fail(
+                hold,
+                verdict=verdicts.VerdictName.MAY_HAVE_RUN,
+                code=errors.Code.LEASE_LAPSED,
+            )
+        self._release(hold, now, reason)
+
+    def _release(self, hold: _holds.Hold, now: float, reason: str) -> None:
+        self._remember_ended(hold.owner)
+        if hold.phase is Phase.RELEASING:
+            return
+        _LOG.info(
+            "sidecar %s: request %s: releases its hold. Reason: %s.",
+            self.name,
+            hold.request_id,
+            reason,
+        )
+        if hold.phase in _holds.ENGINE_PHASES:
+            self._cancel_work(hold, now)
+            return
+        self._forget(hold, now)
+
+    def _cancel_work(self, hold: _holds.Hold, now: float) -> None:
+        hold.phase = Phase.RELEASING
+        hold.until = now + _CANCEL_AGAIN_S
+        self._effects.append(_base.CancelWork(work_id=hold.work_id))
+
+    def _forget(self, hold: _holds.Hold, now: float) -> None:
+        self._remember_ended(hold.owner)
+        self._table.remove(hold.work_id)
+        self._grant_waiting(now)
+
+    def _remember_ended(self, owner: _base.Owner) -> None:
+        self._ended[owner] = None
+        if len(self._ended) > _ENDED_ATTEMPTS_KEPT:
+            self._ended.popitem(last=False)
+
+    def _find_work(self, work_id: str, phase: Phase) -> _holds.Hold | None:
+        hold = self._table.holds.get(work_id)
+        if hold is None or hold.phase is not phase:
+            return None
+        return hold
+
+    # Messages to gateways.
+
+    def _send(self, owner: _base.Owner, message: messages.Message) -> None:
+        self._effects.append(_base.Send(peer=owner.gateway, message=message))
+
+    def _send_reserved(self, hold: _holds.Hold) -> None:
+        self._send(
+            hold.owner,
+            messages.Reserved(
+                request_id=hold.request_id, attempt=hold.owner.attempt
+            ),
+        )
+
+    def _send_pieces(self, hold: _holds.Hold, offset: int) -> None:
+        self._send(
+            hold.owner,
+            messages.Pieces(
+                request_id=hold.request_id,
+                attempt=hold.owner.attempt,
+                offset=offset,
+                texts=tuple(hold.texts[offset:]),
+            ),
+        )
+
+    def _send_finished(self, hold: _holds.Hold) -> None:
+        self._send(
+            hold.owner,
+            messages.Finished(
+                request_id=hold.request_id,
+                attempt=hold.owner.attempt,
+                tokens=hold.tokens,
+                reason=hold.reason,
+            ),
+        )
+
+    def _fail(
+        self,
+        hold: _holds.Hold,
+        *,
+        verdict: verdicts.VerdictName,
+        code: str,
+    ) -> None:
+        self._send(
+            hold.owner,
+            messages.Failed(
+                request_id=hold.request_id,
+                attempt=hold.owner.attempt,
+                verdict=verdict,
+                code=code,
+            ),
+        )
+
+    def _refuse_hold(self, hold: _holds.Hold, code: errors.Code) -> None:
+        self._fail(hold, verdict=verdicts.VerdictName.NOT_RUN, code=code)
+        self._remember_ended(hold.owner)
+        self._table.remove(hold.work_id)
+
+    def _refuse(
+        self,
+        owner: _base.Owner,
+        message: messages.Attempted,
+        code: errors.Code,
+    ) -> None:
+        _LOG.info(
+            "sidecar %s: request %s: refuses %s. Reason: %s.",
+            self.name,
+            message.request_id,
+            type(message).__name__,
+            code,
+        )
+        self._send(
+            owner,
+            messages.Failed(
+                request_id=message.request_id,
+                attempt=message.attempt,
+                verdict=verdicts.VerdictName.NOT_RUN,
+                code=code,
+            ),
+        )
--- /dev/null
+++ b/sassafrasstile/sidecar/_holds.py
@@ -0,0 +1,143 @@
+"""What a model engine's sidecar holds for requests."""
+
+import dataclasses
+import enum
+
+from sassafrasstile import messages
+from sassafrasstile.sidecar import _base
+
+
+class Phase(enum.Enum):
+    """How far a hold has come."""
+
+    WAITING = "waiting"
+    RESERVED = "reserved"
+    PREFILLING = "prefilling"
+    PREFILLED = "prefilled"
+    DECODING = "decoding"
+    FINISHED = "finished"
+    RELEASING = "releasing"
+
+
+MEMORY_PHASES = frozenset(
+    {
+        Phase.RESERVED,
+        Phase.PREFILLING,
+        Phase.PREFILLED,
+        Phase.DECODING,
+        Phase.RELEASING,
+    }
+)
+ENGINE_PHASES = frozenset(
+    {Phase.PREFILLING, Phase.PREFILLED, Phase.DECODING, Phase.RELEASING}
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Hold:
+    """One request's hold.
+
+    Attributes:
+        work_id: Names the work towards the engine.
+        request_id: The request.
+        owner: The attempt to which it belongs.
+        phase: How far it has come.
+        pieces: Pieces of engine memory.
+        priority: Lower numbers go first.
+        until: When the phase ends by itself, in kernel time, or None.
+        texts: The tokens of the answer so far, decode only.
+        tokens: The whole answer's length once finished.
+        reason: Why it finished.
+    """
+
+    work_id: str
+    request_id: str
+    owner: _base.Owner
+    phase: Phase
+    pieces: int
+    priority: int = 0
+    until: float | None = None
+    texts: list[str] = dataclasses.field(default_factory=list)
+    tokens: int = 0
+    reason: str = ""
+
+
+class HoldTable:
+    """The holds of one engine, with its memory counted.
+
+    Args:
+        slots: Requests at the most.
+        pieces: Pieces of memory at the most.
+    """
+
+    def __init__(self, *, slots: int, pieces: int):
+        self.slots = slots
+        self.pieces = pieces
+        self.holds: dict[str, Hold] = {}
+
+    def add(self, hold: Hold) -> None:
+        """Adds a hold."""
+        self.holds[hold.work_id] = hold
+
+    def remove(self, work_id: str) -> None:
+        """Removes a hold if it is there."""
+        self.holds.pop(work_id, None)
+
+    def count_slots(self) -> int:
+        """Returns the slots in use."""
+        return sum(1 for hold in self.holds.values() if _has_memory(hold))
+
+    def count_pieces(self) -> int:
+        """Returns the pieces in use."""
+        return sum(
+            hold.pieces for hold in self.holds.values() if _has_memory(hold)
+        )
+
+    def fits(self, pieces: int) -> bool:
+        """Says whether a request of some pieces fits now."""
+        if self.count_slots() >= self.slots:
+            return False
+        return self.count_pieces() + pieces <= self.pieces
+
+    def find(self, owner: _base.Owner) -> Hold | None:
+        """Returns the hold of an attempt, or None."""
+        for hold in self.holds.values():
+            if hold.owner == owner:
+                return hold
+        return None
+
+    def find_answer(self, request_id: str) -> Hold | None:
+        """Returns the newest hold with a request's answer, or None."""
+        found = None
+        for hold in self.holds.values():
+            if hold.request_id != request_id:
+                continue
+            if hold.phase in (Phase.DECODING, Phase.FINISHED):
+                found = hold
+        return found
+
+    def list_waiting(self) -> list[Hold]:
+        """Returns the holds that wait for memory, first to be served first."""
+        waiting = [
+            hold for hold in self.holds.values() if hold.phase is Phase.WAITING
+        ]
+        waiting.sort(key=lambda hold: hold.priority)
+        return waiting
+
+
+def _has_memory(hold: Hold) -> bool:
+    return hold.phase in MEMORY_PHASES
+
+
+def count_needed_pieces(tokens: int, *, tokens_per_piece: int) -> int:
+    """Returns the pieces that hold some tokens."""
+    return max(1, -(-tokens // tokens_per_piece))
+
+
+def make_owner(
+    *, sender: str, incarnation: str, message: messages.Attempted
+) -> _base.Owner:
+    """Returns the owner that a message speaks for."""
+    return _base.Owner(
+        gateway=sender, incarnation=incarnation, attempt=message.attempt
+    )
--- /dev/null
+++ b/sassafrasstile/sidecar/_once.py
@@ -0,0 +1,98 @@
+"""The table of calls that may not be repeated, at their one owner."""
+
+import dataclasses
+import enum
+
+from sassafrasstile import messages
+from sassafrasstile.sidecar import _base
+
+
+class CallState(enum.Enum):
+    """What became of a call."""
+
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Entry:
+    """One key.
+
+    Attributes:
+        key: The idempotency key.
+        digest: A digest of the call, empty when only a claim is known.
+        state: What became of it.
+        order: The call, while it may still have to be sent.
+        waiters: Attempts that wait for the answer.
+        answer: The service's answer once there is one.
+        forget_at: Kernel time at which the entry may be dropped.
+    """
+
+    key: str
+    digest: str
+    state: CallState
+    order: messages.Call | None = None
+    waiters: list[_base.Owner] = dataclasses.field(default_factory=list)
+    answer: messages.CallAnswered | None = None
+    forget_at: float | None = None
+
+
+class OnceTable:
+    """Entries by key.
+
+    Args:
+        retain_s: Seconds that a settled entry is kept. It has to be longer
+            than callers retry.
+    """
+
+    def __init__(self, *, retain_s: float):
+        self.retain_s = retain_s
+        self._entries: dict[str, Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find(self, key: str) -> Entry | None:
+        """Returns the entry of a key, or None."""
+        return self._entries.get(key)
+
+    def add(self, entry: Entry) -> None:
+        """Adds an entry."""
+        self._entries[entry.key] = entry
+
+    def remove(self, key: str) -> None:
+        """Removes an entry whose call was proved not to have run."""
+        self._entries.pop(key, None)
+
+    def settle(
+        self, entry: Entry, state: CallState, *, now: float
+    ) -> list[_base.Owner]:
+        """Gives an entry its last state.
+
+        Returns:
+            The attempts that waited.
+        """
+        entry.state = state
+        entry.order = None
+        entry.forget_at = now + self.retain_s
+        waiters = entry.waiters
+        entry.waiters = []
+        return waiters
+
+    def list_in_state(self, state: CallState) -> list[Entry]:
+        """Returns the entries in a state, oldest first."""
+        return [
+            entry for entry in self._entries.values() if entry.state is state
+        ]
+
+    def forget_old(self, *, now: float) -> None:
+        """Drops settled entries that callers no longer ask for."""
+        old = [
+            entry.key
+            for entry in self._entries.values()
+            if entry.forget_at is not None and now >= entry.forget_at
+        ]
+        for key in old:
+            del self._entries[key]
--- /dev/null
+++ b/sassafrasstile/standins/__init__.py
@@ -0,0 +1,43 @@
+"""Small stand-ins for outside systems, for demos and tests.
+
+Each meets the interface in docs/interfaces.md. The models do no I/O, so
+that the randomised runs use them under a virtual clock.
+"""
+
+from sassafrasstile.standins._engine_model import (
+    EngineModel,
+    EngineSpeed,
+    Evicted,
+    Generated,
+    NotAcceptedError,
+    PrefillDone,
+    generate_text,
+)
+from sassafrasstile.standins._engine_server import EngineServer
+from sassafrasstile.standins._log_model import (
+    LogDownError,
+    LogModel,
+    LogRecord,
+    LogSpeed,
+)
+from sassafrasstile.standins._log_server import LogServer
+from sassafrasstile.standins._service_server import ServiceServer
+from sassafrasstile.standins._vms_server import VmsServer
+
+__all__ = [
+    "EngineModel",
+    "EngineServer",
+    "EngineSpeed",
+    "Evicted",
+    "Generated",
+    "LogDownError",
+    "LogModel",
+    "LogRecord",
+    "LogServer",
+    "LogSpeed",
+    "NotAcceptedError",
+    "PrefillDone",
+    "ServiceServer",
+    "VmsServer",
+    "generate_text",
+]
--- /dev/null
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -0,0 +1,65 @@
+"""The metrics of each kind of process."""
+
+import prometheus_client
+
+_FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.74, 1, 2, 5, 10, 30, 60)
+_PER_TOKEN_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.3, 1)
+
+
+class GatewayMetrics:
+    """Metrics of a gateway, in a registry of its own."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "sassafrasstile_requests",
+            "Requests by kind and outcome.",
+            ("kind", "outcome"),
+            registry=self.registry,
+        )
+        self.in_flight = prometheus_client.Gauge(
+            "sassafrasstile_requests_in_flight",
+            "Requests without a final answer.",
+            registry=self.registry,
+        )
+        self.first_token = prometheus_client.Histogram(
+            "sassafrasstile_first_token_seconds",
+            "Seconds from a request's arrival to its first token.",
+            buckets=_FIRST_TOKEN_BUCKETS,
+            registry=self.registry,
+        )
+        self.per_token = prometheus_client.Histogram(
+            "sassafrasstile_per_token_seconds",
+            "Mean seconds a token after a request's first one.",
+            buckets=_PER_TOKEN_BUCKETS,
+            registry=self.registry,
+        )
+        self.violations = prometheus_client.Counter(
+            "sassafrasstile_invariant_violations",
+            "Invariants found broken, by name.",
+            ("name",),
+            registry=self.registry,
+        )
+
+
+class SidecarMetrics:
+    """Metrics of a sidecar, in a registry of its own."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.held = prometheus_client.Gauge(
+            "sassafrasstile_held",
+            "Requests that hold engine memory, or calls that run.",
+            registry=self.registry,
+        )
+        self.free_slots = prometheus_client.Gauge(
+            "sassafrasstile_free_slots",
+            "Slots without a hold.",
+            registry=self.registry,
+        )
+        self.violations = prometheus_client.Counter(
+            "sassafrasstile_invariant_violations",
+            "Invariants found broken, by name.",
+            ("name",),
+            registry=self.registry,
+        )
--- /dev/null
+++ b/sassafrasstile/validation/_checks.py
@@ -0,0 +1,62 @@
+"""Checks of single values."""
+
+import re
+
+from sassafrasstile import errors
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+
+
+def check_name(value: str, *, what: str) -> str:
+    """Checks a name of a service, pool, endpoint or workspace.
+
+    Args:
+        value: The name received.
+        what: What is named, for the message.
+
+    Returns:
+        The name.
+
+    Raises:
+        errors.Error: With BAD_VALUE.
+
+    >>> check_name("oslo-a", what="endpoint")
+    'oslo-a'
+    """
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE,
+            detail=(
+                f"{what} is {value!r}; allowed are 1 to 63 of a-z, 0-9, "
+                "'.', '_' and '-', the first a letter or digit"
+            ),
+        )
+    return value
+
+
+def check_positive(value: float, *, what: str) -> float:
+    """Checks that a number is above zero.
+
+    Raises:
+        errors.Error: With BAD_VALUE.
+    """
+    if isinstance(value, bool) or not value > 0:
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE,
+            detail=f"{what} is {value!r}; allowed are numbers above 0",
+        )
+    return value
+
+
+def check_fraction(value: float, *, what: str) -> float:
+    """Checks that a number lies between zero and one.
+
+    Raises:
+        errors.Error: With BAD_VALUE.
+    """
+    if isinstance(value, bool) or not 0 <= value <= 1:
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE,
+            detail=f"{what} is {value!r}; allowed are numbers from 0 to 1",
+        )
+    return value
--- /dev/null
+++ b/sassafrasstile/web/_client.py
@@ -0,0 +1,116 @@
+"""An HTTP client and a reader of server-sent events."""
+
+from collections.abc import Callable
+import io
+import json
+
+from twisted.internet import defer, error, protocol
+from twisted.protocols import basic
+from twisted.web import client, http_headers
+
+# Failures of connecting: no byte of the request has left.
+NOT_CONNECTED = (error.ConnectError,)
+_CONNECT_LIMIT_S = 2.0
+_CONNECTIONS_KEPT = 32
+
+
+class EventStreamReader(basic.LineOnlyReceiver):
+    """Reads the data lines of a stream of server-sent events.
+
+    Args:
+        on_data: Called with the text of each data line.
+        on_end: Called once, when the body has ended for any reason.
+    """
+
+    delimiter = b"\n"
+    MAX_LENGTH = 1 << 20
+
+    def __init__(
+        self,
+        *,
+        on_data: Callable[[str], None],
+        on_end: Callable[[], None],
+    ):
+        self._on_data = on_data
+        self._on_end = on_end
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Handles one line."""
+        text = line.rstrip(b"\r").decode()
+        if text.startswith("data:"):
+            self._on_data(text[len("data:") :].strip())
+
+    def abort(self) -> None:
+        """Drops the connection that the body is read from."""
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def connectionLost(  # noqa: N802
+        self, reason=protocol.connectionDone
+    ) -> None:
+        """Handles the end of the body."""
+        self._on_end()
+
+
+class HttpClient:
+    """An HTTP client with a pool of connections.
+
+    Args:
+        reactor: The reactor.
+        base_url: The URL before every path.
+    """
+
+    def __init__(self, *, reactor, base_url: str):
+        self.base_url = base_url
+        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = _CONNECTIONS_KEPT
+        # A request on a kept connection that breaks is never sent again by
+        # the pool: whether it may be is for the kernel to decide.
+        self._pool.retryAutomatically = False
+        self._agent = client.Agent(
+            reactor, connectTimeout=_CONNECT_LIMIT_S, pool=self._pool
+        )
+
+    def close(self) -> defer.Deferred:
+        """Closes the kept connections."""
+        return self._pool.closeCachedConnections()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        content_type: str = "application/json",
+        headers: dict[str, str] | None = None,
+    ) -> defer.Deferred:
+        """Sends a request.
+
+        Returns:
+            A Deferred with the response, its body unread.
+        """
+        fields = {"content-type": [content_type]} if body is not None else {}
+        for name, value in (headers or {}).items():
+            fields[name] = [value]
+        producer = None
+        if body is not None:
+            producer = client.FileBodyProducer(io.BytesIO(body))
+        return self._agent.request(
+            method.encode(),
+            (self.base_url + path).encode(),
+            http_headers.Headers(fields),
+            producer,
+        )
+
+    async def exchange_json(
+        self, method: str, path: str, body: object | None = None
+    ) -> tuple[int, object]:
+        """Sends a JSON request and reads the JSON answer.
+
+        Returns:
+            The HTTP status and the decoded body.
+        """
+        data = None if body is None else json.dumps(body).encode()
+        response = await self.request(method, path, body=data)
+        content = await client.readBody(response)
+        return response.code, json.loads(content) if content else None
--- /dev/null
+++ b/sassafrasstile/wire/__init__.py
@@ -0,0 +1,12 @@
+"""The protocol between gateways and sidecars, on grpclib."""
+
+from sassafrasstile.wire._codec import decode, encode, list_message_types
+from sassafrasstile.wire._links import LinkClient, LinkServer
+
+__all__ = [
+    "LinkClient",
+    "LinkServer",
+    "decode",
+    "encode",
+    "list_message_types",
+]
--- /dev/null
+++ b/sassafrasstile/wire/_links.py
@@ -0,0 +1,242 @@
+"""Links between gateways and sidecars: one grpclib stream a pair.
+
+All messages that are ready in one turn of the loop go out as one batch, so
+that a stream of tokens doesn't cost one gRPC message a token.
+"""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+import grpclib
+import grpclib.client
+import grpclib.server
+
+from sassafrasstile import messages
+from sassafrasstile.wire import _codec, router_grpc, router_pb2
+
+_LOG = logging.getLogger("sassafrasstile.wire")
+_FIRST_BACKOFF_S = 0.1
+_LONGEST_BACKOFF_S = 2.0
+_CONNECT_LIMIT_S = 2.0
+
+MakeBatch = Callable[[tuple[messages.Message, ...]], messages.Batch]
+
+
+class _Outbox:
+    """Messages that wait for the next batch of one stream."""
+
+    def __init__(self):
+        self._messages: list[messages.Message] = []
+        self._ready = asyncio.Event()
+        self._closed = False
+
+    def put(self, message: messages.Message) -> None:
+        self._messages.append(message)
+        self._ready.set()
+
+    def wake(self) -> None:
+        self._ready.set()
+
+    def close(self) -> None:
+        self._closed = True
+        self._ready.set()
+
+    async def write_to(self, stream, make_batch: MakeBatch) -> None:
+        """Writes a batch whenever something is ready, until closed."""
+        while not self._closed:
+            await self._ready.wait()
+            self._ready.clear()
+            ready = tuple(self._messages)
+            self._messages.clear()
+            batch = _codec.encode(make_batch(ready))
+            await stream.send_message(batch)
+
+
+class LinkServer(router_grpc.SidecarBase):
+    """Accepts the links of gateways at a sidecar.
+
+    Args:
+        make_batch: Puts messages into a batch with the sender's identity
+            and load.
+        on_batch: Called with each batch received.
+    """
+
+    def __init__(
+        self,
+        *,
+        make_batch: MakeBatch,
+        on_batch: Callable[[messages.Batch], None],
+    ):
+        self._make_batch = make_batch
+        self._on_batch = on_batch
+        self._outboxes: dict[str, _Outbox] = {}
+        self._server: grpclib.server.Server | None = None
+
+    async def start(self, *, host: str, port: int) -> int:
+        """Listens.
+
+        Args:
+            host: An IP number.
+            port: A port, or zero to let the kernel pick one.
+
+        Returns:
+            The port.
+        """
+        self._server = grpclib.server.Server([self])
+        await self._server.start(host, port)
+        sockets = self._server._server.sockets
+        return sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stops listening and ends every link."""
+        for outbox in self._outboxes.values():
+            outbox.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def send(self, peer: str, message: messages.Message) -> None:
+        """Sends a message to a gateway, or drops it without a link."""
+        outbox = self._outboxes.get(peer)
+        if outbox is not None:
+            outbox.put(message)
+
+    def announce(self) -> None:
+        """Sends the load to every gateway."""
+        for outbox in self._outboxes.values():
+            outbox.wake()
+
+    async def Connect(self, stream) -> None:  # noqa: N802
+        """Serves one gateway's link."""
+        first = await stream.recv_message()
+        if first is None:
+            return
+        peer = first.sender
+        outbox = _Outbox()
+        former = self._outboxes.get(peer)
+        if former is not None:
+            former.close()
+        self._outboxes[peer] = outbox
+        outbox.wake()
+        writer = asyncio.ensure_future(
+            outbox.write_to(stream, self._make_batch)
+        )
+        try:
+            batch = first
+            while batch is not None:
+                self._on_batch(_codec.decode(batch))
+                batch = await stream.recv_message()
+        finally:
+            writer.cancel()
+            if self._outboxes.get(peer) is outbox:
+                del self._outboxes[peer]
+
+
+class LinkClient:
+    """Keeps a gateway's link to one sidecar open.
+
+    Args:
+        peer: The endpoint's name.
+        host: The sidecar's IP number.
+        port: Its port.
+        make_batch: Puts messages into a batch with the sender's identity.
+        on_connect: Called when a link is up.
+        on_batch: Called with each batch received.
+        on_disconnect: Called when a link has broken.
+        generator: Spreads the reconnections.
+    """
+
+    def __init__(
+        self,
+        *,
+        peer: str,
+        host: str,
+        port: int,
+        make_batch: MakeBatch,
+        on_connect: Callable[[], None],
+        on_batch: Callable[[messages.Batch], None],
+        on_disconnect: Callable[[], None],
+        generator: random.Random,
+    ):
+        self.peer = peer
+        self.host = host
+        self.port = port
+        self._make_batch = make_batch
+        self._on_connect = on_connect
+        self._on_batch = on_batch
+        self._on_disconnect = on_disconnect
+        self._generator = generator
+        self._outbox: _Outbox | None = None
+        self._task: asyncio.Task | None = None
+        self._link: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Starts to connect, again and again until closed."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def close(self) -> None:
+        """Ends the link."""
+        for task in (self._link, self._task):
+            if task is not None:
+                task.cancel()
+        if self._task is not None:
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def send(self, message: messages.Message) -> None:
+        """Sends a message, or drops it without a link."""
+        if self._outbox is not None:
+            self._outbox.put(message)
+
+    def reconnect(self) -> None:
+        """Breaks the link, so that a new one is opened."""
+        if self._link is not None:
+            self._link.cancel()
+
+    async def _run(self) -> None:
+        backoff_s = _FIRST_BACKOFF_S
+        while True:
+            self._link = asyncio.ensure_future(self._serve())
+            results = await asyncio.gather(self._link, return_exceptions=True)
+            was_up = results[0] is True
+            if self._outbox is not None:
+                was_up = True
+                self._outbox = None
+                self._on_disconnect()
+            if was_up:
+                backoff_s = _FIRST_BACKOFF_S
+            await asyncio.sleep(backoff_s * self._generator.uniform(0.5, 1.5))
+            backoff_s = min(_LONGEST_BACKOFF_S, 2 * backoff_s)
+
+    async def _serve(self) -> bool:
+        channel = grpclib.client.Channel(self.host, self.port)
+        try:
+            stub = router_grpc.SidecarStub(channel)
+            async with stub.Connect.open() as stream:
+                await self._exchange(stream)
+        except (OSError, grpclib.GRPCError, grpclib.ProtocolError) as error:
+            _LOG.debug("wire: the link to %s broke: %s", self.peer, error)
+        finally:
+            channel.close()
+        return self._outbox is not None
+
+    async def _exchange(self, stream) -> None:
+        hello = _codec.encode(self._make_batch(()))
+        await asyncio.wait_for(stream.send_message(hello), _CONNECT_LIMIT_S)
+        first = await asyncio.wait_for(stream.recv_message(), _CONNECT_LIMIT_S)
+        if first is None:
+            return
+        outbox = _Outbox()
+        self._outbox = outbox
+        self._on_connect()
+        writer = asyncio.ensure_future(
+            outbox.write_to(stream, self._make_batch)
+        )
+        try:
+            batch: router_pb2.Batch | None = first
+            while batch is not None:
+                self._on_batch(_codec.decode(batch))
+                batch = await stream.recv_message()
+        finally:
+            writer.cancel()
