--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(BIN)/sassafrasstile demo
 
 test: setup
-	$(BIN)/nose2 --config nose2.cfg
+	$(BIN)/python -m nose2 --config nose2.cfg
 
 lint: setup
 	$(BIN)/ruff format --check .
--- a/sassafrasstile/commands/_main.py
+++ b/sassafrasstile/commands/_main.py
@@ -11,8 +11,11 @@
 import cyclopts
 
 import sassafrasstile
-from sassafrasstile import errors, settings, telemetry
-from sassafrasstile.commands import _reactor, _standins
+from sassafrasstile import daemons
+from sassafrasstile import errors
+from sassafrasstile import settings
+from sassafrasstile import telemetry
+from sassafrasstile.commands import _standins
 
 EXIT_OK = 0
 EXIT_BROKEN = 1
@@ -56,8 +59,6 @@
     *, config: _Config, overlay: _Overlay = None, name: _Name = ""
 ) -> int:
     """Run the process on an entry VM until SIGTERM."""
-    from sassafrasstile import daemons
-
     site = _load(config, overlay)
     if not name and len(site.gateways) == 1:
         name = next(iter(site.gateways))
@@ -66,10 +67,10 @@
     async def work(reactor):
         daemon = daemons.GatewayDaemon(reactor=reactor, name=name, site=site)
         daemon.start()
-        await _reactor.wait_for_stop(reactor)
+        await daemons.wait_for_stop(reactor)
         return EXIT_OK if await daemon.drain() else EXIT_BROKEN
 
-    return _reactor.run_until_done(work)
+    return daemons.run_until_done(work)
 
 
 @app.command
@@ -77,18 +78,16 @@
     *, config: _Config, overlay: _Overlay = None, name: _Name = ""
 ) -> int:
     """Run the process beside an endpoint until SIGTERM."""
-    from sassafrasstile import daemons
-
     site = _load(config, overlay)
     _check_member(name, site.endpoints, "endpoints")
 
     async def work(reactor):
         daemon = daemons.SidecarDaemon(reactor=reactor, name=name, site=site)
         await daemon.start()
-        await _reactor.wait_for_stop(reactor)
+        await daemons.wait_for_stop(reactor)
         return EXIT_OK if await daemon.drain() else EXIT_BROKEN
 
-    return _reactor.run_until_done(work)
+    return daemons.run_until_done(work)
 
 
 @app.command
@@ -122,7 +121,7 @@
         reports.append(report)
         return EXIT_OK if report.holds() else EXIT_BROKEN
 
-    code = _reactor.run_until_done(work)
+    code = daemons.run_until_done(work)
     if reports and json_output:
         print(json.dumps(reports[0].summarize()))
     elif reports:
--- a/sassafrasstile/commands/_standins.py
+++ b/sassafrasstile/commands/_standins.py
@@ -2,8 +2,9 @@
 
 import cyclopts
 
-from sassafrasstile import settings, telemetry
-from sassafrasstile.commands import _reactor
+from sassafrasstile import daemons
+from sassafrasstile import settings
+from sassafrasstile import telemetry
 
 app = cyclopts.App(
     name="standin", help="Run a small stand-in for an outside system."
@@ -18,10 +19,10 @@
         server = make(reactor)
         server.start(host=address.host, port=address.port)
         print(server.url, flush=True)
-        await _reactor.wait_for_stop(reactor)
+        await daemons.wait_for_stop(reactor)
         return 0
 
-    return _reactor.run_until_done(work)
+    return daemons.run_until_done(work)
 
 
 @app.command
--- a/sassafrasstile/daemons/__init__.py
+++ b/sassafrasstile/daemons/__init__.py
@@ -1,6 +1,17 @@
 """The processes: thin drivers round the kernels."""
 
 from sassafrasstile.daemons._gateway import GatewayDaemon
+from sassafrasstile.daemons._reactor import (
+    install_reactor,
+    run_until_done,
+    wait_for_stop,
+)
 from sassafrasstile.daemons._sidecar import SidecarDaemon
 
-__all__ = ["GatewayDaemon", "SidecarDaemon"]
+__all__ = [
+    "GatewayDaemon",
+    "SidecarDaemon",
+    "install_reactor",
+    "run_until_done",
+    "wait_for_stop",
+]
--- a/sassafrasstile/daemons/_base.py
+++ b/sassafrasstile/daemons/_base.py
@@ -3,11 +3,14 @@
 import asyncio
 import logging
 import secrets
+import time
 
-from twisted.internet import defer, interfaces
+from twisted.internet import defer
+from twisted.internet import interfaces
 from twisted.web import server
 
-from sassafrasstile import frontend, settings
+from sassafrasstile import frontend
+from sassafrasstile import settings
 
 _LOG = logging.getLogger("sassafrasstile.daemon")
 _IDLE_POLL_S = 0.05
@@ -18,6 +21,15 @@
     return secrets.token_hex(6)
 
 
+def read_clock() -> float:
+    """Returns kernel time in seconds.
+
+    It never goes back, and it goes on while the VM is suspended, so that a
+    process that was paused sees how long.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def run_soon(work) -> defer.Deferred:
     """Runs a coroutine of asyncio from twisted code."""
     return defer.Deferred.fromFuture(asyncio.ensure_future(work))
--- a/sassafrasstile/daemons/_gateway.py
+++ b/sassafrasstile/daemons/_gateway.py
@@ -3,21 +3,22 @@
 import logging
 import random
 
-from twisted.internet import defer, interfaces, task
-
-from sassafrasstile import (
-    errors,
-    frontend,
-    gateway,
-    liveness,
-    messages,
-    plugins,
-    settings,
-    telemetry,
-    verdicts,
-    wire,
-)
-from sassafrasstile.daemons import _base, _timing
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+
+from sassafrasstile import errors
+from sassafrasstile import frontend
+from sassafrasstile import gateway
+from sassafrasstile import liveness
+from sassafrasstile import messages
+from sassafrasstile import plugins
+from sassafrasstile import settings
+from sassafrasstile import telemetry
+from sassafrasstile import verdicts
+from sassafrasstile import wire
+from sassafrasstile.daemons import _base
+from sassafrasstile.daemons import _timing
 
 _LOG = logging.getLogger("sassafrasstile.daemon")
 _TICK_S = 0.05
@@ -207,7 +208,7 @@
         if self._refuse_when_stopping(request.request_id, exchange):
             return
         former = self._exchanges.get(request.request_id)
-        effects = self._kernel.submit(request, self._reactor.seconds())
+        effects = self._kernel.submit(request, _base.read_clock())
         if former is not None:
             former.supersede()
         self._exchanges[request.request_id] = exchange
@@ -224,7 +225,7 @@
             return
         self._exchanges[request.request_id] = exchange
         self._timings.start(request.request_id, kind="call")
-        self._apply(self._kernel.submit_call(request, self._reactor.seconds()))
+        self._apply(self._kernel.submit_call(request, _base.read_clock()))
 
     def cancel(self, request_id: str, exchange: frontend.Exchange) -> None:
         """Gives up a request whose caller has gone."""
@@ -232,7 +233,7 @@
             return
         del self._exchanges[request_id]
         self._timings.end(request_id, outcome="cancelled")
-        self._apply(self._kernel.cancel(request_id, self._reactor.seconds()))
+        self._apply(self._kernel.cancel(request_id, _base.read_clock()))
 
     def _refuse_when_stopping(
         self, request_id: str, exchange: frontend.Exchange
@@ -263,23 +264,23 @@
         )
 
     def _connect(self, peer: str) -> None:
-        self._apply(self._kernel.connect(peer, self._reactor.seconds()))
+        self._apply(self._kernel.connect(peer, _base.read_clock()))
 
     def _disconnect(self, peer: str) -> None:
-        self._apply(self._kernel.disconnect(peer, self._reactor.seconds()))
+        self._apply(self._kernel.disconnect(peer, _base.read_clock()))
 
     def _receive(self, peer: str, batch: messages.Batch) -> None:
-        now = self._reactor.seconds()
+        now = _base.read_clock()
         self._apply(self._kernel.receive(peer, batch, now))
 
     # Effects and time.
 
     def _tick(self) -> None:
         self.metrics.in_flight.set(self._kernel.count_in_flight())
-        self._apply(self._kernel.tick(self._reactor.seconds()))
+        self._apply(self._kernel.tick(_base.read_clock()))
 
     def _note_states(self, states: liveness.VmStates) -> None:
-        now = self._reactor.seconds()
+        now = _base.read_clock()
         self._apply(self._kernel.note_leaving_vms(states.leaving, now))
 
     def _apply(self, effects: list[gateway.Effect]) -> None:
--- a/sassafrasstile/commands/_reactor.py
+++ b/sassafrasstile/daemons/_reactor.py
@@ -7,7 +7,8 @@
 import sys
 from typing import Any
 
-from twisted.internet import asyncioreactor, defer
+from twisted.internet import asyncioreactor
+from twisted.internet import defer
 
 _LOG = logging.getLogger("sassafrasstile.daemon")
 
--- a/sassafrasstile/daemons/_sidecar.py
+++ b/sassafrasstile/daemons/_sidecar.py
@@ -2,19 +2,18 @@
 
 import logging
 
-from twisted.internet import defer, task
-
-from sassafrasstile import (
-    engines,
-    frontend,
-    messages,
-    plugins,
-    services,
-    settings,
-    sidecar,
-    telemetry,
-    wire,
-)
+from twisted.internet import defer
+from twisted.internet import task
+
+from sassafrasstile import engines
+from sassafrasstile import frontend
+from sassafrasstile import messages
+from sassafrasstile import plugins
+from sassafrasstile import services
+from sassafrasstile import settings
+from sassafrasstile import sidecar
+from sassafrasstile import telemetry
+from sassafrasstile import wire
 from sassafrasstile.daemons import _base
 
 _LOG = logging.getLogger("sassafrasstile.daemon")
@@ -91,7 +90,7 @@
         """Listens for gateways."""
         address = settings.parse_address(self._endpoint.sidecar)
         self._adapter.start(self)
-        self._apply(self._kernel.start(self._reactor.seconds()))
+        self._apply(self._kernel.start(_base.read_clock()))
         self.port = await _base.run_soon(
             self._links.start(host=address.host, port=address.port)
         )
@@ -121,7 +120,7 @@
         Returns:
             False when something had to be cut off after the grace time.
         """
-        self._apply(self._kernel.drain(self._reactor.seconds()))
+        self._apply(self._kernel.drain(_base.read_clock()))
         self._links.announce()
         is_whole = await _base.wait_until_idle(
             self._reactor,
@@ -153,7 +152,7 @@
         )
 
     def _receive(self, batch: messages.Batch) -> None:
-        self._apply(self._kernel.receive(batch, self._reactor.seconds()))
+        self._apply(self._kernel.receive(batch, _base.read_clock()))
 
     # The adapters' reports.
 
@@ -167,35 +166,35 @@
                 handle=handle,
                 computed_tokens=computed_tokens,
                 took_s=took_s,
-                now=self._reactor.seconds(),
+                now=_base.read_clock(),
             )
         )
 
     def add_tokens(self, work_id: str, texts: tuple[str, ...]) -> None:
         """Tokens were generated."""
-        now = self._reactor.seconds()
+        now = _base.read_clock()
         self._apply(self._kernel.add_tokens(work_id, texts, now=now))
 
     def finish_decode(self, work_id: str, *, reason: str) -> None:
         """A decode is done and its memory is free."""
-        now = self._reactor.seconds()
+        now = _base.read_clock()
         self._apply(self._kernel.finish_decode(work_id, reason=reason, now=now))
 
     def fail_work(self, work_id: str, *, code: str, started: bool) -> None:
         """Work was refused or dropped and its memory is free."""
-        now = self._reactor.seconds()
+        now = _base.read_clock()
         self._apply(
             self._kernel.fail_work(work_id, code=code, started=started, now=now)
         )
 
     def confirm_cancel(self, work_id: str) -> None:
         """The memory of cancelled work is free."""
-        now = self._reactor.seconds()
+        now = _base.read_clock()
         self._apply(self._kernel.confirm_cancel(work_id, now=now))
 
     def list_work(self, work_ids: tuple[str, ...]) -> None:
         """The engine holds this work."""
-        now = self._reactor.seconds()
+        now = _base.read_clock()
         self._apply(self._kernel.list_work(work_ids, now=now))
 
     def finish_call(
@@ -208,19 +207,19 @@
                 status=status,
                 content_type=content_type,
                 body=body,
-                now=self._reactor.seconds(),
+                now=_base.read_clock(),
             )
         )
 
     def fail_call(self, call_id: str, *, sent: bool) -> None:
         """There is no answer; `sent` is False when no byte has left."""
-        now = self._reactor.seconds()
+        now = _base.read_clock()
         self._apply(self._kernel.fail_call(call_id, sent=sent, now=now))
 
     # Effects and time.
 
     def _tick(self) -> None:
-        self._apply(self._kernel.tick(self._reactor.seconds()))
+        self._apply(self._kernel.tick(_base.read_clock()))
         load = self._kernel.describe_load()
         self.metrics.free_slots.set(load.free_slots)
         self.metrics.held.set(len(self._kernel.list_held()))
--- a/sassafrasstile/demo/_callers.py
+++ b/sassafrasstile/demo/_callers.py
@@ -5,8 +5,11 @@
 from twisted.internet import defer
 from twisted.web import client
 
-from sassafrasstile import standins, web
-from sassafrasstile.demo import _report, _site, _workload
+from sassafrasstile import standins
+from sassafrasstile import web
+from sassafrasstile.demo import _report
+from sassafrasstile.demo import _site
+from sassafrasstile.demo import _workload
 
 _OK = 200
 
--- a/sassafrasstile/demo/_run.py
+++ b/sassafrasstile/demo/_run.py
@@ -6,7 +6,10 @@
 from twisted.internet import defer
 
 from sassafrasstile import standins
-from sassafrasstile.demo import _callers, _report, _site, _workload
+from sassafrasstile.demo import _callers
+from sassafrasstile.demo import _report
+from sassafrasstile.demo import _site
+from sassafrasstile.demo import _workload
 
 _SETTLE_S = 3.5
 _PROGRESS_STEPS = 20
--- a/sassafrasstile/demo/_site.py
+++ b/sassafrasstile/demo/_site.py
@@ -4,7 +4,9 @@
 
 from twisted.internet import defer
 
-from sassafrasstile import daemons, settings, standins
+from sassafrasstile import daemons
+from sassafrasstile import settings
+from sassafrasstile import standins
 
 MODEL = "writer"
 SERVICE = "desk"
--- a/sassafrasstile/engines/_openai.py
+++ b/sassafrasstile/engines/_openai.py
@@ -11,7 +11,10 @@
 from twisted.internet import defer
 from twisted.web import client
 
-from sassafrasstile import errors, messages, plugins, web
+from sassafrasstile import errors
+from sassafrasstile import messages
+from sassafrasstile import plugins
+from sassafrasstile import web
 from sassafrasstile.engines import _base
 
 _LOG = logging.getLogger("sassafrasstile.engine")
--- a/sassafrasstile/frontend/_answers.py
+++ b/sassafrasstile/frontend/_answers.py
@@ -3,7 +3,9 @@
 import json
 import math
 
-from sassafrasstile import errors, gateway, verdicts
+from sassafrasstile import errors
+from sassafrasstile import gateway
+from sassafrasstile import verdicts
 from sassafrasstile.frontend import _base
 
 _STATUSES = {
--- a/sassafrasstile/frontend/_bodies.py
+++ b/sassafrasstile/frontend/_bodies.py
@@ -7,7 +7,8 @@
 import annotated_types
 import pydantic
 
-from sassafrasstile import errors, settings
+from sassafrasstile import errors
+from sassafrasstile import settings
 
 _CHARS_PER_TOKEN = 4
 _Tokens = Annotated[int, annotated_types.Gt(0)]
--- a/sassafrasstile/frontend/_directory.py
+++ b/sassafrasstile/frontend/_directory.py
@@ -4,7 +4,8 @@
 import os
 import pathlib
 
-from sassafrasstile import errors, settings
+from sassafrasstile import errors
+from sassafrasstile import settings
 
 DEFAULT_WORKSPACE = "default"
 
--- a/sassafrasstile/frontend/_generation.py
+++ b/sassafrasstile/frontend/_generation.py
@@ -3,16 +3,17 @@
 import json
 import time
 
-from twisted.web import resource, server
-
-from sassafrasstile import errors, gateway, settings
-from sassafrasstile.frontend import (
-    _answers,
-    _base,
-    _bodies,
-    _directory,
-    _identity,
-)
+from twisted.web import resource
+from twisted.web import server
+
+from sassafrasstile import errors
+from sassafrasstile import gateway
+from sassafrasstile import settings
+from sassafrasstile.frontend import _answers
+from sassafrasstile.frontend import _base
+from sassafrasstile.frontend import _bodies
+from sassafrasstile.frontend import _directory
+from sassafrasstile.frontend import _identity
 
 
 class GenerationResource(resource.Resource):
--- a/sassafrasstile/frontend/_root.py
+++ b/sassafrasstile/frontend/_root.py
@@ -2,17 +2,18 @@
 
 import json
 
-from twisted.web import resource, server
-
-from sassafrasstile import errors, settings, verdicts
-from sassafrasstile.frontend import (
-    _answers,
-    _base,
-    _directory,
-    _generation,
-    _identity,
-    _services,
-)
+from twisted.web import resource
+from twisted.web import server
+
+from sassafrasstile import errors
+from sassafrasstile import settings
+from sassafrasstile import verdicts
+from sassafrasstile.frontend import _answers
+from sassafrasstile.frontend import _base
+from sassafrasstile.frontend import _directory
+from sassafrasstile.frontend import _generation
+from sassafrasstile.frontend import _identity
+from sassafrasstile.frontend import _services
 
 
 class _UnknownPath(resource.Resource):
--- a/sassafrasstile/frontend/_services.py
+++ b/sassafrasstile/frontend/_services.py
@@ -3,10 +3,16 @@
 import hashlib
 import json
 
-from twisted.web import resource, server
-
-from sassafrasstile import errors, gateway, settings
-from sassafrasstile.frontend import _answers, _base, _directory, _identity
+from twisted.web import resource
+from twisted.web import server
+
+from sassafrasstile import errors
+from sassafrasstile import gateway
+from sassafrasstile import settings
+from sassafrasstile.frontend import _answers
+from sassafrasstile.frontend import _base
+from sassafrasstile.frontend import _directory
+from sassafrasstile.frontend import _identity
 
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
--- a/sassafrasstile/gateway/_base.py
+++ b/sassafrasstile/gateway/_base.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from sassafrasstile import messages, verdicts
+from sassafrasstile import messages
+from sassafrasstile import verdicts
 
 INTERACTIVE_PRIORITY = 0
 DEFERRED_PRIORITY = 10
--- a/sassafrasstile/gateway/_calls.py
+++ b/sassafrasstile/gateway/_calls.py
@@ -3,8 +3,13 @@
 import dataclasses
 import logging
 
-from sassafrasstile import errors, messages, verdicts
-from sassafrasstile.gateway import _base, _context, _endpoints, _owners
+from sassafrasstile import errors
+from sassafrasstile import messages
+from sassafrasstile import verdicts
+from sassafrasstile.gateway import _base
+from sassafrasstile.gateway import _context
+from sassafrasstile.gateway import _endpoints
+from sassafrasstile.gateway import _owners
 
 _LOG = logging.getLogger("sassafrasstile.gateway")
 
--- a/sassafrasstile/gateway/_context.py
+++ b/sassafrasstile/gateway/_context.py
@@ -2,8 +2,12 @@
 
 import logging
 
-from sassafrasstile import messages, policies
-from sassafrasstile.gateway import _base, _budget, _endpoints, _settings
+from sassafrasstile import messages
+from sassafrasstile import policies
+from sassafrasstile.gateway import _base
+from sassafrasstile.gateway import _budget
+from sassafrasstile.gateway import _endpoints
+from sassafrasstile.gateway import _settings
 
 _LOG = logging.getLogger("sassafrasstile.gateway")
 
--- a/sassafrasstile/gateway/_endpoints.py
+++ b/sassafrasstile/gateway/_endpoints.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
-from sassafrasstile import messages, policies
+from sassafrasstile import messages
+from sassafrasstile import policies
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/sassafrasstile/gateway/_generation.py
+++ b/sassafrasstile/gateway/_generation.py
@@ -4,8 +4,13 @@
 import enum
 import logging
 
-from sassafrasstile import errors, messages, verdicts
-from sassafrasstile.gateway import _answer, _base, _context, _endpoints
+from sassafrasstile import errors
+from sassafrasstile import messages
+from sassafrasstile import verdicts
+from sassafrasstile.gateway import _answer
+from sassafrasstile.gateway import _base
+from sassafrasstile.gateway import _context
+from sassafrasstile.gateway import _endpoints
 
 _LOG = logging.getLogger("sassafrasstile.gateway")
 
--- a/sassafrasstile/gateway/_kernel.py
+++ b/sassafrasstile/gateway/_kernel.py
@@ -3,17 +3,16 @@
 from collections.abc import Iterable
 import logging
 
-from sassafrasstile import messages, policies
-from sassafrasstile.gateway import (
-    _base,
-    _calls,
-    _context,
-    _endpoints,
-    _generation,
-    _invariants,
-    _owners,
-    _settings,
-)
+from sassafrasstile import messages
+from sassafrasstile import policies
+from sassafrasstile.gateway import _base
+from sassafrasstile.gateway import _calls
+from sassafrasstile.gateway import _context
+from sassafrasstile.gateway import _endpoints
+from sassafrasstile.gateway import _generation
+from sassafrasstile.gateway import _invariants
+from sassafrasstile.gateway import _owners
+from sassafrasstile.gateway import _settings
 
 _LOG = logging.getLogger("sassafrasstile.gateway")
 
@@ -53,7 +52,7 @@
         )
         self._ledger = _invariants.AnswerLedger(name=name)
         self._renew_at = 0.0
-        self._last_now = 0.0
+        self._last_now: float | None = None
         self._renewed: set[str] = set()
 
     # Inputs.
@@ -177,7 +176,8 @@
 
     def _notice_pause(self, now: float) -> None:
         """Doesn't count a pause of this process as silence of others."""
-        paused_s = now - self._last_now
+        last_now = now if self._last_now is None else self._last_now
+        paused_s = now - last_now
         self._last_now = now
         if paused_s <= self.settings.renew_s:
             return
--- /dev/null
+++ b/sassafrasstile/gateway/tests/test_answer.py
@@ -0,0 +1,38 @@
+import random
+import unittest
+
+from sassafrasstile import gateway
+
+
+class AnswerAssemblerTest(unittest.TestCase):
+    def test_late_doubled_and_reordered_pieces_give_each_token_once(self):
+        for seed in range(50):
+            generator = random.Random(seed)
+            texts = [f"t{index}" for index in range(40)]
+            pieces = []
+            offset = 0
+            while offset < len(texts):
+                size = generator.randint(1, 5)
+                pieces.append((offset, tuple(texts[offset : offset + size])))
+                offset += size
+            pieces += generator.choices(pieces, k=10)
+            generator.shuffle(pieces)
+            answer = gateway.AnswerAssembler()
+            delivered = []
+            for start, piece in pieces:
+                delivered.extend(answer.add(start, piece))
+            self.assertEqual(delivered, texts)
+
+    def test_whole_only_when_every_token_came(self):
+        answer = gateway.AnswerAssembler()
+        answer.end(2, "stop")
+        answer.add(0, ("a",))
+        self.assertFalse(answer.is_whole())
+        answer.add(1, ("b",))
+        self.assertTrue(answer.is_whole())
+
+    def test_tokens_beyond_a_gap_are_forgotten_between_attempts(self):
+        answer = gateway.AnswerAssembler()
+        answer.add(1, ("stale",))
+        answer.drop_early()
+        self.assertEqual(answer.add(0, ("a",)), ("a",))
--- a/sassafrasstile/liveness/_http.py
+++ b/sassafrasstile/liveness/_http.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 import logging
 
-from twisted.internet import defer, task
+from twisted.internet import defer
+from twisted.internet import task
 
-from sassafrasstile import plugins, web
+from sassafrasstile import plugins
+from sassafrasstile import web
 from sassafrasstile.liveness import _base
 
 _LOG = logging.getLogger("sassafrasstile.liveness")
--- a/sassafrasstile/services/_http.py
+++ b/sassafrasstile/services/_http.py
@@ -5,7 +5,9 @@
 from twisted.internet import defer
 from twisted.web import client
 
-from sassafrasstile import messages, plugins, web
+from sassafrasstile import messages
+from sassafrasstile import plugins
+from sassafrasstile import web
 from sassafrasstile.services import _base
 
 _LOG = logging.getLogger("sassafrasstile.service")
--- a/sassafrasstile/settings/_load.py
+++ b/sassafrasstile/settings/_load.py
@@ -8,7 +8,8 @@
 import pydantic
 import yaml
 
-from sassafrasstile import errors, plugins
+from sassafrasstile import errors
+from sassafrasstile import plugins
 from sassafrasstile.settings import _models
 
 Path = tuple[str, ...]
--- a/sassafrasstile/settings/_models.py
+++ b/sassafrasstile/settings/_models.py
@@ -7,7 +7,8 @@
 import annotated_types
 import pydantic
 
-from sassafrasstile import gateway, sidecar
+from sassafrasstile import gateway
+from sassafrasstile import sidecar
 
 _FORBID_EXTRA = {"extra": "forbid"}
 
--- a/sassafrasstile/sidecar/_engine.py
+++ b/sassafrasstile/sidecar/_engine.py
@@ -7,14 +7,14 @@
 import collections
 import logging
 
-from sassafrasstile import errors, messages, verdicts
-from sassafrasstile.sidecar import (
-    _base,
-    _holds,
-    _invariants,
-    _leases,
-    _settings,
-)
+from sassafrasstile import errors
+from sassafrasstile import messages
+from sassafrasstile import verdicts
+from sassafrasstile.sidecar import _base
+from sassafrasstile.sidecar import _holds
+from sassafrasstile.sidecar import _invariants
+from sassafrasstile.sidecar import _leases
+from sassafrasstile.sidecar import _settings
 
 _LOG = logging.getLogger("sassafrasstile.sidecar")
 _ENDED_ATTEMPTS_KEPT = 4096
--- a/sassafrasstile/sidecar/_invariants.py
+++ b/sassafrasstile/sidecar/_invariants.py
@@ -1,7 +1,8 @@
 """Invariants of the sidecar kernels, checked at every tick."""
 
 from sassafrasstile import errors
-from sassafrasstile.sidecar import _holds, _leases
+from sassafrasstile.sidecar import _holds
+from sassafrasstile.sidecar import _leases
 
 
 def check_holds(
--- a/sassafrasstile/sidecar/_service.py
+++ b/sassafrasstile/sidecar/_service.py
@@ -7,8 +7,11 @@
 import collections
 import logging
 
-from sassafrasstile import errors, messages, verdicts
-from sassafrasstile.sidecar import _base, _once
+from sassafrasstile import errors
+from sassafrasstile import messages
+from sassafrasstile import verdicts
+from sassafrasstile.sidecar import _base
+from sassafrasstile.sidecar import _once
 
 _LOG = logging.getLogger("sassafrasstile.sidecar")
 _FENCED_KEPT = 8192
--- a/sassafrasstile/standins/_engine_server.py
+++ b/sassafrasstile/standins/_engine_server.py
@@ -5,7 +5,8 @@
 from twisted.internet import defer
 
 from sassafrasstile import web
-from sassafrasstile.standins import _engine_model, _http_base
+from sassafrasstile.standins import _engine_model
+from sassafrasstile.standins import _http_base
 
 
 class EngineServer(_http_base.HttpStandin):
--- a/sassafrasstile/standins/_http_base.py
+++ b/sassafrasstile/standins/_http_base.py
@@ -4,7 +4,8 @@
 import logging
 
 from twisted.internet import interfaces
-from twisted.web import resource, server
+from twisted.web import resource
+from twisted.web import server
 
 _LOG = logging.getLogger("sassafrasstile.standin")
 
--- a/sassafrasstile/standins/_log_server.py
+++ b/sassafrasstile/standins/_log_server.py
@@ -2,7 +2,8 @@
 
 import base64
 
-from sassafrasstile.standins import _http_base, _log_model
+from sassafrasstile.standins import _http_base
+from sassafrasstile.standins import _log_model
 
 _READ_LIMIT = 1000
 _LONGEST_WAIT_S = 30.0
--- /dev/null
+++ b/sassafrasstile/testing/__init__.py
@@ -0,0 +1,20 @@
+"""Helpers for tests: a reactor, small builders and child processes."""
+
+from sassafrasstile.testing._messages import make_samples
+from sassafrasstile.testing._processes import ChildProcess, ProcessSite
+from sassafrasstile.testing._reactor import (
+    ReactorTestCase,
+    fetch_json,
+    on_reactor,
+    run,
+)
+
+__all__ = [
+    "ChildProcess",
+    "ProcessSite",
+    "ReactorTestCase",
+    "fetch_json",
+    "make_samples",
+    "on_reactor",
+    "run",
+]
--- /dev/null
+++ b/sassafrasstile/testing/_messages.py
@@ -0,0 +1,29 @@
+"""Samples of every message, for contract tests."""
+
+import dataclasses
+
+from sassafrasstile import messages
+from sassafrasstile import wire
+
+_SAMPLES = {
+    str: "text",
+    int: 7,
+    float: 0.5,
+    bool: True,
+    bytes: b"\x00body",
+    tuple[str, ...]: ("a", "b"),
+    tuple[int, ...]: (1, 5),
+}
+
+
+def make_samples() -> list[messages.Message]:
+    """Returns one message of each type with a value in every field."""
+    return [
+        kind(
+            **{
+                field.name: _SAMPLES[field.type]
+                for field in dataclasses.fields(kind)
+            }
+        )
+        for kind in wire.list_message_types()
+    ]
--- /dev/null
+++ b/sassafrasstile/testing/_processes.py
@@ -0,0 +1,187 @@
+"""A site of real processes on loopback, for tests of kills and pauses."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+import yaml
+
+_PREFIX = (sys.executable, "-m", "sassafrasstile")
+_STOP_LIMIT_S = 20.0
+
+
+def _pick_ports(count: int) -> list[int]:
+    """Returns free ports that the kernel picked."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class ChildProcess:
+    """One process of the command line.
+
+    Args:
+        arguments: The command line after the program's name.
+    """
+
+    def __init__(self, *, arguments: list[str]):
+        self.arguments = arguments
+        self._process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Starts it, or starts it again."""
+        self._process = subprocess.Popen(
+            [*_PREFIX, *self.arguments],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends it a signal."""
+        os.kill(self._process.pid, number)
+
+    def poll(self) -> int | None:
+        """Returns its exit code, or None while it runs."""
+        return self._process.poll()
+
+    def close(self) -> None:
+        """Kills it."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+            self._process.wait(_STOP_LIMIT_S)
+
+
+class ProcessSite:
+    """Stand-ins, sidecars and gateways, each a process of its own.
+
+    Args:
+        prefills: Prefill endpoints.
+        decodes: Decode endpoints.
+        services: Service endpoints.
+        gateways: Gateways.
+        step_s: Seconds a token on each engine.
+        work_s: Seconds a call on each service.
+        changes: Settings merged over the site's, as an overlay would be.
+    """
+
+    def __init__(
+        self,
+        *,
+        prefills: int = 1,
+        decodes: int = 2,
+        services: int = 1,
+        gateways: int = 2,
+        step_s: float = 0.02,
+        work_s: float = 0.02,
+        changes: dict | None = None,
+    ):
+        self._counts = {
+            "prefill": prefills,
+            "decode": decodes,
+            "service": services,
+        }
+        self._gateway_count = gateways
+        self._step_s = step_s
+        self._work_s = work_s
+        self._changes = changes or {}
+        self._folder = tempfile.TemporaryDirectory()
+        self.processes: dict[str, ChildProcess] = {}
+        self.urls: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Starts every process."""
+        tree = self._make_tree()
+        folder = pathlib.Path(self._folder.name)
+        base = folder / "base.yaml"
+        base.write_text(yaml.safe_dump(tree))
+        overlay = folder / "overlay.yaml"
+        overlay.write_text(yaml.safe_dump(self._changes))
+        files = ["--config", str(base), "--overlay", str(overlay)]
+        for name in tree["endpoints"]:
+            self._add(name, ["sidecar", "--name", name, *files])
+        for name in tree["gateways"]:
+            self._add(name, ["gateway", "--name", name, *files])
+        for process in self.processes.values():
+            process.start()
+
+    def _add(self, name: str, arguments: list[str]) -> None:
+        self.processes[name] = ChildProcess(arguments=arguments)
+
+    def _make_tree(self) -> dict:
+        endpoints = {
+            f"{role}-{index}": self._make_endpoint(role, index)
+            for role, count in self._counts.items()
+            for index in range(1, count + 1)
+        }
+        log_port, vms_port = _pick_ports(2)
+        self._add_standin("log", "log", log_port, [])
+        self._add_standin("vms", "vms", vms_port, [])
+        gateways = {}
+        for index in range(1, self._gateway_count + 1):
+            http, admin = _pick_ports(2)
+            name = f"gateway-{index}"
+            self.urls[name] = f"http://127.0.0.1:{http}"
+            self.urls[name + "-admin"] = f"http://127.0.0.1:{admin}"
+            gateways[name] = {
+                "http": f"127.0.0.1:{http}",
+                "admin": f"127.0.0.1:{admin}",
+            }
+        return {
+            "site": {"name": "processes"},
+            "logging": {"level": "warning"},
+            "log": {"url": self.urls["log"]},
+            "liveness": {"url": self.urls["vms"]},
+            "stop": {"notice_s": 0.2, "grace_s": 30},
+            "models": {"writer": {}},
+            "services": {
+                "desk": {
+                    "rules": [
+                        {"method": "GET", "repeatable": True, "limit_s": 8},
+                        {"repeatable": False, "limit_s": 8},
+                    ]
+                }
+            },
+            "gateways": gateways,
+            "endpoints": endpoints,
+        }
+
+    def _make_endpoint(self, role: str, index: int) -> dict:
+        name = f"{role}-{index}"
+        sidecar, admin, port = _pick_ports(3)
+        self.urls[name + "-admin"] = f"http://127.0.0.1:{admin}"
+        if role == "service":
+            options = ["--work-s", str(self._work_s)]
+            self._add_standin(f"{name}-target", "service", port, options)
+        else:
+            options = ["--step-s", str(self._step_s)]
+            self._add_standin(f"{name}-target", "engine", port, options)
+        return {
+            "role": role,
+            "serves": "desk" if role == "service" else "writer",
+            "sidecar": f"127.0.0.1:{sidecar}",
+            "admin": f"127.0.0.1:{admin}",
+            "url": f"http://127.0.0.1:{port}",
+            "vm": f"vm-{name}",
+        }
+
+    def _add_standin(
+        self, name: str, kind: str, port: int, options: list[str]
+    ) -> None:
+        self.urls[name] = f"http://127.0.0.1:{port}"
+        listen = f"127.0.0.1:{port}"
+        self._add(name, ["standin", kind, "--listen", listen, *options])
+
+    def close(self) -> None:
+        """Kills every process that still runs."""
+        for process in self.processes.values():
+            process.close()
+        self._folder.cleanup()
--- /dev/null
+++ b/sassafrasstile/testing/_reactor.py
@@ -0,0 +1,101 @@
+"""Tests that need the reactor."""
+
+from collections.abc import Callable
+import functools
+import json
+from typing import Any
+import unittest
+
+from twisted.internet import defer
+from twisted.web import client
+
+from sassafrasstile import daemons
+from sassafrasstile import web
+
+reactor = daemons.install_reactor()
+_TEST_LIMIT_S = 120.0
+
+
+def run(work: Callable[[], Any]) -> Any:
+    """Runs a coroutine on the reactor.
+
+    Args:
+        work: Called without arguments once the reactor runs.
+
+    Returns:
+        What the coroutine returned.
+
+    Raises:
+        Exception: What the coroutine raised.
+    """
+    results: list[Any] = []
+
+    def end(result):
+        results.append(result)
+        reactor.crash()
+
+    def begin():
+        deferred = defer.ensureDeferred(work())
+        deferred.addTimeout(_TEST_LIMIT_S, reactor)
+        deferred.addBoth(end)
+
+    reactor.callWhenRunning(begin)
+    reactor.run(installSignalHandlers=False)
+    if hasattr(results[0], "raiseException"):
+        results[0].raiseException()
+    return results[0]
+
+
+def on_reactor(test: Callable[..., Any]) -> Callable[..., None]:
+    """Makes a test of a coroutine that runs on the reactor."""
+
+    @functools.wraps(test)
+    def call(self):
+        run(lambda: test(self))
+
+    return call
+
+
+class ReactorTestCase(unittest.TestCase):
+    """A test case with helpers for the reactor."""
+
+    reactor = reactor
+
+    def sleep(self, seconds: float) -> defer.Deferred:
+        """Returns a Deferred that fires after some seconds."""
+        waiting: defer.Deferred = defer.Deferred()
+        reactor.callLater(seconds, waiting.callback, None)
+        return waiting
+
+    async def wait_until(
+        self, condition: Callable[[], bool], *, limit_s: float = 30.0
+    ) -> None:
+        """Waits until a condition holds; fails the test if it never does."""
+        until = reactor.seconds() + limit_s
+        while not condition():
+            if reactor.seconds() > until:
+                self.fail("the condition never held")
+            await self.sleep(0.02)
+
+
+async def fetch_json(
+    url: str,
+    method: str,
+    path: str,
+    *,
+    body: object = None,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, Any, Any]:
+    """Sends a request and reads a JSON answer.
+
+    Returns:
+        The status, the decoded body and the headers.
+    """
+    http = web.HttpClient(reactor=reactor, base_url=url)
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    if body is None:
+        data = None
+    response = await http.request(method, path, body=data, headers=headers)
+    content = await client.readBody(response)
+    await http.close()
+    return response.code, json.loads(content or b"null"), response.headers
--- a/sassafrasstile/web/_client.py
+++ b/sassafrasstile/web/_client.py
@@ -4,9 +4,15 @@
 import io
 import json
 
-from twisted.internet import defer, error, protocol
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import protocol
 from twisted.protocols import basic
-from twisted.web import client, http_headers
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface
 
 # Failures of connecting: no byte of the request has left.
 NOT_CONNECTED = (error.ConnectError,)
@@ -52,6 +58,21 @@
         self._on_end()
 
 
+@interface.implementer(iweb.IAgentEndpointFactory)
+class _EndpointFactory:
+    """Connects to IP numbers without a look-up of names."""
+
+    def __init__(self, *, reactor):
+        self._reactor = reactor
+
+    def endpointForURI(self, uri):  # noqa: N802
+        host = uri.host.decode().strip("[]")
+        kind = endpoints.TCP4ClientEndpoint
+        if ":" in host:
+            kind = endpoints.TCP6ClientEndpoint
+        return kind(self._reactor, host, uri.port, timeout=_CONNECT_LIMIT_S)
+
+
 class HttpClient:
     """An HTTP client with a pool of connections.
 
@@ -67,8 +88,8 @@
         # A request on a kept connection that breaks is never sent again by
         # the pool: whether it may be is for the kernel to decide.
         self._pool.retryAutomatically = False
-        self._agent = client.Agent(
-            reactor, connectTimeout=_CONNECT_LIMIT_S, pool=self._pool
+        self._agent = client.Agent.usingEndpointFactory(
+            reactor, _EndpointFactory(reactor=reactor), pool=self._pool
         )
 
     def close(self) -> defer.Deferred:
--- a/sassafrasstile/wire/_links.py
+++ b/sassafrasstile/wire/_links.py
@@ -14,7 +14,9 @@
 import grpclib.server
 
 from sassafrasstile import messages
-from sassafrasstile.wire import _codec, router_grpc, router_pb2
+from sassafrasstile.wire import _codec
+from sassafrasstile.wire import router_grpc
+from sassafrasstile.wire import router_pb2
 
 _LOG = logging.getLogger("sassafrasstile.wire")
 _FIRST_BACKOFF_S = 0.1
--- /dev/null
+++ b/sassafrasstile/wire/tests/test_codec.py
@@ -0,0 +1,36 @@
+import unittest
+
+from sassafrasstile import messages
+from sassafrasstile import testing
+from sassafrasstile import wire
+from sassafrasstile.wire import router_pb2
+
+
+class CodecTest(unittest.TestCase):
+    def test_every_message_survives_the_wire(self):
+        for message in testing.make_samples():
+            batch = messages.Batch(
+                sender="gateway-1",
+                incarnation="a",
+                target="b",
+                load=messages.Load(leaving=True, slots=3, backlog_s=0.5),
+                messages=(message,),
+            )
+            data = wire.encode(batch).SerializeToString()
+            decoded = wire.decode(router_pb2.Batch.FromString(data))
+            self.assertEqual(decoded, batch)
+
+    def test_message_without_values_survives_the_wire(self):
+        batch = messages.Batch(
+            sender="a",
+            incarnation="b",
+            messages=(messages.Renewed(), messages.Renew(issued_below=0)),
+        )
+        data = wire.encode(batch).SerializeToString()
+        decoded = wire.decode(router_pb2.Batch.FromString(data))
+        self.assertEqual(decoded, batch)
+
+    def test_message_of_a_later_version_is_left_out(self):
+        batch = router_pb2.Batch(sender="a", incarnation="b")
+        batch.envelopes.add()
+        self.assertEqual(wire.decode(batch).messages, ())
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for maintainers."""
