--- a/sassafrasstile/commands/_main.py
+++ b/sassafrasstile/commands/_main.py
@@ -129,6 +129,65 @@
     return code
 
 
+@app.command
+def soak(
+    *,
+    site: _SiteName = "fellesvarsel",
+    seed: int = 1,
+    minutes: float = 10.0,
+    faults: str = "all",
+    json_output: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+) -> int:
+    """Run the real kernels under random faults and a virtual clock.
+
+    Args:
+        site: Whose shape and mix of requests.
+        seed: Decides everything that happens.
+        minutes: Virtual minutes.
+        faults: `all`, `none`, or names with commas between.
+        json_output: Print the figures as one JSON object.
+    """
+    from sassafrasstile import soak as soaks
+
+    telemetry.configure_logs(level="error", style="text")
+    names = _parse_faults(faults, soaks.FAULT_NAMES)
+    report, _ = soaks.run_soak(
+        site=site, seed=seed, minutes=minutes, faults=names
+    )
+    figures = report.summarize()
+    if json_output:
+        print(json.dumps(figures))
+    else:
+        for name, value in figures.items():
+            print(f"{name:24} {value}")
+    if not report.violations:
+        return EXIT_OK
+    _, lines = soaks.run_soak(
+        site=site, seed=seed, minutes=minutes, faults=names, trace=True
+    )
+    print("\n".join(lines), file=sys.stderr)
+    return EXIT_BROKEN
+
+
+def _parse_faults(text: str, allowed: tuple[str, ...]) -> tuple[str, ...]:
+    match text:
+        case "all":
+            return allowed
+        case "none":
+            return ()
+    names = tuple(text.split(","))
+    for name in names:
+        if name not in allowed:
+            raise errors.Error(
+                code=errors.Code.BAD_VALUE,
+                detail=(
+                    f"--faults has {name!r}; allowed are all, none and "
+                    f"{list(allowed)}"
+                ),
+            )
+    return names
+
+
 @config_app.command
 def check(*, config: _Config, overlay: _Overlay = None) -> int:
     """Check a base and an overlay."""
--- a/sassafrasstile/daemons/_sidecar.py
+++ b/sassafrasstile/daemons/_sidecar.py
@@ -6,8 +6,12 @@
 from twisted.internet import task
 
 from sassafrasstile import engines
+from sassafrasstile import errors
 from sassafrasstile import frontend
+from sassafrasstile import liveness
+from sassafrasstile import logs
 from sassafrasstile import messages
+from sassafrasstile import ownership
 from sassafrasstile import plugins
 from sassafrasstile import services
 from sassafrasstile import settings
@@ -53,6 +57,9 @@
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
         self._admin: _base.AdminPort | None = None
+        self._log: logs.LogClient | None = None
+        self._follower: logs.LogFollower | None = None
+        self._liveness: liveness.LivenessSource | None = None
 
     def _make_kernel(self) -> sidecar.EngineKernel | sidecar.ServiceKernel:
         endpoint = self._endpoint
@@ -61,6 +68,12 @@
                 name=self.name,
                 incarnation=self.incarnation,
                 service=endpoint.serves,
+                vm=endpoint.vm,
+                runs_unlogged=any(
+                    rule.during_outage == "run"
+                    for rule in self.site.services[endpoint.serves].rules
+                ),
+                claims=self.site.services[endpoint.serves].claims,
             )
         return sidecar.EngineKernel(
             name=self.name,
@@ -104,6 +117,8 @@
             ),
         )
         self._admin.start()
+        if self._is_service:
+            self._start_log()
         self.admin_port = self._admin.port
         self._loop.start(_TICK_S)
         _LOG.info(
@@ -114,6 +129,35 @@
             self.port,
         )
 
+    def _start_log(self) -> None:
+        """Follows the service's ownership stream and the list of VMs."""
+        self._log = plugins.create(
+            plugins.Kind.LOG,
+            self.site.log.adapter,
+            reactor=self._reactor,
+            url=self.site.log.url,
+        )
+        self._follower = logs.LogFollower(
+            reactor=self._reactor,
+            client=self._log,
+            stream=self._stream,
+            on_page=self._note_page,
+        )
+        self._follower.start()
+        source = self.site.liveness
+        self._liveness = plugins.create(
+            plugins.Kind.LIVENESS,
+            source.adapter if source.url else "none",
+            reactor=self._reactor,
+            url=source.url,
+            poll_s=source.poll_s,
+        )
+        self._liveness.start(self._note_states)
+
+    @property
+    def _stream(self) -> str:
+        return f"ownership.{self._endpoint.serves}"
+
     async def drain(self) -> bool:
         """Stops gracefully: finishes what is held, then closes.
 
@@ -136,6 +180,9 @@
         if self._loop.running:
             self._loop.stop()
         self._adapter.close()
+        for part in (self._follower, self._log, self._liveness):
+            if part is not None:
+                part.close()
         await defer.maybeDeferred(self._admin.close)
         await _base.run_soon(self._links.close())
 
@@ -154,6 +201,39 @@
     def _receive(self, batch: messages.Batch) -> None:
         self._apply(self._kernel.receive(batch, _base.read_clock()))
 
+    # The log and the list of VMs.
+
+    def _note_page(self, page: logs.LogPage) -> None:
+        self._apply(
+            self._kernel.note_page(
+                page.entries,
+                first=page.first,
+                after=page.after,
+                now=_base.read_clock(),
+            )
+        )
+
+    def _note_states(self, states: liveness.VmStates) -> None:
+        vms = states.live | states.leaving
+        self._apply(self._kernel.note_vms(vms, _base.read_clock()))
+
+    def _append(self, record: ownership.Record) -> None:
+        body = ownership.encode_record(record)
+        appending = self._log.append(self._stream, body)
+        appending.addCallbacks(
+            lambda _: self._finish_append(True),
+            lambda failure: self._fail_append(failure),
+        )
+
+    def _fail_append(self, failure) -> None:
+        failure.trap(errors.LogUnavailableError)
+        _LOG.info("log: stream %s: %s", self._stream, failure.value)
+        self._finish_append(False)
+
+    def _finish_append(self, succeeded: bool) -> None:
+        now = _base.read_clock()
+        self._apply(self._kernel.finish_append(succeeded=succeeded, now=now))
+
     # The adapters' reports.
 
     def finish_prefill(
@@ -237,6 +317,8 @@
                     self._adapter.cancel(effect.work_id)
                 case sidecar.ListWork():
                     self._adapter.request_list()
+                case sidecar.Append():
+                    self._append(effect.record)
                 case sidecar.RunCall():
                     self._adapter.run_call(effect.call_id, effect.order)
 
--- a/sassafrasstile/demo/_report.py
+++ b/sassafrasstile/demo/_report.py
@@ -1,9 +1,8 @@
 """The figures of a demo run."""
 
 import dataclasses
-import statistics
 
-_HUNDREDTHS = 100
+from sassafrasstile import telemetry
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -57,10 +56,18 @@
             for field in dataclasses.fields(self)
             if not field.name.endswith("_s")
         }
-        figures["first_token_p50_s"] = take_percentile(self.first_token_s, 50)
-        figures["first_token_p95_s"] = take_percentile(self.first_token_s, 95)
-        figures["per_token_p50_s"] = take_percentile(self.per_token_s, 50)
-        figures["per_token_p95_s"] = take_percentile(self.per_token_s, 95)
+        figures["first_token_p50_s"] = telemetry.take_percentile(
+            self.first_token_s, 50
+        )
+        figures["first_token_p95_s"] = telemetry.take_percentile(
+            self.first_token_s, 95
+        )
+        figures["per_token_p50_s"] = telemetry.take_percentile(
+            self.per_token_s, 50
+        )
+        figures["per_token_p95_s"] = telemetry.take_percentile(
+            self.per_token_s, 95
+        )
         figures["invariants_held"] = self.holds()
         return figures
 
@@ -78,15 +85,3 @@
     if isinstance(value, bool):
         return "yes" if value else "no"
     return f"{value:.4f}" if isinstance(value, float) else str(value)
-
-
-def take_percentile(values: list[float], percent: int) -> float:
-    """Returns a percentile, or zero without values.
-
-    >>> take_percentile([1.0, 2.0, 3.0], 50)
-    2.0
-    """
-    if len(values) < 2:
-        return values[0] if values else 0.0
-    cuts = statistics.quantiles(values, n=_HUNDREDTHS, method="inclusive")
-    return cuts[percent - 1]
--- a/sassafrasstile/frontend/_identity.py
+++ b/sassafrasstile/frontend/_identity.py
@@ -46,15 +46,34 @@
     return value
 
 
+def is_first_attempt(request) -> bool:
+    """Says whether the caller declares this as its key's first attempt.
+
+    Without a key there is nothing to repeat. With one, a caller that counts
+    its retries says so in X-Retry-Count (or X-Stainless-Retry-Count).
+    """
+    if not read_header(request, "idempotency-key"):
+        return True
+    return _read_retry_count(request) == "0"
+
+
+def _read_retry_count(request) -> str:
+    return read_header(request, "x-retry-count") or read_header(
+        request, "x-stainless-retry-count"
+    )
+
+
 def read_resume_offset(request) -> int | None:
     """Returns the tokens that a returning caller has, or None.
 
+    A caller that says it retries may have an answer waiting, too.
+
     Raises:
         errors.RequestError: When Last-Event-ID isn't a number.
     """
     value = read_header(request, "last-event-id")
     if not value:
-        return None
+        return None if _read_retry_count(request) in ("", "0") else 0
     if not value.isascii() or not value.isdigit():
         raise errors.RequestError(
             code=errors.Code.REQUEST_INVALID,
--- a/sassafrasstile/frontend/_services.py
+++ b/sassafrasstile/frontend/_services.py
@@ -97,6 +97,8 @@
             repeatable=rule.repeatable,
             limit_s=rule.limit_s,
             digest=_digest_call(method, full_path, body),
+            first=_identity.is_first_attempt(request),
+            runs_unlogged=rule.during_outage == "run",
         )
         exchange = CallExchange(
             request=request,
--- a/sassafrasstile/frontend/tests/test_frontend.py
+++ b/sassafrasstile/frontend/tests/test_frontend.py
@@ -207,9 +207,7 @@
         streamed, chat, chunks, models = await threads.deferToThread(
             self.use_client, url
         )
-        self.assertEqual(
-            streamed, standins.generate_text("a valve leaks", 40)
-        )
+        self.assertEqual(streamed, standins.generate_text("a valve leaks", 40))
         expected = standins.generate_text("user: hello", 9)
         self.assertEqual((chat, chunks), (expected, expected))
         self.assertEqual(models, ["writer"])
--- a/sassafrasstile/gateway/_base.py
+++ b/sassafrasstile/gateway/_base.py
@@ -51,6 +51,10 @@
         repeatable: True when running it twice does no harm.
         limit_s: Seconds until the answer must be there.
         digest: A digest of method, path and body.
+        first: True when the caller says that it sends the key for the first
+            time.
+        runs_unlogged: True when it may run without a claim in the log while
+            the log is down.
     """
 
     request_id: str
@@ -64,6 +68,8 @@
     repeatable: bool = True
     limit_s: float = 10.0
     digest: str = ""
+    first: bool = False
+    runs_unlogged: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/gateway/_kernel.py
+++ b/sassafrasstile/gateway/_kernel.py
@@ -9,7 +9,7 @@
 from sassafrasstile.gateway import _calls
 from sassafrasstile.gateway import _context
 from sassafrasstile.gateway import _endpoints
-from sassafrasstile.gateway import _generation
+from sassafrasstile.gateway import _generation_table
 from sassafrasstile.gateway import _invariants
 from sassafrasstile.gateway import _owners
 from sassafrasstile.gateway import _settings
@@ -45,7 +45,9 @@
             policy=policy,
             endpoints=self._endpoints,
         )
-        self._generations = _generation.GenerationTable(context=self._context)
+        self._generations = _generation_table.GenerationTable(
+            context=self._context
+        )
         self._calls = _calls.CallTable(
             context=self._context,
             owners=_owners.OwnerMap(endpoints=endpoints),
@@ -100,6 +102,10 @@
         endpoint.connected = True
         endpoint.heard_at = now
         endpoint.full_until = 0.0
+        # Nothing of before the link broke is wanted any more.
+        self._context.send(
+            peer, messages.Renew(issued_below=self._context.next_attempt)
+        )
         return self._end()
 
     def disconnect(self, peer: str, now: float) -> list[_base.Effect]:
--- a/sassafrasstile/gateway/_settings.py
+++ b/sassafrasstile/gateway/_settings.py
@@ -40,7 +40,10 @@
         tries: Attempts at one request at the most.
         full_pause_s: Seconds for which an endpoint that refused for want of
             memory isn't asked again unless it reports room.
-        failed_pause_s: Seconds for which an endpoint that failed is avoided
+        owner_pause_s: Seconds to wait when endpoints disagree on who owns
+            an idempotency key.
+        owner_pause_s: Seconds = 0.25
+    failed_pause_s: Seconds for which an endpoint that failed is avoided
             while there are others.
         retry_after_s: What a refused caller is told to wait.
     """
@@ -64,8 +67,9 @@
     queue_limit: Count = 500
     workspace_limit: Count = 200
     retry_share: Share = 0.2
-    retry_reserve: Count = 10
+    retry_reserve: Count = 40
     tries: Count = 4
     full_pause_s: Seconds = 0.1
+    owner_pause_s: Seconds = 0.25
     failed_pause_s: Seconds = 2.0
     retry_after_s: Seconds = 2.0
--- /dev/null
+++ b/sassafrasstile/logs/_follower.py
@@ -0,0 +1,72 @@
+"""Follows one stream of the log."""
+
+from collections.abc import Callable
+import logging
+
+from twisted.internet import defer
+
+from sassafrasstile import errors
+from sassafrasstile.logs import _base
+
+_LOG = logging.getLogger("sassafrasstile.log")
+_WAIT_S = 1.0
+_BACKOFF_S = 0.5
+
+
+class LogFollower:
+    """Reads a stream from its oldest record on, again and again.
+
+    Args:
+        reactor: The reactor.
+        client: The log client.
+        stream: The stream.
+        on_page: Called with each page read, empty ones included.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        client: _base.LogClient,
+        stream: str,
+        on_page: Callable[[_base.LogPage], None],
+    ):
+        self.stream = stream
+        self._reactor = reactor
+        self._client = client
+        self._on_page = on_page
+        self._next = 0
+        self._closed = False
+
+    def start(self) -> None:
+        """Starts to read."""
+        defer.ensureDeferred(self._run()).addErrback(
+            lambda failure: _LOG.error(
+                "log: following failed: %s", failure.getTraceback()
+            )
+        )
+
+    def close(self) -> None:
+        """Stops reading."""
+        self._closed = True
+
+    async def _run(self) -> None:
+        while not self._closed:
+            try:
+                page = await self._client.read(
+                    self.stream, start=self._next, wait_s=_WAIT_S
+                )
+            except errors.LogUnavailableError as failure:
+                _LOG.info("log: stream %s: no answer: %s", self.stream, failure)
+                await self._sleep(_BACKOFF_S)
+                continue
+            if self._closed:
+                return
+            if page.entries:
+                self._next = page.entries[-1].offset + 1
+            self._on_page(page)
+
+    def _sleep(self, seconds: float) -> defer.Deferred:
+        waiting: defer.Deferred = defer.Deferred()
+        self._reactor.callLater(seconds, waiting.callback, None)
+        return waiting
--- /dev/null
+++ b/sassafrasstile/logs/_http.py
@@ -0,0 +1,105 @@
+"""The log client `http`."""
+
+import base64
+import json
+
+from twisted.internet import defer
+from twisted.web import client
+
+from sassafrasstile import errors
+from sassafrasstile import ownership
+from sassafrasstile import plugins
+from sassafrasstile import web
+from sassafrasstile.logs import _base
+
+_OK = 200
+_ANSWER_LIMIT_S = 2.0
+
+
+@plugins.register(plugins.Kind.LOG, "http")
+class HttpLog(_base.LogClient):
+    """Talks to the log over HTTP.
+
+    Args:
+        reactor: The reactor.
+        url: The base URL.
+    """
+
+    def __init__(self, *, reactor, url: str):
+        self.url = url
+        self._reactor = reactor
+        self._http = web.HttpClient(reactor=reactor, base_url=url)
+
+    def close(self) -> None:
+        """Drops every connection."""
+        self._http.close()
+
+    def append(self, stream: str, body: bytes) -> defer.Deferred:
+        """Appends a record."""
+        return defer.ensureDeferred(self._append(stream, body))
+
+    async def _append(self, stream: str, body: bytes) -> int:
+        path = f"/v1/streams/{stream}/records"
+        try:
+            status, content = await self._exchange(
+                "POST", path, body, _ANSWER_LIMIT_S
+            )
+        except web.NOT_CONNECTED as failure:
+            raise errors.LogUnavailableError(
+                detail=repr(failure), may_have_taken_effect=False
+            ) from failure
+        except Exception as failure:
+            raise errors.LogUnavailableError(
+                detail=repr(failure), may_have_taken_effect=True
+            ) from failure
+        if status != _OK:
+            raise errors.LogUnavailableError(
+                detail=f"status {status}", may_have_taken_effect=False
+            )
+        return content["offset"]
+
+    def read(self, stream: str, *, start: int, wait_s: float) -> defer.Deferred:
+        """Reads records from an offset on."""
+        return defer.ensureDeferred(self._read(stream, start, wait_s))
+
+    async def _read(
+        self, stream: str, start: int, wait_s: float
+    ) -> _base.LogPage:
+        path = f"/v1/streams/{stream}/records?from={start}&wait={wait_s}"
+        try:
+            status, content = await self._exchange(
+                "GET", path, None, wait_s + _ANSWER_LIMIT_S
+            )
+        except Exception as failure:
+            raise errors.LogUnavailableError(
+                detail=repr(failure), may_have_taken_effect=False
+            ) from failure
+        if status != _OK:
+            raise errors.LogUnavailableError(
+                detail=f"status {status}", may_have_taken_effect=False
+            )
+        return _base.LogPage(
+            first=content["first"],
+            after=content["next"],
+            entries=tuple(
+                ownership.LogEntry(
+                    offset=row["offset"],
+                    at=row["at"],
+                    body=base64.b64decode(row["body"]),
+                )
+                for row in content["records"]
+            ),
+        )
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes | None, limit_s: float
+    ):
+        request = self._http.request(
+            method, path, body=body, content_type="application/octet-stream"
+        )
+        request.addTimeout(limit_s, self._reactor)
+        response = await request
+        reading = client.readBody(response)
+        reading.addTimeout(limit_s, self._reactor)
+        content = await reading
+        return response.code, json.loads(content)
--- a/sassafrasstile/messages/_calls.py
+++ b/sassafrasstile/messages/_calls.py
@@ -19,6 +19,10 @@
         repeatable: True when running it twice does no harm.
         limit_s: Seconds that the service may take.
         digest: A digest of method, path and body, to find a reused key.
+        first: True when the caller says that it sends this key for the
+            first time.
+        runs_unlogged: True when it may run without a claim in the log
+            while the log is down.
     """
 
     key: str
@@ -30,6 +34,8 @@
     repeatable: bool = True
     limit_s: float = 0.0
     digest: str = ""
+    first: bool = False
+    runs_unlogged: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/messages/_leases.py
+++ b/sassafrasstile/messages/_leases.py
@@ -36,9 +36,11 @@
         code: An `errors.Code`.
         retry_after_s: Seconds after which a retry may succeed, or zero.
         detail: One sentence for a person.
+        owner: The endpoint that owns the key, when that is why.
     """
 
     verdict: str
     code: str
     retry_after_s: float = 0.0
     detail: str = ""
+    owner: str = ""
--- /dev/null
+++ b/sassafrasstile/ownership/_replay.py
@@ -0,0 +1,264 @@
+"""Replays ownership records. The log's order alone decides."""
+
+import collections
+import dataclasses
+import hashlib
+import logging
+
+from sassafrasstile import errors
+from sassafrasstile.ownership import _records
+
+_LOG = logging.getLogger("sassafrasstile.ownership")
+SLOT_COUNT = 64
+
+
+def find_slot(key: str) -> int:
+    """Returns the slot of an idempotency key."""
+    digest = hashlib.blake2b(key.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") % SLOT_COUNT
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClaimState:
+    """A claim in force.
+
+    Attributes:
+        endpoint: Who may run the call.
+        incarnation: Its incarnation.
+        at: When it was appended, in the log's time in seconds.
+    """
+
+    endpoint: str
+    incarnation: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Early:
+    """A record read before a checkpoint that it may follow."""
+
+    offset: int
+    at: float
+    record: _records.Record
+
+
+class OwnershipState:
+    """What a service's ownership stream says up to an offset.
+
+    Args:
+        claim_retention_s: Seconds, in the log's time, that a claim is kept.
+    """
+
+    def __init__(self, *, claim_retention_s: float):
+        self.claim_retention_s = claim_retention_s
+        self.next_offset = 0
+        self.members: dict[str, _records.Member] = {}
+        self.owners: list[str] = [""] * SLOT_COUNT
+        self.uncertain_from: list[float | None] = [None] * SLOT_COUNT
+        self.blocked = False
+        self.checkpointed_at = 0.0
+        self.last_at = 0.0
+        self._started = False
+        self._early: list[_Early] = []
+        self._claims: collections.OrderedDict[str, ClaimState] = (
+            collections.OrderedDict()
+        )
+
+    def is_usable(self) -> bool:
+        """Says whether the state may be acted on.
+
+        It may not when a record of a later version was met, or when older
+        records have expired and no checkpoint has been seen yet.
+        """
+        return self._started and not self.blocked
+
+    def find_claim(self, key: str) -> ClaimState | None:
+        """Returns the claim on a key, or None."""
+        return self._claims.get(key)
+
+    def find_owner(self, key: str) -> _records.Member | None:
+        """Returns the owner of a key, or None."""
+        return self.members.get(self.owners[find_slot(key)])
+
+    def is_member(self, *, endpoint: str, incarnation: str) -> bool:
+        """Says whether an incarnation is its endpoint's current one."""
+        member = self.members.get(endpoint)
+        return member is not None and member.incarnation == incarnation
+
+    def list_slots(self, endpoint: str) -> list[int]:
+        """Returns the slots that an endpoint owns."""
+        return [
+            slot for slot, owner in enumerate(self.owners) if owner == endpoint
+        ]
+
+    def start_empty(self, *, at: int = 0) -> None:
+        """Starts without records: the stream is new, or all have expired.
+
+        Args:
+            at: The offset that the next record will get. Above zero, dead
+                owners may have run calls that nothing tells of any more.
+        """
+        if self._started:
+            return
+        self._started = True
+        self.next_offset = at
+        if at > 0:
+            self._doubt(list(range(SLOT_COUNT)), self.last_at)
+
+    def apply(self, entry: _records.LogEntry) -> None:
+        """Applies the next record.
+
+        Args:
+            entry: The record as read from the log.
+
+        Raises:
+            errors.InvariantError: `log_in_order` when records are skipped
+                after a start.
+        """
+        offset = entry.offset
+        at = entry.at
+        if offset < self.next_offset:
+            return
+        if offset > self.next_offset and self._started:
+            raise errors.InvariantError(
+                name="log_in_order",
+                detail=f"offset {offset} follows {self.next_offset - 1}",
+            )
+        if offset == 0:
+            self._started = True
+        self.next_offset = offset + 1
+        self.last_at = at
+        record = _records.decode_record(entry.body)
+        if record is None:
+            _LOG.error(
+                "ownership: offset %d is of a later version. No new keys "
+                "are taken.",
+                offset,
+            )
+            self.blocked = True
+            return
+        if not self._started:
+            self._early.append(_Early(offset=offset, at=at, record=record))
+            if isinstance(record, _records.Checkpoint):
+                self._load_checkpoint(record, at)
+            return
+        self._apply_record(record, at)
+        self._forget_old_claims(at)
+
+    def _apply_record(self, record: _records.Record, at: float) -> None:
+        match record:
+            case _records.Checkpoint():
+                self.checkpointed_at = at
+            case _records.Join():
+                self._join(record.member, at)
+            case _records.Claim():
+                self._claim(record, at)
+            case _records.Release():
+                self._release(record)
+            case _records.Leave():
+                self._leave(record)
+            case _records.Evict():
+                self._evict(record, at)
+
+    def _join(self, member: _records.Member, at: float) -> None:
+        former = self.members.get(member.endpoint)
+        if former is not None and former.incarnation == member.incarnation:
+            return
+        self.members[member.endpoint] = member
+        if former is not None and former.runs_unlogged:
+            self._doubt(self.list_slots(member.endpoint), at)
+        for slot, owner in enumerate(self.owners):
+            if owner == "":
+                self.owners[slot] = member.endpoint
+
+    def _claim(self, record: _records.Claim, at: float) -> None:
+        if not self.is_member(
+            endpoint=record.endpoint, incarnation=record.incarnation
+        ):
+            return
+        for key in record.keys:
+            owns = self.owners[find_slot(key)] == record.endpoint
+            if owns and key not in self._claims:
+                self._claims[key] = ClaimState(
+                    endpoint=record.endpoint,
+                    incarnation=record.incarnation,
+                    at=at,
+                )
+
+    def _release(self, record: _records.Release) -> None:
+        if record.successor not in self.members:
+            return
+        if not self.is_member(
+            endpoint=record.endpoint, incarnation=record.incarnation
+        ):
+            return
+        for slot in record.slots:
+            if self.owners[slot] == record.endpoint:
+                self.owners[slot] = record.successor
+
+    def _leave(self, record: _records.Leave) -> None:
+        if not self.is_member(
+            endpoint=record.endpoint, incarnation=record.incarnation
+        ):
+            return
+        for slot in self.list_slots(record.endpoint):
+            self.owners[slot] = ""
+        del self.members[record.endpoint]
+
+    def _evict(self, record: _records.Evict, at: float) -> None:
+        if record.successor not in self.members:
+            return
+        if not self.is_member(
+            endpoint=record.endpoint, incarnation=record.incarnation
+        ):
+            return
+        slots = self.list_slots(record.endpoint)
+        for slot in slots:
+            self.owners[slot] = record.successor
+        if self.members[record.endpoint].runs_unlogged:
+            self._doubt(slots, at)
+        del self.members[record.endpoint]
+
+    def _doubt(self, slots: list[int], at: float) -> None:
+        """Notes that a dead owner may have run calls without a claim."""
+        for slot in slots:
+            self.uncertain_from[slot] = at
+
+    def _load_checkpoint(self, record: _records.Checkpoint, at: float) -> None:
+        """Starts from a checkpoint if every later record is at hand."""
+        if self._early[0].offset > record.based_on:
+            return
+        self._started = True
+        self.members = {item.endpoint: item for item in record.members}
+        self.owners = list(record.owners)
+        self.checkpointed_at = at
+        # What the expired records said of dead owners is unknown.
+        self._doubt(list(range(SLOT_COUNT)), at)
+        for early in self._early:
+            if early.offset >= record.based_on:
+                self._apply_record(early.record, early.at)
+            elif isinstance(early.record, _records.Claim):
+                self._note_early_claim(early.record, early.at)
+        self._early.clear()
+
+    def _note_early_claim(self, record: _records.Claim, at: float) -> None:
+        """Keeps a claim whose validity can't be told any more."""
+        for key in record.keys:
+            claim = ClaimState(endpoint=record.endpoint, incarnation="", at=at)
+            self._claims.setdefault(key, claim)
+
+    def make_checkpoint(self) -> _records.Checkpoint:
+        """Returns the state as a record."""
+        members = sorted(self.members.values(), key=lambda item: item.endpoint)
+        return _records.Checkpoint(
+            based_on=self.next_offset,
+            members=tuple(members),
+            owners=tuple(self.owners),
+        )
+
+    def _forget_old_claims(self, at: float) -> None:
+        while self._claims:
+            key, claim = next(iter(self._claims.items()))
+            if claim.at > at - self.claim_retention_s:
+                return
+            del self._claims[key]
--- a/sassafrasstile/settings/_load.py
+++ b/sassafrasstile/settings/_load.py
@@ -227,6 +227,13 @@
                 f"allowed are {sorted(known)}",
                 origins,
             )
+    if site.services and not site.log.url:
+        raise _invalid(
+            ("log", "url"),
+            "log.url is ''; allowed is a URL, since calls to services "
+            f"{sorted(site.services)} are claimed in the log",
+            origins,
+        )
     policies = plugins.list_names(plugins.Kind.POLICY)
     if site.routing.policy not in policies:
         raise _invalid(
--- a/sassafrasstile/settings/_models.py
+++ b/sassafrasstile/settings/_models.py
@@ -218,6 +218,10 @@
         path: The start of the path below the service.
         repeatable: False when running a call twice does harm.
         limit_s: Seconds until the answer must be there.
+        during_outage: What happens to a call that may not be repeated while
+            the log is down: `refuse`, or `run` at the owner of its key.
+            After a crash of that owner, a caller's retry of a key may then
+            be answered as may have run, though a claim would have told.
     """
 
     __pydantic_config__ = _FORBID_EXTRA
@@ -226,6 +230,7 @@
     path: Annotated[str, pydantic.StringConstraints(pattern=r"^/")] = "/"
     repeatable: bool = False
     limit_s: Seconds = 10.0
+    during_outage: Literal["refuse", "run"] = "refuse"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -235,11 +240,15 @@
     Attributes:
         rules: The first rule that matches a call decides. A call that none
             matches may be repeated only when its method is GET.
+        claims: How calls that may not be repeated are claimed.
     """
 
     __pydantic_config__ = _FORBID_EXTRA
 
     rules: tuple[Rule, ...] = ()
+    claims: sidecar.ClaimSettings = dataclasses.field(
+        default_factory=sidecar.ClaimSettings
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/settings/tests/test_load.py
+++ b/sassafrasstile/settings/tests/test_load.py
@@ -13,6 +13,8 @@
     max_tokens: 100
 services:
   desk: {}
+log:
+  url: http://127.0.0.1:9000
 workspaces:
   a: {deferred: true}
   b: {}
@@ -72,6 +74,7 @@
             ("routing:\n  policy: best\n", 2, "two_choices", None),
             ("routing:\n  tries: -3\n", 2, "-3", None),
             ("routing:\n  trys: 3\n", 2, "not a setting", None),
+            ("log:\n  url: ''\n", 2, "claimed", None),
             ("leases:\n  renew_s: 2\n", 2, "half", None),
             (_ENDPOINT.replace("writer", "poet"), 4, "'poet'", None),
             (_ENDPOINT.replace("role: decode", "role: dec"), 3, "'dec'", None),
--- a/sassafrasstile/sidecar/__init__.py
+++ b/sassafrasstile/sidecar/__init__.py
@@ -12,11 +12,16 @@
 )
 from sassafrasstile.sidecar._engine import EngineKernel
 from sassafrasstile.sidecar._service import ServiceKernel
-from sassafrasstile.sidecar._settings import EngineLimits, LeaseSettings
+from sassafrasstile.sidecar._settings import (
+    ClaimSettings,
+    EngineLimits,
+    LeaseSettings,
+)
 
 __all__ = [
     "Append",
     "CancelWork",
+    "ClaimSettings",
     "Effect",
     "EngineKernel",
     "EngineLimits",
--- a/sassafrasstile/sidecar/_base.py
+++ b/sassafrasstile/sidecar/_base.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sassafrasstile import messages
+from sassafrasstile import ownership
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -75,13 +76,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Append:
-    """Append a record to the log.
+    """Append a record to the service's ownership stream.
+
+    The kernel hears the end of each append by `finish_append` and has one
+    in flight at the most.
 
     Attributes:
-        record: The record, one of `sassafrasstile.logs` records.
+        record: The record.
     """
 
-    record: object
+    record: ownership.Record
 
 
 Effect = (
--- a/sassafrasstile/sidecar/_engine.py
+++ b/sassafrasstile/sidecar/_engine.py
@@ -19,6 +19,7 @@
 _LOG = logging.getLogger("sassafrasstile.sidecar")
 _ENDED_ATTEMPTS_KEPT = 4096
 _CANCEL_AGAIN_S = 1.0
+_RECONCILE_S = 1.0
 
 Phase = _holds.Phase
 
@@ -64,6 +65,7 @@
         )
         self._effects: list[_base.Effect] = []
         self._last_now: float | None = None
+        self._reconcile_at = 0.0
 
     # Inputs.
 
@@ -207,6 +209,7 @@
     def tick(self, now: float) -> list[_base.Effect]:
         """Releases what has lapsed. To be called a few times a second."""
         self._begin(now)
+        self._reconcile(now)
         for hold in list(self._table.holds.values()):
             self._expire(hold, now)
         holders = {hold.owner.gateway for hold in self._table.holds.values()}
@@ -216,6 +219,16 @@
         )
         return self._end()
 
+    def _reconcile(self, now: float) -> None:
+        """Asks what the engine holds, now and then.
+
+        A cancellation may overtake the start of the work that it cancels,
+        so the engine may hold work that no hold stands for any more.
+        """
+        if now >= self._reconcile_at:
+            self._reconcile_at = now + _RECONCILE_S
+            self._effects.append(_base.ListWork())
+
     # What others may look at.
 
     def is_idle(self) -> bool:
--- a/sassafrasstile/sidecar/_once.py
+++ b/sassafrasstile/sidecar/_once.py
@@ -1,11 +1,14 @@
 """The table of calls that may not be repeated, at their one owner."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
 
 from sassafrasstile import messages
 from sassafrasstile.sidecar import _base
 
+_LOOK_S = 5.0
+
 
 class CallState(enum.Enum):
     """What became of a call."""
@@ -27,6 +30,8 @@
         order: The call, while it may still have to be sent.
         waiters: Attempts that wait for the answer.
         answer: The service's answer once there is one.
+        runs: Times that the call was sent to the service.
+        claim_until: Kernel time at which the wait for a claim ends.
         forget_at: Kernel time at which the entry may be dropped.
     """
 
@@ -36,6 +41,8 @@
     order: messages.Call | None = None
     waiters: list[_base.Owner] = dataclasses.field(default_factory=list)
     answer: messages.CallAnswered | None = None
+    runs: int = 0
+    claim_until: float = 0.0
     forget_at: float | None = None
 
 
@@ -50,6 +57,7 @@
     def __init__(self, *, retain_s: float):
         self.retain_s = retain_s
         self._entries: dict[str, Entry] = {}
+        self._look_at = 0.0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -87,12 +95,24 @@
             entry for entry in self._entries.values() if entry.state is state
         ]
 
-    def forget_old(self, *, now: float) -> None:
-        """Drops settled entries that callers no longer ask for."""
+    def forget_old(
+        self, *, now: float, is_needed: Callable[[str], bool]
+    ) -> None:
+        """Drops settled entries that callers no longer ask for.
+
+        Args:
+            now: Kernel time in seconds.
+            is_needed: Says whether an entry must be kept all the same.
+        """
+        if now < self._look_at:
+            return
+        self._look_at = now + _LOOK_S
         old = [
             entry.key
             for entry in self._entries.values()
-            if entry.forget_at is not None and now >= entry.forget_at
+            if entry.forget_at is not None
+            and now >= entry.forget_at
+            and not is_needed(entry.key)
         ]
         for key in old:
             del self._entries[key]
--- a/sassafrasstile/sidecar/_service.py
+++ b/sassafrasstile/sidecar/_service.py
@@ -1,7 +1,8 @@
 """The kernel of a sidecar beside a plain service.
 
 It sends calls to the service. A call that may not be repeated runs at most
-once: its key is in this kernel's table from before the call is sent.
+once: only the owner of its key runs it, after a claim in the log. While the
+log is down the owner may run it without a claim, where the rule allows it.
 """
 
 import collections
@@ -9,9 +10,12 @@
 
 from sassafrasstile import errors
 from sassafrasstile import messages
+from sassafrasstile import ownership
 from sassafrasstile import verdicts
 from sassafrasstile.sidecar import _base
+from sassafrasstile.sidecar import _claims
 from sassafrasstile.sidecar import _once
+from sassafrasstile.sidecar import _settings
 
 _LOG = logging.getLogger("sassafrasstile.sidecar")
 _FENCED_KEPT = 8192
@@ -26,8 +30,10 @@
         name: The endpoint's name.
         incarnation: This process's incarnation.
         service: The service's name.
+        vm: The VM of the endpoint.
         slots: Calls at the service at once.
-        retain_s: Seconds that the outcome of a call is kept.
+        runs_unlogged: True when any rule lets calls run without a claim.
+        claims: Times and sizes of claims.
     """
 
     def __init__(
@@ -36,21 +42,35 @@
         name: str,
         incarnation: str,
         service: str,
+        vm: str = "",
         slots: int = 64,
-        retain_s: float = 3600.0,
+        runs_unlogged: bool = False,
+        claims: _settings.ClaimSettings | None = None,
     ):
         self.name = name
         self.incarnation = incarnation
         self.service = service
         self.slots = slots
         self.leaving = False
-        self._once = _once.OnceTable(retain_s=retain_s)
+        self.claim_settings = claims or _settings.ClaimSettings()
+        self._once = _once.OnceTable(
+            retain_s=self.claim_settings.key_lifetime_s
+        )
+        self._keeper = _claims.ClaimKeeper(
+            member=ownership.Member(
+                endpoint=name,
+                incarnation=incarnation,
+                vm=vm,
+                runs_unlogged=runs_unlogged,
+            ),
+            settings=self.claim_settings,
+        )
+        self._unlogged: set[str] = set()
         self._running: dict[str, tuple[_base.Owner, messages.Call]] = {}
         self._fenced: collections.OrderedDict[_base.Owner, None] = (
             collections.OrderedDict()
         )
         self._effects: list[_base.Effect] = []
-        self.executions: collections.Counter[str] = collections.Counter()
 
     # Inputs.
 
@@ -141,7 +161,6 @@
             waiters = self._once.settle(entry, CallState.UNKNOWN, now=now)
             if not sent:
                 self._once.remove(order.key)
-                self.executions[order.key] -= 1
         for waiter in waiters:
             self._fail(
                 waiter,
@@ -155,23 +174,81 @@
             )
         return self._end()
 
+    def note_page(
+        self,
+        entries: tuple[ownership.LogEntry, ...],
+        *,
+        first: int,
+        after: int,
+        now: float,
+    ) -> list[_base.Effect]:
+        """Replays a page of the ownership stream.
+
+        Args:
+            entries: The records, in order.
+            first: The oldest offset that the log keeps.
+            after: The offset that the next record will get.
+            now: Kernel time in seconds.
+
+        Returns:
+            The effects, in order.
+        """
+        self._keeper.note_page(entries, first=first, after=after, now=now)
+        for entry in self._once.list_in_state(CallState.CLAIMING):
+            self._settle_claim(entry, now)
+        self._unlogged = {
+            key
+            for key in self._unlogged
+            if self._keeper.state.find_claim(key) is None
+        }
+        self._append_next(now)
+        return self._end()
+
+    def finish_append(
+        self, *, succeeded: bool, now: float
+    ) -> list[_base.Effect]:
+        """Notes the end of an append, whose effect only replay tells."""
+        self._keeper.finish_append(succeeded=succeeded, now=now)
+        self._append_next(now)
+        return self._end()
+
+    def note_vms(self, vms: frozenset[str], now: float) -> list[_base.Effect]:
+        """Notes the VMs that the platform says exist."""
+        self._keeper.note_vms(vms)
+        return self._end()
+
     def drain(self, now: float) -> list[_base.Effect]:
-        """Stops taking new work. Calls that run go on."""
+        """Stops taking new work. Calls that run go on; slots are handed on."""
         if not self.leaving:
             _LOG.info("sidecar %s: drains. New work is refused.", self.name)
         self.leaving = True
+        self._append_next(now)
         return self._end()
 
     def tick(self, now: float) -> list[_base.Effect]:
-        """Forgets old outcomes and checks invariants."""
-        self._once.forget_old(now=now)
+        """Ends claims that took too long and appends what is due."""
+        for entry in self._once.list_in_state(CallState.CLAIMING):
+            if now >= entry.claim_until:
+                self._end_claim_wait(entry, now)
+        self._once.forget_old(
+            now=now, is_needed=lambda key: self._is_needed(key)
+        )
+        self._append_next(now)
         return self._end()
 
+    def _is_needed(self, key: str) -> bool:
+        """Says whether forgetting a key could let its call run again."""
+        if key in self._unlogged:
+            return True
+        return self._keeper.state.find_claim(key) is not None
+
     # What others may look at.
 
     def is_idle(self) -> bool:
-        """Says whether no call runs."""
-        return not self._running
+        """Says whether no call runs or waits, and all slots are handed on."""
+        if self._running or self._once.list_in_state(CallState.CLAIMING):
+            return False
+        return not self.leaving or self._keeper.is_out()
 
     def describe_load(self) -> messages.Load:
         """Returns the load for the next batch."""
@@ -201,16 +278,10 @@
         if code is not None:
             self._refuse(owner, order, code)
             return
-        if not order.repeatable:
-            self._once.add(
-                _once.Entry(
-                    key=order.key,
-                    digest=order.digest,
-                    state=CallState.RUNNING,
-                    waiters=[owner],
-                )
-            )
-        self._run(owner, order)
+        if order.repeatable:
+            self._run(owner, order)
+            return
+        self._claim(owner, order, now)
 
     def _check_new_call(self, order: messages.Call) -> errors.Code | None:
         if self.leaving:
@@ -221,12 +292,111 @@
             return errors.Code.NO_CAPACITY
         return None
 
+    # Claims.
+
+    def _claim(
+        self, owner: _base.Owner, order: messages.Call, now: float
+    ) -> None:
+        """Claims a key that this sidecar hasn't seen before."""
+        match self._keeper.find_standing(order.key):
+            case _claims.Standing.UNAVAILABLE:
+                self._refuse(owner, order, errors.Code.LOG_UNAVAILABLE)
+                return
+            case _claims.Standing.OTHER:
+                self._refuse(owner, order, errors.Code.NOT_OWNER)
+                return
+        entry = _once.Entry(
+            key=order.key,
+            digest=order.digest,
+            state=CallState.CLAIMING,
+            order=order,
+            waiters=[owner],
+            claim_until=now + self.claim_settings.claim_wait_s,
+        )
+        self._once.add(entry)
+        if self._keeper.is_claimed_elsewhere(order.key) or (
+            self._keeper.is_uncertain(order.key) and not order.first
+        ):
+            self._end_unknown(entry, now)
+            return
+        if self._keeper.is_claimed_here(order.key):
+            # Claimed before and refused when the claim took too long.
+            self._run_claimed(entry)
+            return
+        self._keeper.request(order.key)
+        self._append_next(now)
+
+    def _settle_claim(self, entry: _once.Entry, now: float) -> None:
+        """Runs a call whose claim is replayed as valid."""
+        if self._keeper.is_claimed_here(entry.key):
+            self._run_claimed(entry)
+        elif self._keeper.is_claimed_elsewhere(entry.key):
+            self._keeper.withdraw(entry.key)
+            self._end_unknown(entry, now)
+        elif self._keeper.find_standing(entry.key) is _claims.Standing.OTHER:
+            self._refuse_claim(entry, errors.Code.NOT_OWNER)
+
+    def _end_claim_wait(self, entry: _once.Entry, now: float) -> None:
+        """Runs a call without a claim, or refuses it, in a log outage."""
+        if entry.order.runs_unlogged and self._keeper.may_run_unlogged(
+            entry.key, now
+        ):
+            _LOG.info(
+                "sidecar %s: request %s: runs without a claim. Reason: the "
+                "log doesn't answer and this sidecar owns the key.",
+                self.name,
+                entry.order.request_id,
+            )
+            self._unlogged.add(entry.key)
+            self._run_claimed(entry)
+            return
+        self._refuse_claim(entry, errors.Code.LOG_UNAVAILABLE)
+
+    def _run_claimed(self, entry: _once.Entry) -> None:
+        entry.state = CallState.RUNNING
+        self._run(entry.waiters[0], entry.order)
+
+    def _refuse_claim(self, entry: _once.Entry, code: errors.Code) -> None:
+        """Refuses a call that hasn't run and, for these waiters, will not."""
+        self._keeper.withdraw(entry.key)
+        self._once.remove(entry.key)
+        for waiter in entry.waiters:
+            self._refuse(waiter, entry.order, code)
+
+    def _end_unknown(self, entry: _once.Entry, now: float) -> None:
+        request_id = entry.order.request_id
+        for waiter in self._once.settle(entry, CallState.UNKNOWN, now=now):
+            self._fail(
+                waiter,
+                request_id,
+                verdict=verdicts.VerdictName.MAY_HAVE_RUN,
+                code=errors.Code.OUTCOME_UNKNOWN,
+            )
+
+    def _append_next(self, now: float) -> None:
+        may_release = (
+            not self._unlogged
+            and not self._running_keys()
+            and not self._once.list_in_state(CallState.CLAIMING)
+        )
+        self._keeper.leaving = self.leaving
+        record = self._keeper.choose_record(now, may_release=may_release)
+        if record is not None:
+            self._effects.append(_base.Append(record=record))
+
+    def _running_keys(self) -> list[str]:
+        return [
+            order.key
+            for _, order in self._running.values()
+            if not order.repeatable
+        ]
+
     def _run(self, owner: _base.Owner, order: messages.Call) -> None:
         call_id = f"{order.request_id}.{owner.incarnation}.{owner.attempt}"
         if call_id in self._running:
             return
         if not order.repeatable:
-            self._count_execution(order.key)
+            self._count_run(order.key)
         _LOG.info(
             "sidecar %s: request %s: sends %s %s to the service.",
             self.name,
@@ -237,9 +407,10 @@
         self._running[call_id] = (owner, order)
         self._effects.append(_base.RunCall(call_id=call_id, order=order))
 
-    def _count_execution(self, key: str) -> None:
-        self.executions[key] += 1
-        if self.executions[key] > 1:
+    def _count_run(self, key: str) -> None:
+        entry = self._once.find(key)
+        entry.runs += 1
+        if entry.runs > 1:
             raise errors.InvariantError(
                 name="at_most_once",
                 detail=f"{self.name} sends {key} to the service again",
@@ -267,6 +438,11 @@
 
     def _inquire(self, owner: _base.Owner, message: messages.Inquire) -> None:
         entry = self._once.find(message.key)
+        if entry is None and (
+            self._keeper.find_standing(message.key) is _claims.Standing.OTHER
+        ):
+            self._refuse(owner, message, errors.Code.NOT_OWNER)
+            return
         status = messages.KeyStatus(
             request_id=message.request_id,
             attempt=message.attempt,
@@ -328,6 +504,7 @@
         *,
         verdict: verdicts.VerdictName,
         code: str,
+        owner_name: str = "",
     ) -> None:
         self._send(
             owner,
@@ -336,6 +513,7 @@
                 attempt=owner.attempt,
                 verdict=verdict,
                 code=code,
+                owner=owner_name,
             ),
         )
 
@@ -345,6 +523,9 @@
         message: messages.Attempted,
         code: errors.Code,
     ) -> None:
+        owner_name = ""
+        if code is errors.Code.NOT_OWNER:
+            owner_name = self._keeper.find_owner_name(message.key)
         _LOG.info(
             "sidecar %s: request %s: refuses %s. Reason: %s.",
             self.name,
@@ -357,4 +538,5 @@
             message.request_id,
             verdict=verdicts.VerdictName.NOT_RUN,
             code=code,
+            owner_name=owner_name,
         )
--- a/sassafrasstile/sidecar/_settings.py
+++ b/sassafrasstile/sidecar/_settings.py
@@ -44,3 +44,30 @@
     pieces: Count = 4096
     tokens_per_piece: Count = 16
     prefill_ttl_s: Seconds = 0.8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClaimSettings:
+    """How calls that may not be repeated are claimed in the log.
+
+    Attributes:
+        claim_wait_s: Seconds to wait for a claim until the log counts as
+            down for this call.
+        append_again_s: Seconds after a failed append until the next one.
+        unlogged_limit_s: Seconds without a page of the log after which no
+            call runs without a claim any more.
+        unlogged_limit_s: Seconds = 1800.0
+    key_lifetime_s: Seconds for which callers may retry a key. The log
+            must keep records for at least twice as long.
+        checkpoint_s: Seconds between checkpoints.
+        claims_per_record: Keys in one record at the most.
+    """
+
+    __pydantic_config__ = {"extra": "forbid"}
+
+    claim_wait_s: Seconds = 1.0
+    append_again_s: Seconds = 0.3
+    unlogged_limit_s: Seconds = 1800.0
+    key_lifetime_s: Seconds = 1800.0
+    checkpoint_s: Seconds = 600.0
+    claims_per_record: Count = 200
--- /dev/null
+++ b/sassafrasstile/soak/_callers.py
@@ -0,0 +1,395 @@
+"""Callers of the soak. They leave, come back and send again."""
+
+import dataclasses
+import itertools
+
+from sassafrasstile import gateway
+from sassafrasstile import standins
+from sassafrasstile import verdicts
+from sassafrasstile.soak import _endpoints
+
+_LEAVE_SHARE = 0.1
+_RETURN_SHARE = 0.9
+_RETURN_S = (0.05, 3.5)
+_PATIENCE_S = 20.0
+_BOOKING_TRIES = 5
+_DOUBLE_SEND_SHARE = 0.1
+_ANSWER_MARGIN_S = 5.0
+_FIRST_TOKEN_TARGET_S = 0.74
+_STEPS_PER_TOKEN_TARGET = 1.5
+
+
+class Caller:
+    """What all callers share.
+
+    Args:
+        site: The whole site: world, gateways, truth and report.
+        name: The caller's name, used as the request's id or key.
+    """
+
+    def __init__(self, *, site, name: str):
+        self.site = site
+        self.name = name
+        self.is_done = False
+
+    def choose_gateway(self):
+        """Returns a gateway as the balancer would, or None."""
+        ready = [
+            node
+            for node in self.site.gateways
+            if node.is_alive and not node.is_draining
+        ]
+        if not ready:
+            return None
+        return self.site.world.generator.choice(ready)
+
+    def finish(self, outcome: str) -> None:
+        """Ends the caller's interest."""
+        if self.is_done:
+            return
+        self.is_done = True
+        world = self.site.world
+        world.note(f"{self.name} ends: {outcome}")
+        self.site.report.note_outcome(f"{self.name} {outcome} {world.now:.6f}")
+        counter = outcome.split(",")[0]
+        report = self.site.report
+        setattr(report, counter, getattr(report, counter) + 1)
+        if counter != "refused_not_run":
+            report.accepted += 1
+
+
+class Exchange:
+    """One connection of a caller to a gateway.
+
+    Args:
+        caller: The caller.
+        node: The gateway.
+        request: The request.
+    """
+
+    def __init__(self, *, caller, node, request):
+        self.caller = caller
+        self.node = node
+        self.request = request
+        self.is_open = True
+        self.has_ended = False
+        self.life = node.life
+
+    def open(self) -> None:
+        """Sends the request."""
+        self.node.connections[self] = None
+        self.node.deliver(
+            self.life, lambda: self.node.submit(self.request, self)
+        )
+
+    def close(self) -> None:
+        """Hangs up."""
+        if not self.is_open:
+            return
+        self._end()
+        self.node.deliver(
+            self.life,
+            lambda: self.node.cancel(self.request.request_id, self),
+        )
+
+    def _end(self) -> None:
+        self.is_open = False
+        self.node.connections.pop(self, None)
+
+    def lose_gateway(self) -> None:
+        """The connection breaks since the gateway died."""
+        if self.is_open:
+            self._end()
+            self.caller.lose_gateway(self)
+
+    def handle(self, effect) -> None:
+        """Handles what the gateway writes."""
+        if self.has_ended:
+            self.caller.site.report.violate(
+                "answered_twice", f"{self.caller.name}: {effect}"
+            )
+            return
+        if not isinstance(effect, gateway.Deliver):
+            self.has_ended = True
+        if self.is_open:
+            if self.has_ended:
+                self._end()
+            self.caller.handle(self, effect)
+
+
+class GenerationCaller(Caller):
+    """Asks for generated text and checks every token.
+
+    Args:
+        site: The whole site.
+        name: The request's id.
+        prompt: The prompt.
+        prompt_tokens: Its length.
+        deferred: True when the request can wait.
+    """
+
+    def __init__(self, *, site, name, prompt, prompt_tokens, deferred):
+        super().__init__(site=site, name=name)
+        shape = site.shape
+        self.request = gateway.GenerationRequest(
+            request_id=name,
+            workspace="all",
+            model=_endpoints.MODEL,
+            prompt=prompt,
+            prompt_tokens=prompt_tokens,
+            max_tokens=shape.max_tokens,
+            deferred=deferred,
+        )
+        self.expected = standins.generate_tokens(prompt, shape.max_tokens)
+        self.received = 0
+        self.began_at = site.world.now
+        self.first_at: float | None = None
+        self.progress_at = site.world.now
+        self.exchange: Exchange | None = None
+
+    def start(self) -> None:
+        """Sends the request."""
+        self.send(resume=False)
+        generator = self.site.world.generator
+        if generator.random() < _LEAVE_SHARE:
+            self.site.world.call_later(generator.expovariate(0.5), self.leave)
+        self.look()
+
+    def send(self, *, resume: bool) -> None:
+        """Sends the request to a gateway."""
+        if self.is_done:
+            return
+        node = self.choose_gateway()
+        if node is None:
+            self.site.world.call_later(0.5, lambda: self.send(resume=resume))
+            return
+        self.progress_at = self.site.world.now
+        offset = self.received if resume else None
+        request = dataclasses.replace(self.request, resume_offset=offset)
+        self.exchange = Exchange(caller=self, node=node, request=request)
+        self.exchange.open()
+
+    def look(self) -> None:
+        """Goes elsewhere when nothing has come for too long."""
+        world = self.site.world
+        if self.is_done:
+            return
+        settings = self.site.shape.routing
+        limit_s = settings.interactive_limit_s
+        if self.request.deferred:
+            limit_s = settings.deferred_limit_s
+        exchange = self.exchange
+        silent_s = world.now - self.progress_at
+        if exchange is not None and exchange.is_open:
+            node = exchange.node
+            if node.is_paused and silent_s > _PATIENCE_S:
+                exchange.close()
+                self.send(resume=True)
+            elif silent_s > limit_s + _ANSWER_MARGIN_S and not (
+                node.is_paused or world.now - node.woke_at < limit_s
+            ):
+                self.site.report.violate("incomplete", f"{self.name}: silence")
+                exchange.close()
+                self.finish("may_have_run,silence")
+                return
+        world.call_later(1.0, self.look)
+
+    def leave(self) -> None:
+        """Hangs up for good."""
+        if self.is_done:
+            return
+        self.finish("cancelled")
+        if self.exchange is not None:
+            self.exchange.close()
+        self.site.truth.gone_at[self.name] = self.site.world.now
+
+    def finish(self, outcome: str) -> None:
+        """Ends the caller's interest."""
+        super().finish(outcome)
+        self.site.truth.gone_at.setdefault(self.name, self.site.world.now)
+
+    def lose_gateway(self, exchange: Exchange) -> None:
+        """Comes back through another gateway, mostly."""
+        world = self.site.world
+        if self.is_done:
+            return
+        if world.generator.random() < _RETURN_SHARE:
+            delay_s = world.generator.uniform(*_RETURN_S)
+            world.call_later(delay_s, lambda: self.send(resume=True))
+        else:
+            self.finish("cancelled,gateway lost")
+
+    def handle(self, exchange: Exchange, effect) -> None:
+        """Handles what the gateway writes."""
+        if exchange is not self.exchange or self.is_done:
+            return
+        self.progress_at = self.site.world.now
+        match effect:
+            case gateway.Deliver():
+                self._check_tokens(effect)
+            case gateway.Complete():
+                self._check_whole()
+            case gateway.Refuse():
+                self._refuse(effect)
+
+    def _check_tokens(self, effect: gateway.Deliver) -> None:
+        end = effect.offset + len(effect.texts)
+        right = tuple(self.expected[effect.offset : end])
+        if effect.offset != self.received or effect.texts != right:
+            self.site.report.violate(
+                "incomplete",
+                f"{self.name} has {self.received} tokens and gets "
+                f"{len(effect.texts)} at {effect.offset}",
+            )
+        if self.first_at is None:
+            self.first_at = self.site.world.now
+        self.received = end
+
+    def _check_whole(self) -> None:
+        world = self.site.world
+        if self.received != len(self.expected):
+            self.site.report.violate(
+                "incomplete",
+                f"{self.name} ends at {self.received} of "
+                f"{len(self.expected)} tokens",
+            )
+        first_s = self.first_at - self.began_at
+        self.site.report.first_token_s.append(first_s)
+        per_token_s = (world.now - self.first_at) / max(1, self.received - 1)
+        target_s = self.site.shape.speed.step_s * _STEPS_PER_TOKEN_TARGET
+        if first_s <= _FIRST_TOKEN_TARGET_S and per_token_s <= target_s:
+            self.site.report.good += 1
+        self.finish("complete")
+
+    def _refuse(self, effect: gateway.Refuse) -> None:
+        if isinstance(effect.verdict, verdicts.NotRun):
+            self.site.truth.note_not_run(self.name)
+            self.finish(f"refused_not_run,{effect.verdict.code}")
+        else:
+            self.finish(f"may_have_run,{effect.verdict.code}")
+
+
+class BookingCaller(Caller):
+    """Makes a booking, and sends it again with the same key when unsure.
+
+    Args:
+        site: The whole site.
+        name: The idempotency key.
+    """
+
+    def __init__(self, *, site, name):
+        super().__init__(site=site, name=name)
+        self.tries = 0
+        self.open_exchanges = 0
+        self._serials = itertools.count(1)
+
+    def start(self) -> None:
+        """Sends the booking."""
+        self.send()
+        world = self.site.world
+        if world.generator.random() < _DOUBLE_SEND_SHARE:
+            world.call_later(world.generator.expovariate(2.0), self.send)
+
+    def send(self) -> None:
+        """Sends the booking through a gateway."""
+        if self.is_done:
+            return
+        node = self.choose_gateway()
+        if node is None:
+            self.site.world.call_later(0.5, self.send)
+            return
+        self.tries += 1
+        request = gateway.CallRequest(
+            request_id=f"{self.name}#{next(self._serials)}",
+            key=self.name,
+            workspace="all",
+            service=_endpoints.SERVICE,
+            method="POST",
+            path="/bookings",
+            repeatable=False,
+            digest="same",
+            first=self.tries == 1,
+            runs_unlogged=self.site.shape.runs_unlogged,
+        )
+        exchange = Exchange(caller=self, node=node, request=request)
+        self.open_exchanges += 1
+        exchange.open()
+        self.site.world.call_later(
+            request.limit_s + _ANSWER_MARGIN_S,
+            lambda: self._end_wait(exchange),
+        )
+
+    def _end_wait(self, exchange: Exchange) -> None:
+        if not exchange.is_open or self.is_done:
+            return
+        node = exchange.node
+        limit_s = exchange.request.limit_s + _ANSWER_MARGIN_S
+        if not node.is_paused and self.site.world.now - node.woke_at > limit_s:
+            self.site.report.violate("incomplete", f"{self.name}: silence")
+        exchange.close()
+        self._try_again("may_have_run,silence")
+
+    def lose_gateway(self, exchange: Exchange) -> None:
+        """Sends the booking again."""
+        self._try_again("may_have_run,gateway lost")
+
+    def handle(self, exchange: Exchange, effect) -> None:
+        """Handles what the gateway writes."""
+        match effect:
+            case gateway.Answer():
+                if effect.body != self.name.encode():
+                    self.site.report.violate(
+                        "incomplete", f"{self.name} gets another's answer"
+                    )
+                self.open_exchanges -= 1
+                self.finish("complete")
+            case gateway.Refuse(verdict=verdicts.NotRun()):
+                self.site.truth.note_call_not_run(effect.request_id, self.name)
+                self._try_again("refused_not_run")
+            case gateway.Refuse():
+                self._try_again("may_have_run")
+
+    def _try_again(self, outcome: str) -> None:
+        self.open_exchanges -= 1
+        if self.is_done:
+            return
+        if self.tries < _BOOKING_TRIES:
+            world = self.site.world
+            world.call_later(world.generator.uniform(0.05, 2.0), self.send)
+        elif self.open_exchanges == 0:
+            self.finish(outcome)
+
+
+class LookupCaller(Caller):
+    """Reads a status, which may be repeated."""
+
+    def start(self) -> None:
+        """Sends the call."""
+        node = self.choose_gateway()
+        if node is None:
+            self.finish("refused_not_run")
+            return
+        request = gateway.CallRequest(
+            request_id=self.name,
+            key="",
+            workspace="all",
+            service=_endpoints.SERVICE,
+            method="GET",
+            path="/status",
+            repeatable=True,
+        )
+        Exchange(caller=self, node=node, request=request).open()
+
+    def lose_gateway(self, exchange: Exchange) -> None:
+        """Gives up."""
+        self.finish("may_have_run,gateway lost")
+
+    def handle(self, exchange: Exchange, effect) -> None:
+        """Handles what the gateway writes."""
+        match effect:
+            case gateway.Answer():
+                self.finish("complete")
+            case gateway.Refuse(verdict=verdicts.NotRun()):
+                self.finish("refused_not_run")
+            case gateway.Refuse():
+                self.finish("may_have_run")
--- /dev/null
+++ b/sassafrasstile/soak/_endpoints.py
@@ -0,0 +1,491 @@
+"""Endpoints of the soak: engines and services, each with its sidecar."""
+
+import collections
+
+from sassafrasstile import errors
+from sassafrasstile import messages
+from sassafrasstile import ownership
+from sassafrasstile import sidecar
+from sassafrasstile import standins
+from sassafrasstile.soak import _world
+
+MODEL = "writer"
+SERVICE = "desk"
+_TICK_S = 0.1
+_CALL_S = (0.0005, 0.003)
+_WORK_S = (0.02, 0.3)
+_LOG_POLL_S = 0.05
+
+
+class SidecarNode(_world.Node):
+    """What both kinds of sidecar share.
+
+    Args:
+        world: The world.
+        name: The endpoint's name.
+        truth: Checks what really happened.
+    """
+
+    def __init__(self, *, world: _world.World, name: str, truth):
+        super().__init__(world=world, name=name)
+        self.truth = truth
+        self.links: dict[str, object] = {}
+        self.kernel = None
+        self.drained_at: float | None = None
+        self.started_at = 0.0
+
+    def start(self) -> None:
+        """Starts a new incarnation."""
+        self.begin_life()
+        self.drained_at = None
+        self.started_at = self.world.now
+        self.kernel = self.make_kernel(f"{self.name}.{self.life}")
+        self.apply(self.kernel.start(self.world.now))
+        self.repeat(
+            _TICK_S, lambda: self.apply(self.kernel.tick(self.world.now))
+        )
+        for link in self.links.values():
+            link.try_connect()
+
+    def make_kernel(self, incarnation: str):
+        """Returns the kernel of a new incarnation."""
+        raise NotImplementedError
+
+    def make_batch(self, ready: tuple[messages.Message, ...]) -> messages.Batch:
+        """Returns a batch of messages."""
+        return messages.Batch(
+            sender=self.name,
+            incarnation=self.kernel.incarnation,
+            load=self.kernel.describe_load(),
+            messages=ready,
+        )
+
+    def receive(self, batch: messages.Batch) -> None:
+        """Handles a batch."""
+        self.apply(self.kernel.receive(batch, self.world.now))
+
+    def drain(self) -> None:
+        """Stops by plan and starts again once idle."""
+        if not self.is_alive or self.is_paused or self.drained_at is not None:
+            return
+        self.world.note(f"{self.name} drains")
+        self.drained_at = self.world.now
+        self.apply(self.kernel.drain(self.world.now))
+        life = self.life
+
+        def look():
+            if not self.is_alive or self.life != life:
+                return
+            if self.is_paused or not self.kernel.is_idle():
+                self.world.call_later(0.2, look)
+                return
+            self.world.note(f"{self.name} has drained")
+            for work in self.list_unfinished():
+                self.truth.report.violate("cut_off", f"{work} at {self.name}")
+            self.kill()
+            self.world.call_later(1.0, self.start_if_dead)
+
+        self.world.call_later(0.3, look)
+
+    def check_leaving(self, request_id: str) -> None:
+        """Checks that work doesn't start long after draining began."""
+        if self.drained_at is None or self.world.now - self.drained_at < 3.0:
+            return
+        self.truth.report.violate(
+            "new_work_while_leaving", f"{request_id} at {self.name}"
+        )
+
+    def list_unfinished(self) -> list[str]:
+        """Returns the work that a stop now would cut off."""
+        raise NotImplementedError
+
+    def kill(self) -> None:
+        """Kills the process and breaks its links."""
+        if not self.is_alive:
+            return
+        self.end_life()
+        for link in self.links.values():
+            link.break_off()
+
+    def start_if_dead(self) -> None:
+        """Starts the process unless it runs."""
+        if not self.is_alive:
+            self.world.note(f"{self.name} starts")
+            self.start()
+
+    def apply(self, effects: list[sidecar.Effect]) -> None:
+        """Carries out effects."""
+        for effect in effects:
+            if isinstance(effect, sidecar.Send):
+                self.links[effect.peer].send_to_gateway(effect.message)
+            else:
+                self.carry_out(effect)
+
+    def carry_out(self, effect: sidecar.Effect) -> None:
+        """Carries out an effect that isn't a message."""
+        raise NotImplementedError
+
+
+class EngineNode(SidecarNode):
+    """A model engine and its sidecar.
+
+    Args:
+        world: The world.
+        name: The endpoint's name.
+        truth: Checks what really happened.
+        role: `prefill` or `decode`.
+        shape: The site.
+        engines: All engines by address, for transfers.
+    """
+
+    def __init__(self, *, world, name, truth, role, shape, engines):
+        super().__init__(world=world, name=name, truth=truth)
+        self.role = role
+        self.shape = shape
+        self.engines = engines
+        self.model = standins.EngineModel(speed=shape.speed)
+        self.is_engine_alive = True
+        self.stalled_until = 0.0
+        self._timer = 0
+        engines[name] = self
+
+    def make_kernel(self, incarnation):
+        """Returns the kernel of a new incarnation."""
+        return sidecar.EngineKernel(
+            name=self.name,
+            incarnation=incarnation,
+            role=self.role,
+            model=MODEL,
+            address=self.name,
+            limits=self.shape.make_limits(),
+        )
+
+    def carry_out(self, effect):
+        """Carries out an effect that isn't a message."""
+        delay_s = self.world.generator.uniform(*_CALL_S)
+        match effect:
+            case sidecar.StartPrefill():
+                action = self._start_prefill
+            case sidecar.StartDecode():
+                action = self._start_decode
+            case sidecar.CancelWork():
+                action = self._cancel
+            case sidecar.ListWork():
+                action = self._list
+        life = self.life
+        self.world.call_later(delay_s, lambda: action(effect, life))
+
+    def _tell(self, life: int, method: str, *arguments, **parameters) -> None:
+        """Reports to the sidecar's kernel, if that incarnation still lives."""
+
+        def report():
+            call = getattr(self.kernel, method)
+            self.apply(call(*arguments, now=self.world.now, **parameters))
+
+        self.deliver(life, report)
+
+    def list_unfinished(self):
+        """Returns the work that a stop now would cut off."""
+        return self.model.list_work() if self.is_engine_alive else []
+
+    # The engine's side.
+
+    def kill_engine(self) -> None:
+        """Kills the engine; all that it held is gone."""
+        if not self.is_engine_alive:
+            return
+        self.world.note(f"the engine of {self.name} dies")
+        lost = self.model.list_work()
+        self._keep_counts()
+        self.is_engine_alive = False
+        for work_id in lost:
+            self._tell(
+                self.life,
+                "fail_work",
+                work_id,
+                code=errors.Code.ENGINE_FAILED,
+                started=True,
+            )
+
+    def _keep_counts(self) -> None:
+        self.truth.add_computed(self.model.computed_tokens)
+        self.truth.add_imported(self.model.exported_computed_tokens)
+        self.model = standins.EngineModel(speed=self.shape.speed)
+        self._timer += 1
+
+    def start_engine(self) -> None:
+        """Starts the engine, empty."""
+        self.is_engine_alive = True
+
+    def stall(self, duration_s: float) -> None:
+        """Stalls every transfer from this engine for a time."""
+        self.world.note(f"transfers from {self.name} stall")
+        self.stalled_until = self.world.now + duration_s
+
+    def _start_prefill(self, effect: sidecar.StartPrefill, life: int) -> None:
+        order = effect.order
+        if not self._check_engine(effect.work_id, life):
+            return
+        try:
+            self.model.start_prefill(
+                effect.work_id,
+                prompt=order.prompt,
+                tokens=order.prompt_tokens,
+                priority=order.priority,
+                now=self.world.now,
+            )
+        except standins.NotAcceptedError:
+            self._refuse(effect.work_id, life, errors.Code.NO_CAPACITY)
+            return
+        self.truth.note_work(order.request_id)
+        self.check_leaving(order.request_id)
+        self._schedule()
+
+    def _start_decode(self, effect: sidecar.StartDecode, life: int) -> None:
+        order = effect.order
+        if not self._check_engine(effect.work_id, life):
+            return
+        source = self.engines[order.source_address]
+        try:
+            self.model.reserve_import(
+                effect.work_id,
+                tokens=order.prompt_tokens + order.max_tokens,
+            )
+        except standins.NotAcceptedError:
+            self._refuse(effect.work_id, life, errors.Code.NO_CAPACITY)
+            return
+        try:
+            done_at = source.start_export(order.handle)
+        except standins.NotAcceptedError:
+            self.model.cancel(effect.work_id, now=self.world.now)
+            self._refuse(effect.work_id, life, errors.Code.TRANSFER_FAILED)
+            return
+        limit_at = self.world.now + order.transfer_limit_s
+        if done_at > limit_at:
+            self._call_at(limit_at, lambda: self._end_late(effect, life))
+            return
+        self._call_at(done_at, lambda: self._end_import(effect, life, source))
+
+    def _call_at(self, at: float, action) -> None:
+        self.world.call_later(max(0.0, at - self.world.now), action)
+
+    def start_export(self, handle: str) -> float:
+        """Starts to send a prefill result; returns when it has arrived."""
+        if not self.is_engine_alive:
+            raise standins.NotAcceptedError(status=503, detail="dead")
+        done_at = self.model.start_export(handle, now=self.world.now)
+        return max(done_at, self.stalled_until)
+
+    def _end_late(self, effect: sidecar.StartDecode, life: int) -> None:
+        if effect.work_id not in self.model.list_work():
+            return
+        self.model.cancel(effect.work_id, now=self.world.now)
+        self._tell(
+            life,
+            "fail_work",
+            effect.work_id,
+            code=errors.Code.TRANSFER_FAILED,
+            started=True,
+        )
+
+    def _end_import(
+        self, effect: sidecar.StartDecode, life: int, source: "EngineNode"
+    ) -> None:
+        order = effect.order
+        try:
+            source.model.finish_export(order.handle)
+            self.model.start_decode(
+                effect.work_id,
+                prompt=order.prompt,
+                sent=len(order.sent),
+                max_tokens=order.max_tokens,
+                now=self.world.now,
+            )
+        except standins.NotAcceptedError:
+            if effect.work_id in self.model.list_work():
+                self.model.cancel(effect.work_id, now=self.world.now)
+                self._refuse(effect.work_id, life, errors.Code.TRANSFER_FAILED)
+            return
+        self._schedule()
+
+    def _cancel(self, effect: sidecar.CancelWork, life: int) -> None:
+        if self.is_engine_alive:
+            self.model.cancel(effect.work_id, now=self.world.now)
+            self._schedule()
+        self._tell(life, "confirm_cancel", effect.work_id)
+
+    def _list(self, effect: sidecar.ListWork, life: int) -> None:
+        work = self.model.list_work() if self.is_engine_alive else []
+        self._tell(life, "list_work", tuple(work))
+
+    def _check_engine(self, work_id: str, life: int) -> bool:
+        if life != self.life or not self.is_alive:
+            return False
+        if not self.is_engine_alive:
+            self._refuse(work_id, life, errors.Code.ENGINE_FAILED)
+        return self.is_engine_alive
+
+    def _refuse(self, work_id: str, life: int, code: errors.Code) -> None:
+        self._tell(life, "fail_work", work_id, code=code, started=False)
+
+    # Time.
+
+    def _schedule(self) -> None:
+        at = self.model.find_next_time()
+        if at is None:
+            return
+        self._timer += 1
+        timer = self._timer
+
+        def turn():
+            if timer == self._timer and self.is_engine_alive:
+                self._advance()
+
+        self.world.call_later(max(0.0, at - self.world.now), turn)
+
+    def _advance(self) -> None:
+        tokens: dict[str, list[str]] = collections.defaultdict(list)
+        ends: dict[str, str] = {}
+        for event in self.model.advance(self.world.now):
+            match event:
+                case standins.PrefillDone():
+                    self._tell(
+                        self.life,
+                        "finish_prefill",
+                        event.work_id,
+                        handle=event.work_id,
+                        computed_tokens=event.computed_tokens,
+                        took_s=0.0,
+                    )
+                case standins.Generated():
+                    tokens[event.work_id].append(event.text)
+                    if event.reason:
+                        ends[event.work_id] = event.reason
+        for work_id, texts in tokens.items():
+            self._tell(self.life, "add_tokens", work_id, tuple(texts))
+        for work_id, reason in ends.items():
+            self._tell(self.life, "finish_decode", work_id, reason=reason)
+        self._schedule()
+
+
+class ServiceNode(SidecarNode):
+    """A plain service and its sidecar.
+
+    Args:
+        world: The world.
+        name: The endpoint's name.
+        truth: Checks what really happened.
+        shape: The site.
+        log: The log.
+        vms: The platform's list of VMs.
+    """
+
+    def __init__(self, *, world, name, truth, shape, log, vms):
+        super().__init__(world=world, name=name, truth=truth)
+        self.shape = shape
+        self.log = log
+        self.vms = vms
+        self.vm = f"vm-{name}"
+        self._vm_count = 1
+        self._next_offset = 0
+        self._calls: set[str] = set()
+        vms.add(self.vm)
+
+    def replace_vm(self) -> None:
+        """Takes a new VM in place of one that is gone."""
+        self._vm_count += 1
+        self.vm = f"vm-{self.name}-{self._vm_count}"
+        self.vms.add(self.vm)
+
+    def make_kernel(self, incarnation):
+        """Returns the kernel of a new incarnation."""
+        return sidecar.ServiceKernel(
+            name=self.name,
+            incarnation=incarnation,
+            service=SERVICE,
+            vm=self.vm,
+            runs_unlogged=self.shape.runs_unlogged,
+        )
+
+    def start(self):
+        """Starts a new incarnation."""
+        self._next_offset = 0
+        self._calls.clear()
+        super().start()
+        self.repeat(_LOG_POLL_S, self._read_log)
+        self.repeat(1.0, self._read_vms)
+
+    def _read_log(self) -> None:
+        page = self.log.read(self._next_offset)
+        if page is None:
+            return
+        life = self.life
+
+        def arrive():
+            if page.entries:
+                self._next_offset = page.entries[-1].offset + 1
+            self.apply(
+                self.kernel.note_page(
+                    page.entries,
+                    first=page.first,
+                    after=page.after,
+                    now=self.world.now,
+                )
+            )
+
+        self.deliver(life, arrive)
+
+    def _read_vms(self) -> None:
+        vms = self.vms.list_vms()
+        self.apply(self.kernel.note_vms(vms, self.world.now))
+
+    def carry_out(self, effect):
+        """Carries out an effect that isn't a message."""
+        life = self.life
+        match effect:
+            case sidecar.Append():
+                body = ownership.encode_record(effect.record)
+                self.log.append(body, lambda ok: self._end_append(life, ok))
+            case sidecar.RunCall():
+                delay_s = self.world.generator.uniform(*_CALL_S)
+                self.world.call_later(
+                    delay_s, lambda: self._run_call(effect, life)
+                )
+
+    def list_unfinished(self):
+        """Returns the work that a stop now would cut off."""
+        return sorted(self._calls)
+
+    def _end_append(self, life: int, succeeded: bool) -> None:
+        self.deliver(
+            life,
+            lambda: self.apply(
+                self.kernel.finish_append(
+                    succeeded=succeeded, now=self.world.now
+                )
+            ),
+        )
+
+    def _run_call(self, effect: sidecar.RunCall, life: int) -> None:
+        """Runs a call at the service, which outlives its sidecar."""
+        order = effect.order
+        if not order.repeatable:
+            self.truth.note_execution(order.key, order.request_id)
+        self._calls.add(effect.call_id)
+        work_s = self.world.generator.uniform(*_WORK_S)
+        self.world.call_later(work_s, lambda: self._end_call(effect, life))
+
+    def _end_call(self, effect: sidecar.RunCall, life: int) -> None:
+        self._calls.discard(effect.call_id)
+        self.deliver(
+            life,
+            lambda: self.apply(
+                self.kernel.finish_call(
+                    effect.call_id,
+                    status=201,
+                    content_type="text/plain",
+                    body=effect.order.key.encode(),
+                    now=self.world.now,
+                )
+            ),
+        )
--- /dev/null
+++ b/sassafrasstile/soak/_faults.py
@@ -0,0 +1,170 @@
+"""The faults of the soak: each strikes at random, again and again."""
+
+from collections.abc import Callable
+
+from sassafrasstile.soak import _world
+
+_LEASE_S = 2.5
+
+
+def _choose(world: _world.World, nodes):
+    return world.generator.choice(nodes)
+
+
+def _kill_and_restart(site, node) -> None:
+    site.world.note(f"{node.name} is killed")
+    node.kill()
+    delay_s = site.world.generator.uniform(0.2, 6.0)
+    site.world.call_later(delay_s, node.start_if_dead)
+
+
+def kill_gateway(site) -> None:
+    """Kills a gateway and starts it again."""
+    _kill_and_restart(site, _choose(site.world, site.gateways))
+
+
+def kill_sidecar(site) -> None:
+    """Kills a sidecar and starts it again; its endpoint lives on."""
+    _kill_and_restart(site, _choose(site.world, site.endpoints))
+
+
+def kill_engine(site) -> None:
+    """Kills a model engine and starts it again, empty."""
+    node = _choose(site.world, site.engines)
+    node.kill_engine()
+    delay_s = site.world.generator.uniform(0.2, 5.0)
+    site.world.call_later(delay_s, node.start_engine)
+
+
+def pause_gateway(site) -> None:
+    """Pauses a gateway, mostly for longer than a lease."""
+    duration_s = site.world.generator.uniform(0.3, 4 * _LEASE_S)
+    _choose(site.world, site.gateways).pause(duration_s)
+
+
+def pause_sidecar(site) -> None:
+    """Pauses a sidecar, mostly for longer than a lease."""
+    duration_s = site.world.generator.uniform(0.3, 4 * _LEASE_S)
+    _choose(site.world, site.endpoints).pause(duration_s)
+
+
+def cut_link(site) -> None:
+    """Cuts a link between a gateway and a sidecar."""
+    link = _choose(site.world, site.links)
+    site.world.note(f"{link.gateway.name} and {link.sidecar.name} are cut off")
+    link.cut(site.world.generator.uniform(0.1, 8.0))
+
+
+def stall_transfer(site) -> None:
+    """Stalls the transfers from a prefill engine."""
+    node = _choose(site.world, site.prefills)
+    node.stall(site.world.generator.uniform(0.5, 6.0))
+
+
+def disorder_network(site) -> None:
+    """Makes batches come late, doubled and out of order for a while."""
+    site.world.note("the network is in disorder")
+    site.disorder.double_share = 0.1
+    site.disorder.late_share = 0.1
+
+    def end():
+        site.disorder.double_share = 0.0
+        site.disorder.late_share = 0.0
+
+    site.world.call_later(site.world.generator.uniform(2.0, 15.0), end)
+
+
+def stop_log(site) -> None:
+    """Stops the log for up to a minute."""
+    site.world.note("the log is down")
+    site.log.model.is_down = True
+
+    def end():
+        site.world.note("the log is up")
+        site.log.model.is_down = False
+
+    site.world.call_later(site.world.generator.uniform(1.0, 60.0), end)
+
+
+def lose_answers(site) -> None:
+    """Loses answers of the log, and delays appends, for a while."""
+    site.log.lost_share = 0.5
+    site.log.late_share = 0.3
+
+    def end():
+        site.log.lost_share = 0.0
+        site.log.late_share = 0.0
+
+    site.world.call_later(site.world.generator.uniform(2.0, 20.0), end)
+
+
+def drain_endpoint(site) -> None:
+    """Stops an endpoint's sidecar by plan."""
+    _choose(site.world, site.endpoints).drain()
+
+
+def drain_gateway(site) -> None:
+    """Stops a gateway by plan."""
+    ready = [
+        node
+        for node in site.gateways
+        if node.is_alive and not node.is_draining and not node.is_paused
+    ]
+    if len(ready) > 1:
+        _choose(site.world, ready).drain()
+
+
+def lose_vm(site) -> None:
+    """Loses a service's VM for good, and puts a new one in its place."""
+    node = _choose(site.world, site.services)
+    if not node.is_alive:
+        return
+    site.world.note(f"{node.vm} of {node.name} is gone")
+    node.kill()
+    site.vms.remove(node.vm)
+    node.replace_vm()
+    delay_s = site.world.generator.uniform(1.0, 8.0)
+    site.world.call_later(delay_s, node.start_if_dead)
+
+
+_FAULTS: dict[str, tuple[Callable, float]] = {
+    "kill_gateway": (kill_gateway, 45.0),
+    "kill_sidecar": (kill_sidecar, 30.0),
+    "kill_engine": (kill_engine, 40.0),
+    "pause_gateway": (pause_gateway, 30.0),
+    "pause_sidecar": (pause_sidecar, 30.0),
+    "cut_link": (cut_link, 15.0),
+    "stall_transfer": (stall_transfer, 30.0),
+    "disorder_network": (disorder_network, 40.0),
+    "stop_log": (stop_log, 120.0),
+    "lose_answers": (lose_answers, 50.0),
+    "drain_endpoint": (drain_endpoint, 40.0),
+    "drain_gateway": (drain_gateway, 60.0),
+    "lose_vm": (lose_vm, 150.0),
+}
+FAULT_NAMES = tuple(_FAULTS)
+
+
+def schedule_faults(site, names: tuple[str, ...], *, end: float) -> None:
+    """Lets faults strike at random until a time.
+
+    Args:
+        site: The site.
+        names: The faults, some of `FAULT_NAMES`.
+        end: The time after which none strikes any more.
+    """
+    for name in names:
+        strike, mean_s = _FAULTS[name]
+        _repeat(site, strike, mean_s, end)
+
+
+def _repeat(site, strike: Callable, mean_s: float, end: float) -> None:
+    delay_s = site.world.generator.expovariate(1.0 / mean_s)
+    if site.world.now + delay_s >= end:
+        return
+
+    def turn():
+        strike(site)
+        _repeat(site, strike, mean_s, end)
+
+    site.world.call_later(delay_s, turn)
--- /dev/null
+++ b/sassafrasstile/soak/_network.py
@@ -0,0 +1,157 @@
+"""Links between gateways and sidecars that delay, double and break."""
+
+from collections.abc import Callable
+import dataclasses
+
+from sassafrasstile import messages
+from sassafrasstile.soak import _world
+
+_DELAY_S = (0.0003, 0.002)
+_RECONNECT_S = 0.2
+_NOTICE_BREAK_S = (0.0, 0.05)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Disorder:
+    """How the network misbehaves now.
+
+    Attributes:
+        double_share: Share of batches that arrive twice.
+        late_share: Share of batches that arrive late and out of order.
+        late_s: Seconds by which those are late at the most.
+    """
+
+    double_share: float = 0.0
+    late_share: float = 0.0
+    late_s: float = 1.0
+
+
+class Link:
+    """The link between one gateway and one sidecar.
+
+    Args:
+        world: The world.
+        gateway: The gateway's node.
+        sidecar: The sidecar's node.
+        disorder: How the network misbehaves.
+    """
+
+    def __init__(self, *, world: _world.World, gateway, sidecar, disorder):
+        self.world = world
+        self.gateway = gateway
+        self.sidecar = sidecar
+        self.disorder = disorder
+        self.cut_until = 0.0
+        self._session = 0
+        self._lives = (0, 0)
+        self._is_up = False
+        self._outgoing: list[messages.Message] = []
+        self._incoming: list[messages.Message] = []
+
+    @property
+    def is_up(self) -> bool:
+        """True while the link carries batches."""
+        return self._is_up
+
+    def _is_possible(self) -> bool:
+        return (
+            self.world.now >= self.cut_until
+            and self.gateway.is_alive
+            and self.sidecar.is_alive
+            and not self.gateway.is_paused
+            and not self.sidecar.is_paused
+        )
+
+    def try_connect(self) -> None:
+        """Opens the link if both ends run."""
+        if self._is_up or not self._is_possible():
+            return
+        self._session += 1
+        self._is_up = True
+        self._lives = (self.gateway.life, self.sidecar.life)
+        self._outgoing.clear()
+        self._incoming.clear()
+        self.gateway.deliver(
+            self._lives[0], lambda: self.gateway.connect(self.sidecar.name)
+        )
+
+    def break_off(self) -> None:
+        """Breaks the link. What is under way is lost."""
+        if not self._is_up:
+            return
+        self._is_up = False
+        self._session += 1
+        lives = self._lives
+        delay_s = self.world.generator.uniform(*_NOTICE_BREAK_S)
+        self.world.call_later(delay_s, lambda: self._tell_gateway(lives[0]))
+
+    def _tell_gateway(self, life: int) -> None:
+        self.gateway.deliver(
+            life, lambda: self.gateway.disconnect(self.sidecar.name)
+        )
+        self.world.call_later(_RECONNECT_S, self.try_connect)
+
+    def cut(self, duration_s: float) -> None:
+        """Cuts the link for a time; nobody is told until something breaks."""
+        self.cut_until = self.world.now + duration_s
+        self.break_off()
+        self.world.call_later(duration_s, self.try_connect)
+
+    def send_to_sidecar(self, message: messages.Message) -> None:
+        """Puts a message into the gateway's next batch."""
+        if not self._is_up or self.gateway.life != self._lives[0]:
+            return
+        if not self._outgoing:
+            self.world.call_later(0.0, self._flush_outgoing)
+        self._outgoing.append(message)
+
+    def send_to_gateway(self, message: messages.Message) -> None:
+        """Puts a message into the sidecar's next batch."""
+        if not self._is_up or self.sidecar.life != self._lives[1]:
+            return
+        if not self._incoming:
+            self.world.call_later(0.0, self._flush_incoming)
+        self._incoming.append(message)
+
+    def _flush_outgoing(self) -> None:
+        ready = tuple(self._outgoing)
+        self._outgoing.clear()
+        if not ready or not self._is_up:
+            return
+        batch = self.gateway.make_batch(self.sidecar.name, ready)
+        life = self._lives[1]
+        self._carry(
+            lambda: self.sidecar.deliver(
+                life, lambda: self.sidecar.receive(batch)
+            )
+        )
+
+    def _flush_incoming(self) -> None:
+        ready = tuple(self._incoming)
+        self._incoming.clear()
+        if not ready or not self._is_up:
+            return
+        batch = self.sidecar.make_batch(ready)
+        life = self._lives[0]
+        name = self.sidecar.name
+        self._carry(
+            lambda: self.gateway.deliver(
+                life, lambda: self.gateway.receive(name, batch)
+            )
+        )
+
+    def _carry(self, arrive: Callable[[], None]) -> None:
+        generator = self.world.generator
+        session = self._session
+
+        def arrive_if_same():
+            if self._session == session:
+                arrive()
+
+        delay_s = generator.uniform(*_DELAY_S)
+        if generator.random() < self.disorder.late_share:
+            delay_s += generator.uniform(0.0, self.disorder.late_s)
+        self.world.call_later(delay_s, arrive_if_same)
+        if generator.random() < self.disorder.double_share:
+            again_s = generator.uniform(0.0, self.disorder.late_s)
+            self.world.call_later(delay_s + again_s, arrive_if_same)
--- /dev/null
+++ b/sassafrasstile/soak/_run.py
@@ -0,0 +1,212 @@
+"""Builds a site in a world, runs it and checks it."""
+
+from sassafrasstile import errors
+from sassafrasstile import gateway
+from sassafrasstile.soak import _callers
+from sassafrasstile.soak import _endpoints
+from sassafrasstile.soak import _faults
+from sassafrasstile.soak import _gateways
+from sassafrasstile.soak import _network
+from sassafrasstile.soak import _platform
+from sassafrasstile.soak import _report
+from sassafrasstile.soak import _sites
+from sassafrasstile.soak import _truth
+from sassafrasstile.soak import _world
+
+_CHECK_S = 0.25
+_SETTLE_S = 150.0
+_TRACE_LINES = 60
+_SECONDS_PER_MINUTE = 60.0
+
+
+class Site:
+    """Everything that a run consists of.
+
+    Args:
+        shape: The site's shape.
+        seed: The run's seed.
+        policy: The routing policy's name.
+    """
+
+    def __init__(self, *, shape: _sites.SiteShape, seed: int, policy: str):
+        self.shape = shape
+        self.world = _world.World(seed=seed)
+        self.report = _report.SoakReport()
+        self.truth = _truth.Truth(report=self.report)
+        self.disorder = _network.Disorder()
+        self.log = _platform.FakeLog(world=self.world)
+        self.vms = _platform.FakeVms(world=self.world)
+        addresses: dict[str, _endpoints.EngineNode] = {}
+        self.prefills = self._make_engines("prefill", addresses)
+        self.decodes = self._make_engines("decode", addresses)
+        self.engines = [*self.prefills, *self.decodes]
+        self.services = [
+            _endpoints.ServiceNode(
+                world=self.world,
+                name=f"service-{index}",
+                truth=self.truth,
+                shape=shape,
+                log=self.log,
+                vms=self.vms,
+            )
+            for index in range(1, shape.services + 1)
+        ]
+        self.endpoints = [*self.engines, *self.services]
+        self.gateways = [
+            _gateways.GatewayNode(
+                world=self.world,
+                name=f"gateway-{index}",
+                report=self.report,
+                settings=shape.routing,
+                make_endpoints=self._describe_endpoints,
+                policy=policy,
+            )
+            for index in range(1, shape.gateways + 1)
+        ]
+        self.links = [
+            self._make_link(node, endpoint)
+            for node in self.gateways
+            for endpoint in self.endpoints
+        ]
+
+    def _make_engines(
+        self, role: str, addresses: dict
+    ) -> list[_endpoints.EngineNode]:
+        count = self.shape.prefills if role == "prefill" else self.shape.decodes
+        return [
+            _endpoints.EngineNode(
+                world=self.world,
+                name=f"{role}-{index}",
+                truth=self.truth,
+                role=role,
+                shape=self.shape,
+                engines=addresses,
+            )
+            for index in range(1, count + 1)
+        ]
+
+    def _make_link(self, node, endpoint) -> _network.Link:
+        link = _network.Link(
+            world=self.world,
+            gateway=node,
+            sidecar=endpoint,
+            disorder=self.disorder,
+        )
+        node.links[endpoint.name] = link
+        endpoint.links[node.name] = link
+        return link
+
+    def _describe_endpoints(self) -> list[gateway.Endpoint]:
+        zones = _sites.ZONES
+        described = [
+            gateway.Endpoint(
+                name=node.name,
+                role=node.role,
+                serves=_endpoints.MODEL,
+                zone=zones[index % len(zones)],
+            )
+            for index, node in enumerate(self.engines)
+        ]
+        described += [
+            gateway.Endpoint(
+                name=node.name, role="service", serves=_endpoints.SERVICE
+            )
+            for node in self.services
+        ]
+        return described
+
+    def start(self) -> None:
+        """Starts every process."""
+        for node in [*self.endpoints, *self.gateways]:
+            node.start()
+        self.world.call_later(_CHECK_S, self._check)
+
+    def _check(self) -> None:
+        self.truth.check_engines(self.engines, self.world.now)
+        self.world.call_later(_CHECK_S, self._check)
+
+
+class _Arrivals:
+    """Sends callers at random."""
+
+    def __init__(self, *, site: Site, end: float):
+        self._site = site
+        self._end = end
+        self._count = 0
+
+    def start(self) -> None:
+        shape = self._site.shape
+        self._repeat(shape.generation_rate, self._make_generation)
+        self._repeat(shape.call_rate, self._make_call)
+
+    def _repeat(self, rate: float, make) -> None:
+        world = self._site.world
+        delay_s = world.generator.expovariate(rate)
+        if world.now + delay_s >= self._end:
+            return
+
+        def turn():
+            self._count += 1
+            self._site.report.requests += 1
+            make().start()
+            self._repeat(rate, make)
+
+        world.call_later(delay_s, turn)
+
+    def _make_generation(self) -> _callers.Caller:
+        shape = self._site.shape
+        generator = self._site.world.generator
+        self._site.report.generations += 1
+        return _callers.GenerationCaller(
+            site=self._site,
+            name=f"g{self._count}",
+            prompt=f"prompt {self._count} {generator.random()}",
+            prompt_tokens=generator.randint(*shape.prompt_tokens),
+            deferred=generator.random() < shape.deferred_share,
+        )
+
+    def _make_call(self) -> _callers.Caller:
+        generator = self._site.world.generator
+        if generator.random() < self._site.shape.booking_share:
+            return _callers.BookingCaller(
+                site=self._site, name=f"b{self._count}"
+            )
+        return _callers.LookupCaller(site=self._site, name=f"l{self._count}")
+
+
+def run_soak(
+    *,
+    site: str,
+    seed: int,
+    minutes: float,
+    faults: tuple[str, ...] = _faults.FAULT_NAMES,
+    policy: str = "two_choices",
+    trace: bool = False,
+) -> tuple[_report.SoakReport, list[str]]:
+    """Runs a site for some virtual minutes.
+
+    Args:
+        site: A name in `SITES`.
+        seed: Decides everything that happens.
+        minutes: Virtual minutes during which callers arrive.
+        faults: Faults that strike meanwhile, of `FAULT_NAMES`.
+        policy: The routing policy's name.
+        trace: Keep the lines that led to a violation.
+
+    Returns:
+        The report, and the last lines of the trace.
+    """
+    built = Site(shape=_sites.SITES[site], seed=seed, policy=policy)
+    built.world.is_tracing = trace
+    end = minutes * _SECONDS_PER_MINUTE
+    built.start()
+    _Arrivals(site=built, end=end).start()
+    _faults.schedule_faults(built, faults, end=end)
+    try:
+        built.world.run_until(end + _SETTLE_S)
+    except errors.InvariantError as error:
+        built.report.violate(error.name, error.detail)
+    for node in built.engines:
+        built.truth.add_computed(node.model.computed_tokens)
+        built.truth.add_imported(node.model.exported_computed_tokens)
+    return built.report, built.world.trace[-_TRACE_LINES:]
--- /dev/null
+++ b/sassafrasstile/soak/_world.py
@@ -0,0 +1,119 @@
+"""The virtual clock and the nodes' common life: running, paused, dead."""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+
+
+class World:
+    """Events in virtual time, in an order that the seed alone decides.
+
+    Args:
+        seed: Seeds every random number of a run.
+    """
+
+    def __init__(self, *, seed: int):
+        self.generator = random.Random(seed)
+        self.now = 0.0
+        self.trace: list[str] = []
+        self.is_tracing = False
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._serials = itertools.count()
+
+    def call_later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Schedules an action."""
+        heapq.heappush(
+            self._events,
+            (self.now + delay_s, next(self._serials), action),
+        )
+
+    def run_until(self, end: float) -> None:
+        """Runs every event up to a time."""
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end
+
+    def note(self, line: str) -> None:
+        """Adds a line to the trace."""
+        if self.is_tracing:
+            self.trace.append(f"{self.now:9.3f} {line}")
+
+
+class Node:
+    """A process that can be killed and paused.
+
+    While it is paused, what arrives waits and is handled on waking, oldest
+    first. What arrives while it is dead is lost.
+
+    Args:
+        world: The world.
+        name: Its name.
+    """
+
+    def __init__(self, *, world: World, name: str):
+        self.world = world
+        self.name = name
+        self.life = 0
+        self.is_alive = False
+        self.paused_until = 0.0
+        self.woke_at = 0.0
+        self._waiting: list[tuple[int, Callable[[], None]]] = []
+
+    @property
+    def is_paused(self) -> bool:
+        """True while the process doesn't run."""
+        return self.world.now < self.paused_until
+
+    def begin_life(self) -> None:
+        """Starts the process."""
+        self.life += 1
+        self.is_alive = True
+        self.paused_until = 0.0
+        self._waiting.clear()
+
+    def end_life(self) -> None:
+        """Kills the process."""
+        self.is_alive = False
+        self._waiting.clear()
+
+    def pause(self, duration_s: float) -> None:
+        """Stops the process for a time."""
+        if not self.is_alive or self.is_paused:
+            return
+        self.world.note(f"{self.name} is paused for {duration_s:.1f} s")
+        self.paused_until = self.world.now + duration_s
+        self.world.call_later(duration_s, self._wake)
+
+    def _wake(self) -> None:
+        if not self.is_alive or self.is_paused:
+            return
+        self.woke_at = self.world.now
+        waiting = self._waiting
+        self._waiting = []
+        for life, action in waiting:
+            if self.is_alive and life == self.life:
+                action()
+
+    def deliver(self, life: int, action: Callable[[], None]) -> None:
+        """Lets the process handle something meant for one of its lives."""
+        if not self.is_alive or life != self.life:
+            return
+        if self.is_paused:
+            self._waiting.append((life, action))
+            return
+        action()
+
+    def repeat(self, period_s: float, action: Callable[[], None]) -> None:
+        """Calls an action again and again during this life."""
+        life = self.life
+
+        def turn():
+            if not self.is_alive or life != self.life:
+                return
+            if not self.is_paused:
+                action()
+            self.world.call_later(period_s, turn)
+
+        self.world.call_later(period_s * self.world.generator.random(), turn)
--- a/sassafrasstile/standins/__init__.py
+++ b/sassafrasstile/standins/__init__.py
@@ -12,6 +12,7 @@
     NotAcceptedError,
     PrefillDone,
     generate_text,
+    generate_tokens,
 )
 from sassafrasstile.standins._engine_server import EngineServer
 from sassafrasstile.standins._log_model import (
@@ -40,4 +41,5 @@
     "ServiceServer",
     "VmsServer",
     "generate_text",
+    "generate_tokens",
 ]
--- a/sassafrasstile/standins/_engine_model.py
+++ b/sassafrasstile/standins/_engine_model.py
@@ -132,11 +132,16 @@
     return word if index == 0 else " " + word
 
 
-def generate_text(prompt: str, max_tokens: int) -> str:
-    """Returns the whole answer to a prompt."""
+def generate_tokens(prompt: str, max_tokens: int) -> list[str]:
+    """Returns the tokens of the whole answer to a prompt."""
     digest = _digest_prompt(prompt)
     length, _ = measure_answer(prompt, max_tokens)
-    return "".join(generate_token(digest, index) for index in range(length))
+    return [generate_token(digest, index) for index in range(length)]
+
+
+def generate_text(prompt: str, max_tokens: int) -> str:
+    """Returns the whole answer to a prompt."""
+    return "".join(generate_tokens(prompt, max_tokens))
 
 
 def _digest_prompt(prompt: str) -> bytes:
