Keep refused attempts refused, and lapse what a pause has outdated

Cause: traces of the soak: (1) a doubled Prefill was accepted after its first copy had been refused as not run; (2) a gateway that woke from a long pause sent work of callers that had hung up meanwhile. Ruled out: the soak's fakes: both need only a doubled message or a pause. Change: a refused attempt is remembered and a late copy never runs; after a pause longer than a lease what had not come to a decode waits for the next tick. The check of held memory counts from when the memory was taken.

--- a/sassafrasstile/gateway/_generation_table.py
+++ b/sassafrasstile/gateway/_generation_table.py
@@ -136,6 +136,17 @@
                 now=now,
             )
 
+    def lapse(self) -> None:
+        """Gives up what hadn't come to a decode before a long pause.
+
+        Its leases have lapsed, and its caller may have gone meanwhile; the
+        next tick finds out by then which requests are still wanted.
+        """
+        for item in self._requests.values():
+            if item.phase in (Phase.RESERVING, Phase.PREFILLING):
+                self._cancel_placements(item)
+                item.phase = Phase.QUEUED
+
     def tick(self, now: float) -> None:
         """Ends what has lasted too long and starts what queues."""
         for item in list(self._requests.values()):
--- a/sassafrasstile/gateway/_kernel.py
+++ b/sassafrasstile/gateway/_kernel.py
@@ -127,6 +127,7 @@
         self, peer: str, batch: messages.Batch, now: float
     ) -> list[_base.Effect]:
         """Handles a batch from a sidecar."""
+        self._notice_pause(now)
         endpoint = self._endpoints.get(peer)
         if not endpoint.connected:
             return self._end()
@@ -195,6 +196,8 @@
         self._renew_at = now
         for endpoint in self._endpoints.list_all():
             endpoint.heard_at = now
+        if paused_s >= self.settings.lease_s:
+            self._generations.lapse()
 
     def _drop_silent(self, now: float) -> None:
         """Breaks the links to sidecars that don't answer renewals."""
--- a/sassafrasstile/sidecar/_engine.py
+++ b/sassafrasstile/sidecar/_engine.py
@@ -676,12 +676,19 @@
             type(message).__name__,
             code,
         )
+        # A doubled message of an attempt that has ended proves nothing of
+        # what its first copy did.
+        verdict = verdicts.VerdictName.NOT_RUN
+        if owner in self._ended:
+            verdict = verdicts.VerdictName.MAY_HAVE_RUN
+        # A refused attempt stays refused, should another copy come later.
+        self._remember_ended(owner)
         self._send(
             owner,
             messages.Failed(
                 request_id=message.request_id,
                 attempt=message.attempt,
-                verdict=verdicts.VerdictName.NOT_RUN,
+                verdict=verdict,
                 code=code,
             ),
         )
--- a/sassafrasstile/sidecar/_service.py
+++ b/sassafrasstile/sidecar/_service.py
@@ -108,7 +108,7 @@
                 case messages.Inquire():
                     self._inquire(owner, message)
                 case messages.Cancel():
-                    self._cancel(owner)
+                    self._fence(owner)
                 case _:
                     self._refuse(owner, message, errors.Code.WRONG_ROLE)
         return self._end()
@@ -268,7 +268,6 @@
         self, owner: _base.Owner, order: messages.Call, now: float
     ) -> None:
         if owner in self._fenced:
-            self._refuse(owner, order, errors.Code.CANCELLED)
             return
         entry = None if order.repeatable else self._once.find(order.key)
         if entry is not None:
@@ -467,7 +466,8 @@
             )
         self._send(owner, status)
 
-    def _cancel(self, owner: _base.Owner) -> None:
+    def _fence(self, owner: _base.Owner) -> None:
+        """Makes sure that an attempt never runs, should a copy come later."""
         self._fenced[owner] = None
         if len(self._fenced) > _FENCED_KEPT:
             self._fenced.popitem(last=False)
@@ -533,10 +533,14 @@
             type(message).__name__,
             code,
         )
+        verdict = verdicts.VerdictName.NOT_RUN
+        if owner in self._fenced:
+            verdict = verdicts.VerdictName.MAY_HAVE_RUN
+        self._fence(owner)
         self._fail(
             owner,
             message.request_id,
-            verdict=verdicts.VerdictName.NOT_RUN,
+            verdict=verdict,
             code=code,
             owner_name=owner_name,
         )
--- a/sassafrasstile/soak/_truth.py
+++ b/sassafrasstile/soak/_truth.py
@@ -23,6 +23,7 @@
         self.worked: set[str] = set()
         self.refused: set[str] = set()
         self.gone_at: dict[str, float] = {}
+        self._held_since: dict[str, float] = {}
 
     def note_work(self, request_id: str) -> None:
         """Notes that an engine starts a prefill for a request."""
@@ -88,15 +89,27 @@
             since = max(node.woke_at, node.started_at)
             for work_id in node.model.list_work():
                 self._check_work(work_id, node.name, since, now)
+        self._forget_held(engines)
+
+    def _forget_held(self, engines) -> None:
+        held = {
+            work_id for node in engines for work_id in node.model.list_work()
+        }
+        self._held_since = {
+            work_id: at
+            for work_id, at in self._held_since.items()
+            if work_id in held
+        }
 
     def _check_work(
         self, work_id: str, name: str, since: float, now: float
     ) -> None:
+        first_seen_at = self._held_since.setdefault(work_id, now)
         request_id = work_id.split(".")[0]
         gone_at = self.gone_at.get(request_id)
         if gone_at is None:
             return
-        held_s = now - max(gone_at, since)
+        held_s = now - max(gone_at, since, first_seen_at)
         if held_s > HELD_LIMIT_S + TICK_S:
             self.report.violate(
                 "held_after_gone", f"{work_id} at {name} for {held_s:.2f} s"
