Run leases from the sending of a batch, not from its arrival

Change: each batch carries its sender's clock; the sidecar compares the clocks by the fastest batches of the last minute and dates the lease by it.

--- a/sassafrasstile/daemons/_gateway.py
+++ b/sassafrasstile/daemons/_gateway.py
@@ -260,6 +260,7 @@
             sender=self.name,
             incarnation=self.incarnation,
             target=self._kernel.find_target(peer),
+            sent_at=_base.read_clock(),
             messages=ready,
         )
 
--- a/sassafrasstile/messages/_base.py
+++ b/sassafrasstile/messages/_base.py
@@ -51,6 +51,7 @@
         incarnation: The sender's incarnation, new at every start.
         target: The incarnation meant to be reached, or an empty string when
             the sender hasn't heard one yet.
+        sent_at: The sender's own clock in seconds.
         load: The sender's load, from sidecars only.
         messages: The messages, in the order in which they were sent.
     """
@@ -58,5 +59,6 @@
     sender: str
     incarnation: str
     target: str = ""
+    sent_at: float = 0.0
     load: Load | None = None
     messages: tuple[Message, ...] = ()
--- /dev/null
+++ b/sassafrasstile/sidecar/_delays.py
@@ -0,0 +1,46 @@
+"""Estimates when a batch was sent, on this process's own clock."""
+
+
+class DelayEstimator:
+    """Compares two clocks by the batches that came through fastest.
+
+    The smallest difference between arrival and sending over the last two
+    windows stands for no delay. Windows are short, so that the drift of the
+    clocks against each other doesn't matter.
+
+    Args:
+        window_s: Seconds in one window.
+
+    >>> estimator = DelayEstimator(window_s=30.0)
+    >>> estimator.estimate_sent(sent_at=100.0, now=5.0)
+    5.0
+    >>> estimator.estimate_sent(sent_at=101.0, now=7.5)
+    6.0
+    """
+
+    def __init__(self, *, window_s: float):
+        self.window_s = window_s
+        self._window_ends_at = 0.0
+        self._current: float | None = None
+        self._former: float | None = None
+
+    def estimate_sent(self, *, sent_at: float, now: float) -> float:
+        """Returns when a batch was sent, at the latest.
+
+        Args:
+            sent_at: The sender's clock at sending.
+            now: This process's clock on arrival.
+
+        Returns:
+            A time on this process's clock, not after `now`.
+        """
+        difference = now - sent_at
+        if self._current is None or now >= self._window_ends_at:
+            self._former = self._current
+            self._current = difference
+            self._window_ends_at = now + self.window_s
+        self._current = min(self._current, difference)
+        smallest = self._current
+        if self._former is not None:
+            smallest = min(smallest, self._former)
+        return sent_at + smallest
--- a/sassafrasstile/sidecar/_engine.py
+++ b/sassafrasstile/sidecar/_engine.py
@@ -288,7 +288,10 @@
         ):
             return False
         replaced = self._leases.touch(
-            gateway=batch.sender, incarnation=batch.incarnation, now=now
+            gateway=batch.sender,
+            incarnation=batch.incarnation,
+            sent_at=batch.sent_at,
+            now=now,
         )
         if replaced:
             self._release_former(batch.sender, batch.incarnation, now)
--- a/sassafrasstile/sidecar/_leases.py
+++ b/sassafrasstile/sidecar/_leases.py
@@ -3,6 +3,12 @@
 import collections
 import dataclasses
 
+from sassafrasstile.sidecar import _delays
+
+_DELAY_WINDOW_S = 30.0
+_FORGET_AFTER_S = 60.0
+_DEAD_INCARNATIONS_KEPT = 256
+
 
 @dataclasses.dataclass(kw_only=True)
 class Lease:
@@ -11,12 +17,14 @@
     Attributes:
         incarnation: The gateway's incarnation.
         expires_at: Kernel time in seconds.
+        delays: Tells when the gateway's batches were sent.
         issued_below: The highest attempt bound seen in a renewal.
         live: The attempts listed in that renewal.
     """
 
     incarnation: str
     expires_at: float
+    delays: _delays.DelayEstimator
     issued_below: int = 0
     live: frozenset[int] = frozenset()
 
@@ -39,28 +47,37 @@
         """Says whether an incarnation isn't known to be replaced."""
         return incarnation not in self._dead_incarnations
 
-    def touch(self, *, gateway: str, incarnation: str, now: float) -> bool:
+    def touch(
+        self, *, gateway: str, incarnation: str, sent_at: float, now: float
+    ) -> bool:
         """Notes a sign of life of a gateway.
 
+        A lease runs from the sending of a batch. One that was long under
+        way must not keep alive what its gateway no longer watches.
+
         Args:
             gateway: The gateway's name.
             incarnation: Its incarnation.
+            sent_at: The gateway's clock at sending.
             now: Kernel time in seconds.
 
         Returns:
             True when this incarnation has just replaced another one.
         """
-        lease = self._leases.get(gateway)
-        expires_at = now + self.lease_s
-        if lease is not None and lease.incarnation == incarnation:
-            lease.expires_at = max(lease.expires_at, expires_at)
-            return False
-        self._leases[gateway] = Lease(
-            incarnation=incarnation, expires_at=expires_at
-        )
-        if lease is None:
+        former = self._leases.get(gateway)
+        lease = former
+        if lease is None or lease.incarnation != incarnation:
+            lease = Lease(
+                incarnation=incarnation,
+                expires_at=0.0,
+                delays=_delays.DelayEstimator(window_s=_DELAY_WINDOW_S),
+            )
+            self._leases[gateway] = lease
+        sent_here = lease.delays.estimate_sent(sent_at=sent_at, now=now)
+        lease.expires_at = max(lease.expires_at, sent_here + self.lease_s)
+        if former is None or former is lease:
             return False
-        self._remember_dead(lease.incarnation)
+        self._remember_dead(former.incarnation)
         return True
 
     def _remember_dead(self, incarnation: str) -> None:
@@ -120,7 +137,3 @@
         ]
         for name in idle:
             del self._leases[name]
-
-
-_FORGET_AFTER_S = 60.0
-_DEAD_INCARNATIONS_KEPT = 256
--- a/sassafrasstile/soak/_gateways.py
+++ b/sassafrasstile/soak/_gateways.py
@@ -130,6 +130,7 @@
             sender=self.name,
             incarnation=f"{self.name}.{self.life}",
             target=self.kernel.find_target(peer),
+            sent_at=self.world.now,
             messages=ready,
         )
 
--- a/sassafrasstile/wire/_codec.py
+++ b/sassafrasstile/wire/_codec.py
@@ -69,6 +69,7 @@
         sender=batch.sender,
         incarnation=batch.incarnation,
         target=batch.target,
+        sent_at=batch.sent_at,
         load=load,
         envelopes=[_encode_envelope(message) for message in batch.messages],
     )
@@ -92,6 +93,7 @@
         sender=batch.sender,
         incarnation=batch.incarnation,
         target=batch.target,
+        sent_at=batch.sent_at,
         load=load,
         messages=tuple(item for item in decoded if item is not None),
     )
--- a/sassafrasstile/wire/tests/test_codec.py
+++ b/sassafrasstile/wire/tests/test_codec.py
@@ -13,6 +13,7 @@
                 sender="gateway-1",
                 incarnation="a",
                 target="b",
+                sent_at=1.5,
                 load=messages.Load(leaving=True, slots=3, backlog_s=0.5),
                 messages=(message,),
             )
