Kill, pause and stop real processes in tests

Cause: the soak runs kernels over fakes; adapters, links and daemons were not shown under failure. Change: a table of kill -9, SIGSTOP and SIGTERM of gateway, sidecar, engine and service sidecar in mid-request, and the log standing still.

--- /dev/null
+++ b/sassafrasstile/daemons/tests/test_processes.py
@@ -0,0 +1,250 @@
+"""Kills, pauses and planned stops of real processes on loopback."""
+
+import json
+import signal
+
+from sassafrasstile import standins
+from sassafrasstile import testing
+from sassafrasstile import web
+
+_PROMPT = "the valve of the cooker in flat seven leaks after the last visit"
+_MAX_TOKENS = 60
+_BODY = json.dumps(
+    {
+        "model": "writer",
+        "prompt": _PROMPT,
+        "max_tokens": _MAX_TOKENS,
+        "stream": True,
+    }
+).encode()
+
+
+class Stream:
+    """A caller that reads one streamed answer."""
+
+    def __init__(self, case, url, *, offset=None):
+        self.text = ""
+        self.last_id = 0 if offset is None else offset
+        self.is_whole = False
+        self.has_ended = False
+        self._url = url
+        self._offset = offset
+        self._case = case
+        self._data = ""
+
+    async def start(self):
+        headers = {"idempotency-key": "one"}
+        if self._offset is not None:
+            headers["last-event-id"] = str(self._offset)
+        http = web.HttpClient(reactor=self._case.reactor, base_url=self._url)
+        response = await http.request(
+            "POST", "/v1/completions", body=_BODY, headers=headers
+        )
+        self._case.assertEqual(response.code, 200)
+        self.reader = web.EventStreamReader(on_data=self._add, on_end=self._end)
+        response.deliverBody(self.reader)
+
+    def _add(self, data):
+        if data == "[DONE]":
+            self.is_whole = True
+            return
+        body = json.loads(data)
+        if "error" in body:
+            self._case.fail(str(body))
+        text = body["choices"][0]["text"]
+        self.text += text
+        # One word is one token of the stand-in's answers.
+        self.last_id += len(text.split())
+
+    def _end(self):
+        self.has_ended = True
+
+
+class ProcessTest(testing.ReactorTestCase):
+    async def start_site(self, **parameters):
+        site = testing.ProcessSite(**parameters)
+        self.addCleanup(site.close)
+        site.start()
+        for name in site.urls:
+            if name.startswith("gateway") and name.endswith("-admin"):
+                await self.wait_for_links(site.urls[name])
+        return site
+
+    async def wait_for_links(self, url):
+        while True:
+            try:
+                _, status, _ = await testing.fetch_json(url, "GET", "/status")
+            except Exception:
+                status = None
+            if status is not None and all(
+                item["connected"] for item in status["endpoints"].values()
+            ):
+                return
+            await self.sleep(0.1)
+
+    async def list_held(self, site):
+        held = []
+        for name, url in site.urls.items():
+            if not name.endswith("-target") or name.startswith("service"):
+                continue
+            if site.processes[name].poll() is not None:
+                continue
+            _, body, _ = await testing.fetch_json(url, "GET", "/v1/requests")
+            held += body["requests"]
+        return held
+
+    async def wait_until_free(self, site):
+        while await self.list_held(site):
+            await self.sleep(0.1)
+
+    async def find_decode(self, site):
+        """Returns the name of the decode endpoint that is at work."""
+        while True:
+            for name, url in site.urls.items():
+                if not name.startswith("decode") or "target" not in name:
+                    continue
+                _, body, _ = await testing.fetch_json(
+                    url, "GET", "/v1/requests"
+                )
+                if body["requests"]:
+                    return name.removesuffix("-target")
+            await self.sleep(0.02)
+
+    async def begin(self, site, **parameters):
+        stream = Stream(self, site.urls["gateway-1"], **parameters)
+        await stream.start()
+        await self.wait_until(lambda: stream.last_id >= 5)
+        return stream
+
+    async def check_whole(self, site, stream):
+        await self.wait_until(lambda: stream.has_ended)
+        self.assertTrue(stream.is_whole)
+        self.assertEqual(
+            stream.text, standins.generate_text(_PROMPT, _MAX_TOKENS)
+        )
+        await self.wait_until_free(site)
+
+    @testing.on_reactor
+    async def test_answer_goes_on_elsewhere_when_its_decode_is_lost(self):
+        for victim, number in (
+            ("", signal.SIGKILL),
+            ("-target", signal.SIGKILL),
+            ("", signal.SIGSTOP),
+        ):
+            with self.subTest(victim=victim or "sidecar", signal=number):
+                site = await self.start_site(step_s=0.05)
+                stream = await self.begin(site)
+                name = await self.find_decode(site)
+                site.processes[name + victim].signal(number)
+                await self.wait_until(lambda stream=stream: stream.has_ended)
+                if number is signal.SIGSTOP:
+                    site.processes[name].signal(signal.SIGCONT)
+                await self.check_whole(site, stream)
+                site.close()
+
+    @testing.on_reactor
+    async def test_rest_comes_through_another_gateway_when_one_is_killed(self):
+        site = await self.start_site(step_s=0.05)
+        stream = await self.begin(site)
+        site.processes["gateway-1"].signal(signal.SIGKILL)
+        await self.wait_until(lambda: stream.has_ended)
+        self.assertFalse(stream.is_whole)
+        rest = Stream(self, site.urls["gateway-2"], offset=stream.last_id)
+        await rest.start()
+        await self.wait_until(lambda: rest.has_ended)
+        self.assertTrue(rest.is_whole)
+        self.assertEqual(
+            stream.text + rest.text,
+            standins.generate_text(_PROMPT, _MAX_TOKENS),
+        )
+        await self.wait_until_free(site)
+
+    @testing.on_reactor
+    async def test_memory_is_freed_while_its_gateway_stands_still(self):
+        site = await self.start_site(step_s=0.2)
+        stream = await self.begin(site)
+        site.processes["gateway-1"].signal(signal.SIGSTOP)
+        await self.wait_until_free(site)
+        self.assertFalse(stream.has_ended)
+        site.processes["gateway-1"].signal(signal.SIGCONT)
+        await self.check_whole(site, stream)
+
+    @testing.on_reactor
+    async def test_planned_stop_cuts_off_nothing(self):
+        site = await self.start_site(step_s=0.05)
+        stream = await self.begin(site)
+        name = await self.find_decode(site)
+        for stopped in ("gateway-1", name, "prefill-1"):
+            site.processes[stopped].signal(signal.SIGTERM)
+        await self.check_whole(site, stream)
+        for stopped in ("gateway-1", name, "prefill-1"):
+            process = site.processes[stopped]
+            await self.wait_until(lambda p=process: p.poll() is not None)
+            self.assertEqual(process.poll(), 0)
+
+    async def book(self, site, key):
+        return await testing.fetch_json(
+            site.urls["gateway-1"],
+            "POST",
+            "/services/desk/bookings",
+            body={"flat": 7},
+            headers={"idempotency-key": key},
+        )
+
+    async def count_runs(self, site):
+        _, runs, _ = await testing.fetch_json(
+            site.urls["service-1-target"], "GET", "/executions"
+        )
+        return runs
+
+    @testing.on_reactor
+    async def test_booking_runs_once_when_its_sidecar_is_killed(self):
+        for when, expected in (("during", {502, 504}), ("after", {502, 504})):
+            with self.subTest(when):
+                work_s = 2.0 if when == "during" else 0.02
+                site = await self.start_site(work_s=work_s, gateways=1)
+                booking = testing.spawn(self.book(site, "k"))
+                while not await self.count_runs(site):
+                    await self.sleep(0.02)
+                if when == "after":
+                    self.assertEqual((await booking)[0], 201)
+                site.processes["service-1"].signal(signal.SIGKILL)
+                await self.wait_until(
+                    lambda site=site: (
+                        site.processes["service-1"].poll() is not None
+                    )
+                )
+                site.processes["service-1"].start()
+                if when == "during":
+                    status, body, _ = await booking
+                    self.assertIn(status, expected)
+                    self.assertEqual(body["error"]["verdict"], "may_have_run")
+                status, body, _ = await self.book(site, "k")
+                self.assertIn(status, expected)
+                self.assertEqual(body["error"]["verdict"], "may_have_run")
+                status, _, _ = await self.book(site, "new")
+                self.assertEqual(status, 201)
+                runs = await self.count_runs(site)
+                self.assertEqual(sorted(runs.values()), [1, 1])
+                site.close()
+
+    @testing.on_reactor
+    async def test_log_that_is_down_changes_nothing_but_what_rules_say(self):
+        rules = [
+            {"method": "GET", "repeatable": True},
+            {"path": "/bookings", "during_outage": "run", "limit_s": 8},
+        ]
+        site = await self.start_site(
+            gateways=1, changes={"services": {"desk": {"rules": rules}}}
+        )
+        self.assertEqual((await self.book(site, "before"))[0], 201)
+        site.processes["log"].signal(signal.SIGSTOP)
+        self.assertEqual((await self.book(site, "meanwhile"))[0], 201)
+        status, _, _ = await testing.fetch_json(
+            site.urls["gateway-1"], "GET", "/services/desk/status"
+        )
+        self.assertEqual(status, 200)
+        site.processes["log"].signal(signal.SIGCONT)
+        self.assertEqual((await self.book(site, "meanwhile"))[0], 201)
+        runs = await self.count_runs(site)
+        self.assertEqual(sorted(runs.values()), [1, 1])
--- a/sassafrasstile/testing/__init__.py
+++ b/sassafrasstile/testing/__init__.py
@@ -7,6 +7,7 @@
     fetch_json,
     on_reactor,
     run,
+    spawn,
 )
 
 __all__ = [
@@ -17,4 +18,5 @@
     "make_samples",
     "on_reactor",
     "run",
+    "spawn",
 ]
--- a/sassafrasstile/testing/_reactor.py
+++ b/sassafrasstile/testing/_reactor.py
@@ -56,6 +56,11 @@
     return call
 
 
+def spawn(work: Any) -> defer.Deferred:
+    """Starts a coroutine; the Deferred has what it returns."""
+    return defer.ensureDeferred(work)
+
+
 class ReactorTestCase(unittest.TestCase):
     """A test case with helpers for the reactor."""
 
