--- a/sassafrasstile/testing/_processes.py
+++ b/sassafrasstile/testing/_processes.py
@@ -44,6 +44,11 @@
             stderr=subprocess.DEVNULL,
         )
 
+    @property
+    def pid(self) -> int:
+        """Its process id."""
+        return self._process.pid
+
     def signal(self, number: signal.Signals) -> None:
         """Sends it a signal."""
         os.kill(self._process.pid, number)
