Index the calls that wait for a claim

Cause: the service kernel went through every kept entry on every event, and entries stay for as long as callers may retry. Change: an index of the entries that wait. Conclusion: kept; the HTTP exchanges are what to save next.

--- a/sassafrasstile/sidecar/_once.py
+++ b/sassafrasstile/sidecar/_once.py
@@ -57,6 +57,9 @@
     def __init__(self, *, retain_s: float):
         self.retain_s = retain_s
         self._entries: dict[str, Entry] = {}
+        # Looked at on every event, while entries stay for as long as callers
+        # may retry, so it has an index of its own.
+        self._claiming: dict[str, Entry] = {}
         self._look_at = 0.0
 
     def __len__(self) -> int:
@@ -69,10 +72,13 @@
     def add(self, entry: Entry) -> None:
         """Adds an entry."""
         self._entries[entry.key] = entry
+        if entry.state is CallState.CLAIMING:
+            self._claiming[entry.key] = entry
 
     def remove(self, key: str) -> None:
         """Removes an entry whose call was proved not to have run."""
         self._entries.pop(key, None)
+        self._claiming.pop(key, None)
 
     def settle(
         self, entry: Entry, state: CallState, *, now: float
@@ -82,6 +88,7 @@
         Returns:
             The attempts that waited.
         """
+        self._claiming.pop(entry.key, None)
         entry.state = state
         entry.order = None
         entry.forget_at = now + self.retain_s
@@ -89,11 +96,18 @@
         entry.waiters = []
         return waiters
 
-    def list_in_state(self, state: CallState) -> list[Entry]:
-        """Returns the entries in a state, oldest first."""
-        return [
-            entry for entry in self._entries.values() if entry.state is state
-        ]
+    def start_run(self, entry: Entry) -> None:
+        """Notes that an entry's call is sent to the service now."""
+        entry.state = CallState.RUNNING
+        self._claiming.pop(entry.key, None)
+
+    def list_claiming(self) -> list[Entry]:
+        """Returns the entries that wait for their claim, oldest first."""
+        return list(self._claiming.values())
+
+    def has_claiming(self) -> bool:
+        """Says whether any entry waits for its claim."""
+        return bool(self._claiming)
 
     def forget_old(
         self, *, now: float, is_needed: Callable[[str], bool]
--- a/sassafrasstile/sidecar/_service.py
+++ b/sassafrasstile/sidecar/_service.py
@@ -194,7 +194,7 @@
             The effects, in order.
         """
         self._keeper.note_page(entries, first=first, after=after, now=now)
-        for entry in self._once.list_in_state(CallState.CLAIMING):
+        for entry in self._once.list_claiming():
             self._settle_claim(entry, now)
         self._unlogged = {
             key
@@ -227,7 +227,7 @@
 
     def tick(self, now: float) -> list[_base.Effect]:
         """Ends claims that took too long and appends what is due."""
-        for entry in self._once.list_in_state(CallState.CLAIMING):
+        for entry in self._once.list_claiming():
             if now >= entry.claim_until:
                 self._end_claim_wait(entry, now)
         self._once.forget_old(
@@ -246,7 +246,7 @@
 
     def is_idle(self) -> bool:
         """Says whether no call runs or waits, and all slots are handed on."""
-        if self._running or self._once.list_in_state(CallState.CLAIMING):
+        if self._running or self._once.has_claiming():
             return False
         return not self.leaving or self._keeper.is_out()
 
@@ -352,7 +352,7 @@
         self._refuse_claim(entry, errors.Code.LOG_UNAVAILABLE)
 
     def _run_claimed(self, entry: _once.Entry) -> None:
-        entry.state = CallState.RUNNING
+        self._once.start_run(entry)
         self._run(entry.waiters[0], entry.order)
 
     def _refuse_claim(self, entry: _once.Entry, code: errors.Code) -> None:
@@ -376,7 +376,7 @@
         may_release = (
             not self._unlogged
             and not self._running_keys()
-            and not self._once.list_in_state(CallState.CLAIMING)
+            and not self._once.has_claiming()
         )
         self._keeper.leaving = self.leaving
         record = self._keeper.choose_record(now, may_release=may_release)
