--- a/sassafrasstile/daemons/_gateway.py
+++ b/sassafrasstile/daemons/_gateway.py
@@ -70,6 +70,7 @@
 
     def _make_kernel(self) -> gateway.GatewayKernel:
         routing = self.site.routing
+        linked = self._choose_linked()
         endpoints = [
             gateway.Endpoint(
                 name=name,
@@ -79,6 +80,7 @@
                 vm=item.vm,
             )
             for name, item in self.site.endpoints.items()
+            if name in linked
         ]
         policy = plugins.create(
             plugins.Kind.POLICY, routing.policy, generator=self._generator
@@ -90,6 +92,20 @@
             settings=routing,
         )
 
+    def _choose_linked(self) -> set[str]:
+        """Returns the endpoints that this gateway links to."""
+        groups: dict[tuple[str, str], list[str]] = {}
+        for name, item in self.site.endpoints.items():
+            groups.setdefault((item.role, item.serves), []).append(name)
+        index = sorted(self.site.gateways).index(self.name)
+        linked: set[str] = set()
+        for (role, _), names in groups.items():
+            size = self.site.routing.subset
+            if role == "service":
+                size = len(names)
+            linked.update(gateway.choose_subset(names, index=index, size=size))
+        return linked
+
     # Start and stop.
 
     def start(self) -> None:
@@ -117,7 +133,9 @@
         )
 
     def _start_links(self) -> None:
-        for name, endpoint in self.site.endpoints.items():
+        for item in self._kernel.list_endpoints():
+            name = item.name
+            endpoint = self.site.endpoints[name]
             address = settings.parse_address(endpoint.sidecar)
             link = wire.LinkClient(
                 peer=name,
--- a/sassafrasstile/gateway/__init__.py
+++ b/sassafrasstile/gateway/__init__.py
@@ -18,6 +18,7 @@
 from sassafrasstile.gateway._endpoints import Endpoint
 from sassafrasstile.gateway._kernel import GatewayKernel
 from sassafrasstile.gateway._settings import GatewaySettings
+from sassafrasstile.gateway._subsets import choose_subset
 
 __all__ = [
     "Answer",
@@ -36,4 +37,5 @@
     "Report",
     "RetryBudget",
     "Send",
+    "choose_subset",
 ]
--- a/sassafrasstile/gateway/_settings.py
+++ b/sassafrasstile/gateway/_settings.py
@@ -16,6 +16,9 @@
 
     Attributes:
         policy: The registered name of the routing policy.
+        subset: Endpoints of one role and model that a gateway links to at
+            the most. Links to services aren't limited, since a key has one
+            owner.
         lease_s: Seconds after which a silent gateway loses its holds.
         renew_s: Seconds between renewals of leases.
         silence_s: Seconds without a word from a sidecar that holds work of
@@ -51,6 +54,7 @@
     __pydantic_config__ = {"extra": "forbid"}
 
     policy: str = "two_choices"
+    subset: Count = 40
     lease_s: Seconds = 2.5
     renew_s: Seconds = 0.8
     silence_s: Seconds = 2.0
--- a/sassafrasstile/wire/__init__.py
+++ b/sassafrasstile/wire/__init__.py
@@ -1,6 +1,12 @@
 """The protocol between gateways and sidecars, on grpclib."""
 
-from sassafrasstile.wire._codec import decode, encode, list_message_types
+from sassafrasstile.wire._codec import (
+    decode,
+    encode,
+    list_message_types,
+    restore_identity,
+    strip_identity,
+)
 from sassafrasstile.wire._links import LinkClient, LinkServer
 
 __all__ = [
@@ -9,4 +15,6 @@
     "decode",
     "encode",
     "list_message_types",
+    "restore_identity",
+    "strip_identity",
 ]
--- a/sassafrasstile/wire/_codec.py
+++ b/sassafrasstile/wire/_codec.py
@@ -97,3 +97,30 @@
         load=load,
         messages=tuple(item for item in decoded if item is not None),
     )
+
+
+def strip_identity(batch: messages.Batch) -> messages.Batch:
+    """Leaves out of a later batch what the first one of its stream said."""
+    return dataclasses.replace(batch, sender="", incarnation="", target="")
+
+
+def restore_identity(
+    batch: messages.Batch, first: messages.Batch
+) -> messages.Batch:
+    """Puts back what `strip_identity` left out.
+
+    Args:
+        batch: A later batch of a stream.
+        first: The stream's first batch.
+
+    Returns:
+        The batch with the identity that the stream's first one had.
+    """
+    if batch.sender:
+        return batch
+    return dataclasses.replace(
+        batch,
+        sender=first.sender,
+        incarnation=first.incarnation,
+        target=first.target,
+    )
--- a/sassafrasstile/wire/_links.py
+++ b/sassafrasstile/wire/_links.py
@@ -45,15 +45,38 @@
         self._closed = True
         self._ready.set()
 
-    async def write_to(self, stream, make_batch: MakeBatch) -> None:
-        """Writes a batch whenever something is ready, until closed."""
+    async def write_to(
+        self, stream, make_batch: MakeBatch, *, is_first: bool
+    ) -> None:
+        """Writes a batch whenever something is ready, until closed.
+
+        Args:
+            stream: The stream.
+            make_batch: Puts messages into a batch.
+            is_first: True when the stream has had no batch yet.
+        """
         while not self._closed:
             await self._ready.wait()
             self._ready.clear()
             ready = tuple(self._messages)
             self._messages.clear()
-            batch = _codec.encode(make_batch(ready))
-            await stream.send_message(batch)
+            batch = make_batch(ready)
+            if not is_first:
+                batch = _codec.strip_identity(batch)
+            is_first = False
+            await stream.send_message(_codec.encode(batch))
+
+
+async def _read_batches(
+    stream,
+    first: router_pb2.Batch,
+    on_batch: Callable[[messages.Batch], None],
+) -> None:
+    """Reads a stream to its end."""
+    identity = _codec.decode(first)
+    on_batch(identity)
+    while (received := await stream.recv_message()) is not None:
+        on_batch(_codec.restore_identity(_codec.decode(received), identity))
 
 
 class LinkServer(router_grpc.SidecarBase):
@@ -123,13 +146,10 @@
         self._outboxes[peer] = outbox
         outbox.wake()
         writer = asyncio.ensure_future(
-            outbox.write_to(stream, self._make_batch)
+            outbox.write_to(stream, self._make_batch, is_first=True)
         )
         try:
-            batch = first
-            while batch is not None:
-                self._on_batch(_codec.decode(batch))
-                batch = await stream.recv_message()
+            await _read_batches(stream, first, self._on_batch)
         finally:
             writer.cancel()
             if self._outboxes.get(peer) is outbox:
@@ -233,12 +253,9 @@
         self._outbox = outbox
         self._on_connect()
         writer = asyncio.ensure_future(
-            outbox.write_to(stream, self._make_batch)
+            outbox.write_to(stream, self._make_batch, is_first=False)
         )
         try:
-            batch: router_pb2.Batch | None = first
-            while batch is not None:
-                self._on_batch(_codec.decode(batch))
-                batch = await stream.recv_message()
+            await _read_batches(stream, first, self._on_batch)
         finally:
             writer.cancel()
--- a/sassafrasstile/wire/tests/test_codec.py
+++ b/sassafrasstile/wire/tests/test_codec.py
@@ -35,3 +35,15 @@
         batch = router_pb2.Batch(sender="a", incarnation="b")
         batch.envelopes.add()
         self.assertEqual(wire.decode(batch).messages, ())
+
+    def test_identity_is_restored_from_the_first_batch(self):
+        first = messages.Batch(sender="a", incarnation="b", target="c")
+        later = messages.Batch(
+            sender="a",
+            incarnation="b",
+            target="c",
+            messages=(messages.Renewed(),),
+        )
+        stripped = wire.strip_identity(later)
+        self.assertEqual(stripped.sender, "")
+        self.assertEqual(wire.restore_identity(stripped, first), later)
