Measure policies at loads; reserve test ports that stay reserved

Cause: (1) nothing compared policies; (2) a test of processes failed now and then: a port picked for a child was taken by an outgoing connection first, or an engine had not started when the first request came.

--- a/sassafrasstile/daemons/tests/test_processes.py
+++ b/sassafrasstile/daemons/tests/test_processes.py
@@ -3,6 +3,8 @@
 import json
 import signal
 
+from twisted.internet import error
+
 from sassafrasstile import standins
 from sassafrasstile import testing
 from sassafrasstile import web
@@ -65,21 +67,27 @@
         site = testing.ProcessSite(**parameters)
         self.addCleanup(site.close)
         site.start()
-        for name in site.urls:
-            if name.startswith("gateway") and name.endswith("-admin"):
-                await self.wait_for_links(site.urls[name])
+        for name, url in site.urls.items():
+            if name.endswith("-target"):
+                path = "/executions" if "service" in name else "/v1/requests"
+                await self.wait_for(site, url, path, lambda body: True)
+            elif name.startswith("gateway") and name.endswith("-admin"):
+                await self.wait_for(site, url, "/status", self.is_linked)
         return site
 
-    async def wait_for_links(self, url):
+    def is_linked(self, status):
+        return all(item["connected"] for item in status["endpoints"].values())
+
+    async def wait_for(self, site, url, path, condition):
+        """Waits until a process answers as wanted."""
         while True:
+            self.assertEqual(site.find_dead(), [])
             try:
-                _, status, _ = await testing.fetch_json(url, "GET", "/status")
-            except Exception:
-                status = None
-            if status is not None and all(
-                item["connected"] for item in status["endpoints"].values()
-            ):
-                return
+                _, body, _ = await testing.fetch_json(url, "GET", path)
+                if condition(body):
+                    return
+            except error.ConnectError:
+                pass
             await self.sleep(0.1)
 
     async def list_held(self, site):
--- a/sassafrasstile/soak/__init__.py
+++ b/sassafrasstile/soak/__init__.py
@@ -5,7 +5,7 @@
 
 from sassafrasstile.soak._faults import FAULT_NAMES
 from sassafrasstile.soak._report import SoakReport
-from sassafrasstile.soak._run import run_soak
+from sassafrasstile.soak._run import run_shape, run_soak
 from sassafrasstile.soak._sites import SITES, SiteShape
 from sassafrasstile.soak._world import World
 
@@ -15,5 +15,6 @@
     "SiteShape",
     "SoakReport",
     "World",
+    "run_shape",
     "run_soak",
 ]
--- a/sassafrasstile/soak/_run.py
+++ b/sassafrasstile/soak/_run.py
@@ -1,5 +1,7 @@
 """Builds a site in a world, runs it and checks it."""
 
+import random
+
 from sassafrasstile import errors
 from sassafrasstile import gateway
 from sassafrasstile.soak import _callers
@@ -133,6 +135,8 @@
         self._site = site
         self._end = end
         self._load = load
+        # Of their own, so that every policy meets the same arrivals.
+        self._generator = random.Random(f"arrivals {site.world.seed}")
         self._count = 0
 
     def start(self) -> None:
@@ -142,7 +146,7 @@
 
     def _repeat(self, rate: float, make) -> None:
         world = self._site.world
-        delay_s = world.generator.expovariate(rate * self._load)
+        delay_s = self._generator.expovariate(rate * self._load)
         if world.now + delay_s >= self._end:
             return
 
@@ -156,7 +160,7 @@
 
     def _make_generation(self) -> _callers.Caller:
         shape = self._site.shape
-        generator = self._site.world.generator
+        generator = self._generator
         self._site.report.generations += 1
         return _callers.GenerationCaller(
             site=self._site,
@@ -167,7 +171,7 @@
         )
 
     def _make_call(self) -> _callers.Caller:
-        generator = self._site.world.generator
+        generator = self._generator
         if generator.random() < self._site.shape.booking_share:
             return _callers.BookingCaller(
                 site=self._site, name=f"b{self._count}"
@@ -175,20 +179,20 @@
         return _callers.LookupCaller(site=self._site, name=f"l{self._count}")
 
 
-def run_soak(
+def run_shape(
+    shape: _sites.SiteShape,
     *,
-    site: str,
     seed: int,
     minutes: float,
-    faults: tuple[str, ...] = _faults.FAULT_NAMES,
+    faults: tuple[str, ...],
     policy: str = "two_choices",
     load: float = 1.0,
     trace: bool = False,
 ) -> tuple[_report.SoakReport, list[str]]:
-    """Runs a site for some virtual minutes.
+    """Runs a site of some shape for some virtual minutes.
 
     Args:
-        site: A name in `SITES`.
+        shape: The site's shape.
         seed: Decides everything that happens.
         minutes: Virtual minutes during which callers arrive.
         faults: Faults that strike meanwhile, of `FAULT_NAMES`.
@@ -199,7 +203,7 @@
     Returns:
         The report, and the last lines of the trace.
     """
-    built = Site(shape=_sites.SITES[site], seed=seed, policy=policy)
+    built = Site(shape=shape, seed=seed, policy=policy)
     built.world.is_tracing = trace
     end = minutes * _SECONDS_PER_MINUTE
     built.start()
@@ -213,3 +217,25 @@
         built.truth.add_computed(node.model.computed_tokens)
         built.truth.add_imported(node.model.exported_computed_tokens)
     return built.report, built.world.trace[-_TRACE_LINES:]
+
+
+def run_soak(
+    *,
+    site: str,
+    seed: int,
+    minutes: float,
+    faults: tuple[str, ...] = _faults.FAULT_NAMES,
+    policy: str = "two_choices",
+    load: float = 1.0,
+    trace: bool = False,
+) -> tuple[_report.SoakReport, list[str]]:
+    """Runs a site of `SITES`; see `run_shape`."""
+    return run_shape(
+        _sites.SITES[site],
+        seed=seed,
+        minutes=minutes,
+        faults=faults,
+        policy=policy,
+        load=load,
+        trace=trace,
+    )
--- a/sassafrasstile/soak/_world.py
+++ b/sassafrasstile/soak/_world.py
@@ -14,6 +14,7 @@
     """
 
     def __init__(self, *, seed: int):
+        self.seed = seed
         self.generator = random.Random(seed)
         self.now = 0.0
         self.trace: list[str] = []
--- a/sassafrasstile/testing/_processes.py
+++ b/sassafrasstile/testing/_processes.py
@@ -14,15 +14,27 @@
 _STOP_LIMIT_S = 20.0
 
 
+def _pick_port() -> int:
+    """Returns a port that the kernel picked and will not pick again soon.
+
+    The server's end of a connection closes first and waits for a minute.
+    Meanwhile the kernel gives the port to no outgoing connection, and a
+    listener that reuses addresses can still bind it.
+    """
+    with socket.socket() as server, socket.socket() as client:
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        server.bind(("127.0.0.1", 0))
+        server.listen(1)
+        address = server.getsockname()
+        client.connect(address)
+        accepted, _ = server.accept()
+        accepted.close()
+        client.recv(1)
+    return address[1]
+
+
 def _pick_ports(count: int) -> list[int]:
-    """Returns free ports that the kernel picked."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    return [_pick_port() for _ in range(count)]
 
 
 class ChildProcess:
@@ -185,6 +197,14 @@
         listen = f"127.0.0.1:{port}"
         self._add(name, ["standin", kind, "--listen", listen, *options])
 
+    def find_dead(self) -> list[str]:
+        """Returns the processes that have ended."""
+        return sorted(
+            name
+            for name, process in self.processes.items()
+            if process.poll() is not None
+        )
+
     def close(self) -> None:
         """Kills every process that still runs."""
         for process in self.processes.values():
