Queue before the prefill engines, and let late requests wait

Ruled out: policies (random, least_loaded, two_choices all collapse), decode memory, links. Change: a prefill endpoint accepts 2 prefills at once; gateways let requests that can still meet the first-token target go first; 'sassafrasstile measure'.

--- a/sassafrasstile/commands/_main.py
+++ b/sassafrasstile/commands/_main.py
@@ -4,6 +4,7 @@
 argument or configuration.
 """
 
+import dataclasses
 import json
 import sys
 from typing import Annotated, Literal
@@ -13,8 +14,10 @@
 import sassafrasstile
 from sassafrasstile import daemons
 from sassafrasstile import errors
+from sassafrasstile import plugins
 from sassafrasstile import settings
 from sassafrasstile import telemetry
+from sassafrasstile import validation
 from sassafrasstile.commands import _standins
 
 EXIT_OK = 0
@@ -152,7 +155,7 @@
     from sassafrasstile import soak as soaks
 
     telemetry.configure_logs(level="error", style="text")
-    names = _parse_faults(faults, soaks.FAULT_NAMES)
+    names = _parse_names(faults, soaks.FAULT_NAMES, what="--faults")
     report, _ = soaks.run_soak(
         site=site, seed=seed, minutes=minutes, faults=names, load=load
     )
@@ -176,7 +179,81 @@
     return EXIT_BROKEN
 
 
-def _parse_faults(text: str, allowed: tuple[str, ...]) -> tuple[str, ...]:
+@app.command
+def measure(
+    *,
+    site: _SiteName = "fellesvarsel",
+    policy: str = "all",
+    seeds: str = "1:3",
+    load: str = "0.6,0.9,1.1,1.3",
+    minutes: float = 2.0,
+    faults: str = "none",
+    json_output: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+) -> int:
+    """Measure routing policies on the same arrivals, under a virtual clock.
+
+    Args:
+        site: Whose shape and mix of requests.
+        policy: `all`, or names with commas between.
+        seeds: First and last seed, as `1:20`.
+        load: Arrivals as shares of capacity, with commas between.
+        minutes: Virtual minutes of a run.
+        faults: `all`, `none`, or names with commas between.
+        json_output: Print a JSON object a row.
+    """
+    from sassafrasstile import measure as measures
+    from sassafrasstile import soak as soaks
+
+    telemetry.configure_logs(level="error", style="text")
+    known = plugins.list_names(plugins.Kind.POLICY)
+    plan = measures.Plan(
+        site=site,
+        policies=_parse_names(policy, tuple(known), what="--policy"),
+        seeds=_parse_seeds(seeds),
+        loads=_parse_loads(load),
+        minutes=minutes,
+        faults=_parse_names(faults, soaks.FAULT_NAMES, what="--faults"),
+    )
+    code = EXIT_OK
+    for row in measures.measure(plan):
+        if row.violations:
+            code = EXIT_BROKEN
+        figures = dataclasses.asdict(row)
+        if json_output:
+            print(json.dumps(figures), flush=True)
+            continue
+        line = "  ".join(f"{name} {value}" for name, value in figures.items())
+        print(line, flush=True)
+    return code
+
+
+def _parse_seeds(text: str) -> tuple[int, ...]:
+    first, _, last = text.partition(":")
+    try:
+        return tuple(range(int(first), int(last or first) + 1))
+    except ValueError as error:
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE,
+            detail=f"--seeds is {text!r}; allowed are numbers as 1:20",
+        ) from error
+
+
+def _parse_loads(text: str) -> tuple[float, ...]:
+    try:
+        loads = tuple(float(part) for part in text.split(","))
+    except ValueError as error:
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE,
+            detail=f"--load is {text!r}; allowed are numbers as 0.9,1.1",
+        ) from error
+    return tuple(
+        validation.check_positive(value, what="--load") for value in loads
+    )
+
+
+def _parse_names(
+    text: str, allowed: tuple[str, ...], *, what: str
+) -> tuple[str, ...]:
     match text:
         case "all":
             return allowed
@@ -188,7 +265,7 @@
             raise errors.Error(
                 code=errors.Code.BAD_VALUE,
                 detail=(
-                    f"--faults has {name!r}; allowed are all, none and "
+                    f"{what} has {name!r}; allowed are all, none and "
                     f"{list(allowed)}"
                 ),
             )
--- a/sassafrasstile/gateway/_generation_table.py
+++ b/sassafrasstile/gateway/_generation_table.py
@@ -156,10 +156,20 @@
             for item in self._requests.values()
             if item.phase is Phase.QUEUED
         ]
-        queued.sort(key=lambda item: (item.priority, item.arrived_at))
+        queued.sort(key=lambda item: self._rank(item, now))
         for item in queued:
             self._begin_attempt(item, now)
 
+    def _rank(self, item: Generation, now: float) -> tuple[bool, int, float]:
+        """Ranks a queued request; lower goes first.
+
+        A request that is late already can't become good any more. It waits
+        for what those that can still be good leave over, so that an overload
+        makes some requests late and not all of them.
+        """
+        is_late = now - item.arrived_at > self._settings.late_after_s
+        return is_late, item.priority, item.arrived_at
+
     # Admission.
 
     def _count_queued(self) -> int:
--- a/sassafrasstile/gateway/_settings.py
+++ b/sassafrasstile/gateway/_settings.py
@@ -36,6 +36,8 @@
         deferred_limit_s: The same for requests that can wait.
         interactive_queue_s: Seconds that an interactive request may queue.
         deferred_queue_s: The same for requests that can wait.
+        late_after_s: Seconds after which a queued request can't meet the
+            first-token target any more and lets others go first.
         queue_limit: Requests that may queue.
         workspace_limit: Requests of one workspace at once.
         retry_share: Retries allowed, as a share of recent requests.
@@ -68,6 +70,7 @@
     deferred_limit_s: Seconds = 120.0
     interactive_queue_s: Seconds = 2.0
     deferred_queue_s: Seconds = 60.0
+    late_after_s: Seconds = 0.5
     queue_limit: Count = 500
     workspace_limit: Count = 200
     retry_share: Share = 0.2
--- a/sassafrasstile/sidecar/_engine.py
+++ b/sassafrasstile/sidecar/_engine.py
@@ -239,10 +239,15 @@
 
     def describe_load(self) -> messages.Load:
         """Returns the load for the next batch."""
+        slots = self.limits.slots
+        free_slots = slots - self._table.count_slots()
+        if self.role == "prefill":
+            slots = min(slots, self.limits.prefills)
+            free_slots = min(free_slots, slots - self._table.count_prefills())
         return messages.Load(
             leaving=self.leaving,
-            slots=self.limits.slots,
-            free_slots=max(0, self.limits.slots - self._table.count_slots()),
+            slots=slots,
+            free_slots=max(0, free_slots),
             waiting=len(self._table.list_waiting()),
         )
 
@@ -437,7 +442,8 @@
             message.prompt_tokens,
             tokens_per_piece=self.limits.tokens_per_piece,
         )
-        if code is None and not self._table.fits(pieces):
+        has_turn = self._table.count_prefills() < self.limits.prefills
+        if code is None and not (has_turn and self._table.fits(pieces)):
             code = errors.Code.NO_CAPACITY
         if code is not None:
             self._refuse(owner, message, code)
--- a/sassafrasstile/sidecar/_holds.py
+++ b/sassafrasstile/sidecar/_holds.py
@@ -87,6 +87,12 @@
         """Returns the slots in use."""
         return sum(1 for hold in self.holds.values() if _has_memory(hold))
 
+    def count_prefills(self) -> int:
+        """Returns the prefills that wait or run."""
+        return sum(
+            1 for hold in self.holds.values() if hold.phase is Phase.PREFILLING
+        )
+
     def count_pieces(self) -> int:
         """Returns the pieces in use."""
         return sum(
--- a/sassafrasstile/sidecar/_settings.py
+++ b/sassafrasstile/sidecar/_settings.py
@@ -33,6 +33,9 @@
 
     Attributes:
         slots: Requests at the most.
+        prefills: Prefills accepted at once by a prefill endpoint. An engine
+            computes one after the other, so more would only queue there,
+            where no gateway can reorder or move them.
         pieces: Fixed-size pieces of memory.
         tokens_per_piece: Tokens that fit into one piece.
         prefill_ttl_s: Seconds after which a finished prefill is evicted.
@@ -41,6 +44,7 @@
     __pydantic_config__ = {"extra": "forbid"}
 
     slots: Count = 20
+    prefills: Count = 2
     pieces: Count = 4096
     tokens_per_piece: Count = 16
     prefill_ttl_s: Seconds = 0.8
