Share what both sidecar kernels tell gateways

Cause: both kernels had their own copy of sending, failing, refusing and of the memory of ended attempts; both daemons of the liveness set-up. Change: sidecar/_replies.py and daemons' make_liveness; measure's shapes derive from the soak's.

--- a/sassafrasstile/daemons/_base.py
+++ b/sassafrasstile/daemons/_base.py
@@ -10,6 +10,8 @@
 from twisted.web import server
 
 from sassafrasstile import frontend
+from sassafrasstile import liveness
+from sassafrasstile import plugins
 from sassafrasstile import settings
 
 _LOG = logging.getLogger("sassafrasstile.daemon")
@@ -61,6 +63,18 @@
     return True
 
 
+def make_liveness(reactor, site: settings.Site) -> liveness.LivenessSource:
+    """Returns the source that the settings name, or one that is silent."""
+    source = site.liveness
+    return plugins.create(
+        plugins.Kind.LIVENESS,
+        source.adapter if source.url else "none",
+        reactor=reactor,
+        url=source.url,
+        poll_s=source.poll_s,
+    )
+
+
 class AdminPort:
     """Listens for health, readiness and metrics.
 
--- a/sassafrasstile/daemons/_gateway.py
+++ b/sassafrasstile/daemons/_gateway.py
@@ -153,14 +153,7 @@
             link.start()
 
     def _start_liveness(self) -> None:
-        source = self.site.liveness
-        self._liveness = plugins.create(
-            plugins.Kind.LIVENESS,
-            source.adapter if source.url else "none",
-            reactor=self._reactor,
-            url=source.url,
-            poll_s=source.poll_s,
-        )
+        self._liveness = _base.make_liveness(self._reactor, self.site)
         self._liveness.start(self._note_states)
 
     def _start_admin(self) -> None:
--- a/sassafrasstile/daemons/_sidecar.py
+++ b/sassafrasstile/daemons/_sidecar.py
@@ -144,14 +144,7 @@
             on_page=self._note_page,
         )
         self._follower.start()
-        source = self.site.liveness
-        self._liveness = plugins.create(
-            plugins.Kind.LIVENESS,
-            source.adapter if source.url else "none",
-            reactor=self._reactor,
-            url=source.url,
-            poll_s=source.poll_s,
-        )
+        self._liveness = _base.make_liveness(self._reactor, self.site)
         self._liveness.start(self._note_states)
 
     @property
--- a/sassafrasstile/measure/_shapes.py
+++ b/sassafrasstile/measure/_shapes.py
@@ -1,47 +1,42 @@
 """The sites as they are today, for measurements."""
 
+import dataclasses
+
 from sassafrasstile import soak
 from sassafrasstile import standins
 
-SHAPES = {
-    "fellesvarsel": soak.SiteShape(
-        gateways=3,
-        prefills=4,
-        decodes=5,
-        services=3,
-        speed=standins.EngineSpeed(
-            slots=20,
-            pieces=2500,
-            prefill_tokens_per_s=20_000.0,
-            step_s=0.02,
-            link_tokens_per_s=100_000.0,
-        ),
+
+def _make_shape(
+    site: str,
+    *,
+    pieces: int,
+    call_rate: float,
+    prompt_tokens: tuple[int, int],
+) -> soak.SiteShape:
+    """Returns a soak's site with engines at their real pace."""
+    speed = standins.EngineSpeed(
+        pieces=pieces,
+        prefill_tokens_per_s=20_000.0,
+        link_tokens_per_s=100_000.0,
+    )
+    return dataclasses.replace(
+        soak.SITES[site],
+        speed=speed,
         generation_rate=1.0,
-        call_rate=2.0,
-        deferred_share=0.7,
+        call_rate=call_rate,
         booking_share=0.5,
-        prompt_tokens=(200, 3000),
-        max_tokens=64,
-        runs_unlogged=True,
+        prompt_tokens=prompt_tokens,
+    )
+
+
+SHAPES = {
+    "fellesvarsel": _make_shape(
+        "fellesvarsel", pieces=2500, call_rate=2.0, prompt_tokens=(200, 3000)
     ),
-    "kestrelvlei": soak.SiteShape(
-        gateways=3,
-        prefills=3,
-        decodes=3,
-        services=3,
-        speed=standins.EngineSpeed(
-            slots=20,
-            pieces=8000,
-            prefill_tokens_per_s=20_000.0,
-            step_s=0.02,
-            link_tokens_per_s=100_000.0,
-        ),
-        generation_rate=1.0,
+    "kestrelvlei": _make_shape(
+        "kestrelvlei",
+        pieces=8000,
         call_rate=1.0,
-        deferred_share=0.9,
-        booking_share=0.5,
         prompt_tokens=(1000, 12_000),
-        max_tokens=64,
-        runs_unlogged=False,
     ),
 }
--- a/sassafrasstile/sidecar/_engine.py
+++ b/sassafrasstile/sidecar/_engine.py
@@ -4,7 +4,6 @@
 every hold. Time comes in as kernel time in seconds; effects go out.
 """
 
-import collections
 import logging
 
 from sassafrasstile import errors
@@ -14,10 +13,10 @@
 from sassafrasstile.sidecar import _holds
 from sassafrasstile.sidecar import _invariants
 from sassafrasstile.sidecar import _leases
+from sassafrasstile.sidecar import _replies
 from sassafrasstile.sidecar import _settings
 
 _LOG = logging.getLogger("sassafrasstile.sidecar")
-_ENDED_ATTEMPTS_KEPT = 4096
 _CANCEL_AGAIN_S = 1.0
 _RECONCILE_S = 1.0
 
@@ -60,10 +59,7 @@
             slots=self.limits.slots, pieces=self.limits.pieces
         )
         self._leases = _leases.LeaseTable(lease_s=self.lease_settings.lease_s)
-        self._ended: collections.OrderedDict[_base.Owner, None] = (
-            collections.OrderedDict()
-        )
-        self._effects: list[_base.Effect] = []
+        self._replies = _replies.Replies(name=name)
         self._last_now: float | None = None
         self._reconcile_at = 0.0
 
@@ -72,7 +68,7 @@
     def start(self, now: float) -> list[_base.Effect]:
         """Asks the engine what a former incarnation left behind."""
         self._begin(now)
-        self._effects.append(_base.ListWork())
+        self._replies.add(_base.ListWork())
         return self._end()
 
     def receive(self, batch: messages.Batch, now: float) -> list[_base.Effect]:
@@ -106,7 +102,7 @@
         if hold is not None:
             hold.phase = Phase.PREFILLED
             hold.until = now + self.limits.prefill_ttl_s
-            self._send(
+            self._replies.send(
                 hold.owner,
                 messages.Prefilled(
                     request_id=hold.request_id,
@@ -193,7 +189,7 @@
                     self.name,
                     work_id,
                 )
-                self._effects.append(_base.CancelWork(work_id=work_id))
+                self._replies.add(_base.CancelWork(work_id=work_id))
         return self._end()
 
     def drain(self, now: float) -> list[_base.Effect]:
@@ -227,7 +223,7 @@
         """
         if now >= self._reconcile_at:
             self._reconcile_at = now + _RECONCILE_S
-            self._effects.append(_base.ListWork())
+            self._replies.add(_base.ListWork())
 
     # What others may look at.
 
@@ -274,9 +270,7 @@
         self._last_now = now
 
     def _end(self) -> list[_base.Effect]:
-        effects = self._effects
-        self._effects = []
-        return effects
+        return self._replies.take()
 
     def _accepts(self, batch: messages.Batch, now: float) -> bool:
         if batch.target and batch.target != self.incarnation:
@@ -336,7 +330,7 @@
             case messages.Resume():
                 self._resume(owner, message)
             case _:
-                self._refuse(owner, message, errors.Code.WRONG_ROLE)
+                self._replies.refuse(owner, message, errors.Code.WRONG_ROLE)
 
     def _renew(
         self, batch: messages.Batch, message: messages.Renew, now: float
@@ -346,7 +340,7 @@
             issued_below=message.issued_below,
             live=message.live,
         )
-        self._effects.append(
+        self._replies.add(
             _base.Send(peer=batch.sender, message=messages.Renewed())
         )
         if not is_news:
@@ -371,7 +365,7 @@
             incarnation=batch.incarnation,
             attempt=attempt,
         )
-        self._send(
+        self._replies.send(
             owner,
             messages.Failed(
                 request_id="",
@@ -391,17 +385,17 @@
             return
         code = self._check_new_work(owner, message.model, role="decode")
         if code is not None:
-            self._refuse(owner, message, code)
+            self._replies.refuse(owner, message, code)
             return
         pieces = _holds.count_needed_pieces(
             message.tokens, tokens_per_piece=self.limits.tokens_per_piece
         )
         if pieces > self.limits.pieces:
-            self._refuse(owner, message, errors.Code.REQUEST_TOO_LARGE)
+            self._replies.refuse(owner, message, errors.Code.REQUEST_TOO_LARGE)
             return
         fits = self._table.fits(pieces) and not self._table.list_waiting()
         if not fits and message.wait_s <= 0:
-            self._refuse(owner, message, errors.Code.NO_CAPACITY)
+            self._replies.refuse(owner, message, errors.Code.NO_CAPACITY)
             return
         hold = _holds.Hold(
             work_id=f"{message.request_id}.{owner.incarnation}.{owner.attempt}",
@@ -446,7 +440,7 @@
         if code is None and not (has_turn and self._table.fits(pieces)):
             code = errors.Code.NO_CAPACITY
         if code is not None:
-            self._refuse(owner, message, code)
+            self._replies.refuse(owner, message, code)
             return
         hold = _holds.Hold(
             work_id=f"{message.request_id}.{owner.incarnation}.{owner.attempt}",
@@ -463,14 +457,14 @@
             message.request_id,
             message.prompt_tokens,
         )
-        self._effects.append(
+        self._replies.add(
             _base.StartPrefill(work_id=hold.work_id, order=message)
         )
 
     def _decode(self, owner: _base.Owner, message: messages.Decode) -> None:
         hold = self._table.find(owner)
         if hold is None or hold.phase is Phase.RELEASING:
-            self._refuse(owner, message, errors.Code.UNKNOWN_HOLD)
+            self._replies.refuse(owner, message, errors.Code.UNKNOWN_HOLD)
             return
         if hold.phase is not Phase.RESERVED:
             return
@@ -483,25 +477,25 @@
             len(message.sent),
             message.source_address,
         )
-        self._effects.append(
+        self._replies.add(
             _base.StartDecode(work_id=hold.work_id, order=message)
         )
 
     def _cancel(self, owner: _base.Owner, now: float) -> None:
         hold = self._table.find(owner)
-        self._remember_ended(owner)
+        self._replies.remember_ended(owner)
         if hold is not None and hold.phase is not Phase.FINISHED:
             self._release(hold, now, "the gateway cancelled it")
 
     def _resume(self, owner: _base.Owner, message: messages.Resume) -> None:
         hold = self._table.find_answer(message.request_id)
-        if hold is None or hold.owner in self._ended:
-            self._refuse(owner, message, errors.Code.UNKNOWN_HOLD)
+        if hold is None or self._replies.has_ended(hold.owner):
+            self._replies.refuse(owner, message, errors.Code.UNKNOWN_HOLD)
             return
         former = hold.owner
         if former == owner:
             return
-        self._send(
+        self._replies.send(
             former,
             messages.Failed(
                 request_id=hold.request_id,
@@ -518,7 +512,7 @@
             owner.gateway,
             len(hold.texts),
         )
-        self._send(
+        self._replies.send(
             owner,
             messages.Resumed(
                 request_id=hold.request_id,
@@ -538,7 +532,7 @@
             return errors.Code.LEAVING
         if self.role != role or model != self.model:
             return errors.Code.WRONG_ROLE
-        if owner in self._ended or self._leases.is_given_up(
+        if self._replies.has_ended(owner) or self._leases.is_given_up(
             gateway=owner.gateway, attempt=owner.attempt
         ):
             return errors.Code.CANCELLED
@@ -580,7 +574,7 @@
         self._release(hold, now, reason)
 
     def _release(self, hold: _holds.Hold, now: float, reason: str) -> None:
-        self._remember_ended(hold.owner)
+        self._replies.remember_ended(hold.owner)
         if hold.phase is Phase.RELEASING:
             return
         _LOG.info(
@@ -597,18 +591,13 @@
     def _cancel_work(self, hold: _holds.Hold, now: float) -> None:
         hold.phase = Phase.RELEASING
         hold.until = now + _CANCEL_AGAIN_S
-        self._effects.append(_base.CancelWork(work_id=hold.work_id))
+        self._replies.add(_base.CancelWork(work_id=hold.work_id))
 
     def _forget(self, hold: _holds.Hold, now: float) -> None:
-        self._remember_ended(hold.owner)
+        self._replies.remember_ended(hold.owner)
         self._table.remove(hold.work_id)
         self._grant_waiting(now)
 
-    def _remember_ended(self, owner: _base.Owner) -> None:
-        self._ended[owner] = None
-        if len(self._ended) > _ENDED_ATTEMPTS_KEPT:
-            self._ended.popitem(last=False)
-
     def _find_work(self, work_id: str, phase: Phase) -> _holds.Hold | None:
         hold = self._table.holds.get(work_id)
         if hold is None or hold.phase is not phase:
@@ -617,11 +606,8 @@
 
     # Messages to gateways.
 
-    def _send(self, owner: _base.Owner, message: messages.Message) -> None:
-        self._effects.append(_base.Send(peer=owner.gateway, message=message))
-
     def _send_reserved(self, hold: _holds.Hold) -> None:
-        self._send(
+        self._replies.send(
             hold.owner,
             messages.Reserved(
                 request_id=hold.request_id, attempt=hold.owner.attempt
@@ -629,7 +615,7 @@
         )
 
     def _send_pieces(self, hold: _holds.Hold, offset: int) -> None:
-        self._send(
+        self._replies.send(
             hold.owner,
             messages.Pieces(
                 request_id=hold.request_id,
@@ -640,7 +626,7 @@
         )
 
     def _send_finished(self, hold: _holds.Hold) -> None:
-        self._send(
+        self._replies.send(
             hold.owner,
             messages.Finished(
                 request_id=hold.request_id,
@@ -651,53 +637,13 @@
         )
 
     def _fail(
-        self,
-        hold: _holds.Hold,
-        *,
-        verdict: verdicts.VerdictName,
-        code: str,
+        self, hold: _holds.Hold, *, verdict: verdicts.VerdictName, code: str
     ) -> None:
-        self._send(
-            hold.owner,
-            messages.Failed(
-                request_id=hold.request_id,
-                attempt=hold.owner.attempt,
-                verdict=verdict,
-                code=code,
-            ),
+        self._replies.fail(
+            hold.owner, hold.request_id, verdict=verdict, code=code
         )
 
     def _refuse_hold(self, hold: _holds.Hold, code: errors.Code) -> None:
         self._fail(hold, verdict=verdicts.VerdictName.NOT_RUN, code=code)
-        self._remember_ended(hold.owner)
+        self._replies.remember_ended(hold.owner)
         self._table.remove(hold.work_id)
-
-    def _refuse(
-        self,
-        owner: _base.Owner,
-        message: messages.Attempted,
-        code: errors.Code,
-    ) -> None:
-        _LOG.info(
-            "sidecar %s: request %s: refuses %s. Reason: %s.",
-            self.name,
-            message.request_id,
-            type(message).__name__,
-            code,
-        )
-        # A doubled message of an attempt that has ended proves nothing of
-        # what its first copy did.
-        verdict = verdicts.VerdictName.NOT_RUN
-        if owner in self._ended:
-            verdict = verdicts.VerdictName.MAY_HAVE_RUN
-        # A refused attempt stays refused, should another copy come later.
-        self._remember_ended(owner)
-        self._send(
-            owner,
-            messages.Failed(
-                request_id=message.request_id,
-                attempt=message.attempt,
-                verdict=verdict,
-                code=code,
-            ),
-        )
--- /dev/null
+++ b/sassafrasstile/sidecar/_replies.py
@@ -0,0 +1,102 @@
+"""What a sidecar kernel tells gateways, and which attempts have ended."""
+
+import collections
+import logging
+
+from sassafrasstile import errors
+from sassafrasstile import messages
+from sassafrasstile import verdicts
+from sassafrasstile.sidecar import _base
+
+_LOG = logging.getLogger("sassafrasstile.sidecar")
+_ENDED_ATTEMPTS_KEPT = 8192
+
+
+class Replies:
+    """Collects the effects of a kernel's turn.
+
+    Args:
+        name: The endpoint's name.
+    """
+
+    def __init__(self, *, name: str):
+        self.name = name
+        self._effects: list[_base.Effect] = []
+        self._ended: collections.OrderedDict[_base.Owner, None] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, effect: _base.Effect) -> None:
+        """Adds an effect."""
+        self._effects.append(effect)
+
+    def take(self) -> list[_base.Effect]:
+        """Returns the effects so far and starts anew."""
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    def send(self, owner: _base.Owner, message: messages.Message) -> None:
+        """Sends a message to the gateway of an attempt."""
+        self.add(_base.Send(peer=owner.gateway, message=message))
+
+    def fail(
+        self,
+        owner: _base.Owner,
+        request_id: str,
+        *,
+        verdict: verdicts.VerdictName,
+        code: str,
+        key_owner: str = "",
+    ) -> None:
+        """Tells a gateway that an attempt is over without a result."""
+        self.send(
+            owner,
+            messages.Failed(
+                request_id=request_id,
+                attempt=owner.attempt,
+                verdict=verdict,
+                code=code,
+                owner=key_owner,
+            ),
+        )
+
+    def refuse(
+        self,
+        owner: _base.Owner,
+        message: messages.Attempted,
+        code: errors.Code,
+        *,
+        key_owner: str = "",
+    ) -> None:
+        """Refuses an attempt for good, should a copy of it come later."""
+        _LOG.info(
+            "sidecar %s: request %s: refuses %s. Reason: %s.",
+            self.name,
+            message.request_id,
+            type(message).__name__,
+            code,
+        )
+        # A doubled message of an attempt that has ended proves nothing of
+        # what its first copy did.
+        verdict = verdicts.VerdictName.NOT_RUN
+        if self.has_ended(owner):
+            verdict = verdicts.VerdictName.MAY_HAVE_RUN
+        self.remember_ended(owner)
+        self.fail(
+            owner,
+            message.request_id,
+            verdict=verdict,
+            code=code,
+            key_owner=key_owner,
+        )
+
+    def remember_ended(self, owner: _base.Owner) -> None:
+        """Notes that an attempt must never start again."""
+        self._ended[owner] = None
+        if len(self._ended) > _ENDED_ATTEMPTS_KEPT:
+            self._ended.popitem(last=False)
+
+    def has_ended(self, owner: _base.Owner) -> bool:
+        """Says whether an attempt is over, as far as is remembered."""
+        return owner in self._ended
--- a/sassafrasstile/sidecar/_service.py
+++ b/sassafrasstile/sidecar/_service.py
@@ -5,7 +5,6 @@
 log is down the owner may run it without a claim, where the rule allows it.
 """
 
-import collections
 import logging
 
 from sassafrasstile import errors
@@ -15,10 +14,10 @@
 from sassafrasstile.sidecar import _base
 from sassafrasstile.sidecar import _claims
 from sassafrasstile.sidecar import _once
+from sassafrasstile.sidecar import _replies
 from sassafrasstile.sidecar import _settings
 
 _LOG = logging.getLogger("sassafrasstile.sidecar")
-_FENCED_KEPT = 8192
 
 CallState = _once.CallState
 
@@ -67,10 +66,7 @@
         )
         self._unlogged: set[str] = set()
         self._running: dict[str, tuple[_base.Owner, messages.Call]] = {}
-        self._fenced: collections.OrderedDict[_base.Owner, None] = (
-            collections.OrderedDict()
-        )
-        self._effects: list[_base.Effect] = []
+        self._replies = _replies.Replies(name=name)
 
     # Inputs.
 
@@ -93,7 +89,7 @@
         for message in batch.messages:
             if isinstance(message, messages.Renew):
                 renewed = messages.Renewed()
-                self._effects.append(
+                self._replies.add(
                     _base.Send(peer=batch.sender, message=renewed)
                 )
                 continue
@@ -108,7 +104,7 @@
                 case messages.Inquire():
                     self._inquire(owner, message)
                 case messages.Cancel():
-                    self._fence(owner)
+                    self._replies.remember_ended(owner)
                 case _:
                     self._refuse(owner, message, errors.Code.WRONG_ROLE)
         return self._end()
@@ -132,7 +128,7 @@
             body=body,
         )
         if order.repeatable:
-            self._send(owner, answer)
+            self._replies.send(owner, answer)
             return self._end()
         entry = self._once.find(order.key)
         entry.answer = answer
@@ -162,7 +158,7 @@
             if not sent:
                 self._once.remove(order.key)
         for waiter in waiters:
-            self._fail(
+            self._replies.fail(
                 waiter,
                 order.request_id,
                 verdict=(
@@ -267,7 +263,7 @@
     def _call(
         self, owner: _base.Owner, order: messages.Call, now: float
     ) -> None:
-        if owner in self._fenced:
+        if self._replies.has_ended(owner):
             return
         entry = None if order.repeatable else self._once.find(order.key)
         if entry is not None:
@@ -365,7 +361,7 @@
     def _end_unknown(self, entry: _once.Entry, now: float) -> None:
         request_id = entry.order.request_id
         for waiter in self._once.settle(entry, CallState.UNKNOWN, now=now):
-            self._fail(
+            self._replies.fail(
                 waiter,
                 request_id,
                 verdict=verdicts.VerdictName.MAY_HAVE_RUN,
@@ -381,7 +377,7 @@
         self._keeper.leaving = self.leaving
         record = self._keeper.choose_record(now, may_release=may_release)
         if record is not None:
-            self._effects.append(_base.Append(record=record))
+            self._replies.add(_base.Append(record=record))
 
     def _running_keys(self) -> list[str]:
         return [
@@ -404,7 +400,7 @@
             order.path,
         )
         self._running[call_id] = (owner, order)
-        self._effects.append(_base.RunCall(call_id=call_id, order=order))
+        self._replies.add(_base.RunCall(call_id=call_id, order=order))
 
     def _count_run(self, key: str) -> None:
         entry = self._once.find(key)
@@ -425,7 +421,7 @@
             case CallState.ANSWERED:
                 self._send_answer(owner, entry, replayed=True)
             case CallState.UNKNOWN:
-                self._fail(
+                self._replies.fail(
                     owner,
                     order.request_id,
                     verdict=verdicts.VerdictName.MAY_HAVE_RUN,
@@ -464,28 +460,17 @@
                 verdict=verdicts.VerdictName.MAY_HAVE_RUN,
                 code=errors.Code.IN_PROGRESS,
             )
-        self._send(owner, status)
-
-    def _fence(self, owner: _base.Owner) -> None:
-        """Makes sure that an attempt never runs, should a copy come later."""
-        self._fenced[owner] = None
-        if len(self._fenced) > _FENCED_KEPT:
-            self._fenced.popitem(last=False)
+        self._replies.send(owner, status)
 
     def _end(self) -> list[_base.Effect]:
-        effects = self._effects
-        self._effects = []
-        return effects
+        return self._replies.take()
 
     # Messages to gateways.
 
-    def _send(self, owner: _base.Owner, message: messages.Message) -> None:
-        self._effects.append(_base.Send(peer=owner.gateway, message=message))
-
     def _send_answer(
         self, owner: _base.Owner, entry: _once.Entry, *, replayed: bool
     ) -> None:
-        self._send(
+        self._replies.send(
             owner,
             messages.CallAnswered(
                 request_id=entry.answer.request_id,
@@ -497,50 +482,13 @@
             ),
         )
 
-    def _fail(
-        self,
-        owner: _base.Owner,
-        request_id: str,
-        *,
-        verdict: verdicts.VerdictName,
-        code: str,
-        owner_name: str = "",
-    ) -> None:
-        self._send(
-            owner,
-            messages.Failed(
-                request_id=request_id,
-                attempt=owner.attempt,
-                verdict=verdict,
-                code=code,
-                owner=owner_name,
-            ),
-        )
-
     def _refuse(
         self,
         owner: _base.Owner,
         message: messages.Attempted,
         code: errors.Code,
     ) -> None:
-        owner_name = ""
+        key_owner = ""
         if code is errors.Code.NOT_OWNER:
-            owner_name = self._keeper.find_owner_name(message.key)
-        _LOG.info(
-            "sidecar %s: request %s: refuses %s. Reason: %s.",
-            self.name,
-            message.request_id,
-            type(message).__name__,
-            code,
-        )
-        verdict = verdicts.VerdictName.NOT_RUN
-        if owner in self._fenced:
-            verdict = verdicts.VerdictName.MAY_HAVE_RUN
-        self._fence(owner)
-        self._fail(
-            owner,
-            message.request_id,
-            verdict=verdict,
-            code=code,
-            owner_name=owner_name,
-        )
+            key_owner = self._keeper.find_owner_name(message.key)
+        self._replies.refuse(owner, message, code, key_owner=key_owner)
