--- a/sassafrasstile/daemons/_base.py
+++ b/sassafrasstile/daemons/_base.py
@@ -4,11 +4,14 @@
 import logging
 import secrets
 import time
+from typing import Any
 
+import prometheus_client
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.web import server
 
+from sassafrasstile import errors
 from sassafrasstile import frontend
 from sassafrasstile import liveness
 from sassafrasstile import plugins
@@ -75,6 +78,34 @@
     )
 
 
+class KernelWatch:
+    """Passes calls to a kernel, and counts and logs broken invariants.
+
+    Args:
+        kernel: The kernel.
+        violations: The counter of violations, by name.
+    """
+
+    def __init__(self, *, kernel: Any, violations: prometheus_client.Counter):
+        self._kernel = kernel
+        self._violations = violations
+
+    def __getattr__(self, name: str) -> Any:
+        value = getattr(self._kernel, name)
+        if not callable(value):
+            return value
+
+        def call(*arguments, **parameters):
+            try:
+                return value(*arguments, **parameters)
+            except errors.InvariantError as error:
+                self._violations.labels(error.name).inc()
+                _LOG.critical("daemon: invariant broken: %s", error)
+                raise
+
+        return call
+
+
 class AdminPort:
     """Listens for health, readiness and metrics.
 
--- a/sassafrasstile/daemons/_gateway.py
+++ b/sassafrasstile/daemons/_gateway.py
@@ -51,7 +51,9 @@
         self._reactor = reactor
         self._generator = generator or random.Random()
         self._process = site.gateways[name]
-        self._kernel = self._make_kernel()
+        self._kernel = _base.KernelWatch(
+            kernel=self._make_kernel(), violations=self.metrics.violations
+        )
         self._directory = frontend.WorkspaceDirectory(
             workspaces=site.workspaces
         )
--- a/sassafrasstile/daemons/_sidecar.py
+++ b/sassafrasstile/daemons/_sidecar.py
@@ -49,7 +49,9 @@
         self._reactor = reactor
         self._endpoint = site.endpoints[name]
         self._is_service = self._endpoint.role == "service"
-        self._kernel = self._make_kernel()
+        self._kernel = _base.KernelWatch(
+            kernel=self._make_kernel(), violations=self.metrics.violations
+        )
         self._adapter = self._make_adapter()
         self._links = wire.LinkServer(
             make_batch=self._make_batch, on_batch=self._receive
--- a/sassafrasstile/engines/_openai.py
+++ b/sassafrasstile/engines/_openai.py
@@ -38,6 +38,7 @@
         self._http = web.HttpClient(reactor=reactor, base_url=url)
         self._listener: _base.EngineListener | None = None
         self._readers: dict[str, web.EventStreamReader] = {}
+        self._open: set[str] = set()
         self._cancelled: set[str] = set()
         self._closed = False
 
@@ -55,10 +56,12 @@
 
     def start_prefill(self, work_id: str, order: messages.Prefill) -> None:
         """Starts a prefill."""
+        self._open.add(work_id)
         self._spawn(self._prefill(work_id, order))
 
     def start_decode(self, work_id: str, order: messages.Decode) -> None:
         """Imports a KV cache and starts the decode."""
+        self._open.add(work_id)
         self._spawn(self._decode(work_id, order))
 
     def cancel(self, work_id: str) -> None:
@@ -105,7 +108,7 @@
         if status != _HTTP_OK:
             self._fail_by_status(work_id, status)
             return
-        if work_id in self._cancelled:
+        if self._close_work(work_id):
             return
         self._listener.finish_prefill(
             work_id,
@@ -160,12 +163,10 @@
 
     def _end_decode(self, work_id: str, reason: str) -> None:
         self._readers.pop(work_id, None)
-        if work_id in self._cancelled or self._closed:
-            return
-        if reason:
-            self._listener.finish_decode(work_id, reason=reason)
-        else:
+        if not reason:
             self._fail(work_id, errors.Code.ENGINE_FAILED, started=True)
+        elif not self._close_work(work_id):
+            self._listener.finish_decode(work_id, reason=reason)
 
     async def _cancel(self, work_id: str) -> None:
         try:
@@ -182,7 +183,8 @@
         if reader is not None:
             reader.abort()
         if status == _HTTP_OK and not self._closed:
-            self._cancelled.discard(work_id)
+            if work_id not in self._open:
+                self._cancelled.discard(work_id)
             self._listener.confirm_cancel(work_id)
 
     async def _list(self) -> None:
@@ -199,6 +201,17 @@
         if not self._closed:
             self.request_list()
 
+    def _close_work(self, work_id: str) -> bool:
+        """Notes the end of work; True when its end is not to be told.
+
+        The end of cancelled work is told by the cancellation alone, whichever
+        of the two answers comes first.
+        """
+        self._open.discard(work_id)
+        was_cancelled = work_id in self._cancelled
+        self._cancelled.discard(work_id)
+        return was_cancelled or self._closed
+
     def _fail_by_status(self, work_id: str, status: int) -> None:
         code = errors.Code.ENGINE_FAILED
         if status in (404, 504):
@@ -208,7 +221,7 @@
         self._fail(work_id, code, started=status not in _NOT_STARTED_STATUSES)
 
     def _fail(self, work_id: str, code: errors.Code, *, started: bool) -> None:
-        if work_id in self._cancelled or self._closed:
+        if self._close_work(work_id):
             return
         self._listener.fail_work(work_id, code=code, started=started)
 
--- /dev/null
+++ b/sassafrasstile/engines/tests/test_contract.py
@@ -0,0 +1,122 @@
+"""Every registered engine adapter against the engine stand-in."""
+
+from sassafrasstile import messages
+from sassafrasstile import plugins
+from sassafrasstile import standins
+from sassafrasstile import testing
+
+
+class Listener:
+    """Notes what an adapter reports."""
+
+    def __init__(self):
+        self.events = []
+        self.texts = []
+        self.work = None
+
+    def finish_prefill(self, work_id, *, handle, computed_tokens, took_s):
+        self.events.append(("prefilled", work_id, handle))
+
+    def add_tokens(self, work_id, texts):
+        self.texts.extend(texts)
+
+    def finish_decode(self, work_id, *, reason):
+        self.events.append(("decoded", work_id, reason))
+
+    def fail_work(self, work_id, *, code, started):
+        self.events.append(("failed", work_id, started))
+
+    def confirm_cancel(self, work_id):
+        self.events.append(("cancelled", work_id))
+
+    def list_work(self, work_ids):
+        self.work = work_ids
+
+
+class EngineContractTest(testing.ReactorTestCase):
+    def start(self, name, **speed):
+        server = standins.EngineServer(
+            reactor=self.reactor, speed=standins.EngineSpeed(**speed)
+        )
+        server.start()
+        self.addCleanup(testing.run, server.close)
+        return server, *self.connect(name, server.url)
+
+    def connect(self, name, url):
+        adapter = plugins.create(
+            plugins.Kind.ENGINE, name, reactor=self.reactor, url=url
+        )
+        listener = Listener()
+        adapter.start(listener)
+        self.addCleanup(adapter.close)
+        return adapter, listener
+
+    def prefill(self, tokens=100):
+        return messages.Prefill(
+            request_id="r",
+            attempt=1,
+            model="m",
+            prompt="p",
+            prompt_tokens=tokens,
+        )
+
+    def decode(self, source="", handle="w"):
+        return messages.Decode(
+            request_id="r",
+            attempt=1,
+            model="m",
+            prompt="p",
+            prompt_tokens=100,
+            max_tokens=8,
+            source_address=source,
+            handle=handle,
+            transfer_limit_s=5.0,
+        )
+
+    @testing.on_reactor
+    async def test_prefill_then_decode_gives_the_whole_answer(self):
+        for name in plugins.list_names(plugins.Kind.ENGINE):
+            source, adapter, listener = self.start(name)
+            adapter.start_prefill("w", self.prefill())
+            await self.wait_until(lambda events=listener.events: events)
+            self.assertEqual(listener.events, [("prefilled", "w", "w")])
+            _, target, heard = self.start(name)
+            target.start_decode("v", self.decode(source.url))
+            await self.wait_until(lambda events=heard.events: events)
+            self.assertEqual(heard.events, [("decoded", "v", "length")])
+            self.assertEqual(
+                "".join(heard.texts), standins.generate_text("p", 8)
+            )
+            self.assertEqual(source.model.list_work(), [])
+
+    @testing.on_reactor
+    async def test_failures_say_whether_anything_started(self):
+        for name in plugins.list_names(plugins.Kind.ENGINE):
+            gone, listener = self.connect(name, "http://127.0.0.1:1")
+            gone.start_prefill("w", self.prefill())
+            await self.wait_until(lambda events=listener.events: events)
+            self.assertEqual(listener.events, [("failed", "w", False)])
+            server, full, heard = self.start(name, pieces=1)
+            full.start_prefill("w", self.prefill())
+            await self.wait_until(lambda events=heard.events: events)
+            self.assertEqual(heard.events, [("failed", "w", False)])
+            server, target, told = self.start(name)
+            target.start_decode("v", self.decode(server.url, "evicted"))
+            await self.wait_until(lambda events=told.events: events)
+            self.assertEqual(told.events, [("failed", "v", False)])
+
+    @testing.on_reactor
+    async def test_cancelled_work_is_freed_and_only_that_is_told(self):
+        for name in plugins.list_names(plugins.Kind.ENGINE):
+            server, adapter, listener = self.start(
+                name, prefill_tokens_per_s=10.0
+            )
+            adapter.start_prefill("w", self.prefill())
+            await self.wait_until(server.model.list_work)
+            adapter.request_list()
+            await self.wait_until(lambda heard=listener: heard.work)
+            self.assertEqual(listener.work, ("w",))
+            adapter.cancel("w")
+            await self.wait_until(lambda events=listener.events: events)
+            self.assertEqual(listener.events, [("cancelled", "w")])
+            self.assertEqual(server.model.list_work(), [])
