--- a/sassafrasstile/sidecar/_claims.py
+++ b/sassafrasstile/sidecar/_claims.py
@@ -124,6 +124,16 @@
             endpoint=self.member.endpoint, incarnation=self.member.incarnation
         )
 
+    def is_cut_off(self, now: float) -> bool:
+        """Says whether the log is out of reach, so slots can't be handed on.
+
+        Whoever starts next at this endpoint gets them; until then their keys
+        wait.
+        """
+        if self._read_at is None:
+            return True
+        return now - self._read_at > self.settings.leave_wait_s
+
     # Inputs.
 
     def request(self, key: str) -> None:
--- a/sassafrasstile/sidecar/_service.py
+++ b/sassafrasstile/sidecar/_service.py
@@ -65,6 +65,7 @@
             settings=self.claim_settings,
         )
         self._unlogged: set[str] = set()
+        self._now = 0.0
         self._running: dict[str, tuple[_base.Owner, messages.Call]] = {}
         self._replies = _replies.Replies(name=name)
 
@@ -223,6 +224,7 @@
 
     def tick(self, now: float) -> list[_base.Effect]:
         """Ends claims that took too long and appends what is due."""
+        self._now = now
         for entry in self._once.list_claiming():
             if now >= entry.claim_until:
                 self._end_claim_wait(entry, now)
@@ -244,7 +246,9 @@
         """Says whether no call runs or waits, and all slots are handed on."""
         if self._running or self._once.has_claiming():
             return False
-        return not self.leaving or self._keeper.is_out()
+        if not self.leaving or self._keeper.is_out():
+            return True
+        return not self._unlogged and self._keeper.is_cut_off(self._now)
 
     def describe_load(self) -> messages.Load:
         """Returns the load for the next batch."""
--- a/sassafrasstile/sidecar/_settings.py
+++ b/sassafrasstile/sidecar/_settings.py
@@ -64,6 +64,8 @@
     key_lifetime_s: Seconds for which callers may retry a key. The log
             must keep records for at least twice as long.
         checkpoint_s: Seconds between checkpoints.
+        leave_wait_s: Seconds without a page of the log after which a planned
+            stop no longer waits to hand slots over.
         claims_per_record: Keys in one record at the most.
     """
 
@@ -74,4 +76,5 @@
     unlogged_limit_s: Seconds = 1800.0
     key_lifetime_s: Seconds = 1800.0
     checkpoint_s: Seconds = 600.0
+    leave_wait_s: Seconds = 10.0
     claims_per_record: Count = 200
--- a/sassafrasstile/sidecar/tests/test_service.py
+++ b/sassafrasstile/sidecar/tests/test_service.py
@@ -251,3 +251,28 @@
         )
         effects = self.send(kernel, 1.3, _call(2, "k2"))
         self.assertEqual(self.runs(effects), [])
+
+    def test_planned_stop_does_not_wait_for_a_log_that_is_down(self):
+        kernel = self.make()
+        self.log.is_down = True
+        self.turn(kernel, 1.0, kernel.drain(1.0))
+        kernel.tick(5.0)
+        self.assertFalse(kernel.is_idle())
+        kernel.tick(12.0)
+        self.assertTrue(kernel.is_idle())
+
+    def test_planned_stop_waits_to_log_what_ran_without_a_claim(self):
+        kernel = self.make(runs_unlogged=True)
+        self.log.is_down = True
+        self.send(kernel, 1.0, _call(1, "k", runs_unlogged=True))
+        self.turn(kernel, 2.1, kernel.tick(2.1))
+        kernel.finish_call(
+            "k#1.g.1.1", status=201, content_type="", body=b"", now=2.2
+        )
+        self.turn(kernel, 2.3, kernel.drain(2.3))
+        self.turn(kernel, 30.0, kernel.tick(30.0))
+        self.assertFalse(kernel.is_idle())
+        self.log.is_down = False
+        self.turn(kernel, 31.0)
+        self.turn(kernel, 32.0, kernel.tick(32.0))
+        self.assertTrue(kernel.is_idle())
