--- a/sassafrasstile/daemons/_base.py
+++ b/sassafrasstile/daemons/_base.py
@@ -12,10 +12,10 @@
 from twisted.web import server
 
 from sassafrasstile import errors
-from sassafrasstile import frontend
 from sassafrasstile import liveness
 from sassafrasstile import plugins
 from sassafrasstile import settings
+from sassafrasstile import web
 
 _LOG = logging.getLogger("sassafrasstile.daemon")
 _IDLE_POLL_S = 0.05
@@ -120,7 +120,7 @@
         *,
         reactor,
         address: settings.Address,
-        resource: frontend.AdminResource,
+        resource: web.AdminResource,
     ):
         self._reactor = reactor
         self._address = address
--- a/sassafrasstile/daemons/_gateway.py
+++ b/sassafrasstile/daemons/_gateway.py
@@ -16,6 +16,7 @@
 from sassafrasstile import settings
 from sassafrasstile import telemetry
 from sassafrasstile import verdicts
+from sassafrasstile import web
 from sassafrasstile import wire
 from sassafrasstile.daemons import _base
 from sassafrasstile.daemons import _timing
@@ -159,7 +160,7 @@
         self._liveness.start(self._note_states)
 
     def _start_admin(self) -> None:
-        resource = frontend.AdminResource(
+        resource = web.AdminResource(
             registry=self.metrics.registry,
             is_ready=self.is_ready,
             describe=self._describe,
--- a/sassafrasstile/daemons/_sidecar.py
+++ b/sassafrasstile/daemons/_sidecar.py
@@ -7,7 +7,6 @@
 
 from sassafrasstile import engines
 from sassafrasstile import errors
-from sassafrasstile import frontend
 from sassafrasstile import liveness
 from sassafrasstile import logs
 from sassafrasstile import messages
@@ -17,6 +16,7 @@
 from sassafrasstile import settings
 from sassafrasstile import sidecar
 from sassafrasstile import telemetry
+from sassafrasstile import web
 from sassafrasstile import wire
 from sassafrasstile.daemons import _base
 
@@ -112,7 +112,7 @@
         self._admin = _base.AdminPort(
             reactor=self._reactor,
             address=settings.parse_address(self._endpoint.admin),
-            resource=frontend.AdminResource(
+            resource=web.AdminResource(
                 registry=self.metrics.registry,
                 is_ready=lambda: not self._kernel.leaving,
                 describe=self._describe,
--- /dev/null
+++ b/sassafrasstile/dispatch/__init__.py
@@ -0,0 +1,22 @@
+"""Decides where requests go: health, load, retry budget, placement.
+
+Nothing here does I/O or reads a clock; the time is passed in.
+"""
+
+from sassafrasstile.dispatch._base import DispatchSettings, WorkSize
+from sassafrasstile.dispatch._budget import WindowedRetryBudget
+from sassafrasstile.dispatch._endpoints import Endpoint, EndpointTable
+from sassafrasstile.dispatch._health import Health
+from sassafrasstile.dispatch._placement import Placement, release, reserve
+
+__all__ = [
+    "DispatchSettings",
+    "Endpoint",
+    "EndpointTable",
+    "Health",
+    "Placement",
+    "WindowedRetryBudget",
+    "WorkSize",
+    "release",
+    "reserve",
+]
--- /dev/null
+++ b/sassafrasstile/dispatch/_budget.py
@@ -0,0 +1,54 @@
+"""A retry budget that holds in any window, over all gateways."""
+
+import collections
+
+
+class WindowedRetryBudget:
+    """Allows retries as a share of this gateway's own recent requests.
+
+    Each gateway stays within the share of its own requests, so that all of
+    them together stay within it too, without knowing of each other.
+
+    Args:
+        ratio: Retries a request.
+        slack: Retries beyond that share in each window.
+        window_s: The window's length in seconds.
+
+    >>> budget = WindowedRetryBudget(ratio=0.5, slack=0, window_s=10.0)
+    >>> budget.note_request(0.0); budget.note_request(1.0)
+    >>> budget.spend(1.0), budget.spend(2.0)
+    (True, False)
+    >>> budget.note_request(11.5); budget.note_request(11.6)
+    >>> budget.spend(11.7)
+    True
+    """
+
+    def __init__(self, *, ratio: float, slack: int, window_s: float):
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self._requests: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def note_request(self, now: float) -> None:
+        """Notes a request of a caller."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def spend(self, now: float) -> bool:
+        """Takes one retry from the budget.
+
+        Returns:
+            False when the budget is spent; then nothing is taken.
+        """
+        self._forget(now)
+        allowed = self.ratio * len(self._requests) + self.slack
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        for times in (self._requests, self._retries):
+            while times and times[0] <= now - self.window_s:
+                times.popleft()
--- /dev/null
+++ b/sassafrasstile/dispatch/_health.py
@@ -0,0 +1,87 @@
+"""What an endpoint's own answers show of its health."""
+
+# Weight of the newest outcome in the failure rate.
+_NEWEST_SHARE = 0.25
+# The failure rate halves in this time when nothing is sent there.
+_HALF_LIFE_S = 3.0
+_LATENCY_NEWEST_SHARE = 0.2
+# A silence this many times the usual latency is no usual one.
+_SILENCE_LATENCIES = 4.0
+
+
+class Health:
+    """Failure rate, latency and silence of one endpoint.
+
+    Args:
+        silence_s: The shortest silence that counts.
+
+    >>> health = Health(silence_s=1.0)
+    >>> health.expect("r1", 0.0)
+    >>> health.is_silent(0.9), health.is_silent(1.1)
+    (False, True)
+    >>> health.hear(1.2)
+    >>> health.is_silent(1.3)
+    False
+    """
+
+    def __init__(self, *, silence_s: float):
+        self.silence_s = silence_s
+        self.latency_s: float | None = None
+        self.unreachable_since: float | None = None
+        self._expected: dict[str, float] = {}
+        self._heard_at = float("-inf")
+        self._failure_rate = 0.0
+        self._rated_at = 0.0
+
+    def expect(self, attempt: str, now: float) -> None:
+        """Notes that an answer is owed."""
+        self._expected[attempt] = now
+
+    def settle(self, attempt: str) -> None:
+        """Notes that an answer is no longer owed."""
+        self._expected.pop(attempt, None)
+
+    def hear(self, now: float) -> None:
+        """Notes that the endpoint has sent something."""
+        self._heard_at = now
+        self.unreachable_since = None
+
+    def note_success(self, latency_s: float, now: float) -> None:
+        """Notes a good answer and how long it took."""
+        self._rate(0.0, now)
+        if self.latency_s is None:
+            self.latency_s = latency_s
+        self.latency_s += _LATENCY_NEWEST_SHARE * (latency_s - self.latency_s)
+
+    def note_failure(self, now: float) -> None:
+        """Notes a failure of the endpoint, or a lost answer."""
+        self._rate(1.0, now)
+
+    def note_unreachable(self, now: float) -> None:
+        """Notes that it couldn't be reached, or was silent for too long."""
+        if self.unreachable_since is None:
+            self.unreachable_since = now
+
+    def is_silent(self, now: float) -> bool:
+        """Says whether it owes an answer and has been silent for too long."""
+        limit_s = max(
+            self.silence_s, _SILENCE_LATENCIES * (self.latency_s or 0.0)
+        )
+        return any(
+            now - sent_at > limit_s and self._heard_at <= sent_at
+            for sent_at in self._expected.values()
+        )
+
+    def is_reachable(self, now: float) -> bool:
+        """Says whether new work may go there."""
+        return self.unreachable_since is None and not self.is_silent(now)
+
+    def read_failure_rate(self, now: float) -> float:
+        """Returns the share of recent attempts that failed, faded by age."""
+        age_s = max(0.0, now - self._rated_at)
+        return self._failure_rate * 0.5 ** (age_s / _HALF_LIFE_S)
+
+    def _rate(self, failed: float, now: float) -> None:
+        rate = self.read_failure_rate(now)
+        self._failure_rate = rate + _NEWEST_SHARE * (failed - rate)
+        self._rated_at = now
--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -50,6 +50,16 @@
     NOT_OWNER = "not_owner"
     IN_PROGRESS = "in_progress"
 
+    NOT_CONFIGURED = "not_configured"
+    UNKNOWN_ROUTE = "unknown_route"
+    ENDPOINT_UNREACHABLE = "endpoint_unreachable"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_SILENT = "endpoint_silent"
+    BAD_ANSWER = "bad_answer"
+    CALLER_GONE = "caller_gone"
+    STORE_UNAVAILABLE = "store_unavailable"
+    HISTORY_GONE = "history_gone"
+
 
 class Error(Exception):
     """Base of every exception that this package raises on purpose.
--- /dev/null
+++ b/sassafrasstile/forwarding/_answers.py
@@ -0,0 +1,78 @@
+"""Final answers of the router's own to callers."""
+
+import json
+
+from sassafrasstile import errors
+from sassafrasstile import verdicts
+from sassafrasstile import web
+from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _task
+
+_STATUS_NOT_RUN = 503
+_STATUS_MAY_HAVE_RUN = 502
+_STATUS_LATE = 504
+# Callers come back spread over this share of the time that they are told.
+_RETRY_SPREAD = 0.5
+_DEFAULT_RETRY_AFTER_S = 0.2
+_JSON = (b"Content-Type", b"application/json")
+
+
+def choose_status(verdict: verdicts.Verdict) -> int:
+    """Returns the HTTP status for a verdict.
+
+    >>> choose_status(verdicts.NotRun(code="no_endpoint"))
+    503
+    >>> choose_status(verdicts.MayHaveRun(code="deadline_exceeded"))
+    504
+    >>> choose_status(verdicts.MayHaveRun(code="endpoint_lost"))
+    502
+    """
+    match verdict:
+        case verdicts.NotRun():
+            return _STATUS_NOT_RUN
+        case _ if verdict.code == errors.Code.DEADLINE_EXCEEDED:
+            return _STATUS_LATE
+        case _:
+            return _STATUS_MAY_HAVE_RUN
+
+
+def fail_task(
+    context: _context.ForwardingContext,
+    task: _task.RequestTask,
+    verdict: verdicts.Verdict,
+) -> None:
+    """Answers a caller that there is no endpoint's answer.
+
+    Once part of an answer was sent, the connection is broken instead.
+    """
+    name = verdicts.name_verdict(verdict)
+    task.outcome = f"{name} {verdict.code}"
+    if task.exchange.began:
+        task.outcome += " cut"
+        task.exchange.cut()
+        return
+    headers = [_JSON]
+    match verdict:
+        case verdicts.NotRun(retry_after_s=retry_after_s):
+            base_s = retry_after_s or _DEFAULT_RETRY_AFTER_S
+            spread_s = base_s * _RETRY_SPREAD * context.generator.random()
+            headers.extend(context.codec.encode_retry_after(base_s + spread_s))
+    body = json.dumps({"code": verdict.code, "verdict": name})
+    task.exchange.respond(
+        status=choose_status(verdict), headers=headers, body=body.encode()
+    )
+
+
+def send_refusal(
+    exchange: web.IngressRequest,
+    *,
+    status: int,
+    code: errors.Code,
+    headers: web.Headers = (),
+) -> None:
+    """Answers a caller whose request can't be taken at all."""
+    exchange.respond(
+        status=status,
+        headers=[_JSON, *headers],
+        body=json.dumps({"code": code}).encode(),
+    )
--- /dev/null
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -0,0 +1,210 @@
+"""One attempt of a request at one endpoint, and what it proved."""
+
+import contextlib
+import dataclasses
+import logging
+
+from twisted.internet import defer
+
+from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile import verdicts
+from sassafrasstile import web
+from sassafrasstile.forwarding import _base
+from sassafrasstile.forwarding import _context
+
+_LOG = logging.getLogger("sassafrasstile.forwarding")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answered:
+    """The endpoint's own answer has begun.
+
+    Attributes:
+        head: Status and headers.
+        reply: The rest of the answer.
+        kind: Success or failure.
+    """
+
+    head: web.ResponseHead
+    reply: web.Reply
+    kind: _base.AnswerKind
+
+
+AttemptResult = Answered | verdicts.NotRun | verdicts.MayHaveRun
+
+
+def fail_on_timeout(work, reactor, seconds: float) -> defer.Deferred:
+    """Returns a Deferred of a coroutine that is cancelled after a time.
+
+    It fails with `defer.TimeoutError` then.
+    """
+    deferred = defer.ensureDeferred(work)
+    deferred.addTimeout(max(0.0, seconds), reactor)
+    return deferred
+
+
+class Attempt:
+    """One sending of a request to an endpoint.
+
+    Args:
+        context: What the router shares.
+        endpoint: The endpoint.
+        request_id: The request's id.
+        number: Which send of the request this is; zero for a prefill.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: _context.ForwardingContext,
+        endpoint: dispatch.Endpoint,
+        request_id: str,
+        number: int,
+    ):
+        self.endpoint = endpoint
+        self.was_sent = False
+        self.began_at = context.now()
+        self._context = context
+        self._request_id = request_id
+        self._number = number
+        self._key = f"{request_id}/{number}"
+        self._reply: web.Reply | None = None
+
+    async def start(
+        self, outgoing: _base.OutgoingRequest, *, timeout_s: float
+    ) -> AttemptResult:
+        """Sends the request and waits for the answer's head.
+
+        Args:
+            outgoing: The request.
+            timeout_s: Seconds to wait for the head.
+
+        Returns:
+            The beginning of the answer, or what is proved without one.
+        """
+        context = self._context
+        context.metrics.attempts.inc()
+        result: AttemptResult
+        try:
+            head = await fail_on_timeout(
+                self._exchange(outgoing), context.reactor, timeout_s
+            )
+            result = self._classify(head)
+        except web.ExchangeError as reason:
+            result = self._note_broken(reason)
+        except defer.TimeoutError:
+            result = self._note_timeout()
+        finally:
+            self.endpoint.health.settle(self._key)
+        self._log(result)
+        return result
+
+    def note_success(self, latency_s: float) -> None:
+        """Notes that the endpoint has answered well."""
+        self.endpoint.health.note_success(latency_s, self._context.now())
+
+    def note_failure(self) -> None:
+        """Notes that the endpoint has failed."""
+        self.endpoint.health.note_failure(self._context.now())
+
+    def close(self) -> None:
+        """Drops the connection unless the answer was read whole."""
+        if self._reply is not None:
+            self._reply.close()
+
+    async def _exchange(
+        self, outgoing: _base.OutgoingRequest
+    ) -> web.ResponseHead:
+        pool = self._context.get_pool(self.endpoint)
+        self._reply = await pool.send(
+            method=outgoing.method,
+            target=outgoing.target,
+            headers=outgoing.headers,
+            body=outgoing.body,
+            on_send=self._note_sent,
+        )
+        return await self._reply.read_head()
+
+    def _note_sent(self) -> None:
+        self.was_sent = True
+        self.endpoint.health.expect(self._key, self._context.now())
+
+    def _classify(self, head: web.ResponseHead) -> AttemptResult:
+        kind = self._context.codec.classify(
+            head, request_id=self._request_id, is_run=self._number > 0
+        )
+        match kind:
+            case _base.AnswerKind.NOT_RUN:
+                self._finish_short_answer()
+                return verdicts.NotRun(code=errors.Code.ENDPOINT_REFUSED)
+            case _base.AnswerKind.FOREIGN:
+                self.close()
+                self.note_failure()
+                return verdicts.MayHaveRun(code=errors.Code.BAD_ANSWER)
+            case _:
+                return Answered(head=head, reply=self._reply, kind=kind)
+
+    def _finish_short_answer(self) -> None:
+        """Reads the rest of a short answer, so that its connection is kept."""
+        drain = fail_on_timeout(
+            self._reply.read_body(), self._context.reactor, 1.0
+        )
+        reply, self._reply = self._reply, None
+        drain.addErrback(lambda _reason: reply.close())
+
+    def _note_broken(self, reason: web.ExchangeError) -> AttemptResult:
+        now = self._context.now()
+        if not reason.was_sent:
+            self.endpoint.health.note_unreachable(now)
+            return verdicts.NotRun(code=reason.code)
+        self.close()
+        self.note_failure()
+        return verdicts.MayHaveRun(code=reason.code)
+
+    def _note_timeout(self) -> AttemptResult:
+        now = self._context.now()
+        is_silent = self.endpoint.health.is_silent(now)
+        self.close()
+        if is_silent or not self.was_sent:
+            self.endpoint.health.note_unreachable(now)
+        if not self.was_sent:
+            return verdicts.NotRun(code=errors.Code.ENDPOINT_UNREACHABLE)
+        self.note_failure()
+        return verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
+
+    def _log(self, result: AttemptResult) -> None:
+        match result:
+            case Answered(head=head, kind=kind):
+                outcome = f"{kind.value} {head.status}"
+            case _:
+                name = verdicts.name_verdict(result)
+                outcome = f"{name} ({result.code})"
+        _LOG.info(
+            "attempt: request %s at %s: %s.",
+            self._request_id,
+            self.endpoint.name,
+            outcome,
+            extra={
+                "request": self._request_id,
+                "attempt": self._number,
+                "endpoint": self.endpoint.name,
+                "outcome": outcome,
+                "taken_ms": round((self._context.now() - self.began_at) * 1000),
+                "in_flight": self.endpoint.in_flight,
+                "failure_rate": round(
+                    self.endpoint.health.read_failure_rate(self._context.now()),
+                    2,
+                ),
+            },
+        )
+
+
+@contextlib.contextmanager
+def hold_slot(endpoint: dispatch.Endpoint):
+    """Counts a request in at an endpoint while it lasts."""
+    endpoint.in_flight += 1
+    try:
+        yield
+    finally:
+        endpoint.in_flight -= 1
--- /dev/null
+++ b/sassafrasstile/forwarding/_context.py
@@ -0,0 +1,82 @@
+"""What the parts of the router share."""
+
+import dataclasses
+import random
+from typing import Any
+
+from sassafrasstile import dispatch
+from sassafrasstile import routes
+from sassafrasstile import telemetry
+from sassafrasstile import web
+from sassafrasstile.forwarding import _base
+
+
+@dataclasses.dataclass(kw_only=True)
+class ForwardingContext:
+    """Configuration, endpoints, connections and the codec.
+
+    Attributes:
+        reactor: The reactor.
+        codec: The endpoints' protocol.
+        book: The configuration in force.
+        endpoints: The endpoints.
+        placement: Chooses among them.
+        settings: Settings of the decisions.
+        metrics: Counters and histograms.
+        generator: The source of random numbers.
+    """
+
+    reactor: Any
+    codec: _base.EndpointCodec
+    book: routes.ConfigurationBook
+    endpoints: dispatch.EndpointTable
+    placement: dispatch.Placement
+    settings: dispatch.DispatchSettings
+    metrics: telemetry.RouterMetrics
+    generator: random.Random
+
+    def __post_init__(self):
+        self._pools: dict[dispatch.Endpoint, web.ConnectionPool] = {}
+        self._budgets: dict[str, dispatch.WindowedRetryBudget] = {}
+
+    def now(self) -> float:
+        """Returns the time in seconds."""
+        return self.reactor.seconds()
+
+    def get_budget(self, service: str) -> dispatch.WindowedRetryBudget:
+        """Returns the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = dispatch.WindowedRetryBudget(
+                ratio=self.settings.retry_ratio,
+                slack=self.settings.retry_slack,
+                window_s=self.settings.retry_window_s,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def get_pool(self, endpoint: dispatch.Endpoint) -> web.ConnectionPool:
+        """Returns the connections to an endpoint."""
+        pool = self._pools.get(endpoint)
+        if pool is None:
+            pool = web.ConnectionPool(
+                reactor=self.reactor,
+                host=endpoint.record.host,
+                port=endpoint.record.port,
+                connect_timeout_s=self.settings.connect_timeout_s,
+                on_heard=lambda: endpoint.health.hear(self.now()),
+            )
+            self._pools[endpoint] = pool
+        return pool
+
+    def drop_endpoint(self, endpoint: dispatch.Endpoint) -> None:
+        """Closes the free connections to an endpoint that is gone."""
+        pool = self._pools.pop(endpoint, None)
+        if pool is not None:
+            pool.close()
+
+    def close(self) -> None:
+        """Drops every connection."""
+        for pool in self._pools.values():
+            pool.abort()
+        self._pools.clear()
--- /dev/null
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -0,0 +1,145 @@
+"""Prefills at engines of their own."""
+
+import logging
+
+from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile.forwarding import _attempts
+from sassafrasstile.forwarding import _base
+from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _task
+
+_LOG = logging.getLogger("sassafrasstile.forwarding")
+# A prefill may take this share of the time to the first token's target ...
+_PATIENCE_SHARE = 0.7
+# ... and this many times its usual time.
+_PATIENCE_LATENCIES = 4.0
+_RELEASE_TIMEOUT_S = 1.0
+_HANDLE_TTL_S = 0.5
+
+
+class PrefillRunner:
+    """Has prompts read by prefill engines, and frees what isn't used.
+
+    Args:
+        context: What the router shares.
+    """
+
+    def __init__(self, *, context: _context.ForwardingContext):
+        self._context = context
+
+    async def run(
+        self, task: _task.RequestTask, *, near: dispatch.Endpoint
+    ) -> _base.KvHandle | None:
+        """Has a prompt read.
+
+        Args:
+            task: The request.
+            near: The decode engine that will take the result.
+
+        Returns:
+            The handle, or None when the decode engine has to read the
+            prompt itself.
+        """
+        context = self._context
+        engine = context.placement.choose_for_prefill(
+            service=task.service.name,
+            now=context.now(),
+            near=near.record.zone,
+        )
+        if engine is None:
+            return None
+        size = task.details.size.prompt_tokens
+        engine.prefill_tokens += size
+        try:
+            with _attempts.hold_slot(engine):
+                return await self._send(task, engine)
+        finally:
+            engine.prefill_tokens -= size
+
+    async def _send(
+        self, task: _task.RequestTask, engine: dispatch.Endpoint
+    ) -> _base.KvHandle | None:
+        context = self._context
+        remaining_s = task.deadline - context.now()
+        outgoing = context.codec.encode_prefill(
+            task.request, record=engine.record, remaining_s=remaining_s
+        )
+        attempt = _attempts.Attempt(
+            context=context,
+            endpoint=engine,
+            request_id=task.request_id,
+            number=0,
+        )
+        try:
+            result = await attempt.start(
+                outgoing,
+                timeout_s=self._choose_patience(task, engine, remaining_s),
+            )
+            if not isinstance(result, _attempts.Answered):
+                return None
+            return await self._read_handle(attempt, result)
+        finally:
+            attempt.close()
+
+    def _choose_patience(
+        self,
+        task: _task.RequestTask,
+        engine: dispatch.Endpoint,
+        remaining_s: float,
+    ) -> float:
+        usual_s = _PATIENCE_LATENCIES * (engine.health.latency_s or 0.0)
+        patience_s = max(usual_s, _PATIENCE_SHARE * task.route.target_s)
+        return min(remaining_s, patience_s)
+
+    async def _read_handle(
+        self, attempt: _attempts.Attempt, answered: _attempts.Answered
+    ) -> _base.KvHandle | None:
+        context = self._context
+        try:
+            body = await answered.reply.read_body()
+            if answered.kind is not _base.AnswerKind.SUCCESS:
+                raise errors.Error(
+                    code=errors.Code.ENGINE_FAILED,
+                    detail=f"prefill answered {answered.head.status}",
+                )
+            token = context.codec.decode_handle(body)
+        except errors.Error as reason:
+            _LOG.warning(
+                "prefill: at %s failed: %s.", attempt.endpoint.name, reason
+            )
+            attempt.note_failure()
+            return None
+        now = context.now()
+        attempt.note_success(now - attempt.began_at)
+        return _base.KvHandle(endpoint=attempt.endpoint, token=token)
+
+    def release(self, handle: _base.KvHandle) -> None:
+        """Frees a handle that nobody will take."""
+        context = self._context
+        outgoing = context.codec.encode_release(handle)
+
+        async def send():
+            pool = context.get_pool(handle.endpoint)
+            reply = await pool.send(
+                method=outgoing.method,
+                target=outgoing.target,
+                headers=outgoing.headers,
+            )
+            try:
+                await reply.read_body()
+            finally:
+                reply.close()
+
+        def note(reason):
+            _LOG.info(
+                "prefill: handle at %s not freed: %s.",
+                handle.endpoint.name,
+                reason.getErrorMessage(),
+            )
+
+        context.metrics.handles_released.inc()
+        sending = _attempts.fail_on_timeout(
+            send(), context.reactor, _RELEASE_TIMEOUT_S
+        )
+        sending.addErrback(note)
--- /dev/null
+++ b/sassafrasstile/forwarding/_retries.py
@@ -0,0 +1,47 @@
+"""Decides whether a request is sent once more."""
+
+from sassafrasstile import errors
+from sassafrasstile import verdicts
+from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _task
+
+# Sends of one request at the most, refused ones included.
+MOST_SENDS = 3
+# Nothing is sent that has less time left than this.
+LEAST_TIME_S = 0.02
+
+
+def may_run_elsewhere(task: _task.RequestTask) -> bool:
+    """Says whether its route lets one more endpoint run a request."""
+    is_left = task.count_run_endpoints() < task.route.max_attempts
+    return task.route.idempotent and is_left
+
+
+def may_send_again(
+    context: _context.ForwardingContext,
+    task: _task.RequestTask,
+    verdict: verdicts.Verdict,
+) -> bool:
+    """Says whether another send is allowed, and takes it from the budget.
+
+    A verdict of not run allows it always. Otherwise the request has to be
+    idempotent, and its route has to allow one more endpoint.
+
+    Args:
+        context: What the router shares.
+        task: The request.
+        verdict: The verdict on the last send.
+    """
+    now = context.now()
+    if task.deadline - now < LEAST_TIME_S or task.sends >= MOST_SENDS:
+        return False
+    if isinstance(verdict, verdicts.NotRun):
+        if verdict.code == errors.Code.ENDPOINT_UNREACHABLE:
+            # Nothing has arrived anywhere, so this is no retry.
+            return True
+    elif not may_run_elsewhere(task):
+        return False
+    allowed = context.get_budget(task.service.name).spend(now)
+    if not allowed:
+        context.metrics.retries_denied.inc()
+    return allowed
--- /dev/null
+++ b/sassafrasstile/forwarding/_router.py
@@ -0,0 +1,176 @@
+"""Takes callers' requests and sees each one to its end."""
+
+import logging
+
+from twisted.internet import defer
+from twisted.python import failure
+
+from sassafrasstile import errors
+from sassafrasstile import routes
+from sassafrasstile import verdicts
+from sassafrasstile import web
+from sassafrasstile.forwarding import _answers
+from sassafrasstile.forwarding import _calls
+from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _generations
+from sassafrasstile.forwarding import _task
+
+_LOG = logging.getLogger("sassafrasstile.forwarding")
+_NOT_CONFIGURED_RETRY_S = 0.5
+
+
+class Router:
+    """Routes each request and ends it in time.
+
+    Args:
+        context: What the parts of the router share.
+    """
+
+    def __init__(self, *, context: _context.ForwardingContext):
+        self._context = context
+        self._calls = _calls.CallForwarder(context=context)
+        self._generations = _generations.GenerationForwarder(context=context)
+        self._running: dict[_task.RequestTask, defer.Deferred] = {}
+        self.is_closed = False
+
+    @property
+    def in_flight(self) -> int:
+        """Requests without a final answer."""
+        return len(self._running)
+
+    def handle(
+        self, request: web.CallerRequest, exchange: web.IngressRequest
+    ) -> None:
+        """Takes a request."""
+        if self._context.book.current is None:
+            self._refuse(exchange, 503, errors.Code.NOT_CONFIGURED)
+            return
+        try:
+            task = self._make_task(request, exchange)
+        except errors.RequestError as reason:
+            self._refuse(exchange, reason.status, reason.code)
+            return
+        self._context.get_budget(task.service.name).note_request(
+            self._context.now()
+        )
+        self._run(task)
+
+    def abort_all(self) -> None:
+        """Ends every request at once, with what is proved of it."""
+        for running in list(self._running.values()):
+            running.cancel()
+
+    def _make_task(self, request, exchange) -> _task.RequestTask:
+        context = self._context
+        details = context.codec.decode_request(request)
+        route = context.book.table.find(
+            host=details.host, target=request.target.decode("latin-1")
+        )
+        if route is None:
+            raise errors.RequestError(
+                code=errors.Code.UNKNOWN_ROUTE,
+                detail=f"no route for host {details.host!r}",
+                status=404,
+            )
+        timeout_s = route.timeout_s
+        if details.patience_s is not None:
+            timeout_s = min(timeout_s, details.patience_s)
+        return _task.RequestTask(
+            request=request,
+            details=details,
+            route=route,
+            service=self._choose_service(route),
+            exchange=exchange,
+            deadline=request.received_at + timeout_s,
+        )
+
+    def _choose_service(self, route: routes.Route) -> routes.Service:
+        weights = [item.weight for item in route.services]
+        chosen = self._context.generator.choices(route.services, weights)[0]
+        services = self._context.book.current.services
+        return services.get(chosen.service) or routes.Service(
+            name=chosen.service
+        )
+
+    def _refuse(self, exchange, status: int, code: errors.Code) -> None:
+        headers: web.Headers = ()
+        if status == 503:
+            headers = self._context.codec.encode_retry_after(
+                _NOT_CONFIGURED_RETRY_S
+            )
+        self._context.metrics.requests.labels("none", code).inc()
+        _LOG.info(
+            "request: refused with %d. Reason: %s.",
+            status,
+            code,
+            extra={"version": self._context.book.version},
+        )
+        _answers.send_refusal(
+            exchange, status=status, code=code, headers=headers
+        )
+
+    def _run(self, task: _task.RequestTask) -> None:
+        forwarder = self._calls
+        if task.route.kind is routes.RouteKind.GENERATION:
+            forwarder = self._generations
+        running = defer.ensureDeferred(forwarder.forward(task))
+        self._running[task] = running
+        task.exchange.on_gone = running.cancel
+        running.addTimeout(
+            max(0.0, task.deadline - self._context.now()),
+            self._context.reactor,
+        )
+        running.addErrback(self._end_early, task)
+        running.addBoth(self._finish, task)
+
+    def _end_early(
+        self, reason: failure.Failure, task: _task.RequestTask
+    ) -> None:
+        """Answers a request that was interrupted."""
+        if task.exchange.is_gone:
+            task.outcome = "caller gone"
+            return
+        if reason.check(defer.TimeoutError):
+            code = errors.Code.DEADLINE_EXCEEDED
+        elif reason.check(defer.CancelledError):
+            code = errors.Code.STOPPING
+        else:
+            _LOG.error(
+                "request: %s failed inside: %s",
+                task.request_id,
+                reason.getTraceback(),
+            )
+            code = errors.Code.INVARIANT_VIOLATED
+        _answers.fail_task(self._context, task, task.decide_verdict(code))
+
+    def _finish(self, result, task: _task.RequestTask) -> None:
+        if isinstance(result, failure.Failure):
+            _LOG.error(
+                "request: %s: no final answer: %s",
+                task.request_id,
+                result.getTraceback(),
+            )
+            task.exchange.cut()
+        context = self._context
+        self._running.pop(task, None)
+        taken_s = context.now() - task.request.received_at
+        kind = task.route.kind.value
+        context.metrics.requests.labels(kind, task.outcome).inc()
+        context.metrics.latency.labels(kind).observe(taken_s)
+        _LOG.info(
+            "request: %s: %s.",
+            task.request_id,
+            task.outcome,
+            extra={
+                "request": task.request_id,
+                "route": task.route.name,
+                "service": task.service.name,
+                "version": context.book.version,
+                "verdict": verdicts.name_verdict(
+                    task.decide_verdict(errors.Code.OUTCOME_UNKNOWN)
+                ),
+                "sends": task.sends,
+                "outcome": task.outcome,
+                "taken_ms": round(taken_s * 1000),
+            },
+        )
--- a/sassafrasstile/frontend/__init__.py
+++ b/sassafrasstile/frontend/__init__.py
@@ -1,12 +1,10 @@
 """What a gateway serves to callers, on twisted.web."""
 
-from sassafrasstile.frontend._admin import AdminResource
 from sassafrasstile.frontend._base import Exchange, Router
 from sassafrasstile.frontend._directory import WorkspaceDirectory
 from sassafrasstile.frontend._root import make_site
 
 __all__ = [
-    "AdminResource",
     "Exchange",
     "Router",
     "WorkspaceDirectory",
--- /dev/null
+++ b/sassafrasstile/platform/__main__.py
@@ -0,0 +1,53 @@
+"""Starts a gateway on the platform: `python -m sassafrasstile.platform`."""
+
+import os
+import sys
+
+from sassafrasstile import errors
+from sassafrasstile import router
+from sassafrasstile import telemetry
+from sassafrasstile.platform import _codec
+from sassafrasstile.platform import _records
+from sassafrasstile.platform import _settings
+from sassafrasstile.platform import _store
+
+_METRICS_PORT_VARIABLE = "SASSAFRASSTILE_METRICS_PORT"
+_EXIT_USAGE = 2
+
+
+def main() -> int:
+    """Runs the gateway until it is told to stop."""
+    metrics = telemetry.RouterMetrics()
+    telemetry.configure_bounded_logs(dropped=metrics.log_lines_dropped)
+    metrics_port = int(os.environ.get(_METRICS_PORT_VARIABLE, "0"))
+
+    def read_settings() -> router.RouterSettings:
+        return _settings.read_settings(metrics_port=metrics_port)
+
+    try:
+        settings = read_settings()
+    except errors.ConfigurationError as reason:
+        print(reason, file=sys.stderr)
+        return _EXIT_USAGE
+
+    def make_daemon(reactor) -> router.RouterDaemon:
+        return router.RouterDaemon(
+            reactor=reactor,
+            settings=settings,
+            read_settings=read_settings,
+            store=_store.PlatformStore(
+                reactor=reactor,
+                host=settings.store_host,
+                port=settings.store_port,
+                metrics=metrics,
+            ),
+            sources=_records.PlatformSources(),
+            codec=_codec.PlatformCodec(),
+            metrics=metrics,
+        )
+
+    return router.run_router(make_daemon)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sassafrasstile/platform/_codec.py
@@ -0,0 +1,173 @@
+"""Translates callers' requests and endpoints' answers."""
+
+import json
+
+from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile import forwarding
+from sassafrasstile import membership
+from sassafrasstile import routes
+from sassafrasstile import web
+from sassafrasstile.platform import _names
+
+_MS = 1000.0
+_MISDIRECTED = 421
+# These statuses promise callers that nothing ran.
+_PROMISES = frozenset((408, 429, 503))
+
+
+def _parse_count(value: bytes | None) -> dispatch.WorkSize:
+    """Reads `PROMPT,OUTPUT`, both in tokens."""
+    if value is None:
+        return dispatch.WorkSize()
+    prompt, _, output = value.partition(b",")
+    try:
+        return dispatch.WorkSize(
+            prompt_tokens=int(prompt), output_tokens=int(output or 0)
+        )
+    except ValueError as reason:
+        raise errors.RequestError(
+            code=errors.Code.REQUEST_INVALID,
+            detail=f"token count is {value!r}; allowed is PROMPT,OUTPUT",
+        ) from reason
+
+
+class PlatformCodec(forwarding.EndpointCodec):
+    """The endpoints' protocol on the platform."""
+
+    def decode_request(
+        self, request: web.CallerRequest
+    ) -> forwarding.RequestDetails:
+        """Reads the headers of a caller's request."""
+        host = request.get(b"host")
+        if not host:
+            raise errors.RequestError(
+                code=errors.Code.REQUEST_MALFORMED, detail="no host is named"
+            )
+        patience_ms = request.get(_names.DEADLINE_MS.lower())
+        last_event_id = request.get(_names.LAST_EVENT_ID.lower())
+        try:
+            patience_s = patience_ms and float(patience_ms) / _MS
+        except ValueError as reason:
+            raise errors.RequestError(
+                code=errors.Code.REQUEST_INVALID,
+                detail=f"deadline is {patience_ms!r}; allowed is a number",
+            ) from reason
+        request_id = request.get(_names.REQUEST_ID.lower()) or b""
+        return forwarding.RequestDetails(
+            request_id=request_id.decode("latin-1"),
+            host=host.decode("latin-1"),
+            patience_s=patience_s or None,
+            size=_parse_count(request.get(_names.TOKEN_COUNT.lower())),
+            resumes_after=last_event_id and last_event_id.decode("latin-1"),
+        )
+
+    def encode_run(
+        self,
+        request: web.CallerRequest,
+        *,
+        record: membership.EndpointRecord,
+        remaining_s: float,
+        handle: forwarding.KvHandle | None = None,
+        resume_after: str | None = None,
+    ) -> forwarding.OutgoingRequest:
+        """Returns the request that makes an endpoint run the work."""
+        extra = []
+        if handle is not None:
+            source = handle.endpoint.record
+            place = f"{source.host}:{source.port}/{handle.token}"
+            extra.append((_names.KV_SOURCE, place.encode()))
+        if resume_after is not None:
+            extra.append((_names.LAST_EVENT_ID, resume_after.encode()))
+        return self._encode(request, record, remaining_s, extra)
+
+    def encode_prefill(
+        self,
+        request: web.CallerRequest,
+        *,
+        record: membership.EndpointRecord,
+        remaining_s: float,
+    ) -> forwarding.OutgoingRequest:
+        """Returns the request that makes an engine only read the prompt."""
+        extra = [(_names.STAGE, _names.PREFILL_STAGE)]
+        return self._encode(request, record, remaining_s, extra)
+
+    def _encode(self, request, record, remaining_s, extra):
+        replaced = {name.lower() for name, _ in extra} | _names.SYSTEM_HEADERS
+        headers = [
+            item for item in request.headers if item[0].lower() not in replaced
+        ]
+        remaining_ms = max(1, int(remaining_s * _MS))
+        headers.append((_names.DEADLINE_MS, str(remaining_ms).encode()))
+        headers.append((_names.EXPECT_INSTANCE, record.endpoint_id.encode()))
+        headers.extend(extra)
+        return forwarding.OutgoingRequest(
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+        )
+
+    def decode_handle(self, body: bytes) -> str:
+        """Reads the name of the handle from the answer to a prefill."""
+        try:
+            return str(json.loads(body)["kvHandle"])
+        except (ValueError, KeyError, TypeError) as reason:
+            raise errors.Error(
+                code=errors.Code.BAD_ANSWER,
+                detail=f"prefill answered {body[:100]!r}",
+            ) from reason
+
+    def encode_release(
+        self, handle: forwarding.KvHandle
+    ) -> forwarding.OutgoingRequest:
+        """Returns the request that frees a handle."""
+        return forwarding.OutgoingRequest(
+            method=b"DELETE",
+            target=_names.HANDLE_PATH + handle.token.encode(),
+            headers=self._address(handle.endpoint.record),
+        )
+
+    def encode_probe(
+        self, *, record: membership.EndpointRecord, service: routes.Service
+    ) -> forwarding.OutgoingRequest:
+        """Returns a request that shows whether an endpoint is alive."""
+        target = service.health_path.encode()
+        if record.role is not membership.Role.PLAIN:
+            # It needs no slot, unlike the health check.
+            target = _names.REPORT_PATH
+        return forwarding.OutgoingRequest(
+            method=b"GET", target=target, headers=self._address(record)
+        )
+
+    def _address(self, record: membership.EndpointRecord) -> web.Headers:
+        return [
+            (b"Host", f"{record.host}:{record.port}".encode()),
+            (_names.EXPECT_INSTANCE, record.endpoint_id.encode()),
+        ]
+
+    def classify(
+        self, head: web.ResponseHead, *, request_id: str, is_run: bool
+    ) -> forwarding.AnswerKind:
+        """Says what the head of an answer proves."""
+        echoed = head.get(_names.REQUEST_ID.lower())
+        if echoed is not None and echoed.decode("latin-1") != request_id:
+            return forwarding.AnswerKind.FOREIGN
+        if head.status == _MISDIRECTED or head.get(_names.NOT_EXECUTED.lower()):
+            return forwarding.AnswerKind.NOT_RUN
+        is_success = 200 <= head.status < 300
+        if is_run:
+            is_signed = head.get(_names.SIGNATURE.lower()) is not None
+            is_encoded = head.get(b"content-encoding") is not None
+            if is_encoded or (is_success and not is_signed):
+                return forwarding.AnswerKind.FOREIGN
+        if head.status in _PROMISES:
+            # Without its mark such a status proves nothing.
+            return forwarding.AnswerKind.FOREIGN
+        if is_success:
+            return forwarding.AnswerKind.SUCCESS
+        return forwarding.AnswerKind.FAILURE
+
+    def encode_retry_after(self, seconds: float) -> web.Headers:
+        """Returns the headers that tell a caller when to come back."""
+        return [(_names.RETRY_AFTER, f"{seconds:.3f}".encode())]
--- /dev/null
+++ b/sassafrasstile/platform/_names.py
@@ -0,0 +1,53 @@
+"""The platform's names: headers, paths and topics.
+
+A test reads this table and asserts that no other module uses these names.
+"""
+
+# Headers of callers' requests that are passed on as they came.
+REQUEST_ID = b"X-Attempt-Id"
+TOKEN_COUNT = b"X-Token-Count"
+LAST_EVENT_ID = b"Last-Event-Id"
+DEADLINE_MS = b"X-Deadline-Ms"
+
+# Headers that only this system may set towards endpoints.
+EXPECT_INSTANCE = b"X-Expect-Instance"
+STAGE = b"X-Stage"
+KV_SOURCE = b"X-Kv-Source"
+SYSTEM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE_MS,
+        EXPECT_INSTANCE,
+        STAGE,
+        KV_SOURCE,
+        b"X-Kv-Hold",
+        b"X-Kv-Backup",
+        b"X-Pin-Ms",
+        b"X-Expect-Version",
+        b"X-Request-Priority",
+        b"Kv-Fetch",
+    )
+)
+
+# Headers of answers.
+SIGNATURE = b"X-Server-Stamp"
+NOT_EXECUTED = b"X-Not-Executed"
+RETRY_AFTER = b"Retry-After"
+
+# Calls to endpoints.
+HANDLE_PATH = b"/sassafrasstile/kv-handle/"
+REPORT_PATH = b"/sassafrasstile/report"
+PREFILL_STAGE = b"prefill"
+
+# Calls to this system.
+READY_PATH = "/sassafrasstile/readyz"
+
+# The store.
+READ_PATH = b"/sassafrasstile/log-read"
+NEWEST_PATH = b"/sassafrasstile/log-newest"
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+MEMBERSHIP_TOPIC = "keyed.servers"
+
+# The variable that holds the path of the settings file.
+SETTINGS_VARIABLE = "SASSAFRASSTILE_BOOT"
--- /dev/null
+++ b/sassafrasstile/platform/_records.py
@@ -0,0 +1,192 @@
+"""Decodes configurations and endpoints from the store's records."""
+
+from typing import Literal
+
+import pydantic
+from pydantic import alias_generators
+
+from sassafrasstile import errors
+from sassafrasstile import membership
+from sassafrasstile import router
+from sassafrasstile import routes
+from sassafrasstile import stores
+from sassafrasstile.platform import _names
+from sassafrasstile.platform import _settings
+
+_MS = 1000.0
+_KINDS = {
+    "safe": routes.RouteKind.IDEMPOTENT_CALL,
+    "unsafe": routes.RouteKind.NON_IDEMPOTENT_CALL,
+    "streaming": routes.RouteKind.GENERATION,
+}
+_ROLES = {
+    "prefill": membership.Role.PREFILL,
+    "decode": membership.Role.DECODE,
+    None: membership.Role.PLAIN,
+}
+
+
+class _Model(pydantic.BaseModel):
+    """Fields in camel case; unknown ones are ignored."""
+
+    model_config = pydantic.ConfigDict(
+        alias_generator=alias_generators.to_camel, extra="ignore"
+    )
+
+
+class _WeightedService(_Model):
+    service: str
+    weight: float
+
+
+class _Route(_Model):
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: Literal["safe", "unsafe", "streaming"]
+    timeout_ms: float
+    target_latency_ms: float
+    target_gap_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    resumable: bool = False
+    # A route has one service, or several with weights.
+    service: str | None = None
+    weighted_services: list[_WeightedService] = []
+
+
+class _Engine(_Model):
+    slots: int
+    kv_capacity_tokens: int
+    # Seconds for which a finished prefill is kept, "ttl" of its handle.
+    kv_ttl_s: float = pydantic.Field(alias="kvTtlS", default=0.5)
+
+
+class _Service(_Model):
+    name: str
+    health_path: str = ""
+    max_connections: int = 1
+    engine: _Engine | None = None
+
+
+class _Limits(_Model):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Configuration(_Model):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+
+
+class _Endpoint(_Model):
+    service: str
+    address: str
+    zone: str
+    slots: int = pydantic.Field(strict=True, gt=0)
+    state: Literal["ready", "draining"]
+    stage: Literal["prefill", "decode"] | None = None
+    # The Unix millisecond of its start; its counts start anew with it.
+    born: int = pydantic.Field(strict=True, default=0)
+
+
+def _make_route(route: _Route) -> routes.Route:
+    services = [
+        routes.WeightedService(service=item.service, weight=item.weight)
+        for item in route.weighted_services
+    ]
+    if route.service is not None:
+        services = [routes.WeightedService(service=route.service)]
+    if not services:
+        raise ValueError(f"route {route.name!r} names no service")
+    return routes.Route(
+        name=route.name,
+        host=route.hostname.lower(),
+        prefix=route.path_prefix,
+        kind=_KINDS[route.route_type],
+        services=tuple(services),
+        timeout_s=route.timeout_ms / _MS,
+        target_s=route.target_latency_ms / _MS,
+        target_gap_s=route.target_gap_ms / _MS,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        resumable=route.resumable,
+    )
+
+
+def _make_service(service: _Service) -> routes.Service:
+    engine = None
+    if service.engine is not None:
+        engine = routes.EngineProfile(
+            slots=service.engine.slots,
+            capacity_tokens=service.engine.kv_capacity_tokens,
+            handle_ttl_s=service.engine.kv_ttl_s,
+        )
+    return routes.Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        engine=engine,
+    )
+
+
+class PlatformSources(router.Sources):
+    """Decodes the records of the operator and of the endpoints."""
+
+    configuration_topic = _names.CONFIGURATION_TOPIC
+    membership_topic = _names.MEMBERSHIP_TOPIC
+
+    def decode_configuration(
+        self, change: stores.Change
+    ) -> routes.Configuration | None:
+        """Returns the configuration that a record holds, or None."""
+        if change.key != _names.CONFIGURATION_KEY or change.value is None:
+            return None
+        try:
+            document = _Configuration.model_validate_json(change.value)
+            return routes.Configuration(
+                version=document.version,
+                routes=tuple(map(_make_route, document.routes)),
+                services={
+                    item.name: _make_service(item) for item in document.services
+                },
+                limits=routes.CallerLimits(
+                    header_bytes=document.limits.max_header_bytes,
+                    body_bytes=document.limits.max_body_bytes,
+                    header_timeout_s=document.limits.header_timeout_ms / _MS,
+                    idle_timeout_s=document.limits.idle_timeout_ms / _MS,
+                ),
+            )
+        except ValueError as reason:
+            raise errors.ConfigurationError(
+                code=errors.Code.CONFIG_INVALID, detail=str(reason)
+            ) from reason
+
+    def decode_endpoint(
+        self, change: stores.Change
+    ) -> membership.EndpointRecord | None:
+        """Returns what an endpoint announced, or None when it is gone."""
+        if change.value is None:
+            return None
+        try:
+            document = _Endpoint.model_validate_json(change.value)
+            host, port = _settings.split_address(document.address)
+        except ValueError as reason:
+            raise errors.Error(
+                code=errors.Code.BAD_VALUE, detail=str(reason)
+            ) from reason
+        return membership.EndpointRecord(
+            endpoint_id=change.key,
+            started_ms=document.born,
+            service=document.service,
+            host=host,
+            port=port,
+            zone=document.zone,
+            role=_ROLES[document.stage],
+            state=membership.EndpointState(document.state),
+            slots=document.slots,
+        )
--- /dev/null
+++ b/sassafrasstile/platform/_settings.py
@@ -0,0 +1,108 @@
+"""Decodes the platform's settings file."""
+
+import os
+
+import pydantic
+from pydantic import alias_generators
+import yaml
+
+from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile import router
+from sassafrasstile.platform import _names
+
+_MS = 1000.0
+
+
+class _Model(pydantic.BaseModel):
+    """Fields in camel case; unknown ones are ignored."""
+
+    model_config = pydantic.ConfigDict(
+        alias_generator=alias_generators.to_camel, extra="ignore"
+    )
+
+
+class _Listen(_Model):
+    frontend: str
+    ready: str
+
+
+class _Bounds(_Model):
+    grace_s: float = 8.0
+    retry_budget_ratio: float = 0.2
+    retry_window_s: float = 10.0
+
+
+class _Store(_Model):
+    address: str
+
+
+class _File(_Model):
+    node_name: str
+    zone: str
+    ip: str
+    listen: _Listen
+    bounds: _Bounds = _Bounds()
+    platform: _Store
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port of `HOST:PORT`.
+
+    Raises:
+        ValueError: It has another form.
+    """
+    host, _, port = address.rpartition(":")
+    if not host:
+        raise ValueError(f"address is {address!r}; allowed is HOST:PORT")
+    return host, int(port)
+
+
+def read_settings(*, metrics_port: int = 0) -> router.RouterSettings:
+    """Reads the settings file that the environment names.
+
+    Args:
+        metrics_port: The port of the metrics, or zero for none.
+
+    Raises:
+        errors.ConfigurationError: It can't be read or isn't valid.
+    """
+    path = os.environ.get(_names.SETTINGS_VARIABLE, "")
+    try:
+        with open(path, encoding="utf-8") as file:
+            return _decode(yaml.safe_load(file), metrics_port=metrics_port)
+    except OSError as reason:
+        raise errors.ConfigurationError(
+            code=errors.Code.CONFIG_UNREADABLE, detail=str(reason), file=path
+        ) from reason
+    except yaml.YAMLError as reason:
+        raise errors.ConfigurationError(
+            code=errors.Code.CONFIG_SYNTAX, detail=str(reason), file=path
+        ) from reason
+    except ValueError as reason:
+        raise errors.ConfigurationError(
+            code=errors.Code.CONFIG_INVALID, detail=str(reason), file=path
+        ) from reason
+
+
+def _decode(document: object, *, metrics_port: int) -> router.RouterSettings:
+    file = _File.model_validate(document)
+    _, port = split_address(file.listen.frontend)
+    _, ready_port = split_address(file.listen.ready)
+    store_host, store_port = split_address(file.platform.address)
+    return router.RouterSettings(
+        name=file.node_name,
+        zone=file.zone,
+        host=file.ip,
+        port=port,
+        ready_port=ready_port,
+        ready_path=_names.READY_PATH,
+        metrics_port=metrics_port,
+        store_host=store_host,
+        store_port=store_port,
+        grace_s=file.bounds.grace_s,
+        dispatch=dispatch.DispatchSettings(
+            retry_ratio=file.bounds.retry_budget_ratio,
+            retry_window_s=file.bounds.retry_window_s,
+        ),
+    )
--- /dev/null
+++ b/sassafrasstile/platform/_store.py
@@ -0,0 +1,164 @@
+"""The client of the platform's store."""
+
+import base64
+import json
+import struct
+from urllib import parse
+
+from twisted.internet import defer
+
+from sassafrasstile import errors
+from sassafrasstile import stores
+from sassafrasstile import telemetry
+from sassafrasstile import web
+from sassafrasstile.platform import _names
+
+_CONNECT_TIMEOUT_S = 0.5
+_CALL_TIMEOUT_S = 1.0
+_HEADER = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+_GONE = 410
+
+
+def _decode_records(body: bytes, *, offset: int) -> list[stores.Change]:
+    """Reads records of length, key length, key and value."""
+    changes = []
+    place = _HEADER.size
+    while place < len(body):
+        (length,) = _LENGTH.unpack_from(body, place)
+        place += _LENGTH.size
+        record = body[place : place + length]
+        if len(record) != length or not record:
+            raise ValueError(f"record {offset} is cut short")
+        place += length
+        key_end = 1 + record[0]
+        changes.append(
+            stores.Change(
+                key=record[1:key_end].decode("utf-8", "replace"),
+                value=record[key_end:] or None,
+                offset=offset,
+            )
+        )
+        offset += 1
+    return changes
+
+
+class PlatformStore(stores.Store):
+    """Reads topics with keys from the platform's store.
+
+    Args:
+        reactor: The reactor.
+        host: The store's IP number.
+        port: Its port.
+        metrics: Where calls are counted.
+    """
+
+    def __init__(
+        self, *, reactor, host: str, port: int, metrics: telemetry.RouterMetrics
+    ):
+        self._reactor = reactor
+        self._metrics = metrics
+        self._host = f"{host}:{port}".encode()
+        self._pool = web.ConnectionPool(
+            reactor=reactor,
+            host=host,
+            port=port,
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+        )
+
+    def load(self, topic: str) -> defer.Deferred:
+        """Reads the newest record of each key."""
+        return defer.ensureDeferred(self._load(topic))
+
+    def follow(
+        self, topic: str, *, offset: int, wait_s: float
+    ) -> defer.Deferred:
+        """Reads the records from an offset on."""
+        return defer.ensureDeferred(self._follow(topic, offset, wait_s))
+
+    def close(self) -> None:
+        """Drops every connection."""
+        self._pool.abort()
+
+    async def _load(self, topic: str) -> stores.Snapshot:
+        entries: list[stores.Change] = []
+        next_offset: int | None = None
+        query = {"topic": topic, "part": 0}
+        while True:
+            body = await self._get(_names.NEWEST_PATH, query, _CALL_TIMEOUT_S)
+            try:
+                page = json.loads(body)
+                entries.extend(map(self._decode_item, page["items"]))
+                if next_offset is None:
+                    # Later pages may show more, the first one no less.
+                    next_offset = int(page["endOffset"])
+                if not page.get("hasMore"):
+                    break
+                query["after"] = page["items"][-1]["key"]
+            except (ValueError, KeyError, TypeError) as reason:
+                raise self._make_error(f"bad answer: {reason}") from reason
+        return stores.Snapshot(entries=tuple(entries), next_offset=next_offset)
+
+    @staticmethod
+    def _decode_item(item: dict) -> stores.Change:
+        return stores.Change(
+            key=str(item["key"]),
+            value=base64.b64decode(item["value"]) or None,
+            offset=int(item["offset"]),
+        )
+
+    async def _follow(
+        self, topic: str, offset: int, wait_s: float
+    ) -> stores.ChangePage:
+        query = {
+            "topic": topic,
+            "part": 0,
+            "from": offset,
+            "waitMs": int(wait_s * 1000),
+        }
+        body = await self._get(
+            _names.READ_PATH, query, wait_s + _CALL_TIMEOUT_S
+        )
+        try:
+            _HEADER.unpack_from(body)
+            changes = _decode_records(body, offset=offset)
+        except (ValueError, struct.error) as reason:
+            raise self._make_error(f"bad answer: {reason}") from reason
+        return stores.ChangePage(
+            changes=tuple(changes), next_offset=offset + len(changes)
+        )
+
+    async def _get(self, path: bytes, query: dict, timeout_s: float) -> bytes:
+        target = path + b"?" + parse.urlencode(query).encode()
+        calling = defer.ensureDeferred(self._exchange(target))
+        calling.addTimeout(timeout_s, self._reactor)
+        try:
+            status, body = await calling
+        except web.ExchangeError as reason:
+            raise self._make_error(reason.detail) from reason
+        except defer.TimeoutError as reason:
+            raise self._make_error("no answer in time") from reason
+        if status == _GONE:
+            raise self._make_error(
+                "records deleted", code=errors.Code.HISTORY_GONE
+            )
+        if status != 200:
+            raise self._make_error(f"status {status}")
+        self._metrics.store_calls.labels("ok").inc()
+        return body
+
+    async def _exchange(self, target: bytes) -> tuple[int, bytes]:
+        reply = await self._pool.send(
+            method=b"GET", target=target, headers=[(b"Host", self._host)]
+        )
+        try:
+            head = await reply.read_head()
+            return head.status, await reply.read_body()
+        finally:
+            reply.close()
+
+    def _make_error(
+        self, detail: str, *, code=errors.Code.STORE_UNAVAILABLE
+    ) -> stores.StoreError:
+        self._metrics.store_calls.labels(code).inc()
+        return stores.StoreError(code=code, detail=detail)
--- /dev/null
+++ b/sassafrasstile/router/__init__.py
@@ -0,0 +1,8 @@
+"""The gateway process that speaks to endpoints itself."""
+
+from sassafrasstile.router._daemon import RouterDaemon
+from sassafrasstile.router._process import run_router
+from sassafrasstile.router._settings import RouterSettings
+from sassafrasstile.router._sources import Sources
+
+__all__ = ["RouterDaemon", "RouterSettings", "Sources", "run_router"]
--- /dev/null
+++ b/sassafrasstile/router/_daemon.py
@@ -0,0 +1,276 @@
+"""Wires configuration, membership, routing and ports together."""
+
+from collections.abc import Callable
+import logging
+import random
+import secrets
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.web import server
+
+from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile import forwarding
+from sassafrasstile import membership
+from sassafrasstile import routes
+from sassafrasstile import stores
+from sassafrasstile import telemetry
+from sassafrasstile import web
+from sassafrasstile.router import _settings
+from sassafrasstile.router import _sources
+
+_LOG = logging.getLogger("sassafrasstile.router")
+_TICK_S = 0.25
+# The balancer has stopped sending new connections by then.
+_NOTICE_S = 3.2
+# What is left of the grace time when the last requests are ended.
+_LAST_MARGIN_S = 0.7
+_IDLE_POLL_S = 0.05
+
+
+class RouterDaemon:
+    """A gateway that speaks to endpoints itself.
+
+    Args:
+        reactor: The reactor.
+        settings: The settings.
+        read_settings: Reads them again.
+        store: The platform's store.
+        sources: Decodes what the store holds.
+        codec: The endpoints' protocol.
+        metrics: Counters and histograms.
+        generator: The source of random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        settings: _settings.RouterSettings,
+        read_settings: Callable[[], _settings.RouterSettings],
+        store: stores.Store,
+        sources: _sources.Sources,
+        codec: forwarding.EndpointCodec,
+        metrics: telemetry.RouterMetrics,
+        generator: random.Random | None = None,
+    ):
+        self.settings = settings
+        self.incarnation = secrets.token_hex(6)
+        self.is_draining = False
+        self._reactor = reactor
+        self._read_settings = read_settings
+        self._store = store
+        self._metrics = metrics
+        self._generator = generator or random.Random()
+        self._book = routes.ConfigurationBook()
+        self._roster = membership.Roster(on_change=self._note_endpoint)
+        self._endpoints = dispatch.EndpointTable(
+            silence_s=settings.dispatch.silence_s
+        )
+        self._context = self._make_context(codec)
+        self._router = forwarding.Router(context=self._context)
+        self._prober = forwarding.Prober(context=self._context)
+        self._ingress = web.IngressFactory(
+            reactor=reactor, handler=self._router.handle
+        )
+        self._followers = self._make_followers(sources)
+        self._sources = sources
+        self._ports: list[interfaces.IListeningPort] = []
+        self._caller_port: interfaces.IListeningPort | None = None
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.clock = reactor
+
+    def _make_context(self, codec) -> forwarding.ForwardingContext:
+        placement = dispatch.Placement(
+            endpoints=self._endpoints,
+            zone=self.settings.zone,
+            generator=self._generator,
+        )
+        return forwarding.ForwardingContext(
+            reactor=self._reactor,
+            codec=codec,
+            book=self._book,
+            endpoints=self._endpoints,
+            placement=placement,
+            settings=self.settings.dispatch,
+            metrics=self._metrics,
+            generator=self._generator,
+        )
+
+    def _make_followers(self, sources) -> list[stores.Follower]:
+        configuration = stores.Follower(
+            reactor=self._reactor,
+            store=self._store,
+            topic=sources.configuration_topic,
+            on_change=self._take_configuration,
+            on_loaded=lambda: None,
+            on_outage=lambda: None,
+            on_contact=lambda: None,
+            generator=self._generator,
+        )
+        endpoints = stores.Follower(
+            reactor=self._reactor,
+            store=self._store,
+            topic=sources.membership_topic,
+            on_change=self._take_endpoint,
+            on_loaded=self._roster.note_loaded,
+            on_outage=self._roster.note_outage,
+            on_contact=lambda: self._roster.note_contact(self._now()),
+            generator=self._generator,
+        )
+        return [configuration, endpoints]
+
+    def _now(self) -> float:
+        return self._reactor.seconds()
+
+    # Start and stop.
+
+    def start(self) -> None:
+        """Listens and follows the store."""
+        settings = self.settings
+        self._caller_port = self._listen(settings.port, self._ingress)
+        admin = server.Site(self._make_admin())
+        self._ports.append(self._listen(settings.ready_port, admin))
+        if settings.metrics_port:
+            self._ports.append(self._listen(settings.metrics_port, admin))
+        for follower in self._followers:
+            follower.start()
+        self._prober.start()
+        self._loop.start(_TICK_S, now=False)
+        _LOG.info(
+            "router: gateway %s starts.",
+            settings.name,
+            extra={
+                "incarnation": self.incarnation,
+                "address": f"{settings.host}:{settings.port}",
+                "zone": settings.zone,
+            },
+        )
+
+    def _listen(self, port: int, factory) -> interfaces.IListeningPort:
+        factory.noisy = False
+        return self._reactor.listenTCP(
+            port, factory, interface=self.settings.host, backlog=511
+        )
+
+    def _make_admin(self) -> web.AdminResource:
+        return web.AdminResource(
+            registry=self._metrics.registry,
+            is_ready=self.is_ready,
+            describe=self._describe,
+            ready_path=self.settings.ready_path,
+        )
+
+    def is_ready(self) -> bool:
+        """Says whether callers should come here."""
+        return (
+            not self.is_draining
+            and self._book.current is not None
+            and self._roster.is_loaded
+        )
+
+    async def drain(self) -> None:
+        """Stops gracefully: answers what is in flight, then closes."""
+        began_at = self._now()
+        self.is_draining = True
+        self._ingress.is_closing = True
+        _LOG.info(
+            "router: gateway %s drains.",
+            self.settings.name,
+            extra={"in_flight": self._router.in_flight},
+        )
+        ends_at = began_at + self.settings.grace_s - _LAST_MARGIN_S
+        await self._sleep(_NOTICE_S)
+        await defer.maybeDeferred(self._caller_port.stopListening)
+        self._ingress.close_idle()
+        while self._router.in_flight and self._now() < ends_at:
+            await self._sleep(_IDLE_POLL_S)
+            self._ingress.close_idle()
+        cut = self._router.in_flight
+        self._router.abort_all()
+        # The last answers leave.
+        await self._sleep(_IDLE_POLL_S)
+        await self.close()
+        _LOG.info(
+            "router: gateway %s stops.", self.settings.name, extra={"cut": cut}
+        )
+
+    async def close(self) -> None:
+        """Closes everything at once."""
+        if self._loop.running:
+            self._loop.stop()
+        self._prober.close()
+        for follower in self._followers:
+            follower.close()
+        for port in [self._caller_port, *self._ports]:
+            await defer.maybeDeferred(port.stopListening)
+        self._context.close()
+        self._store.close()
+
+    def reload(self) -> None:
+        """Reads the settings again; the last good ones stay on an error."""
+        try:
+            settings = self._read_settings()
+        except errors.Error as reason:
+            _LOG.error("router: settings not reloaded: %s", reason)
+            return
+        changed = settings != self.settings
+        self.settings = settings
+        self._context.settings = settings.dispatch
+        _LOG.info("router: settings reloaded.", extra={"changed": changed})
+
+    def _sleep(self, seconds: float) -> defer.Deferred:
+        return task.deferLater(self._reactor, seconds)
+
+    # What the store says.
+
+    def _take_configuration(self, change: stores.Change) -> None:
+        try:
+            configuration = self._sources.decode_configuration(change)
+        except errors.Error as reason:
+            _LOG.error(
+                "config: record not taken: %s",
+                reason,
+                extra={"key": change.key, "offset": change.offset},
+            )
+            return
+        if configuration is not None and self._book.offer(configuration):
+            self._ingress.limits = configuration.limits
+
+    def _take_endpoint(self, change: stores.Change) -> None:
+        try:
+            record = self._sources.decode_endpoint(change)
+        except errors.Error as reason:
+            _LOG.warning(
+                "membership: record not taken: %s",
+                reason,
+                extra={"key": change.key, "offset": change.offset},
+            )
+            return
+        if record is None:
+            self._roster.remove(change.key, self._now())
+        else:
+            self._roster.apply(record)
+
+    def _note_endpoint(
+        self, endpoint_id: str, record: membership.EndpointRecord | None
+    ) -> None:
+        former = self._endpoints.note_record(endpoint_id, record)
+        if former is not None:
+            self._context.drop_endpoint(former)
+
+    def _tick(self) -> None:
+        self._roster.tick(self._now())
+
+    def _describe(self) -> dict:
+        return {
+            "name": self.settings.name,
+            "incarnation": self.incarnation,
+            "version": self._book.version,
+            "endpoints": len(self._roster),
+            "in_flight": self._router.in_flight,
+            "draining": self.is_draining,
+        }
--- /dev/null
+++ b/sassafrasstile/router/_settings.py
@@ -0,0 +1,36 @@
+"""Settings of the process."""
+
+import dataclasses
+
+from sassafrasstile import dispatch
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouterSettings:
+    """Where the process listens, and its bounds.
+
+    Attributes:
+        name: The gateway's name.
+        zone: Its availability zone.
+        host: The IP number to listen on.
+        port: The port for callers.
+        ready_port: The port of the readiness check.
+        ready_path: The path of the readiness check.
+        metrics_port: The port of the metrics, or zero for none.
+        store_host: The IP number of the platform's store.
+        store_port: Its port.
+        grace_s: Seconds from SIGTERM to SIGKILL.
+        dispatch: Settings of the decisions.
+    """
+
+    name: str
+    zone: str
+    host: str
+    port: int
+    ready_port: int
+    ready_path: str
+    metrics_port: int
+    store_host: str
+    store_port: int
+    grace_s: float
+    dispatch: dispatch.DispatchSettings
--- /dev/null
+++ b/sassafrasstile/routes/__init__.py
@@ -0,0 +1,25 @@
+"""Routes, services and limits: the configuration of a gateway."""
+
+from sassafrasstile.routes._base import (
+    CallerLimits,
+    Configuration,
+    EngineProfile,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+)
+from sassafrasstile.routes._book import ConfigurationBook
+from sassafrasstile.routes._table import RouteTable
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "ConfigurationBook",
+    "EngineProfile",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "Service",
+    "WeightedService",
+]
--- /dev/null
+++ b/sassafrasstile/routes/_book.py
@@ -0,0 +1,50 @@
+"""The configuration in force, which never goes back."""
+
+import logging
+
+from sassafrasstile.routes import _base
+from sassafrasstile.routes import _table
+
+_LOG = logging.getLogger("sassafrasstile.routes")
+
+
+class ConfigurationBook:
+    """Holds the newest configuration that was offered.
+
+    >>> book = ConfigurationBook()
+    >>> newer = _base.Configuration(version=4, routes=(), services={})
+    >>> older = _base.Configuration(version=3, routes=(), services={})
+    >>> book.offer(newer), book.offer(older), book.version
+    (True, False, 4)
+    """
+
+    def __init__(self):
+        self.current: _base.Configuration | None = None
+        self.table = _table.RouteTable(routes=())
+
+    @property
+    def version(self) -> int | None:
+        """The version in force, or None before the first one."""
+        return None if self.current is None else self.current.version
+
+    def offer(self, configuration: _base.Configuration) -> bool:
+        """Puts a configuration in force when it is newer.
+
+        Returns:
+            True when it is now in force.
+        """
+        before = self.version
+        if before is not None and configuration.version <= before:
+            return False
+        self.table = _table.RouteTable(routes=configuration.routes)
+        self.current = configuration
+        _LOG.info(
+            "config: version %s is in force.",
+            configuration.version,
+            extra={
+                "version": configuration.version,
+                "version_before": before,
+                "routes": len(configuration.routes),
+            },
+        )
+        return True
--- /dev/null
+++ b/sassafrasstile/stores/__init__.py
@@ -0,0 +1,21 @@
+"""The platform's store, and how its topics are followed."""
+
+from sassafrasstile.stores._base import (
+    Change,
+    ChangePage,
+    Snapshot,
+    Store,
+    StoreError,
+)
+from sassafrasstile.stores._follower import Follower
+from sassafrasstile.stores._view import KeyedView
+
+__all__ = [
+    "Change",
+    "ChangePage",
+    "Follower",
+    "KeyedView",
+    "Snapshot",
+    "Store",
+    "StoreError",
+]
--- /dev/null
+++ b/sassafrasstile/stores/_follower.py
@@ -0,0 +1,159 @@
+"""Follows a topic of the store through its outages."""
+
+from collections.abc import Callable
+import logging
+import random
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from sassafrasstile import errors
+from sassafrasstile.stores import _base
+from sassafrasstile.stores import _view
+
+_LOG = logging.getLogger("sassafrasstile.stores")
+# Long enough to be cheap, short enough that a call which got lost in an
+# outage is made again soon after.
+_WAIT_S = 3.0
+_BACKOFF_FIRST_S = 0.2
+_BACKOFF_MOST_S = 1.0
+# Pages are asked for no faster than this, however fast records come.
+_LEAST_INTERVAL_S = 0.25
+
+
+class Follower:
+    """Keeps up with a topic and says what changed.
+
+    Args:
+        reactor: The reactor.
+        store: The store.
+        topic: The topic.
+        on_change: Called with each newer record.
+        on_loaded: Called after a whole snapshot was handled.
+        on_outage: Called when the store stops answering.
+        on_contact: Called after each call that the store answered.
+        generator: The source of random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        store: _base.Store,
+        topic: str,
+        on_change: Callable[[_base.Change], None],
+        on_loaded: Callable[[], None],
+        on_outage: Callable[[], None],
+        on_contact: Callable[[], None],
+        generator: random.Random,
+    ):
+        self._reactor = reactor
+        self._store = store
+        self._topic = topic
+        self._on_change = on_change
+        self._on_loaded = on_loaded
+        self._on_outage = on_outage
+        self._on_contact = on_contact
+        self._generator = generator
+        self._view = _view.KeyedView()
+        self._offset: int | None = None
+        self._failures = 0
+        self._running: defer.Deferred | None = None
+
+    def start(self) -> None:
+        """Starts following."""
+        self._running = defer.ensureDeferred(self._run())
+        self._running.addErrback(self._note_end)
+
+    def close(self) -> None:
+        """Stops following."""
+        running, self._running = self._running, None
+        if running is not None:
+            running.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            began_at = self._reactor.seconds()
+            try:
+                await self._step()
+            except _base.StoreError as reason:
+                await self._handle_failure(reason)
+                continue
+            self._note_contact()
+            spent_s = self._reactor.seconds() - began_at
+            if spent_s < _LEAST_INTERVAL_S:
+                await self._sleep(_LEAST_INTERVAL_S - spent_s)
+
+    async def _step(self) -> None:
+        if self._offset is None:
+            snapshot = await self._store.load(self._topic)
+            # An earlier outage ends before what it left is judged.
+            self._note_contact()
+            self._take_snapshot(snapshot)
+            return
+        page = await self._store.follow(
+            self._topic, offset=self._offset, wait_s=_WAIT_S
+        )
+        self._note_contact()
+        for change in page.changes:
+            self._take(change)
+        self._offset = page.next_offset
+
+    def _take_snapshot(self, snapshot: _base.Snapshot) -> None:
+        for change in snapshot.entries:
+            self._take(change)
+        for key in self._view.find_missing(snapshot):
+            self._view.note_removed(key)
+            offset = snapshot.next_offset
+            self._on_change(_base.Change(key=key, value=None, offset=offset))
+        self._offset = snapshot.next_offset
+        _LOG.info(
+            "store: topic %s read anew.",
+            self._topic,
+            extra={"offset": self._offset, "keys": len(snapshot.entries)},
+        )
+        self._on_loaded()
+
+    def _take(self, change: _base.Change) -> None:
+        if self._view.apply(change):
+            self._on_change(change)
+
+    def _note_contact(self) -> None:
+        if self._failures:
+            _LOG.info(
+                "store: topic %s answers again.",
+                self._topic,
+                extra={"failures": self._failures},
+            )
+        self._failures = 0
+        self._on_contact()
+
+    async def _handle_failure(self, reason: _base.StoreError) -> None:
+        if reason.code == errors.Code.HISTORY_GONE:
+            _LOG.info("store: topic %s has lost its history.", self._topic)
+            self._offset = None
+            return
+        if not self._failures:
+            _LOG.warning(
+                "store: topic %s doesn't answer. Reason: %s.",
+                self._topic,
+                reason.detail,
+                extra={"code": reason.code, "offset": self._offset},
+            )
+        self._failures += 1
+        self._on_outage()
+        limit_s = min(
+            _BACKOFF_MOST_S, _BACKOFF_FIRST_S * 2 ** min(self._failures, 8)
+        )
+        await self._sleep(limit_s * (0.5 + 0.5 * self._generator.random()))
+
+    def _sleep(self, seconds: float) -> defer.Deferred:
+        return task.deferLater(self._reactor, seconds)
+
+    def _note_end(self, reason) -> None:
+        if not reason.check(defer.CancelledError):
+            _LOG.critical(
+                "store: topic %s is no longer followed: %s",
+                self._topic,
+                reason.getTraceback(),
+            )
--- /dev/null
+++ b/sassafrasstile/stores/_view.py
@@ -0,0 +1,54 @@
+"""A topic's newest records, safe against reads that are out of date."""
+
+from sassafrasstile.stores import _base
+
+
+class KeyedView:
+    """Tells which records are newer than what is known.
+
+    Reads may be out of date after an outage, so a record with a lower offset
+    than one already seen of its key is ignored.
+
+    >>> view = KeyedView()
+    >>> new = _base.Change(key="a", value=b"2", offset=5)
+    >>> old = _base.Change(key="a", value=b"1", offset=3)
+    >>> view.apply(new), view.apply(old)
+    (True, False)
+    >>> snapshot = _base.Snapshot(entries=(), next_offset=4)
+    >>> view.find_missing(snapshot)
+    []
+    >>> view.find_missing(_base.Snapshot(entries=(), next_offset=6))
+    ['a']
+    """
+
+    def __init__(self):
+        self._offsets: dict[str, int] = {}
+        self._present: set[str] = set()
+
+    def apply(self, change: _base.Change) -> bool:
+        """Notes a record.
+
+        Returns:
+            False when a newer one of its key is known.
+        """
+        if change.offset <= self._offsets.get(change.key, -1):
+            return False
+        self._offsets[change.key] = change.offset
+        if change.value is None:
+            self._present.discard(change.key)
+        else:
+            self._present.add(change.key)
+        return True
+
+    def find_missing(self, snapshot: _base.Snapshot) -> list[str]:
+        """Returns the known keys that a snapshot proves to be removed."""
+        listed = {change.key for change in snapshot.entries}
+        return sorted(
+            key
+            for key in self._present
+            if key not in listed and self._offsets[key] < snapshot.next_offset
+        )
+
+    def note_removed(self, key: str) -> None:
+        """Notes that a key is no longer there."""
+        self._present.discard(key)
--- a/sassafrasstile/telemetry/__init__.py
+++ b/sassafrasstile/telemetry/__init__.py
@@ -1,12 +1,23 @@
 """Log output and metrics."""
 
-from sassafrasstile.telemetry._logs import configure_logs
-from sassafrasstile.telemetry._metrics import GatewayMetrics, SidecarMetrics
+from sassafrasstile.telemetry._logs import (
+    BoundedStreamHandler,
+    configure_bounded_logs,
+    configure_logs,
+)
+from sassafrasstile.telemetry._metrics import (
+    GatewayMetrics,
+    RouterMetrics,
+    SidecarMetrics,
+)
 from sassafrasstile.telemetry._percentiles import take_percentile
 
 __all__ = [
+    "BoundedStreamHandler",
     "GatewayMetrics",
+    "RouterMetrics",
     "SidecarMetrics",
+    "configure_bounded_logs",
     "configure_logs",
     "take_percentile",
 ]
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -63,3 +63,49 @@
             ("name",),
             registry=self.registry,
         )
+
+
+class RouterMetrics:
+    """Metrics of a gateway that speaks to endpoints itself."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = self._make_counter(
+            "requests", "Requests by kind and outcome.", ("kind", "outcome")
+        )
+        self.attempts = self._make_counter(
+            "attempts", "Requests sent to endpoints, prefills included."
+        )
+        self.retries_denied = self._make_counter(
+            "retries_denied", "Retries that the budget didn't allow."
+        )
+        self.handles_released = self._make_counter(
+            "handles_released", "Finished prefills freed without a decode."
+        )
+        self.probes = self._make_counter(
+            "probes", "Probes of unreachable endpoints."
+        )
+        self.store_calls = self._make_counter(
+            "store_calls", "Calls to the store by outcome.", ("outcome",)
+        )
+        self.log_lines_dropped = self._make_counter(
+            "log_lines_dropped", "Log lines dropped to stay within bounds."
+        )
+        self.latency = prometheus_client.Histogram(
+            "sassafrasstile_latency_seconds",
+            "Seconds from a request's arrival to its end.",
+            ("kind",),
+            buckets=_FIRST_TOKEN_BUCKETS,
+            registry=self.registry,
+        )
+        self.first_token = prometheus_client.Histogram(
+            "sassafrasstile_first_token_seconds",
+            "Seconds from a request's arrival to its first token.",
+            buckets=_FIRST_TOKEN_BUCKETS,
+            registry=self.registry,
+        )
+
+    def _make_counter(self, name: str, text: str, labels: tuple = ()):
+        return prometheus_client.Counter(
+            f"sassafrasstile_{name}", text, labels, registry=self.registry
+        )
--- a/sassafrasstile/frontend/_admin.py
+++ b/sassafrasstile/web/_admin.py
@@ -14,6 +14,7 @@
         registry: The metrics.
         is_ready: Says whether new work should come here.
         describe: Returns the process's state for `/status`.
+        ready_path: The path of the readiness check.
     """
 
     isLeaf = True  # noqa: N815
@@ -24,8 +25,10 @@
         registry: prometheus_client.CollectorRegistry,
         is_ready: Callable[[], bool],
         describe: Callable[[], dict],
+        ready_path: str = "/readyz",
     ):
         super().__init__()
+        self._ready_path = ready_path.encode()
         self._registry = registry
         self._is_ready = is_ready
         self._describe = describe
@@ -35,7 +38,7 @@
         match request.path:
             case b"/healthz":
                 return b"ok\n"
-            case b"/readyz":
+            case self._ready_path:
                 return self._answer_ready(request)
             case b"/status":
                 request.setHeader(b"content-type", b"application/json")
