--- a/sassafrasstile/forwarding/_calls.py
+++ b/sassafrasstile/forwarding/_calls.py
@@ -105,7 +105,7 @@
         endpoint: dispatch.Endpoint,
         remaining_s: float,
     ) -> float:
-        if not task.route.idempotent or task.sends > 0:
+        if _retries.is_last_send(task):
             return remaining_s
         usual_s = _PATIENCE_LATENCIES * (endpoint.health.latency_s or 0.0)
         return min(remaining_s, max(usual_s, _PATIENCE_SHARE * remaining_s))
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -110,6 +110,7 @@
             handle=handle,
             resume_after=resume_after,
         )
+        patience_s = self._choose_patience(task, remaining_s)
         task.note_send(engine)
         attempt = _attempts.Attempt(
             context=context,
@@ -119,9 +120,7 @@
         )
         taken = False
         try:
-            result = await attempt.start(
-                outgoing, timeout_s=self._choose_patience(task, remaining_s)
-            )
+            result = await attempt.start(outgoing, timeout_s=patience_s)
             taken = isinstance(result, _attempts.Answered)
             if taken:
                 return await self._pass_on(task, attempt, result, progress)
@@ -136,7 +135,7 @@
     def _choose_patience(
         self, task: _task.RequestTask, remaining_s: float
     ) -> float:
-        if not task.route.idempotent:
+        if _retries.is_last_send(task):
             return remaining_s
         patience_s = _FIRST_TOKEN_PATIENCE_SHARE * task.route.timeout_s
         return min(remaining_s, patience_s)
@@ -174,7 +173,7 @@
     async def _read_piece(
         self, task: _task.RequestTask, reply: web.Reply
     ) -> bytes | None:
-        if not task.route.idempotent:
+        if not _retries.may_run_elsewhere(task):
             return await reply.read_piece()
         patience_s = max(
             _LEAST_GAP_PATIENCE_S,
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -11,6 +11,17 @@
 LEAST_TIME_S = 0.02
 
 
+def is_last_send(task: _task.RequestTask) -> bool:
+    """Says whether a send that doesn't end well can't be followed by another.
+
+    To be asked before the send is noted. Giving up on the last one early
+    would only turn a late answer into none.
+    """
+    if not task.route.idempotent:
+        return True
+    return task.count_run_endpoints() + 1 >= task.route.max_attempts
+
+
 def may_run_elsewhere(task: _task.RequestTask) -> bool:
     """Says whether its route lets one more endpoint run a request."""
     is_left = task.count_run_endpoints() < task.route.max_attempts
