--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -7,16 +7,17 @@
 from sassafrasstile.dispatch._budget import WindowedRetryBudget
 from sassafrasstile.dispatch._endpoints import Endpoint, EndpointTable
 from sassafrasstile.dispatch._health import Health
-from sassafrasstile.dispatch._placement import Placement, release, reserve
+from sassafrasstile.dispatch._placement import Placement
+from sassafrasstile.dispatch._queue import DecodeQueue, Waiter
 
 __all__ = [
+    "DecodeQueue",
     "DispatchSettings",
     "Endpoint",
     "EndpointTable",
     "Health",
     "Placement",
+    "Waiter",
     "WindowedRetryBudget",
     "WorkSize",
-    "release",
-    "reserve",
 ]
--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -1,15 +1,19 @@
 """The endpoints as one gateway sees them."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Mapping
 import dataclasses
 
 from sassafrasstile import membership
+from sassafrasstile import peers
+from sassafrasstile.dispatch import _base
 from sassafrasstile.dispatch import _health
 
+_NO_LOAD = peers.EndpointLoad()
+
 
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Endpoint:
-    """One start of an endpoint, and this gateway's load on it.
+    """One start of an endpoint, and the load on it.
 
     Attributes:
         record: What it announced.
@@ -17,6 +21,8 @@
         in_flight: Requests of this gateway that it runs or queues.
         reserved_tokens: KV memory that these take at their end.
         prefill_tokens: Prompt tokens of this gateway that it reads now.
+        peer_loads: What other gateways have in flight there, by their name.
+        full_until: It refused work for lack of room until this time.
         is_gone: True once it has left.
     """
 
@@ -25,6 +31,10 @@
     in_flight: int = 0
     reserved_tokens: int = 0
     prefill_tokens: int = 0
+    peer_loads: dict[str, peers.EndpointLoad] = dataclasses.field(
+        default_factory=dict
+    )
+    full_until: float = 0.0
     is_gone: bool = False
 
     @property
@@ -32,6 +42,46 @@
         """The endpoint's id."""
         return self.record.endpoint_id
 
+    @property
+    def own_load(self) -> peers.EndpointLoad:
+        """What this gateway has in flight there."""
+        return peers.EndpointLoad(
+            in_flight=self.in_flight,
+            reserved_tokens=self.reserved_tokens,
+            prefill_tokens=self.prefill_tokens,
+        )
+
+    @property
+    def total_in_flight(self) -> int:
+        """Requests of all gateways."""
+        return self.in_flight + sum(
+            load.in_flight for load in self.peer_loads.values()
+        )
+
+    @property
+    def total_reserved_tokens(self) -> int:
+        """KV memory that all gateways have reserved."""
+        return self.reserved_tokens + sum(
+            load.reserved_tokens for load in self.peer_loads.values()
+        )
+
+    @property
+    def total_prefill_tokens(self) -> int:
+        """Prompt tokens that it reads for all gateways."""
+        return self.prefill_tokens + sum(
+            load.prefill_tokens for load in self.peer_loads.values()
+        )
+
+    def reserve(self, size: _base.WorkSize) -> None:
+        """Counts a generation in at its decode engine."""
+        self.in_flight += 1
+        self.reserved_tokens += size.memory_tokens
+
+    def release(self, size: _base.WorkSize) -> None:
+        """Counts a generation out."""
+        self.in_flight -= 1
+        self.reserved_tokens -= size.memory_tokens
+
 
 class EndpointTable:
     """All endpoints by id.
@@ -67,6 +117,21 @@
             former.is_gone = True
         return former
 
+    def note_peer(
+        self, peer: str, loads: Mapping[str, peers.EndpointLoad]
+    ) -> None:
+        """Notes what another gateway has in flight everywhere."""
+        for endpoint_id, endpoint in self._endpoints.items():
+            load = loads.get(endpoint_id, _NO_LOAD)
+            if load.is_empty:
+                endpoint.peer_loads.pop(peer, None)
+            else:
+                endpoint.peer_loads[peer] = load
+
+    def list_own_loads(self) -> dict[str, peers.EndpointLoad]:
+        """Returns what this gateway has in flight, by endpoint id."""
+        return {name: item.own_load for name, item in self._endpoints.items()}
+
     def list_all(self) -> list[Endpoint]:
         """Returns every endpoint."""
         return list(self._endpoints.values())
@@ -77,7 +142,7 @@
         service: str,
         role: membership.Role,
         now: float,
-        excluded: Iterable[Endpoint] = (),
+        excluded: Collection[Endpoint] = (),
     ) -> list[Endpoint]:
         """Returns the endpoints that may take new work.
 
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -15,6 +15,7 @@
 from sassafrasstile.forwarding import _events
 from sassafrasstile.forwarding import _prefills
 from sassafrasstile.forwarding import _retries
+from sassafrasstile.forwarding import _room
 from sassafrasstile.forwarding import _task
 
 # A resumable generation without a first token goes elsewhere after this
@@ -24,6 +25,8 @@
 _GAP_PATIENCE_TARGETS = 4.0
 _LEAST_GAP_PATIENCE_S = 1.0
 _NO_ENDPOINT_RETRY_S = 0.5
+# An engine that refused work is taken for full for this long.
+_FULL_S = 0.1
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -33,10 +36,12 @@
     Attributes:
         last_event_id: The id of the last event passed on, or None.
         events: Events passed on.
+        handle: A finished prefill that no engine has taken yet.
     """
 
     last_event_id: str | None = None
     events: int = 0
+    handle: _base.KvHandle | None = None
 
 
 class GenerationForwarder:
@@ -49,66 +54,61 @@
     def __init__(self, *, context: _context.ForwardingContext):
         self._context = context
         self._prefills = _prefills.PrefillRunner(context=context)
+        self.room = _room.RoomService(context=context)
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Answers a generation request."""
         progress = _Progress(last_event_id=task.details.resumes_after)
-        use_prefill = True
-        while (engine := self._choose(task)) is not None:
-            dispatch.reserve(engine, task.details.size)
+        try:
+            verdict = await self._try_until_done(task, progress)
+        finally:
+            if progress.handle is not None:
+                self._prefills.release(progress.handle)
+        if verdict is not None:
+            final = task.decide_verdict(
+                verdict.code, retry_after_s=_NO_ENDPOINT_RETRY_S
+            )
+            _answers.fail_task(self._context, task, final)
+
+    async def _try_until_done(
+        self, task: _task.RequestTask, progress: _Progress
+    ) -> verdicts.Verdict | None:
+        """Sends it until it is answered or may not be sent again.
+
+        Returns:
+            None when the caller has its whole answer, else what is proved
+            of the last send.
+        """
+        while True:
+            engine = await self.room.acquire(task)
+            if engine is None:
+                return verdicts.NotRun(code=errors.Code.NO_ENDPOINT)
             try:
-                verdict = await self._send(
-                    task, engine, progress, use_prefill=use_prefill
-                )
+                verdict = await self._run_at(task, engine, progress)
             finally:
-                dispatch.release(engine, task.details.size)
+                self.room.release(task, engine)
             if verdict is None:
-                return
-            use_prefill = False
+                return None
             if not _retries.may_send_again(self._context, task, verdict):
-                break
-        else:
-            verdict = verdicts.NotRun(code=errors.Code.NO_ENDPOINT)
-        final = task.decide_verdict(
-            verdict.code, retry_after_s=_NO_ENDPOINT_RETRY_S
-        )
-        _answers.fail_task(self._context, task, final)
-
-    def _choose(self, task: _task.RequestTask) -> dispatch.Endpoint | None:
-        now = self._context.now()
-        service = task.service.name
-        choose = self._context.placement.choose_for_decode
-        excluded = task.tried
-        if task.sends and task.route.max_attempts <= 1:
-            # One engine may see it: a refused one is asked once more.
-            excluded = ()
-        return choose(service=service, now=now, excluded=excluded)
-
-    async def _send(
+                return verdict
+
+    async def _run_at(
         self,
         task: _task.RequestTask,
         engine: dispatch.Endpoint,
         progress: _Progress,
-        *,
-        use_prefill: bool,
     ) -> verdicts.Verdict | None:
-        """Sends it to a decode engine.
-
-        Returns:
-            None when the caller has its whole answer, else what is proved.
-        """
+        """Has it run by a decode engine that has room for it."""
         context = self._context
-        handle = None
-        if use_prefill:
-            handle = await self._prefills.run(task, near=engine)
+        if progress.handle is None and not progress.events:
+            progress.handle = await self._prefills.run(task, near=engine)
         remaining_s = task.deadline - context.now()
-        resume_after = progress.last_event_id if progress.events else None
         outgoing = context.codec.encode_run(
             task.request,
             record=engine.record,
             remaining_s=remaining_s,
-            handle=handle,
-            resume_after=resume_after,
+            handle=progress.handle,
+            resume_after=progress.last_event_id if progress.events else None,
         )
         patience_s = self._choose_patience(task, remaining_s)
         task.note_send(engine)
@@ -118,18 +118,17 @@
             request_id=task.request_id,
             number=task.sends,
         )
-        taken = False
         try:
             result = await attempt.start(outgoing, timeout_s=patience_s)
-            taken = isinstance(result, _attempts.Answered)
-            if taken:
+            if isinstance(result, _attempts.Answered):
+                # The engine has taken the handle.
+                progress.handle = None
                 return await self._pass_on(task, attempt, result, progress)
         finally:
             attempt.close()
-            if handle is not None and not taken:
-                self._prefills.release(handle)
         if isinstance(result, verdicts.NotRun):
             task.note_not_run(engine)
+            engine.full_until = context.now() + _FULL_S
         return result
 
     def _choose_patience(
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -55,6 +55,10 @@
         )
         self._run(task)
 
+    def admit_waiting(self) -> None:
+        """Lets those go on for whom there is room by now."""
+        self._generations.room.admit()
+
     def abort_all(self) -> None:
         """Ends every request at once, with what is proved of it."""
         for running in list(self._running.values()):
--- /dev/null
+++ b/sassafrasstile/peers/_base.py
@@ -0,0 +1,58 @@
+"""What gateways tell each other."""
+
+from collections.abc import Mapping
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerAddress:
+    """Where a gateway hears from others.
+
+    Attributes:
+        name: The gateway's name.
+        host: Its IP number.
+        port: Its UDP port.
+    """
+
+    name: str
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndpointLoad:
+    """What one gateway has in flight at one endpoint.
+
+    Attributes:
+        in_flight: Requests.
+        reserved_tokens: KV memory that these take at their end.
+        prefill_tokens: Prompt tokens being read.
+    """
+
+    in_flight: int = 0
+    reserved_tokens: int = 0
+    prefill_tokens: int = 0
+
+    @property
+    def is_empty(self) -> bool:
+        """True when nothing is in flight."""
+        return not (
+            self.in_flight or self.reserved_tokens or self.prefill_tokens
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LoadReport:
+    """One gateway's load on all endpoints.
+
+    Attributes:
+        sender: Where the gateway hears from others.
+        incarnation: This start of the gateway.
+        sequence: The report's number in that incarnation.
+        loads: The load by endpoint id; endpoints without any are left out.
+    """
+
+    sender: PeerAddress
+    incarnation: str
+    sequence: int
+    loads: Mapping[str, EndpointLoad]
--- /dev/null
+++ b/sassafrasstile/peers/_channel.py
@@ -0,0 +1,172 @@
+"""Sends and hears load reports over UDP."""
+
+from collections.abc import Callable, Mapping
+import dataclasses
+import logging
+
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.internet import task
+
+from sassafrasstile import errors
+from sassafrasstile.peers import _base
+from sassafrasstile.peers import _codec
+
+_LOG = logging.getLogger("sassafrasstile.peers")
+# Changes are looked for this often.
+_TICK_S = 0.02
+# Datagrams a second that one gateway sends at the most, to all together.
+_DATAGRAMS_PER_S = 100.0
+# A report is sent this often, changed or not.
+_HEARTBEAT_S = 0.5
+# A gateway that was silent for this long has nothing in flight any more.
+_SILENCE_S = 1.5
+# ... and for this long is no longer told anything.
+_FORGET_S = 20.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Peer:
+    address: _base.PeerAddress
+    heard_at: float
+    incarnation: str = ""
+    sequence: int = -1
+    counts: bool = False
+
+
+class PeerChannel(protocol.DatagramProtocol):
+    """Exchanges load reports with the other gateways.
+
+    Args:
+        reactor: The reactor.
+        address: Where this gateway hears from others.
+        incarnation: This start of the gateway.
+        read_loads: Returns this gateway's load by endpoint id.
+        on_report: Called with a peer's name and its load by endpoint id.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        address: _base.PeerAddress,
+        incarnation: str,
+        read_loads: Callable[[], Mapping[str, _base.EndpointLoad]],
+        on_report: Callable[[str, Mapping[str, _base.EndpointLoad]], None],
+    ):
+        self._reactor = reactor
+        self._address = address
+        self._incarnation = incarnation
+        self._read_loads = read_loads
+        self._on_report = on_report
+        self._peers: dict[str, _Peer] = {}
+        self._port: interfaces.IListeningPort | None = None
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.clock = reactor
+        self._sequence = 0
+        self._sent: Mapping[str, _base.EndpointLoad] = {}
+        self._sent_at = float("-inf")
+
+    @property
+    def live_peers(self) -> int:
+        """Other gateways that were heard of a moment ago."""
+        return sum(peer.counts for peer in self._peers.values())
+
+    def start(self) -> None:
+        """Listens and starts sending."""
+        self._port = self._reactor.listenUDP(
+            self._address.port, self, interface=self._address.host
+        )
+        self._loop.start(_TICK_S, now=False)
+
+    def close(self):
+        """Says that nothing is in flight any more, and stops."""
+        if self._loop.running:
+            self._loop.stop()
+        self._send({})
+        return self._port.stopListening()
+
+    def add_peer(self, address: _base.PeerAddress) -> None:
+        """Notes where another gateway hears from this one."""
+        if address.name == self._address.name:
+            return
+        peer = self._peers.get(address.name)
+        if peer is None or peer.address != address:
+            _LOG.info(
+                "peers: gateway %s is at %s:%d.",
+                address.name,
+                address.host,
+                address.port,
+            )
+            self._peers[address.name] = _Peer(
+                address=address, heard_at=self._reactor.seconds()
+            )
+
+    def datagramReceived(self, data: bytes, _address) -> None:  # noqa: N802
+        """Handles a report of a peer."""
+        try:
+            report = _codec.decode_report(data)
+        except errors.Error as reason:
+            _LOG.warning("peers: datagram not taken: %s", reason)
+            return
+        self.add_peer(report.sender)
+        peer = self._peers.get(report.sender.name)
+        if peer is None:
+            return
+        is_known = report.incarnation == peer.incarnation
+        if is_known and report.sequence <= peer.sequence:
+            return
+        peer.incarnation = report.incarnation
+        peer.sequence = report.sequence
+        peer.heard_at = self._reactor.seconds()
+        peer.counts = True
+        self._on_report(peer.address.name, report.loads)
+
+    def _tick(self) -> None:
+        now = self._reactor.seconds()
+        self._drop_silent(now)
+        if not self._peers:
+            return
+        age_s = now - self._sent_at
+        if age_s < len(self._peers) / _DATAGRAMS_PER_S:
+            return
+        loads = {
+            name: load
+            for name, load in self._read_loads().items()
+            if not load.is_empty
+        }
+        if loads != self._sent or age_s >= _HEARTBEAT_S:
+            self._send(loads)
+
+    def _send(self, loads: Mapping[str, _base.EndpointLoad]) -> None:
+        self._sequence += 1
+        data = _codec.encode_report(
+            _base.LoadReport(
+                sender=self._address,
+                incarnation=self._incarnation,
+                sequence=self._sequence,
+                loads=loads,
+            )
+        )
+        self._sent = loads
+        self._sent_at = self._reactor.seconds()
+        for peer in self._peers.values():
+            self._write(data, peer.address)
+
+    def _write(self, data: bytes, address: _base.PeerAddress) -> None:
+        try:
+            self.transport.write(data, (address.host, address.port))
+        except OSError as reason:
+            _LOG.info("peers: %s not told: %s", address.name, reason)
+
+    def _drop_silent(self, now: float) -> None:
+        for name, peer in list(self._peers.items()):
+            silent_s = now - peer.heard_at
+            if peer.counts and silent_s >= _SILENCE_S:
+                peer.counts = False
+                _LOG.info("peers: gateway %s is silent.", name)
+                self._on_report(name, {})
+            if silent_s >= _FORGET_S:
+                del self._peers[name]
--- /dev/null
+++ b/sassafrasstile/peers/_codec.py
@@ -0,0 +1,81 @@
+"""Load reports as JSON datagrams."""
+
+import json
+
+from sassafrasstile import errors
+from sassafrasstile.peers import _base
+
+
+def encode_address(address: _base.PeerAddress) -> bytes:
+    """Returns an address as it stands in the store."""
+    fields = [address.name, address.host, address.port]
+    return json.dumps(fields).encode()
+
+
+def decode_address(data: bytes) -> _base.PeerAddress:
+    """Reads an address.
+
+    Raises:
+        errors.Error: With BAD_VALUE.
+    """
+    try:
+        name, host, port = json.loads(data)
+        return _base.PeerAddress(name=str(name), host=str(host), port=int(port))
+    except (ValueError, TypeError) as reason:
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE, detail=f"peer address: {reason}"
+        ) from reason
+
+
+def encode_report(report: _base.LoadReport) -> bytes:
+    """Returns a report as a datagram.
+
+    >>> report = _base.LoadReport(
+    ...     sender=_base.PeerAddress(name="a", host="127.0.0.1", port=1),
+    ...     incarnation="x", sequence=3,
+    ...     loads={"e": _base.EndpointLoad(in_flight=1)})
+    >>> decode_report(encode_report(report)) == report
+    True
+    """
+    sender = report.sender
+    rows = [
+        [name, load.in_flight, load.reserved_tokens, load.prefill_tokens]
+        for name, load in report.loads.items()
+    ]
+    fields = [
+        [sender.name, sender.host, sender.port],
+        report.incarnation,
+        report.sequence,
+        rows,
+    ]
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_report(data: bytes) -> _base.LoadReport:
+    """Reads a datagram.
+
+    Raises:
+        errors.Error: With BAD_VALUE.
+    """
+    try:
+        (name, host, port), incarnation, sequence, rows = json.loads(data)
+        loads = {
+            str(endpoint): _base.EndpointLoad(
+                in_flight=int(in_flight),
+                reserved_tokens=int(reserved),
+                prefill_tokens=int(prefill),
+            )
+            for endpoint, in_flight, reserved, prefill in rows
+        }
+        return _base.LoadReport(
+            sender=_base.PeerAddress(
+                name=str(name), host=str(host), port=int(port)
+            ),
+            incarnation=str(incarnation),
+            sequence=int(sequence),
+            loads=loads,
+        )
+    except (ValueError, TypeError) as reason:
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE, detail=f"load report: {reason}"
+        ) from reason
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -44,10 +44,13 @@
 
 # The store.
 READ_PATH = b"/sassafrasstile/log-read"
+APPEND_PATH = b"/sassafrasstile/log-append"
 NEWEST_PATH = b"/sassafrasstile/log-newest"
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 MEMBERSHIP_TOPIC = "keyed.servers"
+# A topic of this system's own: where gateways hear from each other.
+PEER_TOPIC = "keyed.gateways"
 
 # The variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "SASSAFRASSTILE_BOOT"
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -42,6 +42,8 @@
     zone: str
     ip: str
     listen: _Listen
+    # The first and the last port that this system's processes may use.
+    internal_ports: tuple[int, int]
     bounds: _Bounds = _Bounds()
     platform: _Store
 
@@ -98,6 +100,7 @@
         ready_port=ready_port,
         ready_path=_names.READY_PATH,
         metrics_port=metrics_port,
+        peer_port=file.internal_ports[0],
         store_host=store_host,
         store_port=store_port,
         grace_s=file.bounds.grace_s,
--- a/sassafrasstile/platform/_store.py
+++ b/sassafrasstile/platform/_store.py
@@ -76,6 +76,10 @@
         """Reads the records from an offset on."""
         return defer.ensureDeferred(self._follow(topic, offset, wait_s))
 
+    def put(self, topic: str, *, key: str, value: bytes) -> defer.Deferred:
+        """Appends a record."""
+        return defer.ensureDeferred(self._put(topic, key, value))
+
     def close(self) -> None:
         """Drops every connection."""
         self._pool.abort()
@@ -128,12 +132,32 @@
             changes=tuple(changes), next_offset=offset + len(changes)
         )
 
+    async def _put(self, topic: str, key: str, value: bytes) -> int:
+        query = parse.urlencode({"topic": topic, "part": 0}).encode()
+        name = key.encode()
+        record = bytes((len(name),)) + name + value
+        body = await self._call(
+            b"POST",
+            _names.APPEND_PATH + b"?" + query,
+            timeout_s=_CALL_TIMEOUT_S,
+            body=_LENGTH.pack(len(record)) + record,
+        )
+        try:
+            return int(json.loads(body)["offset"])
+        except (ValueError, KeyError, TypeError) as reason:
+            raise self._make_error(f"bad answer: {reason}") from reason
+
     async def _get(self, path: bytes, query: dict, timeout_s: float) -> bytes:
         target = path + b"?" + parse.urlencode(query).encode()
-        calling = defer.ensureDeferred(self._exchange(target))
+        return await self._call(b"GET", target, timeout_s=timeout_s)
+
+    async def _call(
+        self, method: bytes, target: bytes, *, timeout_s: float, body=b""
+    ) -> bytes:
+        calling = defer.ensureDeferred(self._exchange(method, target, body))
         calling.addTimeout(timeout_s, self._reactor)
         try:
-            status, body = await calling
+            status, answer = await calling
         except web.ExchangeError as reason:
             raise self._make_error(reason.detail) from reason
         except defer.TimeoutError as reason:
@@ -145,11 +169,16 @@
         if status != 200:
             raise self._make_error(f"status {status}")
         self._metrics.store_calls.labels("ok").inc()
-        return body
+        return answer
 
-    async def _exchange(self, target: bytes) -> tuple[int, bytes]:
+    async def _exchange(
+        self, method: bytes, target: bytes, body: bytes
+    ) -> tuple[int, bytes]:
         reply = await self._pool.send(
-            method=b"GET", target=target, headers=[(b"Host", self._host)]
+            method=method,
+            target=target,
+            headers=[(b"Host", self._host)],
+            body=body,
         )
         try:
             head = await reply.read_head()
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -1,6 +1,6 @@
 """Wires configuration, membership, routing and ports together."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import logging
 import random
 import secrets
@@ -15,6 +15,7 @@
 from sassafrasstile import errors
 from sassafrasstile import forwarding
 from sassafrasstile import membership
+from sassafrasstile import peers
 from sassafrasstile import routes
 from sassafrasstile import stores
 from sassafrasstile import telemetry
@@ -77,6 +78,7 @@
             reactor=reactor, handler=self._router.handle
         )
         self._followers = self._make_followers(sources)
+        self._peers = self._make_peers(sources)
         self._sources = sources
         self._ports: list[interfaces.IListeningPort] = []
         self._caller_port: interfaces.IListeningPort | None = None
@@ -123,6 +125,29 @@
         )
         return [configuration, endpoints]
 
+    def _make_peers(self, sources) -> list:
+        address = peers.PeerAddress(
+            name=self.settings.name,
+            host=self.settings.host,
+            port=self.settings.peer_port,
+        )
+        channel = peers.PeerChannel(
+            reactor=self._reactor,
+            address=address,
+            incarnation=self.incarnation,
+            read_loads=self._endpoints.list_own_loads,
+            on_report=self._note_peer,
+        )
+        directory = peers.PeerDirectory(
+            reactor=self._reactor,
+            store=self._store,
+            topic=sources.peer_topic,
+            address=address,
+            channel=channel,
+            generator=self._generator,
+        )
+        return [channel, directory]
+
     def _now(self) -> float:
         return self._reactor.seconds()
 
@@ -136,8 +161,8 @@
         self._ports.append(self._listen(settings.ready_port, admin))
         if settings.metrics_port:
             self._ports.append(self._listen(settings.metrics_port, admin))
-        for follower in self._followers:
-            follower.start()
+        for part in [*self._followers, *self._peers]:
+            part.start()
         self._prober.start()
         self._loop.start(_TICK_S, now=False)
         _LOG.info(
@@ -203,8 +228,8 @@
         if self._loop.running:
             self._loop.stop()
         self._prober.close()
-        for follower in self._followers:
-            follower.close()
+        for part in [*self._followers, *self._peers]:
+            part.close()
         for port in [self._caller_port, *self._ports]:
             await defer.maybeDeferred(port.stopListening)
         self._context.close()
@@ -262,8 +287,15 @@
         if former is not None:
             self._context.drop_endpoint(former)
 
+    def _note_peer(
+        self, peer: str, loads: Mapping[str, peers.EndpointLoad]
+    ) -> None:
+        self._endpoints.note_peer(peer, loads)
+        self._router.admit_waiting()
+
     def _tick(self) -> None:
         self._roster.tick(self._now())
+        self._router.admit_waiting()
 
     def _describe(self) -> dict:
         return {
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -17,6 +17,7 @@
         ready_port: The port of the readiness check.
         ready_path: The path of the readiness check.
         metrics_port: The port of the metrics, or zero for none.
+        peer_port: The UDP port for other gateways.
         store_host: The IP number of the platform's store.
         store_port: Its port.
         grace_s: Seconds from SIGTERM to SIGKILL.
@@ -30,6 +31,7 @@
     ready_port: int
     ready_path: str
     metrics_port: int
+    peer_port: int
     store_host: str
     store_port: int
     grace_s: float
--- a/sassafrasstile/router/_sources.py
+++ b/sassafrasstile/router/_sources.py
@@ -13,10 +13,12 @@
     Attributes:
         configuration_topic: The topic that holds the configuration.
         membership_topic: The topic in which endpoints announce themselves.
+        peer_topic: The topic that says where gateways hear from each other.
     """
 
     configuration_topic: str
     membership_topic: str
+    peer_topic: str
 
     @abc.abstractmethod
     def decode_configuration(
--- a/sassafrasstile/stores/_base.py
+++ b/sassafrasstile/stores/_base.py
@@ -54,7 +54,7 @@
 
 
 class Store(abc.ABC):
-    """Reads topics with keys."""
+    """Reads and writes topics with keys."""
 
     @abc.abstractmethod
     def load(self, topic: str) -> defer.Deferred:
@@ -80,6 +80,15 @@
             the code HISTORY_GONE when the offset is no longer kept.
         """
 
+    @abc.abstractmethod
+    def put(self, topic: str, *, key: str, value: bytes) -> defer.Deferred:
+        """Appends a record.
+
+        Returns:
+            A Deferred with its offset. It fails with `StoreError`; the
+            record may be there all the same.
+        """
+
     @abc.abstractmethod
     def close(self) -> None:
         """Drops every connection."""
