--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -42,6 +42,12 @@
         """The endpoint's id."""
         return self.record.endpoint_id
 
+    @property
+    def takes_work(self) -> bool:
+        """True unless it is leaving or gone."""
+        is_ready = self.record.state is membership.EndpointState.READY
+        return is_ready and not self.is_gone
+
     @property
     def own_load(self) -> peers.EndpointLoad:
         """What this gateway has in flight there."""
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -102,6 +102,9 @@
         context = self._context
         if progress.handle is None and not progress.events:
             progress.handle = await self._prefills.run(task, near=engine)
+        if not engine.takes_work:
+            # It began to leave during the prefill; nothing was sent.
+            return verdicts.NotRun(code=errors.Code.LEAVING)
         remaining_s = task.deadline - context.now()
         outgoing = context.codec.encode_run(
             task.request,
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -9,6 +9,10 @@
 MOST_SENDS = 3
 # Nothing is sent that has less time left than this.
 LEAST_TIME_S = 0.02
+# With these codes nothing reached an endpoint, so another send is no retry.
+_NOTHING_ARRIVED = frozenset(
+    (errors.Code.ENDPOINT_UNREACHABLE, errors.Code.LEAVING)
+)
 
 
 def is_last_send(task: _task.RequestTask) -> bool:
@@ -47,8 +51,7 @@
     if task.deadline - now < LEAST_TIME_S or task.sends >= MOST_SENDS:
         return False
     if isinstance(verdict, verdicts.NotRun):
-        if verdict.code == errors.Code.ENDPOINT_UNREACHABLE:
-            # Nothing has arrived anywhere, so this is no retry.
+        if verdict.code in _NOTHING_ARRIVED:
             return True
     elif not may_run_elsewhere(task):
         return False
--- a/sassafrasstile/forwarding/_room.py
+++ b/sassafrasstile/forwarding/_room.py
@@ -1,11 +1,15 @@
 """Waits for room in decode engines."""
 
+import logging
+
 from twisted.internet import defer
 
 from sassafrasstile import dispatch
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _task
 
+_LOG = logging.getLogger("sassafrasstile.forwarding")
+
 
 class RoomService:
     """Lets generations wait until a decode engine has room for them.
@@ -43,12 +47,36 @@
         admitted: defer.Deferred = defer.Deferred()
         self._waiting[waiter] = admitted
         self.admit()
+        began_at = self._context.now()
         try:
-            return await admitted
+            engine = await admitted
+            self._log(task, engine, began_at)
+            return engine
         finally:
             self._waiting.pop(waiter, None)
             self._queue.remove(waiter)
 
+    def _log(
+        self,
+        task: _task.RequestTask,
+        engine: dispatch.Endpoint,
+        began_at: float,
+    ) -> None:
+        _LOG.info(
+            "room: request %s has room at %s.",
+            task.request_id,
+            engine.name,
+            extra={
+                "request": task.request_id,
+                "endpoint": engine.name,
+                "tokens": task.details.size.memory_tokens,
+                "reserved_tokens": engine.total_reserved_tokens,
+                "in_flight": engine.total_in_flight,
+                "queued": len(self._queue),
+                "waited_ms": round((self._context.now() - began_at) * 1000),
+            },
+        )
+
     def release(
         self, task: _task.RequestTask, engine: dispatch.Endpoint
     ) -> None:
--- a/sassafrasstile/membership/_roster.py
+++ b/sassafrasstile/membership/_roster.py
@@ -10,8 +10,9 @@
 
 # Entries that lapsed during an outage of the list return within this time.
 RETURN_GRACE_S = 2.0
-# A removal this soon after an outage may be a lapse and no removal.
-OUTAGE_MEMORY_S = 5.0
+# Lapses are seen as soon as the list is back; a removal later than this
+# after an outage is one.
+LAPSE_WINDOW_S = 1.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -119,7 +120,7 @@
         if self._in_outage:
             return True
         ended_at = self._outage_ended_at
-        return ended_at is not None and now - ended_at <= OUTAGE_MEMORY_S
+        return ended_at is not None and now - ended_at <= LAPSE_WINDOW_S
 
     def _drop(self, endpoint_id: str, *, reason: str) -> None:
         del self._entries[endpoint_id]
--- a/sassafrasstile/platform/_store.py
+++ b/sassafrasstile/platform/_store.py
@@ -14,7 +14,7 @@
 from sassafrasstile.platform import _names
 
 _CONNECT_TIMEOUT_S = 0.5
-_CALL_TIMEOUT_S = 1.0
+_CALL_TIMEOUT_S = 0.8
 _HEADER = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 _GONE = 410
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -16,7 +16,7 @@
 # outage is made again soon after.
 _WAIT_S = 3.0
 _BACKOFF_FIRST_S = 0.2
-_BACKOFF_MOST_S = 1.0
+_BACKOFF_MOST_S = 0.8
 # Pages are asked for no faster than this, however fast records come.
 _LEAST_INTERVAL_S = 0.25
 
@@ -92,7 +92,10 @@
             self._take_snapshot(snapshot)
             return
         page = await self._store.follow(
-            self._topic, offset=self._offset, wait_s=_WAIT_S
+            self._topic,
+            offset=self._offset,
+            # A short call shows soon that an outage has ended.
+            wait_s=0.0 if self._failures else _WAIT_S,
         )
         self._note_contact()
         for change in page.changes:
--- /dev/null
+++ b/sassafrasstile/stores/tests/test_follower.py
@@ -0,0 +1,107 @@
+import random
+import unittest
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from sassafrasstile import errors
+from sassafrasstile import stores
+
+
+class _Store(stores.Store):
+    """Lets a test answer each call."""
+
+    def __init__(self):
+        self.loads = []
+        self.follows = []
+
+    def load(self, topic):
+        self.loads.append(defer.Deferred())
+        return self.loads[-1]
+
+    def follow(self, topic, *, offset, wait_s):
+        self.follows.append((defer.Deferred(), offset, wait_s))
+        return self.follows[-1][0]
+
+    def put(self, topic, *, key, value):
+        raise NotImplementedError
+
+    def close(self):
+        pass
+
+
+def _fail(deferred, code=errors.Code.STORE_UNAVAILABLE):
+    deferred.errback(stores.StoreError(code=code, detail="down"))
+
+
+def _make_change(offset, value=b"v", key="k"):
+    return stores.Change(key=key, value=value, offset=offset)
+
+
+class FollowerTest(unittest.TestCase):
+    """A topic followed through outages."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.store = _Store()
+        self.changes = []
+        self.notes = []
+        self.follower = stores.Follower(
+            reactor=self.clock,
+            store=self.store,
+            topic="t",
+            on_change=self.changes.append,
+            on_loaded=lambda: self.notes.append("loaded"),
+            on_outage=lambda: self.notes.append("outage"),
+            on_contact=lambda: self.notes.append("contact"),
+            generator=random.Random(1),
+        )
+        self.follower.start()
+        self.addCleanup(self.follower.close)
+
+    def load(self, *changes, next_offset=1):
+        self.store.loads[-1].callback(
+            stores.Snapshot(entries=changes, next_offset=next_offset)
+        )
+        self.clock.advance(1.0)
+
+    def test_changes_after_the_snapshot_are_handed_on(self):
+        self.load(_make_change(0))
+        deferred, offset, _ = self.store.follows[-1]
+        self.assertEqual(offset, 1)
+        page = stores.ChangePage(
+            changes=(_make_change(1, b"w"),), next_offset=2
+        )
+        deferred.callback(page)
+        self.assertEqual([item.value for item in self.changes], [b"v", b"w"])
+
+    def test_calls_are_short_until_an_outage_has_ended(self):
+        self.load()
+        deferred, _, wait_s = self.store.follows[-1]
+        self.assertGreater(wait_s, 0)
+        _fail(deferred)
+        self.clock.advance(1.0)
+        deferred, _, wait_s = self.store.follows[-1]
+        self.assertEqual(wait_s, 0)
+        deferred.callback(stores.ChangePage(changes=(), next_offset=1))
+        self.clock.advance(1.0)
+        self.assertGreater(self.store.follows[-1][2], 0)
+
+    def test_lost_history_is_read_anew_without_an_outage(self):
+        self.load(_make_change(0))
+        _fail(self.store.follows[-1][0], errors.Code.HISTORY_GONE)
+        self.load(_make_change(7, b"new"), next_offset=8)
+        self.assertEqual(self.changes[-1].value, b"new")
+        self.assertNotIn("outage", self.notes)
+
+    def test_snapshot_out_of_date_changes_nothing(self):
+        self.load(_make_change(5, b"new"), next_offset=6)
+        _fail(self.store.follows[-1][0], errors.Code.HISTORY_GONE)
+        self.load(_make_change(3, b"old"), next_offset=4)
+        self.assertEqual(self.changes[-1].value, b"new")
+
+    def test_key_missing_from_a_later_snapshot_is_removed(self):
+        self.load(_make_change(0), next_offset=1)
+        _fail(self.store.follows[-1][0], errors.Code.HISTORY_GONE)
+        self.load(next_offset=9)
+        self.assertIsNone(self.changes[-1].value)
--- a/sassafrasstile/testing/__init__.py
+++ b/sassafrasstile/testing/__init__.py
@@ -9,12 +9,18 @@
     run,
     spawn,
 )
+from sassafrasstile.testing._records import (
+    make_endpoint_record,
+    make_route,
+)
 
 __all__ = [
     "ChildProcess",
     "ProcessSite",
     "ReactorTestCase",
     "fetch_json",
+    "make_endpoint_record",
+    "make_route",
     "make_samples",
     "on_reactor",
     "run",
