Reserve engine memory for the output that is expected

Cause: callers declare 1,190 output tokens and use about 500, so a tenth of each engine's memory stayed unused while generations waited.

--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -7,6 +7,7 @@
 from sassafrasstile.dispatch._budget import WindowedRetryBudget
 from sassafrasstile.dispatch._endpoints import Endpoint, EndpointTable
 from sassafrasstile.dispatch._health import Health
+from sassafrasstile.dispatch._lengths import OutputLengths
 from sassafrasstile.dispatch._placement import Placement
 from sassafrasstile.dispatch._queue import DecodeQueue, Waiter
 
@@ -16,6 +17,7 @@
     "Endpoint",
     "EndpointTable",
     "Health",
+    "OutputLengths",
     "Placement",
     "Waiter",
     "WindowedRetryBudget",
--- a/sassafrasstile/dispatch/_base.py
+++ b/sassafrasstile/dispatch/_base.py
@@ -9,7 +9,7 @@
 
     Attributes:
         prompt_tokens: Tokens of its prompt.
-        output_tokens: Tokens that it may generate at the most.
+        output_tokens: Tokens that it is expected to generate.
     """
 
     prompt_tokens: int = 0
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -19,14 +19,16 @@
         host: The host that it names.
         patience_s: Seconds that the caller waits, or None when it doesn't
             say.
-        size: How much a generation asks of an engine.
+        prompt_tokens: Tokens of a generation's prompt.
+        output_tokens: The longest output that the caller would take.
         resumes_after: The id of the last event that the caller has, or None.
     """
 
     request_id: str
     host: str
     patience_s: float | None
-    size: dispatch.WorkSize
+    prompt_tokens: int
+    output_tokens: int
     resumes_after: str | None
 
 
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -23,6 +23,7 @@
         placement: Chooses among them.
         settings: Settings of the decisions.
         metrics: Counters and histograms.
+        lengths: Output lengths learnt so far.
         generator: The source of random numbers.
     """
 
@@ -34,6 +35,9 @@
     settings: dispatch.DispatchSettings
     metrics: telemetry.RouterMetrics
     generator: random.Random
+    lengths: dispatch.OutputLengths = dataclasses.field(
+        default_factory=dispatch.OutputLengths
+    )
 
     def __post_init__(self):
         self._pools: dict[dispatch.Endpoint, web.ConnectionPool] = {}
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -169,9 +169,22 @@
             attempt.note_failure()
             return verdicts.MayHaveRun(code=errors.Code.BAD_ANSWER)
         task.exchange.complete()
+        self._learn_length(task, progress)
         task.outcome = f"answered {answered.head.status}"
         return None
 
+    def _learn_length(
+        self, task: _task.RequestTask, progress: _Progress
+    ) -> None:
+        engine = task.service.engine
+        if engine is None or task.details.resumes_after is not None:
+            return
+        self._context.lengths.note(
+            task.service.name,
+            tokens=progress.events * engine.tokens_per_event,
+            declared_tokens=task.details.output_tokens,
+        )
+
     async def _read_piece(
         self, task: _task.RequestTask, reply: web.Reply
     ) -> bytes | None:
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -49,7 +49,7 @@
         )
         if engine is None:
             return None
-        size = task.details.size.prompt_tokens
+        size = task.size.prompt_tokens
         engine.prefill_tokens += size
         try:
             with _attempts.hold_slot(engine):
--- a/sassafrasstile/forwarding/_room.py
+++ b/sassafrasstile/forwarding/_room.py
@@ -40,7 +40,7 @@
             return None
         waiter = self._queue.add(
             service=task.service,
-            size=task.details.size,
+            size=task.size,
             target_at=task.request.received_at + task.route.target_s,
             excluded=tuple(task.may_have_run),
         )
@@ -69,7 +69,8 @@
             extra={
                 "request": task.request_id,
                 "endpoint": engine.name,
-                "tokens": task.details.size.memory_tokens,
+                "prompt_tokens": task.size.prompt_tokens,
+                "output_tokens": task.size.output_tokens,
                 "reserved_tokens": engine.total_reserved_tokens,
                 "in_flight": engine.total_in_flight,
                 "queued": len(self._queue),
@@ -81,7 +82,7 @@
         self, task: _task.RequestTask, engine: dispatch.Endpoint
     ) -> None:
         """Gives room back."""
-        engine.release(task.details.size)
+        engine.release(task.size)
         self.admit()
 
     def admit(self) -> None:
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 from twisted.python import failure
 
+from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import routes
 from sassafrasstile import verdicts
@@ -79,11 +80,19 @@
         timeout_s = route.timeout_s
         if details.patience_s is not None:
             timeout_s = min(timeout_s, details.patience_s)
+        service = self._choose_service(route)
+        output_tokens = context.lengths.expect(
+            service.name, declared_tokens=details.output_tokens
+        )
         return _task.RequestTask(
             request=request,
             details=details,
             route=route,
-            service=self._choose_service(route),
+            service=service,
+            size=dispatch.WorkSize(
+                prompt_tokens=details.prompt_tokens,
+                output_tokens=output_tokens,
+            ),
             exchange=exchange,
             deadline=request.received_at + timeout_s,
         )
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -19,6 +19,7 @@
         details: What its headers say.
         route: Its route.
         service: The service chosen among the route's.
+        size: How much a generation asks of an engine.
         exchange: The way to answer.
         deadline: When it must be answered, in seconds.
         sends: How often it was sent to an endpoint that might run it.
@@ -31,6 +32,7 @@
     details: _base.RequestDetails
     route: routes.Route
     service: routes.Service
+    size: dispatch.WorkSize
     exchange: web.IngressRequest
     deadline: float
     sends: int = 0
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -2,7 +2,6 @@
 
 import json
 
-from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import forwarding
 from sassafrasstile import membership
@@ -16,15 +15,13 @@
 _PROMISES = frozenset((408, 429, 503))
 
 
-def _parse_count(value: bytes | None) -> dispatch.WorkSize:
+def _parse_count(value: bytes | None) -> tuple[int, int]:
     """Reads `PROMPT,OUTPUT`, both in tokens."""
     if value is None:
-        return dispatch.WorkSize()
+        return 0, 0
     prompt, _, output = value.partition(b",")
     try:
-        return dispatch.WorkSize(
-            prompt_tokens=int(prompt), output_tokens=int(output or 0)
-        )
+        return int(prompt), int(output or 0)
     except ValueError as reason:
         raise errors.RequestError(
             code=errors.Code.REQUEST_INVALID,
@@ -54,11 +51,14 @@
                 detail=f"deadline is {patience_ms!r}; allowed is a number",
             ) from reason
         request_id = request.get(_names.REQUEST_ID.lower()) or b""
+        count = request.get(_names.TOKEN_COUNT.lower())
+        prompt_tokens, output_tokens = _parse_count(count)
         return forwarding.RequestDetails(
             request_id=request_id.decode("latin-1"),
             host=host.decode("latin-1"),
             patience_s=patience_s or None,
-            size=_parse_count(request.get(_names.TOKEN_COUNT.lower())),
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
             resumes_after=last_event_id and last_event_id.decode("latin-1"),
         )
 
--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -58,6 +58,8 @@
 class _Engine(_Model):
     slots: int
     kv_capacity_tokens: int
+    # Tokens in one event of a stream.
+    stride: int = 1
     # Seconds for which a finished prefill is kept, "ttl" of its handle.
     kv_ttl_s: float = pydantic.Field(alias="kvTtlS", default=0.5)
 
@@ -124,6 +126,7 @@
         engine = routes.EngineProfile(
             slots=service.engine.slots,
             capacity_tokens=service.engine.kv_capacity_tokens,
+            tokens_per_event=service.engine.stride,
             handle_ttl_s=service.engine.kv_ttl_s,
         )
     return routes.Service(
--- a/sassafrasstile/routes/_base.py
+++ b/sassafrasstile/routes/_base.py
@@ -72,11 +72,13 @@
     Attributes:
         slots: Requests that an engine runs at once.
         capacity_tokens: Tokens that its KV memory holds.
+        tokens_per_event: Tokens that one event of a stream holds.
         handle_ttl_s: Seconds for which it keeps a finished prefill.
     """
 
     slots: int
     capacity_tokens: int
+    tokens_per_event: int
     handle_ttl_s: float
 
 
