Have prefill engines decode where decode memory binds; grant room together

Cause: prefill engines were a quarter used while generations waited for decode memory. A gateway that holds a term in the store (rising numbers, appended only where the topic still ends as it was read) orders engines until a fifth prefills. Room at both kinds is granted together, late generations leave a quarter free, decode engines read short prompts themselves when the prefill engines are behind.

--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -6,16 +6,18 @@
 from sassafrasstile.dispatch._base import DispatchSettings, WorkSize
 from sassafrasstile.dispatch._budget import WindowedRetryBudget
 from sassafrasstile.dispatch._endpoints import Endpoint, EndpointTable
+from sassafrasstile.dispatch._grants import Grant
 from sassafrasstile.dispatch._health import Health
 from sassafrasstile.dispatch._lengths import OutputLengths
 from sassafrasstile.dispatch._placement import Placement
-from sassafrasstile.dispatch._queue import DecodeQueue, Waiter
+from sassafrasstile.dispatch._queue import GenerationQueue, Waiter
 
 __all__ = [
-    "DecodeQueue",
     "DispatchSettings",
     "Endpoint",
     "EndpointTable",
+    "GenerationQueue",
+    "Grant",
     "Health",
     "OutputLengths",
     "Placement",
--- a/sassafrasstile/dispatch/_base.py
+++ b/sassafrasstile/dispatch/_base.py
@@ -34,6 +34,7 @@
             an answer is taken for unreachable.
         probe_s: Seconds between two probes of an unreachable endpoint.
         connect_timeout_s: Seconds until a connection must be up.
+        prefill_share: The share of a service's engines that should prefill.
     """
 
     retry_ratio: float = 0.2
@@ -42,3 +43,4 @@
     silence_s: float = 0.8
     probe_s: float = 0.5
     connect_timeout_s: float = 0.3
+    prefill_share: float = 0.2
--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -9,6 +9,9 @@
 from sassafrasstile.dispatch import _health
 
 _NO_LOAD = peers.EndpointLoad()
+# An endpoint that refused work gets none for so long, doubled each time.
+_REFUSED_S = 0.1
+_REFUSED_DOUBLINGS = 4
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -22,7 +25,10 @@
         reserved_tokens: KV memory that these take at their end.
         prefill_tokens: Prompt tokens of this gateway that it reads now.
         peer_loads: What other gateways have in flight there, by their name.
+        changing_until: This gateway is having its role changed, at the
+            latest until this time.
         full_until: It refused work for lack of room until this time.
+        refusals: Times that it refused work in a row.
         is_gone: True once it has left.
     """
 
@@ -34,7 +40,9 @@
     peer_loads: dict[str, peers.EndpointLoad] = dataclasses.field(
         default_factory=dict
     )
+    changing_until: float = 0.0
     full_until: float = 0.0
+    refusals: int = 0
     is_gone: bool = False
 
     @property
@@ -48,15 +56,32 @@
         is_ready = self.record.state is membership.EndpointState.READY
         return is_ready and not self.is_gone
 
-    @property
-    def own_load(self) -> peers.EndpointLoad:
-        """What this gateway has in flight there."""
+    def describe_own(self, now: float) -> peers.EndpointLoad:
+        """Returns what this gateway has in flight there, and knows of it."""
         return peers.EndpointLoad(
             in_flight=self.in_flight,
             reserved_tokens=self.reserved_tokens,
             prefill_tokens=self.prefill_tokens,
+            is_changing=now < self.changing_until,
+            is_unreachable=not self.health.is_reachable(now),
         )
 
+    def is_open(self, now: float) -> bool:
+        """Says whether it may take work now, as far as is known."""
+        if now < self.full_until or now < self.changing_until:
+            return False
+        return not any(load.is_changing for load in self.peer_loads.values())
+
+    def note_refusal(self, now: float) -> None:
+        """Notes that it refused work; it is left alone for a while."""
+        self.refusals += 1
+        pause_s = _REFUSED_S * 2 ** min(self.refusals - 1, _REFUSED_DOUBLINGS)
+        self.full_until = now + pause_s
+
+    def note_acceptance(self) -> None:
+        """Notes that it took work."""
+        self.refusals = 0
+
     @property
     def total_in_flight(self) -> int:
         """Requests of all gateways."""
@@ -124,7 +149,7 @@
         return former
 
     def note_peer(
-        self, peer: str, loads: Mapping[str, peers.EndpointLoad]
+        self, peer: str, loads: Mapping[str, peers.EndpointLoad], now: float
     ) -> None:
         """Notes what another gateway has in flight everywhere."""
         for endpoint_id, endpoint in self._endpoints.items():
@@ -133,10 +158,15 @@
                 endpoint.peer_loads.pop(peer, None)
             else:
                 endpoint.peer_loads[peer] = load
-
-    def list_own_loads(self) -> dict[str, peers.EndpointLoad]:
-        """Returns what this gateway has in flight, by endpoint id."""
-        return {name: item.own_load for name, item in self._endpoints.items()}
+            if load.is_unreachable:
+                endpoint.health.suspect(now)
+
+    def list_own_loads(self, now: float) -> dict[str, peers.EndpointLoad]:
+        """Returns what this gateway has in flight and knows, by id."""
+        return {
+            name: item.describe_own(now)
+            for name, item in self._endpoints.items()
+        }
 
     def list_all(self) -> list[Endpoint]:
         """Returns every endpoint."""
--- a/sassafrasstile/dispatch/_health.py
+++ b/sassafrasstile/dispatch/_health.py
@@ -7,6 +7,8 @@
 _LATENCY_NEWEST_SHARE = 0.2
 # A silence this many times the usual latency is no usual one.
 _SILENCE_LATENCIES = 4.0
+# Others' word doesn't count when the endpoint was heard of this recently.
+_SUSPICION_S = 0.3
 
 
 class Health:
@@ -62,6 +64,14 @@
         if self.unreachable_since is None:
             self.unreachable_since = now
 
+    def suspect(self, now: float) -> None:
+        """Notes that another gateway couldn't reach the endpoint.
+
+        It counts until the endpoint is heard of by this one.
+        """
+        if now - self._heard_at > _SUSPICION_S:
+            self.note_unreachable(now)
+
     def is_silent(self, now: float) -> bool:
         """Says whether it owes an answer and has been silent for too long."""
         limit_s = max(
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -7,6 +7,7 @@
 from sassafrasstile import routes
 from sassafrasstile.dispatch import _base
 from sassafrasstile.dispatch import _endpoints
+from sassafrasstile.dispatch import _grants
 
 # Before anything is known of an endpoint.
 _DEFAULT_LATENCY_S = 0.1
@@ -18,6 +19,14 @@
 # ... and as a share of an engine's memory.
 _DECODE_ZONE_COST = 0.1
 _DECODE_FAILURE_COST = 1.0
+# Prefill engines take new prompts up to this backlog ...
+_BACKLOG_S = 0.3
+# ... and those of late generations up to this one.
+_LATE_BACKLOG_S = 0.1
+# The share of a decode engine's memory that late generations may fill.
+_LATE_MEMORY_SHARE = 0.75
+# Longer prompts hold up the other streams of a decode engine for too long.
+_SELF_READ_TOKENS = 5000
 # A usual rate, to compare engines before any is known.
 _PREFILL_TOKENS_PER_S = 50_000.0
 # Draws between endpoints that look alike, so that gateways spread.
@@ -79,25 +88,46 @@
             for item in self._endpoints.list_all()
         )
 
-    def choose_for_decode(
+    def choose_for_generation(
         self,
         *,
         service: routes.Service,
         size: _base.WorkSize,
         now: float,
+        needs_prefill: bool = True,
+        is_late: bool = False,
         excluded: Collection[_endpoints.Endpoint] = (),
-    ) -> _endpoints.Endpoint | None:
-        """Chooses the decode engine with the most free memory.
+    ) -> _grants.Grant | None:
+        """Chooses a decode engine with room, and who reads the prompt.
 
         Args:
             service: The service wanted.
             size: What the generation needs.
             now: The time in seconds.
+            needs_prefill: False when the prompt is read already.
+            is_late: True when its first token can't be on time; then some
+                room is left to those that still can.
             excluded: Engines that have failed this request.
 
         Returns:
-            The engine, or None when none has room.
+            The engines, or None when there is no room now.
         """
+        decode = self._choose_for_decode(service, size, now, is_late, excluded)
+        if decode is None:
+            return None
+        if not needs_prefill:
+            return _grants.Grant(decode=decode, size=size)
+        limit_s = _LATE_BACKLOG_S if is_late else _BACKLOG_S
+        prefill = self._choose_for_prefill(
+            service.name, now, decode.record.zone, limit_s
+        )
+        if prefill is not None:
+            return _grants.Grant(decode=decode, size=size, prefill=prefill)
+        if self._may_read_itself(decode, size, service.name, now):
+            return _grants.Grant(decode=decode, size=size, prefill=decode)
+        return None
+
+    def _choose_for_decode(self, service, size, now, is_late, excluded):
         usable = self._endpoints.list_usable(
             service=service.name,
             role=membership.Role.DECODE,
@@ -105,17 +135,18 @@
             excluded=excluded,
         )
         if not usable and excluded:
-            return self.choose_for_decode(service=service, size=size, now=now)
+            return self._choose_for_decode(service, size, now, is_late, ())
         capacity = service.engine.capacity_tokens if service.engine else 1
+        share = _LATE_MEMORY_SHARE if is_late else 1.0
 
         def has_room(item: _endpoints.Endpoint) -> bool:
-            if now < item.full_until:
+            if not item.is_open(now):
                 return False
             if not item.total_in_flight:
                 return True
             used = item.total_reserved_tokens + size.memory_tokens
             is_free = item.total_in_flight < item.record.slots
-            return is_free and used <= capacity
+            return is_free and used <= share * capacity
 
         def estimate(item: _endpoints.Endpoint) -> float:
             cost = item.total_reserved_tokens / capacity
@@ -127,38 +158,46 @@
 
         return self._choose_least(list(filter(has_room, usable)), estimate)
 
-    def choose_for_prefill(
-        self,
-        *,
-        service: str,
-        now: float,
-        near: str,
-        excluded: Collection[_endpoints.Endpoint] = (),
-    ) -> _endpoints.Endpoint | None:
-        """Chooses the prefill engine that will be done first.
+    def _choose_for_prefill(self, service, now, zone, limit_s):
+        """Chooses the prefill engine that will be done first."""
 
-        Args:
-            service: The service wanted.
-            now: The time in seconds.
-            near: The availability zone of the decode engine.
-            excluded: Engines that have failed this request.
-        """
-        usable = self._endpoints.list_usable(
-            service=service,
-            role=membership.Role.PREFILL,
-            now=now,
-            excluded=excluded,
-        )
+        def estimate_backlog(item: _endpoints.Endpoint) -> float:
+            return item.total_prefill_tokens / _PREFILL_TOKENS_PER_S
 
         def estimate(item: _endpoints.Endpoint) -> float:
-            cost = item.total_prefill_tokens / _PREFILL_TOKENS_PER_S
+            cost = estimate_backlog(item)
             cost += _FAILURE_COST_S * item.health.read_failure_rate(now)
-            if item.record.zone != near:
+            if item.record.zone != zone:
                 cost += _PREFILL_ZONE_COST_S
             return cost
 
+        usable = [
+            item
+            for item in self._list_prefill(service, now)
+            if item.is_open(now) and estimate_backlog(item) <= limit_s
+        ]
         return self._choose_least(usable, estimate)
 
+    def _list_prefill(self, service: str, now: float):
+        return [
+            item
+            for item in self._endpoints.list_usable(
+                service=service, role=membership.Role.PREFILL, now=now
+            )
+            if item.health.is_reachable(now)
+        ]
+
+    def _may_read_itself(self, decode, size, service, now) -> bool:
+        """Says whether a decode engine may read a prompt itself.
+
+        It does so between the tokens of others, which wait meanwhile.
+        """
+        if decode.total_prefill_tokens:
+            return False
+        if size.prompt_tokens <= _SELF_READ_TOKENS:
+            return True
+        return not self._list_prefill(service, now)
+
     def _choose_least(
         self,
         usable: Sequence[_endpoints.Endpoint],
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -1,4 +1,4 @@
-"""Generations that wait for room in a decode engine."""
+"""Generations that wait for room at their engines."""
 
 import dataclasses
 import itertools
@@ -6,10 +6,11 @@
 from sassafrasstile import routes
 from sassafrasstile.dispatch import _base
 from sassafrasstile.dispatch import _endpoints
+from sassafrasstile.dispatch import _grants
 from sassafrasstile.dispatch import _placement
 
 # Prefill and transfer take about this long once there is room.
-_START_S = 0.25
+START_S = 0.25
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -20,27 +21,36 @@
         service: The service wanted.
         size: What it needs.
         target_at: Its first token is on time until then, in seconds.
+        give_up_at: It isn't worth waiting any longer then, in seconds.
         number: Its place in the order of arrival.
+        needs_prefill: False when its prompt is read already.
         excluded: Engines that have failed it.
-        engine: The engine where it has room, once it does.
+        grant: Its room, once it has some.
     """
 
     service: routes.Service
     size: _base.WorkSize
     target_at: float
+    give_up_at: float
     number: int
+    needs_prefill: bool = True
     excluded: tuple[_endpoints.Endpoint, ...] = ()
-    engine: _endpoints.Endpoint | None = None
+    grant: _grants.Grant | None = None
 
+    def is_late(self, now: float) -> bool:
+        """Says whether its first token can't be on time any more."""
+        return self.target_at < now + START_S
 
-class DecodeQueue:
+
+class GenerationQueue:
     """Hands out room in the order of what can still be on time.
 
     Generations that can still meet their target go first, in the order of
-    their arrival; the others follow in that order too.
+    their arrival. Late ones follow in that order, as long as some room is
+    left over for those that will arrive.
 
     Args:
-        placement: Chooses the engine.
+        placement: Chooses the engines.
     """
 
     def __init__(self, *, placement: _placement.Placement):
@@ -57,6 +67,8 @@
         service: routes.Service,
         size: _base.WorkSize,
         target_at: float,
+        give_up_at: float,
+        needs_prefill: bool = True,
         excluded: tuple[_endpoints.Endpoint, ...] = (),
     ) -> Waiter:
         """Adds a generation; `admit` says when it has room."""
@@ -64,7 +76,9 @@
             service=service,
             size=size,
             target_at=target_at,
+            give_up_at=give_up_at,
             number=next(self._numbers),
+            needs_prefill=needs_prefill,
             excluded=excluded,
         )
         self._waiters.append(waiter)
@@ -79,21 +93,28 @@
         """Reserves room for whom there is some, and returns them."""
         admitted = []
         order = sorted(
-            self._waiters,
-            key=lambda item: (item.target_at < now + _START_S, item.number),
+            self._waiters, key=lambda item: (item.is_late(now), item.number)
         )
         for waiter in order:
-            engine = self._placement.choose_for_decode(
+            waiter.grant = self._placement.choose_for_generation(
                 service=waiter.service,
                 size=waiter.size,
                 now=now,
+                needs_prefill=waiter.needs_prefill,
+                is_late=waiter.is_late(now),
                 excluded=waiter.excluded,
             )
-            if engine is None:
+            if waiter.grant is None:
                 # Smaller ones must not pass it for ever.
                 break
-            engine.reserve(waiter.size)
-            waiter.engine = engine
+            waiter.grant.reserve()
             self._waiters.remove(waiter)
             admitted.append(waiter)
         return admitted
+
+    def expire(self, now: float) -> list[Waiter]:
+        """Takes out those that have waited for too long."""
+        expired = [item for item in self._waiters if now >= item.give_up_at]
+        for waiter in expired:
+            self._waiters.remove(waiter)
+        return expired
--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -58,6 +58,7 @@
     BAD_ANSWER = "bad_answer"
     CALLER_GONE = "caller_gone"
     STORE_UNAVAILABLE = "store_unavailable"
+    CONFLICT = "conflict"
     HISTORY_GONE = "history_gone"
 
 
--- a/sassafrasstile/forwarding/__init__.py
+++ b/sassafrasstile/forwarding/__init__.py
@@ -10,6 +10,7 @@
 from sassafrasstile.forwarding._context import ForwardingContext
 from sassafrasstile.forwarding._probes import Prober
 from sassafrasstile.forwarding._router import Router
+from sassafrasstile.forwarding._side_calls import send_order
 
 __all__ = [
     "AnswerKind",
@@ -20,4 +21,5 @@
     "Prober",
     "RequestDetails",
     "Router",
+    "send_order",
 ]
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -130,6 +130,24 @@
     ) -> OutgoingRequest:
         """Returns a request that shows whether an endpoint is alive."""
 
+    @abc.abstractmethod
+    def encode_order(
+        self,
+        *,
+        record: membership.EndpointRecord,
+        role: membership.Role,
+        holder: str,
+        number: int,
+    ) -> OutgoingRequest:
+        """Returns the order that changes an engine's role.
+
+        Args:
+            record: The engine.
+            role: The role wanted.
+            holder: The gateway that gives the order.
+            number: The fencing number.
+        """
+
     @abc.abstractmethod
     def classify(
         self, head: web.ResponseHead, *, request_id: str, is_run: bool
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -25,8 +25,8 @@
 _GAP_PATIENCE_TARGETS = 4.0
 _LEAST_GAP_PATIENCE_S = 1.0
 _NO_ENDPOINT_RETRY_S = 0.5
-# An engine that refused work is taken for full for this long.
-_FULL_S = 0.1
+# With this share of its memory in use, an engine may well be full.
+_FULL_SHARE = 0.85
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -37,11 +37,13 @@
         last_event_id: The id of the last event passed on, or None.
         events: Events passed on.
         handle: A finished prefill that no engine has taken yet.
+        unexplained_refusals: Engines with room that refused the handle.
     """
 
     last_event_id: str | None = None
     events: int = 0
     handle: _base.KvHandle | None = None
+    unexplained_refusals: int = 0
 
 
 class GenerationForwarder:
@@ -80,13 +82,15 @@
             of the last send.
         """
         while True:
-            engine = await self.room.acquire(task)
-            if engine is None:
-                return verdicts.NotRun(code=errors.Code.NO_ENDPOINT)
+            grant = await self.room.acquire(
+                task, needs_prefill=progress.handle is None
+            )
+            if grant is None:
+                return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
             try:
-                verdict = await self._run_at(task, engine, progress)
+                verdict = await self._run_at(task, grant, progress)
             finally:
-                self.room.release(task, engine)
+                self.room.release(grant)
             if verdict is None:
                 return None
             if not _retries.may_send_again(self._context, task, verdict):
@@ -95,13 +99,15 @@
     async def _run_at(
         self,
         task: _task.RequestTask,
-        engine: dispatch.Endpoint,
+        grant: dispatch.Grant,
         progress: _Progress,
     ) -> verdicts.Verdict | None:
-        """Has it run by a decode engine that has room for it."""
+        """Has it run by the engines that have room for it."""
         context = self._context
-        if progress.handle is None and not progress.events:
-            progress.handle = await self._prefills.run(task, near=engine)
+        engine = grant.decode
+        if grant.reads_apart and not progress.events:
+            progress.handle = await self._prefills.run(task, grant.prefill)
+            self.room.release_prefill(grant)
         if not engine.takes_work:
             # It began to leave during the prefill; nothing was sent.
             return verdicts.NotRun(code=errors.Code.LEAVING)
@@ -126,14 +132,38 @@
             if isinstance(result, _attempts.Answered):
                 # The engine has taken the handle.
                 progress.handle = None
+                engine.note_acceptance()
+                self.room.release_prefill(grant)
                 return await self._pass_on(task, attempt, result, progress)
         finally:
             attempt.close()
         if isinstance(result, verdicts.NotRun):
             task.note_not_run(engine)
-            engine.full_until = context.now() + _FULL_S
+            self._judge_refusal(task, engine, progress)
         return result
 
+    def _judge_refusal(
+        self,
+        task: _task.RequestTask,
+        engine: dispatch.Endpoint,
+        progress: _Progress,
+    ) -> None:
+        """Learns whether the engine was full or the handle was gone."""
+        now = self._context.now()
+        capacity = task.service.engine.capacity_tokens
+        used = engine.total_reserved_tokens / capacity
+        handle = progress.handle
+        engine.note_refusal(now)
+        if handle is None or used >= _FULL_SHARE:
+            return
+        progress.unexplained_refusals += 1
+        if progress.unexplained_refusals <= 1:
+            return
+        # There was room at two engines: it is the handle that is gone.
+        progress.handle = None
+        handle.endpoint.health.note_failure(now)
+        self._prefills.release(handle)
+
     def _choose_patience(
         self, task: _task.RequestTask, remaining_s: float
     ) -> float:
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -4,9 +4,11 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
+from sassafrasstile import verdicts
 from sassafrasstile.forwarding import _attempts
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _side_calls
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
@@ -15,7 +17,6 @@
 # ... and this many times its usual time.
 _PATIENCE_LATENCIES = 4.0
 _RELEASE_TIMEOUT_S = 1.0
-_HANDLE_TTL_S = 0.5
 
 
 class PrefillRunner:
@@ -29,33 +30,20 @@
         self._context = context
 
     async def run(
-        self, task: _task.RequestTask, *, near: dispatch.Endpoint
+        self, task: _task.RequestTask, engine: dispatch.Endpoint
     ) -> _base.KvHandle | None:
         """Has a prompt read.
 
         Args:
             task: The request.
-            near: The decode engine that will take the result.
+            engine: The prefill engine.
 
         Returns:
             The handle, or None when the decode engine has to read the
             prompt itself.
         """
-        context = self._context
-        engine = context.placement.choose_for_prefill(
-            service=task.service.name,
-            now=context.now(),
-            near=near.record.zone,
-        )
-        if engine is None:
-            return None
-        size = task.size.prompt_tokens
-        engine.prefill_tokens += size
-        try:
-            with _attempts.hold_slot(engine):
-                return await self._send(task, engine)
-        finally:
-            engine.prefill_tokens -= size
+        with _attempts.hold_slot(engine):
+            return await self._send(task, engine)
 
     async def _send(
         self, task: _task.RequestTask, engine: dispatch.Endpoint
@@ -76,8 +64,12 @@
                 outgoing,
                 timeout_s=self._choose_patience(task, engine, remaining_s),
             )
+            if isinstance(result, verdicts.NotRun):
+                # It is busy with an order, or full.
+                engine.note_refusal(context.now())
             if not isinstance(result, _attempts.Answered):
                 return None
+            engine.note_acceptance()
             return await self._read_handle(attempt, result)
         finally:
             attempt.close()
@@ -119,18 +111,6 @@
         context = self._context
         outgoing = context.codec.encode_release(handle)
 
-        async def send():
-            pool = context.get_pool(handle.endpoint)
-            reply = await pool.send(
-                method=outgoing.method,
-                target=outgoing.target,
-                headers=outgoing.headers,
-            )
-            try:
-                await reply.read_body()
-            finally:
-                reply.close()
-
         def note(reason):
             _LOG.info(
                 "prefill: handle at %s not freed: %s.",
@@ -139,7 +119,7 @@
             )
 
         context.metrics.handles_released.inc()
-        sending = _attempts.fail_on_timeout(
-            send(), context.reactor, _RELEASE_TIMEOUT_S
+        releasing = _side_calls.call_endpoint(
+            context, handle.endpoint, outgoing, timeout_s=_RELEASE_TIMEOUT_S
         )
-        sending.addErrback(note)
+        releasing.addErrback(note)
--- a/sassafrasstile/forwarding/_probes.py
+++ b/sassafrasstile/forwarding/_probes.py
@@ -5,9 +5,8 @@
 from twisted.internet import task
 
 from sassafrasstile import dispatch
-from sassafrasstile import web
-from sassafrasstile.forwarding import _attempts
 from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _side_calls
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
 _PROBE_TIMEOUT_S = 0.4
@@ -43,47 +42,36 @@
                 self._probe(endpoint)
 
     def _probe(self, endpoint: dispatch.Endpoint) -> None:
+        configuration = self._context.book.current
+        service = configuration and configuration.services.get(
+            endpoint.record.service
+        )
+        if not service:
+            return
+        outgoing = self._context.codec.encode_probe(
+            record=endpoint.record, service=service
+        )
         self._running.add(endpoint)
         self._context.metrics.probes.inc()
-        probing = _attempts.fail_on_timeout(
-            self._ask(endpoint), self._context.reactor, _PROBE_TIMEOUT_S
+        probing = _side_calls.call_endpoint(
+            self._context,
+            endpoint,
+            outgoing,
+            timeout_s=_PROBE_TIMEOUT_S,
+            fresh=True,
         )
 
-        def note(result):
+        def note(outcome: str) -> None:
             self._running.discard(endpoint)
             _LOG.info(
                 "probe: endpoint %s: %s.",
                 endpoint.name,
-                "no answer" if result is None else f"answered {result}",
+                outcome,
                 extra={"endpoint": endpoint.name},
             )
 
-        probing.addErrback(lambda _reason: None)
-        probing.addCallback(note)
-
-    async def _ask(self, endpoint: dispatch.Endpoint) -> int | None:
-        context = self._context
-        configuration = context.book.current
-        service = configuration and configuration.services.get(
-            endpoint.record.service
+        probing.addCallbacks(
+            lambda status: f"answered {status}",
+            lambda reason: f"no answer ({reason.getErrorMessage()})",
         )
-        if not service:
-            return None
-        outgoing = context.codec.encode_probe(
-            record=endpoint.record, service=service
-        )
-        pool = context.get_pool(endpoint)
-        reply: web.Reply | None = None
-        try:
-            reply = await pool.send(
-                method=outgoing.method,
-                target=outgoing.target,
-                headers=outgoing.headers,
-                fresh=True,
-            )
-            head = await reply.read_head()
-            await reply.read_body()
-        finally:
-            if reply is not None:
-                reply.close()
-        return head.status
+        probing.addCallback(note)
--- a/sassafrasstile/forwarding/_room.py
+++ b/sassafrasstile/forwarding/_room.py
@@ -1,4 +1,4 @@
-"""Waits for room in decode engines."""
+"""Waits for room at engines."""
 
 import logging
 
@@ -9,10 +9,15 @@
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
+# A generation waits for this many targets; then its caller is better off
+# with a refusal, while there is time to come back.
+_WAIT_TARGETS = 2.0
+# ... but one that was sent already waits at least so long again.
+_LEAST_WAIT_S = 0.4
 
 
 class RoomService:
-    """Lets generations wait until a decode engine has room for them.
+    """Lets generations wait until there is room for them.
 
     Args:
         context: What the router shares.
@@ -20,7 +25,7 @@
 
     def __init__(self, *, context: _context.ForwardingContext):
         self._context = context
-        self._queue = dispatch.DecodeQueue(placement=context.placement)
+        self._queue = dispatch.GenerationQueue(placement=context.placement)
         self._waiting: dict[dispatch.Waiter, defer.Deferred] = {}
 
     @property
@@ -29,67 +34,91 @@
         return len(self._queue)
 
     async def acquire(
-        self, task: _task.RequestTask
-    ) -> dispatch.Endpoint | None:
+        self, task: _task.RequestTask, *, needs_prefill: bool
+    ) -> dispatch.Grant | None:
         """Waits for room and reserves it.
 
+        Args:
+            task: The request.
+            needs_prefill: False when its prompt is read already.
+
         Returns:
-            The engine, or None when the service has no decode engine.
+            The room, or None when there won't be any in time.
         """
         if not self._context.placement.has_decode_engine(task.service.name):
             return None
+        target_s = task.route.target_s
+        received_at = task.request.received_at
         waiter = self._queue.add(
             service=task.service,
             size=task.size,
-            target_at=task.request.received_at + task.route.target_s,
+            target_at=received_at + target_s,
+            give_up_at=max(
+                received_at + _WAIT_TARGETS * target_s,
+                self._context.now() + _LEAST_WAIT_S,
+            ),
+            needs_prefill=needs_prefill,
             excluded=tuple(task.may_have_run),
         )
-        admitted: defer.Deferred = defer.Deferred()
-        self._waiting[waiter] = admitted
+        answered: defer.Deferred = defer.Deferred()
+        self._waiting[waiter] = answered
         self.admit()
-        began_at = self._context.now()
         try:
-            engine = await admitted
-            self._log(task, engine, began_at)
-            return engine
+            grant = await answered
         finally:
             self._waiting.pop(waiter, None)
             self._queue.remove(waiter)
+        self._log(task, grant)
+        return grant
+
+    def release(self, grant: dispatch.Grant) -> None:
+        """Gives room back."""
+        grant.release()
+        self.admit()
+
+    def release_prefill(self, grant: dispatch.Grant) -> None:
+        """Gives the prefill engine back."""
+        grant.release_prefill()
+        self.admit()
+
+    def admit(self) -> None:
+        """Answers those for whom there is room now, or never will be."""
+        now = self._context.now()
+        admitted = self._queue.admit(now)
+        for waiter in [*admitted, *self._queue.expire(now)]:
+            answered = self._waiting.pop(waiter, None)
+            if answered is not None:
+                answered.callback(waiter.grant)
+            elif waiter.grant is not None:
+                waiter.grant.release()
 
     def _log(
-        self,
-        task: _task.RequestTask,
-        engine: dispatch.Endpoint,
-        began_at: float,
+        self, task: _task.RequestTask, grant: dispatch.Grant | None
     ) -> None:
+        now = self._context.now()
+        waited_s = now - task.request.received_at
+        fields = {
+            "request": task.request_id,
+            "prompt_tokens": task.size.prompt_tokens,
+            "output_tokens": task.size.output_tokens,
+            "queued": len(self._queue),
+            "waited_ms": round(waited_s * 1000),
+        }
+        if grant is None:
+            _LOG.info(
+                "room: request %s has none.", task.request_id, extra=fields
+            )
+            return
+        engine = grant.decode
+        fields["endpoint"] = engine.name
+        fields["reserved_tokens"] = engine.total_reserved_tokens
+        fields["in_flight"] = engine.total_in_flight
+        if grant.prefill is not None:
+            fields["prefill"] = grant.prefill.name
+            fields["prefill_tokens"] = grant.prefill.total_prefill_tokens
         _LOG.info(
             "room: request %s has room at %s.",
             task.request_id,
             engine.name,
-            extra={
-                "request": task.request_id,
-                "endpoint": engine.name,
-                "prompt_tokens": task.size.prompt_tokens,
-                "output_tokens": task.size.output_tokens,
-                "reserved_tokens": engine.total_reserved_tokens,
-                "in_flight": engine.total_in_flight,
-                "queued": len(self._queue),
-                "waited_ms": round((self._context.now() - began_at) * 1000),
-            },
+            extra=fields,
         )
-
-    def release(
-        self, task: _task.RequestTask, engine: dispatch.Endpoint
-    ) -> None:
-        """Gives room back."""
-        engine.release(task.size)
-        self.admit()
-
-    def admit(self) -> None:
-        """Lets those go on for whom there is room now."""
-        for waiter in self._queue.admit(self._context.now()):
-            admitted = self._waiting.pop(waiter, None)
-            if admitted is None:
-                waiter.engine.release(waiter.size)
-            else:
-                admitted.callback(waiter.engine)
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -27,18 +27,24 @@
         in_flight: Requests.
         reserved_tokens: KV memory that these take at their end.
         prefill_tokens: Prompt tokens being read.
+        is_changing: True while its role is being changed, which the gateway
+            that gave the order knows.
+        is_unreachable: True when the gateway couldn't reach it.
     """
 
     in_flight: int = 0
     reserved_tokens: int = 0
     prefill_tokens: int = 0
+    is_changing: bool = False
+    is_unreachable: bool = False
 
     @property
     def is_empty(self) -> bool:
-        """True when nothing is in flight."""
-        return not (
-            self.in_flight or self.reserved_tokens or self.prefill_tokens
-        )
+        """True when there is nothing to tell."""
+        return self == _NO_LOAD
+
+
+_NO_LOAD = EndpointLoad()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -69,10 +69,9 @@
         self._sent: Mapping[str, _base.EndpointLoad] = {}
         self._sent_at = float("-inf")
 
-    @property
-    def live_peers(self) -> int:
-        """Other gateways that were heard of a moment ago."""
-        return sum(peer.counts for peer in self._peers.values())
+    def list_live(self) -> list[str]:
+        """Returns the other gateways that were heard of a moment ago."""
+        return [name for name, peer in self._peers.items() if peer.counts]
 
     def start(self) -> None:
         """Listens and starts sending."""
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -39,7 +39,14 @@
     """
     sender = report.sender
     rows = [
-        [name, load.in_flight, load.reserved_tokens, load.prefill_tokens]
+        [
+            name,
+            load.in_flight,
+            load.reserved_tokens,
+            load.prefill_tokens,
+            int(load.is_changing),
+            int(load.is_unreachable),
+        ]
         for name, load in report.loads.items()
     ]
     fields = [
@@ -64,8 +71,17 @@
                 in_flight=int(in_flight),
                 reserved_tokens=int(reserved),
                 prefill_tokens=int(prefill),
+                is_changing=bool(changing),
+                is_unreachable=bool(unreachable),
             )
-            for endpoint, in_flight, reserved, prefill in rows
+            for (
+                endpoint,
+                in_flight,
+                reserved,
+                prefill,
+                changing,
+                unreachable,
+            ) in rows
         }
         return _base.LoadReport(
             sender=_base.PeerAddress(
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -140,6 +140,31 @@
             method=b"GET", target=target, headers=self._address(record)
         )
 
+    def encode_order(
+        self,
+        *,
+        record: membership.EndpointRecord,
+        role: membership.Role,
+        holder: str,
+        number: int,
+    ) -> forwarding.OutgoingRequest:
+        """Returns the order that changes an engine's role."""
+        body = {
+            "op": "stage",
+            "stage": role.value,
+            "holder": holder,
+            "fencingToken": number,
+        }
+        return forwarding.OutgoingRequest(
+            method=b"POST",
+            target=_names.ORDER_PATH,
+            headers=[
+                (b"Content-Type", b"application/json"),
+                *self._address(record),
+            ],
+            body=json.dumps(body).encode(),
+        )
+
     def _address(self, record: membership.EndpointRecord) -> web.Headers:
         return [
             (b"Host", f"{record.host}:{record.port}".encode()),
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -36,6 +36,7 @@
 
 # Calls to endpoints.
 HANDLE_PATH = b"/sassafrasstile/kv-handle/"
+ORDER_PATH = b"/sassafrasstile/order"
 REPORT_PATH = b"/sassafrasstile/report"
 PREFILL_STAGE = b"prefill"
 
@@ -50,6 +51,7 @@
 CONFIGURATION_KEY = "config"
 MEMBERSHIP_TOPIC = "keyed.servers"
 # A topic of this system's own: where gateways hear from each other.
+TERM_TOPIC = "keyed.orders"
 PEER_TOPIC = "keyed.gateways"
 
 # The variable that holds the path of the settings file.
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -31,6 +31,7 @@
     grace_s: float = 8.0
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10.0
+    lease_ms: float = 3000.0
 
 
 class _Store(_Model):
@@ -104,6 +105,7 @@
         store_host=store_host,
         store_port=store_port,
         grace_s=file.bounds.grace_s,
+        term_s=file.bounds.lease_ms / _MS,
         dispatch=dispatch.DispatchSettings(
             retry_ratio=file.bounds.retry_budget_ratio,
             retry_window_s=file.bounds.retry_window_s,
--- a/sassafrasstile/platform/_store.py
+++ b/sassafrasstile/platform/_store.py
@@ -18,6 +18,7 @@
 _HEADER = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 _GONE = 410
+_CONFLICT = 412
 
 
 def _decode_records(body: bytes, *, offset: int) -> list[stores.Change]:
@@ -76,9 +77,11 @@
         """Reads the records from an offset on."""
         return defer.ensureDeferred(self._follow(topic, offset, wait_s))
 
-    def put(self, topic: str, *, key: str, value: bytes) -> defer.Deferred:
+    def put(
+        self, topic: str, *, key: str, value: bytes, at: int | None = None
+    ) -> defer.Deferred:
         """Appends a record."""
-        return defer.ensureDeferred(self._put(topic, key, value))
+        return defer.ensureDeferred(self._put(topic, key, value, at))
 
     def close(self) -> None:
         """Drops every connection."""
@@ -132,8 +135,13 @@
             changes=tuple(changes), next_offset=offset + len(changes)
         )
 
-    async def _put(self, topic: str, key: str, value: bytes) -> int:
-        query = parse.urlencode({"topic": topic, "part": 0}).encode()
+    async def _put(
+        self, topic: str, key: str, value: bytes, at: int | None
+    ) -> int:
+        fields = {"topic": topic, "part": 0}
+        if at is not None:
+            fields["at"] = at
+        query = parse.urlencode(fields).encode()
         name = key.encode()
         record = bytes((len(name),)) + name + value
         body = await self._call(
@@ -166,6 +174,10 @@
             raise self._make_error(
                 "records deleted", code=errors.Code.HISTORY_GONE
             )
+        if status == _CONFLICT:
+            raise self._make_error(
+                "the topic ends elsewhere", code=errors.Code.CONFLICT
+            )
         if status != 200:
             raise self._make_error(f"status {status}")
         self._metrics.store_calls.labels("ok").inc()
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -16,6 +16,7 @@
 from sassafrasstile import forwarding
 from sassafrasstile import membership
 from sassafrasstile import peers
+from sassafrasstile import roles
 from sassafrasstile import routes
 from sassafrasstile import stores
 from sassafrasstile import telemetry
@@ -79,6 +80,7 @@
         )
         self._followers = self._make_followers(sources)
         self._peers = self._make_peers(sources)
+        self._roles = self._make_roles(sources, self._peers[0])
         self._sources = sources
         self._ports: list[interfaces.IListeningPort] = []
         self._caller_port: interfaces.IListeningPort | None = None
@@ -135,7 +137,7 @@
             reactor=self._reactor,
             address=address,
             incarnation=self.incarnation,
-            read_loads=self._endpoints.list_own_loads,
+            read_loads=lambda: self._endpoints.list_own_loads(self._now()),
             on_report=self._note_peer,
         )
         directory = peers.PeerDirectory(
@@ -148,6 +150,35 @@
         )
         return [channel, directory]
 
+    def _make_roles(self, sources, channel) -> roles.RoleManager:
+        return roles.RoleManager(
+            reactor=self._reactor,
+            name=self.settings.name,
+            term=roles.TermHolder(
+                store=self._store,
+                topic=sources.term_topic,
+                name=self.settings.name,
+            ),
+            term_s=self.settings.term_s,
+            endpoints=self._endpoints,
+            book=self._book,
+            prefill_share=self.settings.dispatch.prefill_share,
+            list_peers=channel.list_live,
+            send_order=self._send_order,
+            generator=self._generator,
+        )
+
+    def _send_order(
+        self, order: roles.RoleOrder, number: int
+    ) -> defer.Deferred:
+        return forwarding.send_order(
+            self._context,
+            endpoint=order.engine,
+            role=order.role,
+            holder=self.settings.name,
+            number=number,
+        )
+
     def _now(self) -> float:
         return self._reactor.seconds()
 
@@ -161,7 +192,7 @@
         self._ports.append(self._listen(settings.ready_port, admin))
         if settings.metrics_port:
             self._ports.append(self._listen(settings.metrics_port, admin))
-        for part in [*self._followers, *self._peers]:
+        for part in [*self._followers, *self._peers, self._roles]:
             part.start()
         self._prober.start()
         self._loop.start(_TICK_S, now=False)
@@ -228,7 +259,7 @@
         if self._loop.running:
             self._loop.stop()
         self._prober.close()
-        for part in [*self._followers, *self._peers]:
+        for part in [self._roles, *self._followers, *self._peers]:
             part.close()
         for port in [self._caller_port, *self._ports]:
             await defer.maybeDeferred(port.stopListening)
@@ -290,7 +321,7 @@
     def _note_peer(
         self, peer: str, loads: Mapping[str, peers.EndpointLoad]
     ) -> None:
-        self._endpoints.note_peer(peer, loads)
+        self._endpoints.note_peer(peer, loads, self._now())
         self._router.admit_waiting()
 
     def _tick(self) -> None:
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -21,6 +21,7 @@
         store_host: The IP number of the platform's store.
         store_port: Its port.
         grace_s: Seconds from SIGTERM to SIGKILL.
+        term_s: Orders of two gateways lie at least this far apart, seconds.
         dispatch: Settings of the decisions.
     """
 
@@ -35,4 +36,5 @@
     store_host: str
     store_port: int
     grace_s: float
+    term_s: float
     dispatch: dispatch.DispatchSettings
--- a/sassafrasstile/stores/_base.py
+++ b/sassafrasstile/stores/_base.py
@@ -81,9 +81,18 @@
         """
 
     @abc.abstractmethod
-    def put(self, topic: str, *, key: str, value: bytes) -> defer.Deferred:
+    def put(
+        self, topic: str, *, key: str, value: bytes, at: int | None = None
+    ) -> defer.Deferred:
         """Appends a record.
 
+        Args:
+            topic: The topic.
+            key: The key.
+            value: Its value.
+            at: The offset that the record must get, or None for any. The
+                call fails with CONFLICT when the topic ends elsewhere.
+
         Returns:
             A Deferred with its offset. It fails with `StoreError`; the
             record may be there all the same.
--- a/sassafrasstile/stores/tests/test_follower.py
+++ b/sassafrasstile/stores/tests/test_follower.py
@@ -23,7 +23,7 @@
         self.follows.append((defer.Deferred(), offset, wait_s))
         return self.follows[-1][0]
 
-    def put(self, topic, *, key, value):
+    def put(self, topic, *, key, value, at=None):
         raise NotImplementedError
 
     def close(self):
