--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -220,6 +220,11 @@
             ready_path=self.settings.ready_path,
         )
 
+    @property
+    def port(self) -> int:
+        """The port that callers reach."""
+        return self._caller_port.getHost().port
+
     def is_ready(self) -> bool:
         """Says whether callers should come here."""
         return (
--- /dev/null
+++ b/sassafrasstile/router/tests/test_calls.py
@@ -0,0 +1,208 @@
+from twisted.internet import defer
+
+from sassafrasstile import standins
+from sassafrasstile import testing
+
+_NOT_RUN = 503
+_MAY_HAVE_RUN = 502
+
+
+def _script(*answers):
+    """Returns a script that gives one answer after the other."""
+    left = list(answers)
+
+    def answer(request):
+        make = left.pop(0) if len(left) > 1 else left[0]
+        return make(request)
+
+    return answer
+
+
+def _fail(request):
+    return standins.make_answer(request, status=500, body=b"no")
+
+
+def _reset(_request):
+    return standins.EndpointAnswer(end="reset")
+
+
+def _cut(request):
+    whole = standins.make_answer(request, body=b"x" * 50).pieces[0].data
+    pieces = [standins.Piece(data=whole[:-20])]
+    return standins.EndpointAnswer(pieces=pieces, end="close")
+
+
+def _garble(_request):
+    pieces = [standins.Piece(data=b"\x00\x01 no answer\r\n\r\n")]
+    return standins.EndpointAnswer(pieces=pieces)
+
+
+def _unsigned(request):
+    return standins.make_answer(request, signed=False)
+
+
+def _foreign(request):
+    whole = standins.make_answer(request).pieces[0].data
+    pieces = [standins.Piece(data=whole.replace(b"r1", b"r9"))]
+    return standins.EndpointAnswer(pieces=pieces)
+
+
+def _unmarked(request):
+    return standins.make_answer(request, status=503, body=b"")
+
+
+class CallTest(testing.ReactorTestCase):
+    """Calls to plain services over the platform's protocol."""
+
+    async def start_site(self, *scripts):
+        site = testing.PlatformSite(
+            reactor=self.reactor,
+            routes=[
+                testing.make_platform_route("/once/", "desk", "unsafe"),
+                testing.make_platform_route(
+                    "/again/", "desk", "safe", maxAttempts=2
+                ),
+            ],
+        )
+        site.start()
+        self.sites.append(site)
+        site.configure()
+        for number, script in enumerate(scripts):
+            site.add_endpoint(f"e{number}", script)
+        await self.wait_until(site.daemon.is_ready)
+        await self.sleep(0.4)
+        return site
+
+    def setUp(self):
+        self.sites = []
+
+    async def close_sites(self):
+        for site in self.sites:
+            await site.close()
+
+    def count_runs(self, site):
+        return sum(len(item.requests) for item in site.endpoints.values())
+
+    @testing.on_reactor
+    async def test_answer_is_passed_on_unchanged(self):
+        site = await self.start_site(standins.make_answer)
+        answer = await site.call("/once/x?y=1", body="abc")
+        await self.close_sites()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, b"ok")
+        self.assertIn(b"stamp", answer.data)
+        (request,) = site.endpoints["e0"].requests
+        self.assertEqual(request.target, "/once/x?y=1")
+        self.assertEqual(request.body, b"abc")
+        self.assertEqual(request.headers["x-expect-instance"], "e0")
+        self.assertLessEqual(int(request.headers["x-deadline-ms"]), 5000)
+
+    @testing.on_reactor
+    async def test_what_may_have_run_is_never_sent_twice(self):
+        for script in (_reset, _cut, _garble, _unsigned, _foreign, _unmarked):
+            site = await self.start_site(script, script)
+            answer = await site.call("/once/")
+            runs = self.count_runs(site)
+            await self.close_sites()
+            self.sites.clear()
+            with self.subTest(script=script.__name__):
+                self.assertEqual(answer.status, _MAY_HAVE_RUN)
+                self.assertEqual(runs, 1)
+                self.assertNotIn(b"stamp", answer.data)
+
+    @testing.on_reactor
+    async def test_marked_refusal_is_sent_elsewhere(self):
+        site = await self.start_site(
+            _script(standins.make_refusal, standins.make_answer),
+            _script(standins.make_answer),
+        )
+        for number in range(2):
+            answer = await site.call("/once/", request_id=f"q{number}")
+            self.assertEqual(answer.status, 200)
+        await self.close_sites()
+
+    @testing.on_reactor
+    async def test_refused_everywhere_is_not_run(self):
+        site = await self.start_site(standins.make_refusal)
+        answer = await site.call("/once/")
+        await self.close_sites()
+        self.assertEqual(answer.status, _NOT_RUN)
+        self.assertIn(b"Retry-After", answer.data)
+
+    @testing.on_reactor
+    async def test_idempotent_call_is_sent_again_within_its_attempts(self):
+        for script in (_reset, _cut, _garble, _fail):
+            site = await self.start_site(
+                _script(script, standins.make_answer),
+                _script(script, standins.make_answer),
+            )
+            answer = await site.call("/again/", method="GET")
+            runs = self.count_runs(site)
+            await self.close_sites()
+            self.sites.clear()
+            with self.subTest(script=script.__name__):
+                # The first fails wherever it lands; so may the second.
+                self.assertEqual(runs, 2)
+                self.assertIn(answer.status, (200, 500, _MAY_HAVE_RUN))
+
+    @testing.on_reactor
+    async def test_endpoint_s_own_failure_is_passed_on(self):
+        site = await self.start_site(_fail)
+        answer = await site.call("/once/")
+        await self.close_sites()
+        self.assertEqual(answer.status, 500)
+        self.assertEqual(answer.body, b"no")
+
+    @testing.on_reactor
+    async def test_unreachable_endpoint_proves_not_run(self):
+        site = await self.start_site(standins.make_answer)
+        await defer.maybeDeferred(site.endpoints["e0"].close)
+        answer = await site.call("/once/", deadline_ms=1000)
+        await self.close_sites()
+        self.assertEqual(answer.status, _NOT_RUN)
+
+    @testing.on_reactor
+    async def test_silent_endpoint_is_answered_for_at_the_deadline(self):
+        site = await self.start_site(lambda _request: standins.SILENCE)
+        answer = await site.call("/once/", deadline_ms=300)
+        await self.close_sites()
+        self.assertEqual(answer.status, 504)
+
+    @testing.on_reactor
+    async def test_extra_answer_never_answers_the_next_request(self):
+        def answer_twice(request):
+            one = standins.make_answer(request).pieces[0]
+            late = standins.make_answer(request, body=b"late").pieces[0]
+            later = standins.Piece(data=late.data, after_s=0.05)
+            return standins.EndpointAnswer(pieces=[one, later])
+
+        site = await self.start_site(answer_twice)
+        for number in range(3):
+            answer = await site.call("/once/", request_id=f"q{number}")
+            self.assertEqual(answer.body, b"ok")
+            await self.sleep(0.03 * number)
+        await self.close_sites()
+
+    @testing.on_reactor
+    async def test_work_stops_when_the_caller_leaves(self):
+        site = await self.start_site(lambda _request: standins.SILENCE)
+        caller = await site.connect()
+        caller.send(testing.make_request("/again/", method="GET"))
+        endpoint = site.endpoints["e0"]
+        await self.wait_until(lambda: endpoint.requests)
+        caller.leave()
+        await self.wait_until(lambda: not endpoint.connections, limit_s=2.0)
+        await self.sleep(0.1)
+        self.assertEqual(len(endpoint.requests), 1)
+        await self.close_sites()
+
+    @testing.on_reactor
+    async def test_system_headers_of_callers_are_dropped(self):
+        site = await self.start_site(standins.make_answer)
+        forged = ("X-Expect-Instance: other", "X-Stage: prefill", "TE: x")
+        await site.call("/once/", headers=forged)
+        await self.close_sites()
+        headers = site.endpoints["e0"].requests[0].headers
+        self.assertEqual(headers["x-expect-instance"], "e0")
+        self.assertNotIn("x-stage", headers)
+        self.assertNotIn("te", headers)
--- /dev/null
+++ b/sassafrasstile/router/tests/test_generations.py
@@ -0,0 +1,155 @@
+from sassafrasstile import standins
+from sassafrasstile import testing
+
+_COUNT = ("X-Token-Count: 100,50",)
+
+
+class GenerationTest(testing.ReactorTestCase):
+    """Generations over prefill and decode engines."""
+
+    def setUp(self):
+        self.sites = []
+
+    async def start_site(self, *, decode, prefill=None, **route):
+        site = testing.PlatformSite(
+            reactor=self.reactor,
+            routes=[
+                testing.make_platform_route(
+                    "/gen/", "writer", "streaming", targetGapMs=300, **route
+                )
+            ],
+        )
+        site.start()
+        self.sites.append(site)
+        site.configure()
+        for number, script in enumerate(decode):
+            site.add_endpoint(
+                f"d{number}", script, service="writer", stage="decode"
+            )
+        for number, script in enumerate(prefill or ()):
+            site.add_endpoint(
+                f"p{number}", script, service="writer", stage="prefill"
+            )
+        await self.wait_until(site.daemon.is_ready)
+        await self.sleep(0.4)
+        return site
+
+    async def close_sites(self):
+        for site in self.sites:
+            await site.close()
+
+    @testing.on_reactor
+    async def test_prefill_s_handle_goes_to_the_decode_engine(self):
+        site = await self.start_site(
+            decode=[standins.make_stream],
+            prefill=[lambda request: standins.make_handle(request, "h1")],
+        )
+        answer = await site.call("/gen/", headers=_COUNT)
+        await self.close_sites()
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.is_whole_stream)
+        self.assertEqual(answer.data.count(b"data: token"), 3)
+        (prefill,) = site.endpoints["p0"].requests
+        self.assertEqual(prefill.headers["x-stage"], "prefill")
+        (decode,) = site.endpoints["d0"].requests
+        port = site.endpoints["p0"].port
+        self.assertEqual(decode.headers["x-kv-source"], f"127.0.0.1:{port}/h1")
+
+    @testing.on_reactor
+    async def test_decode_engine_reads_the_prompt_when_the_prefill_fails(self):
+        site = await self.start_site(
+            decode=[standins.make_stream],
+            prefill=[lambda _request: standins.EndpointAnswer(end="reset")],
+        )
+        answer = await site.call("/gen/", headers=_COUNT)
+        await self.close_sites()
+        self.assertTrue(answer.is_whole_stream)
+        (decode,) = site.endpoints["d0"].requests
+        self.assertNotIn("x-kv-source", decode.headers)
+
+    @testing.on_reactor
+    async def test_handle_is_freed_when_the_caller_leaves(self):
+        site = await self.start_site(
+            decode=[lambda _request: standins.SILENCE],
+            prefill=[lambda request: standins.make_handle(request, "h1")],
+        )
+        caller = await site.connect()
+        caller.send(testing.make_request("/gen/", headers=_COUNT))
+        decode = site.endpoints["d0"]
+        await self.wait_until(lambda: decode.requests)
+        caller.leave()
+        prefill = site.endpoints["p0"]
+        await self.wait_until(lambda: len(prefill.requests) == 2, limit_s=2)
+        self.assertEqual(prefill.requests[1].method, "DELETE")
+        self.assertTrue(prefill.requests[1].target.endswith("/h1"))
+        await self.wait_until(lambda: not decode.connections, limit_s=2)
+        await self.close_sites()
+
+    @testing.on_reactor
+    async def test_broken_stream_never_looks_whole(self):
+        for end in ("close", "reset"):
+            site = await self.start_site(
+                decode=[
+                    lambda request, end=end: standins.make_stream(
+                        request, gap_s=0.01, end=end
+                    )
+                ],
+            )
+            answer = await site.call("/gen/", headers=_COUNT)
+            await self.close_sites()
+            self.sites.clear()
+            with self.subTest(end=end):
+                self.assertFalse(answer.is_whole_stream)
+                self.assertEqual(answer.data.count(b"data: token"), 3)
+                self.assertNotIn(b"id: 99", answer.data)
+
+    @testing.on_reactor
+    async def test_resumable_stream_goes_on_elsewhere(self):
+        def answer(request):
+            after = request.headers.get("last-event-id")
+            if after is not None:
+                return standins.make_stream(request, first=int(after) + 1)
+            return standins.make_stream(request, gap_s=0.01, end="reset")
+
+        site = await self.start_site(
+            decode=[answer, answer], resumable=True, maxAttempts=2
+        )
+        got = await site.call("/gen/", headers=_COUNT)
+        await self.close_sites()
+        self.assertTrue(got.is_whole_stream)
+        tokens = [
+            line for line in got.data.splitlines() if line.startswith(b"data")
+        ]
+        wanted = [f"data: token {number}".encode() for number in range(1, 7)]
+        self.assertEqual(tokens, wanted)
+
+    @testing.on_reactor
+    async def test_refused_handle_is_offered_to_another_engine(self):
+        def refuse_once():
+            refused = []
+
+            def answer(request):
+                if not refused:
+                    refused.append(request)
+                    return standins.make_refusal(request)
+                return standins.make_stream(request)
+
+            return answer
+
+        shared = refuse_once()
+        site = await self.start_site(
+            decode=[shared, shared],
+            prefill=[lambda request: standins.make_handle(request, "h1")],
+        )
+        answer = await site.call("/gen/", headers=_COUNT)
+        await self.close_sites()
+        self.assertTrue(answer.is_whole_stream)
+        self.assertEqual(len(site.endpoints["p0"].requests), 1)
+
+    @testing.on_reactor
+    async def test_without_engines_it_is_refused_at_once(self):
+        site = await self.start_site(decode=[])
+        answer = await site.call("/gen/", headers=_COUNT)
+        await self.close_sites()
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"Retry-After", answer.data)
--- /dev/null
+++ b/sassafrasstile/router/tests/test_ingress.py
@@ -0,0 +1,151 @@
+from sassafrasstile import standins
+from sassafrasstile import testing
+
+_HEAD = "POST /once/ HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r1\r\n"
+_HOSTILE = {
+    "both framings": (
+        _HEAD
+        + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        400,
+    ),
+    "two lengths": (
+        _HEAD + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        400,
+    ),
+    "space before the colon": (_HEAD + "Content-Length : 3\r\n\r\nabc", 400),
+    "length that is no number": (_HEAD + "Content-Length: +3\r\n\r\nabc", 400),
+    "bad chunk": (
+        _HEAD + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+        400,
+    ),
+    "unknown coding": (
+        _HEAD + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        400,
+    ),
+    "header too long": (_HEAD + f"A: {'x' * 5000}\r\n\r\n", 431),
+    "body too long": (_HEAD + "Content-Length: 70000\r\n\r\n", 413),
+    "no request line": ("nonsense\r\n\r\n", 400),
+    "slow header": (_HEAD, 408),
+    "no host": ("GET /once/ HTTP/1.1\r\nX-Attempt-Id: r1\r\n\r\n", 400),
+    "deadline that is no number": (
+        _HEAD + "X-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+        400,
+    ),
+}
+
+
+class IngressTest(testing.ReactorTestCase):
+    """What callers may send, and what reaches endpoints."""
+
+    def setUp(self):
+        self.site = testing.PlatformSite(
+            reactor=self.reactor,
+            routes=[testing.make_platform_route("/once/", "desk", "unsafe")],
+        )
+
+    async def start_site(self, script=standins.make_answer):
+        self.site.start()
+        self.site.configure()
+        endpoint = self.site.add_endpoint("e0", script)
+        await self.wait_until(self.site.daemon.is_ready)
+        await self.sleep(0.4)
+        return endpoint
+
+    @testing.on_reactor
+    async def test_hostile_requests_reach_no_endpoint(self):
+        endpoint = await self.start_site()
+        for name, (data, status) in _HOSTILE.items():
+            caller = await self.site.connect()
+            caller.send(data.encode())
+            answer = await caller.read_until(b"\r\n\r\n")
+            caller.leave()
+            with self.subTest(name=name):
+                self.assertEqual(answer.status, status)
+        self.assertEqual(endpoint.requests, [])
+        await self.site.close()
+
+    @testing.on_reactor
+    async def test_proper_requests_in_odd_forms_are_served(self):
+        endpoint = await self.start_site()
+        forms = {
+            "chunked": (
+                _HEAD
+                + "Transfer-Encoding: chunked\r\n\r\n"
+                + "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+            ),
+            "lower case names": (
+                "POST /once/ HTTP/1.1\r\nhost: a.example\r\n"
+                "x-attempt-id: r1\r\ncontent-length: 3\r\n\r\nabc"
+            ),
+            "port in the host": (
+                "POST /once/ HTTP/1.1\r\nHost: A.example:80\r\n"
+                "X-Attempt-Id: r1\r\nContent-Length: 3\r\n\r\nabc"
+            ),
+        }
+        for name, data in forms.items():
+            caller = await self.site.connect()
+            caller.send(data.encode())
+            answer = await caller.read_until(b"ok")
+            caller.leave()
+            with self.subTest(name=name):
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(endpoint.requests[-1].body, b"abc")
+        await self.site.close()
+
+    @testing.on_reactor
+    async def test_requests_in_a_row_are_answered_in_order(self):
+        await self.start_site(
+            lambda request: standins.make_answer(
+                request, body=request.body, after_s=0.05
+            )
+        )
+        caller = await self.site.connect()
+        for number in range(3):
+            caller.send(
+                testing.make_request(
+                    "/once/",
+                    request_id=f"q{number}",
+                    body=f"body-{number}",
+                    close=False,
+                )
+            )
+        answer = await caller.read_until(b"body-2")
+        caller.leave()
+        places = [answer.data.index(f"body-{n}".encode()) for n in range(3)]
+        self.assertEqual(places, sorted(places))
+        await self.site.close()
+
+    @testing.on_reactor
+    async def test_without_a_configuration_nothing_is_denied(self):
+        self.site.start()
+        answer = await self.site.call("/once/")
+        await self.site.close()
+        self.assertEqual(answer.status, 503)
+
+    @testing.on_reactor
+    async def test_path_without_a_route_is_404(self):
+        endpoint = await self.start_site()
+        answer = await self.site.call("/other/")
+        await self.site.close()
+        self.assertEqual(answer.status, 404)
+        self.assertEqual(endpoint.requests, [])
+
+    @testing.on_reactor
+    async def test_stop_answers_what_is_in_flight_and_then_closes(self):
+        await self.start_site(
+            lambda request: standins.make_answer(request, after_s=0.5)
+        )
+        working = await self.site.connect()
+        working.send(testing.make_request("/once/", close=False))
+        idle = await self.site.connect()
+        await self.sleep(0.1)
+        stopping = testing.spawn(self.site.daemon.drain())
+        self.assertFalse(self.site.daemon.is_ready())
+        idle.send(testing.make_request("/once/", request_id="q2", close=False))
+        for caller in (working, idle):
+            answer = await caller.read_all()
+            self.assertEqual(answer.status, 200)
+            self.assertIn(b"onnection: close", answer.data)
+            self.assertFalse(answer.is_reset)
+        await stopping
+        await self.site.close()
--- /dev/null
+++ b/sassafrasstile/router/tests/test_sources.py
@@ -0,0 +1,106 @@
+from sassafrasstile import standins
+from sassafrasstile import testing
+
+
+class SourcesTest(testing.ReactorTestCase):
+    """Configuration and membership from the store, through its outages."""
+
+    async def start_site(self):
+        site = testing.PlatformSite(
+            reactor=self.reactor,
+            routes=[testing.make_platform_route("/a/", "desk", "unsafe")],
+        )
+        site.start()
+        site.configure()
+        site.add_endpoint("e0", standins.make_answer)
+        await self.wait_until(site.daemon.is_ready)
+        await self.sleep(0.4)
+        return site
+
+    async def wait_for_status(self, site, path, status):
+        for _ in range(100):
+            answer = await site.call(path)
+            if answer.status == status:
+                return
+            await self.sleep(0.05)
+        self.fail(f"{path} never answered {status}")
+
+    @testing.on_reactor
+    async def test_new_route_is_served_and_dropped_one_is_not(self):
+        site = await self.start_site()
+        site.routes = [testing.make_platform_route("/b/", "desk", "unsafe")]
+        site.configure()
+        await self.wait_for_status(site, "/b/", 200)
+        self.assertEqual((await site.call("/a/")).status, 404)
+        await site.close()
+
+    @testing.on_reactor
+    async def test_older_version_is_ignored(self):
+        site = await self.start_site()
+        site.routes = [testing.make_platform_route("/b/", "desk", "unsafe")]
+        site.version = 0
+        site.configure()
+        await self.sleep(0.5)
+        self.assertEqual((await site.call("/a/")).status, 200)
+        await site.close()
+
+    @testing.on_reactor
+    async def test_bad_records_leave_the_last_good_ones_in_force(self):
+        site = await self.start_site()
+        site.store.put("keyed.op", "config", b"{broken")
+        site.store.put("keyed.servers", "x1", b"\xff\x00")
+        site.store.put_json("keyed.servers", "x2", {"service": "desk"})
+        site.store.put_json(
+            "keyed.servers", "x3", {"service": 7, "address": "nowhere"}
+        )
+        await self.sleep(0.5)
+        self.assertEqual((await site.call("/a/")).status, 200)
+        await site.close()
+
+    @testing.on_reactor
+    async def test_draining_endpoint_gets_no_new_work(self):
+        site = await self.start_site()
+        other = site.add_endpoint("e1", standins.make_answer)
+        site.announce("e0", state="draining")
+        await self.sleep(0.5)
+        before = len(site.endpoints["e0"].requests)
+        for number in range(5):
+            await site.call("/a/", request_id=f"q{number}")
+        self.assertEqual(len(site.endpoints["e0"].requests), before)
+        self.assertEqual(len(other.requests), 5)
+        await site.close()
+
+    @testing.on_reactor
+    async def test_outages_of_the_store_leave_all_in_use(self):
+        site = await self.start_site()
+        for outage in ("busy", "reset", "silent"):
+            site.store.outage = outage
+            await self.sleep(0.3)
+            self.assertEqual((await site.call("/a/")).status, 200)
+        site.store.outage = ""
+        site.routes = [testing.make_platform_route("/b/", "desk", "unsafe")]
+        site.configure()
+        await self.wait_for_status(site, "/b/", 200)
+        await site.close()
+
+    @testing.on_reactor
+    async def test_lost_history_is_read_anew(self):
+        site = await self.start_site()
+        site.routes = [testing.make_platform_route("/b/", "desk", "unsafe")]
+        site.configure()
+        site.store.forget("keyed.op")
+        site.store.forget("keyed.servers")
+        await self.wait_for_status(site, "/b/", 200)
+        await site.close()
+
+    @testing.on_reactor
+    async def test_new_start_under_the_same_id_replaces_the_old_one(self):
+        site = await self.start_site()
+        old = site.endpoints["e0"]
+        site.add_endpoint("e0", standins.make_answer)
+        site.announce("e0", born=2)
+        await self.sleep(0.5)
+        before = len(old.requests)
+        self.assertEqual((await site.call("/a/")).status, 200)
+        self.assertEqual(len(old.requests), before)
+        await site.close()
--- a/sassafrasstile/standins/__init__.py
+++ b/sassafrasstile/standins/__init__.py
@@ -22,10 +22,28 @@
     LogSpeed,
 )
 from sassafrasstile.standins._log_server import LogServer
+from sassafrasstile.standins._platform_endpoint import (
+    SILENCE,
+    EndpointAnswer,
+    EndpointRequest,
+    Piece,
+    PlatformEndpoint,
+    make_answer,
+    make_handle,
+    make_refusal,
+    make_stream,
+)
+from sassafrasstile.standins._platform_store import PlatformStoreServer
 from sassafrasstile.standins._service_server import ServiceServer
 from sassafrasstile.standins._vms_server import VmsServer
 
 __all__ = [
+    "SILENCE",
+    "EndpointAnswer",
+    "EndpointRequest",
+    "Piece",
+    "PlatformEndpoint",
+    "PlatformStoreServer",
     "EngineModel",
     "EngineServer",
     "EngineSpeed",
@@ -42,4 +60,8 @@
     "VmsServer",
     "generate_text",
     "generate_tokens",
+    "make_answer",
+    "make_handle",
+    "make_refusal",
+    "make_stream",
 ]
--- a/sassafrasstile/testing/__init__.py
+++ b/sassafrasstile/testing/__init__.py
@@ -1,6 +1,13 @@
 """Helpers for tests: a reactor, small builders and child processes."""
 
 from sassafrasstile.testing._messages import make_samples
+from sassafrasstile.testing._platform_site import (
+    Caller,
+    PlatformSite,
+    RawAnswer,
+    make_platform_route,
+    make_request,
+)
 from sassafrasstile.testing._processes import ChildProcess, ProcessSite
 from sassafrasstile.testing._reactor import (
     ReactorTestCase,
@@ -15,11 +22,16 @@
 )
 
 __all__ = [
+    "Caller",
+    "PlatformSite",
+    "RawAnswer",
     "ChildProcess",
     "ProcessSite",
     "ReactorTestCase",
     "fetch_json",
     "make_endpoint_record",
+    "make_platform_route",
+    "make_request",
     "make_route",
     "make_samples",
     "on_reactor",
--- /dev/null
+++ b/sassafrasstile/testing/_platform_site.py
@@ -0,0 +1,284 @@
+"""A gateway on the platform, with stand-ins round it, in one process."""
+
+import dataclasses
+import random
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import protocol
+
+from sassafrasstile import dispatch
+from sassafrasstile import router
+from sassafrasstile import standins
+from sassafrasstile import telemetry
+from sassafrasstile.platform import _codec
+from sassafrasstile.platform import _records
+from sassafrasstile.platform import _store
+
+HOST = "a.example"
+_CONFIGURATION_TOPIC = "keyed.op"
+_MEMBERSHIP_TOPIC = "keyed.servers"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RawAnswer:
+    """What a caller has read.
+
+    Attributes:
+        data: Every byte.
+        is_reset: True when the connection broke rather than closed.
+    """
+
+    data: bytes
+    is_reset: bool = False
+
+    @property
+    def status(self) -> int:
+        """The HTTP status, or zero without an answer."""
+        return int(self.data[9:12]) if self.data else 0
+
+    @property
+    def body(self) -> bytes:
+        """Everything after the headers."""
+        return self.data.partition(b"\r\n\r\n")[2]
+
+    @property
+    def is_whole_stream(self) -> bool:
+        """True when a chunked body has its last chunk."""
+        return self.data.endswith(b"0\r\n\r\n")
+
+
+class Caller(protocol.Protocol):
+    """A caller's connection, byte by byte."""
+
+    def __init__(self):
+        self.data = b""
+        self.is_reset = False
+        self.is_open = True
+        self._waiting: list[tuple[bytes, defer.Deferred]] = []
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Collects what arrives."""
+        self.data += data
+        self._check()
+
+    def connectionLost(  # noqa: N802
+        self, reason=protocol.connectionDone
+    ) -> None:
+        """Notes the end."""
+        self.is_open = False
+        self.is_reset = "non-clean" in reason.getErrorMessage()
+        self._check()
+
+    def send(self, data: bytes) -> None:
+        """Sends bytes."""
+        self.transport.write(data)
+
+    def leave(self) -> None:
+        """Breaks the connection."""
+        self.transport.abortConnection()
+
+    async def read_until(self, mark: bytes) -> RawAnswer:
+        """Waits for a mark in what arrives, or for the end."""
+        while mark not in self.data and self.is_open:
+            waiting: defer.Deferred = defer.Deferred()
+            self._waiting.append((mark, waiting))
+            await waiting
+        return RawAnswer(data=self.data, is_reset=self.is_reset)
+
+    async def read_all(self) -> RawAnswer:
+        """Waits for the end of the connection."""
+        return await self.read_until(b"\0never\0")
+
+    def _check(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for mark, deferred in waiting:
+            if mark in self.data or not self.is_open:
+                deferred.callback(None)
+            else:
+                self._waiting.append((mark, deferred))
+
+
+def make_request(
+    path: str,
+    *,
+    method: str = "POST",
+    request_id: str = "r1",
+    deadline_ms: int = 5000,
+    headers: tuple[str, ...] = (),
+    body: str = "",
+    close: bool = True,
+) -> bytes:
+    """Returns the bytes of a caller's request."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Attempt-Id: {request_id}",
+        f"X-Deadline-Ms: {deadline_ms}",
+        f"Content-Length: {len(body)}",
+        *headers,
+    ]
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+
+
+def make_platform_route(path: str, service: str, kind: str, **changes) -> dict:
+    """Returns a route as the operator writes it."""
+    return {
+        "name": path,
+        "hostname": HOST,
+        "pathPrefix": path,
+        "routeType": kind,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 900,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 1,
+        **changes,
+    }
+
+
+class PlatformSite:
+    """A store, scripted endpoints and a gateway on loopback.
+
+    Args:
+        reactor: The reactor.
+        routes: The routes, as the operator writes them.
+        grace_s: Seconds that a stop may take.
+    """
+
+    def __init__(self, *, reactor, routes: list[dict], grace_s: float = 8.0):
+        self._reactor = reactor
+        self._grace_s = grace_s
+        self.routes = routes
+        self.version = 1
+        self.endpoints: dict[str, standins.PlatformEndpoint] = {}
+        self.server = standins.PlatformStoreServer(reactor=reactor)
+        self.store = self.server.store
+        self.metrics = telemetry.RouterMetrics()
+        self.daemon: router.RouterDaemon | None = None
+
+    def start(self) -> None:
+        """Starts the store and the gateway."""
+        self.server.start()
+        self.daemon = router.RouterDaemon(
+            reactor=self._reactor,
+            settings=self._make_settings(),
+            read_settings=self._make_settings,
+            store=_store.PlatformStore(
+                reactor=self._reactor,
+                host=self.server.host,
+                port=self.server.port,
+                metrics=self.metrics,
+            ),
+            sources=_records.PlatformSources(),
+            codec=_codec.PlatformCodec(),
+            metrics=self.metrics,
+            generator=random.Random(1),
+        )
+        self.daemon.start()
+
+    async def close(self) -> None:
+        """Stops everything."""
+        await self.daemon.close()
+        for endpoint in self.endpoints.values():
+            await defer.maybeDeferred(endpoint.close)
+        await defer.maybeDeferred(self.server.close)
+
+    def _make_settings(self) -> router.RouterSettings:
+        return router.RouterSettings(
+            name="gateway-1",
+            zone="a",
+            host="127.0.0.1",
+            port=0,
+            ready_port=0,
+            ready_path="/ready",
+            metrics_port=0,
+            peer_port=0,
+            store_host=self.server.host,
+            store_port=self.server.port,
+            grace_s=self._grace_s,
+            term_s=3.0,
+            dispatch=dispatch.DispatchSettings(retry_slack=10),
+        )
+
+    def add_endpoint(
+        self,
+        name: str,
+        script=standins.make_answer,
+        *,
+        service: str = "desk",
+        stage: str | None = None,
+    ) -> standins.PlatformEndpoint:
+        """Starts an endpoint and announces it."""
+        endpoint = standins.PlatformEndpoint(
+            reactor=self._reactor, script=script
+        )
+        endpoint.start()
+        self.endpoints[name] = endpoint
+        self.announce(name, service=service, stage=stage)
+        return endpoint
+
+    def announce(self, name: str, **changes) -> None:
+        """Writes what an endpoint says of itself."""
+        endpoint = self.endpoints[name]
+        document = {
+            "service": "desk",
+            "address": f"127.0.0.1:{endpoint.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1,
+            **changes,
+        }
+        self.store.put_json(_MEMBERSHIP_TOPIC, name, document)
+
+    def withdraw(self, name: str) -> None:
+        """Removes an endpoint from the list."""
+        self.store.put(_MEMBERSHIP_TOPIC, name, b"")
+
+    def configure(self, **limits) -> None:
+        """Writes the configuration, with a higher version each time."""
+        self.version += 1
+        document = {
+            "version": self.version,
+            "routes": self.routes,
+            "services": [
+                {"name": "desk", "healthPath": "/healthz"},
+                {
+                    "name": "writer",
+                    "healthPath": "/healthz",
+                    "engine": {
+                        "slots": 8,
+                        "kvCapacityTokens": 10000,
+                        "stride": 1,
+                        "kvTtlS": 0.5,
+                    },
+                },
+            ],
+            "limits": {
+                "maxHeaderBytes": 4096,
+                "maxBodyBytes": 65536,
+                "headerTimeoutMs": 500,
+                "idleTimeoutMs": 5000,
+                **limits,
+            },
+        }
+        self.store.put_json(_CONFIGURATION_TOPIC, "config", document)
+
+    async def connect(self) -> Caller:
+        """Opens a caller's connection."""
+        target = endpoints.TCP4ClientEndpoint(
+            self._reactor, "127.0.0.1", self.daemon.port
+        )
+        return await target.connect(protocol.Factory.forProtocol(Caller))
+
+    async def call(self, path: str, **fields) -> RawAnswer:
+        """Sends a request on a new connection and reads to its end."""
+        caller = await self.connect()
+        caller.send(make_request(path, **fields))
+        return await caller.read_all()
