Take no generation in a stop that wouldn't end in time

Ruled out: new connections (the port was closed by then). Now a connection ends with such an answer, and a generation that wouldn't be done in time is refused as not run. Both tests fail without the change.

--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -18,6 +18,12 @@
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
 _NOT_CONFIGURED_RETRY_S = 0.5
+# A generation takes about this long, before any has ended.
+_FIRST_GENERATION_S = 3.0
+# Weight of the newest generation in the usual time.
+_NEWEST_SHARE = 0.05
+# Few generations take longer than this many times the usual.
+_LONG_GENERATIONS = 2.0
 
 
 class Router:
@@ -32,7 +38,8 @@
         self._calls = _calls.CallForwarder(context=context)
         self._generations = _generations.GenerationForwarder(context=context)
         self._running: dict[_task.RequestTask, defer.Deferred] = {}
-        self.is_closed = False
+        self._ends_at: float | None = None
+        self._usual_generation_s = _FIRST_GENERATION_S
 
     @property
     def in_flight(self) -> int:
@@ -51,6 +58,9 @@
         except errors.RequestError as reason:
             self._refuse(exchange, reason.status, reason.code)
             return
+        if not self._has_time(task):
+            self._refuse(exchange, 503, errors.Code.STOPPING)
+            return
         self._context.get_budget(task.service.name).note_request(
             self._context.now()
         )
@@ -60,6 +70,14 @@
         """Lets those go on for whom there is room by now."""
         self._generations.room.admit()
 
+    def note_stop(self, ends_at: float) -> None:
+        """Takes no more work that wouldn't be done in time.
+
+        Args:
+            ends_at: When the process ends, in seconds.
+        """
+        self._ends_at = ends_at
+
     def abort_all(self) -> None:
         """Ends every request at once, with what is proved of it."""
         for running in list(self._running.values()):
@@ -97,6 +115,15 @@
             deadline=request.received_at + timeout_s,
         )
 
+    def _has_time(self, task: _task.RequestTask) -> bool:
+        """Says whether a request will be done before the process ends."""
+        if self._ends_at is None:
+            return True
+        if task.route.kind is not routes.RouteKind.GENERATION:
+            return True
+        needed_s = _LONG_GENERATIONS * self._usual_generation_s
+        return self._context.now() + needed_s < self._ends_at
+
     def _choose_service(self, route: routes.Route) -> routes.Service:
         weights = [item.weight for item in route.services]
         chosen = self._context.generator.choices(route.services, weights)[0]
@@ -170,6 +197,9 @@
         kind = task.route.kind.value
         context.metrics.requests.labels(kind, task.outcome).inc()
         context.metrics.latency.labels(kind).observe(taken_s)
+        if task.route.kind is routes.RouteKind.GENERATION:
+            difference_s = taken_s - self._usual_generation_s
+            self._usual_generation_s += _NEWEST_SHARE * difference_s
         _LOG.info(
             "request: %s: %s.",
             task.request_id,
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -244,6 +244,7 @@
             extra={"in_flight": self._router.in_flight},
         )
         ends_at = began_at + self.settings.grace_s - _LAST_MARGIN_S
+        self._router.note_stop(ends_at)
         await self._sleep(_NOTICE_S)
         await defer.maybeDeferred(self._caller_port.stopListening)
         self._ingress.close_idle()
--- a/sassafrasstile/router/tests/test_ingress.py
+++ b/sassafrasstile/router/tests/test_ingress.py
@@ -149,3 +149,46 @@
             self.assertFalse(answer.is_reset)
         await stopping
         await self.site.close()
+
+    @testing.on_reactor
+    async def test_connection_ends_with_an_answer_begun_before_the_stop(self):
+        self.site.routes.append(
+            testing.make_platform_route("/gen/", "writer", "streaming")
+        )
+        await self.start_site()
+        self.site.add_endpoint(
+            "d0",
+            lambda request: standins.make_stream(request, gap_s=0.2),
+            service="writer",
+            stage="decode",
+        )
+        await self.sleep(0.4)
+        caller = await self.site.connect()
+        caller.send(testing.make_request("/gen/", close=False))
+        await caller.read_until(b"token 1")
+        stopping = testing.spawn(self.site.daemon.drain())
+        answer = await caller.read_all()
+        self.assertTrue(answer.is_whole_stream)
+        # New connections are still taken, so this one didn't end with them.
+        (await self.site.connect()).leave()
+        await stopping
+        await self.site.close()
+
+    @testing.on_reactor
+    async def test_generation_without_time_left_is_refused_in_a_stop(self):
+        self.site.routes.append(
+            testing.make_platform_route("/gen/", "writer", "streaming")
+        )
+        await self.start_site()
+        engine = self.site.add_endpoint(
+            "d0", standins.make_stream, service="writer", stage="decode"
+        )
+        await self.sleep(0.4)
+        stopping = testing.spawn(self.site.daemon.drain())
+        await self.sleep(2.0)
+        answer = await self.site.call("/gen/")
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"Retry-After", answer.data)
+        self.assertEqual(engine.requests, [])
+        await stopping
+        await self.site.close()
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -175,8 +175,12 @@
 
     def complete(self) -> None:
         """Ends the answer."""
-        if not self.is_gone:
-            self.finish()
+        if self.is_gone:
+            return
+        if self.channel.factory.is_closing:
+            # The head may have left before the stop began.
+            self.channel.persistent = False
+        self.finish()
 
     def cut(self) -> None:
         """Breaks the connection, so that the answer doesn't look whole."""
