--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -1,6 +1,8 @@
 """Generations that wait for room at their engines."""
 
+import collections
 import dataclasses
+import enum
 import itertools
 
 from sassafrasstile import routes
@@ -11,6 +13,19 @@
 
 # Prefill and transfer take about this long once there is room.
 START_S = 0.25
+# Grants of the last seconds tell how fast the queue moves.
+_RATE_WINDOW_S = 2.0
+# Late generations wait as long as they are likely to get room so soon.
+_LATE_WAIT_S = 1.0
+_LEAST_RATE = 1.0
+
+
+class Urgency(enum.IntEnum):
+    """The order in which generations get room."""
+
+    RESUMED = 0
+    ON_TIME = 1
+    LATE = 2
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -24,6 +39,7 @@
         give_up_at: It isn't worth waiting any longer then, in seconds.
         number: Its place in the order of arrival.
         needs_prefill: False when its prompt is read already.
+        is_resumed: True when its caller has a part of the answer.
         excluded: Engines that have failed it.
         grant: Its room, once it has some.
     """
@@ -34,12 +50,17 @@
     give_up_at: float
     number: int
     needs_prefill: bool = True
+    is_resumed: bool = False
     excluded: tuple[_endpoints.Endpoint, ...] = ()
     grant: _grants.Grant | None = None
 
-    def is_late(self, now: float) -> bool:
-        """Says whether its first token can't be on time any more."""
-        return self.target_at < now + START_S
+    def rank(self, now: float) -> Urgency:
+        """Returns how urgent it is."""
+        if self.is_resumed:
+            return Urgency.RESUMED
+        if self.target_at < now + START_S:
+            return Urgency.LATE
+        return Urgency.ON_TIME
 
 
 class GenerationQueue:
@@ -47,7 +68,8 @@
 
     Generations that can still meet their target go first, in the order of
     their arrival. Late ones follow in that order, as long as some room is
-    left over for those that will arrive.
+    left over for those that will arrive. Those that can't expect room soon
+    are given up at once, so that their callers don't wait for nothing.
 
     Args:
         placement: Chooses the engines.
@@ -57,6 +79,7 @@
         self._placement = placement
         self._waiters: list[Waiter] = []
         self._numbers = itertools.count()
+        self._granted: collections.deque[float] = collections.deque()
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -69,6 +92,7 @@
         target_at: float,
         give_up_at: float,
         needs_prefill: bool = True,
+        is_resumed: bool = False,
         excluded: tuple[_endpoints.Endpoint, ...] = (),
     ) -> Waiter:
         """Adds a generation; `admit` says when it has room."""
@@ -79,6 +103,7 @@
             give_up_at=give_up_at,
             number=next(self._numbers),
             needs_prefill=needs_prefill,
+            is_resumed=is_resumed,
             excluded=excluded,
         )
         self._waiters.append(waiter)
@@ -92,29 +117,56 @@
     def admit(self, now: float) -> list[Waiter]:
         """Reserves room for whom there is some, and returns them."""
         admitted = []
-        order = sorted(
-            self._waiters, key=lambda item: (item.is_late(now), item.number)
-        )
-        for waiter in order:
+        for waiter in self._sort(now):
             waiter.grant = self._placement.choose_for_generation(
                 service=waiter.service,
                 size=waiter.size,
                 now=now,
                 needs_prefill=waiter.needs_prefill,
-                is_late=waiter.is_late(now),
+                is_late=waiter.rank(now) is Urgency.LATE,
                 excluded=waiter.excluded,
             )
             if waiter.grant is None:
                 # Smaller ones must not pass it for ever.
                 break
             waiter.grant.reserve()
+            self._granted.append(now)
             self._waiters.remove(waiter)
             admitted.append(waiter)
         return admitted
 
     def expire(self, now: float) -> list[Waiter]:
-        """Takes out those that have waited for too long."""
-        expired = [item for item in self._waiters if now >= item.give_up_at]
+        """Takes out those that can't expect room in time."""
+        rate = self.measure_rate(now)
+        expired = []
+        ahead = 0
+        for waiter in self._sort(now):
+            wait_s = ahead / rate
+            if self._is_hopeless(waiter, wait_s, now):
+                expired.append(waiter)
+            else:
+                ahead += 1
         for waiter in expired:
             self._waiters.remove(waiter)
         return expired
+
+    def measure_rate(self, now: float) -> float:
+        """Returns how many a second have got room of late."""
+        while self._granted and self._granted[0] < now - _RATE_WINDOW_S:
+            self._granted.popleft()
+        return max(_LEAST_RATE, len(self._granted) / _RATE_WINDOW_S)
+
+    @staticmethod
+    def _is_hopeless(waiter: Waiter, wait_s: float, now: float) -> bool:
+        if now >= waiter.give_up_at:
+            return True
+        match waiter.rank(now + wait_s):
+            case Urgency.LATE:
+                return wait_s > _LATE_WAIT_S
+            case _:
+                return False
+
+    def _sort(self, now: float) -> list[Waiter]:
+        return sorted(
+            self._waiters, key=lambda item: (item.rank(now), item.number)
+        )
--- /dev/null
+++ b/sassafrasstile/dispatch/tests/test_queue.py
@@ -0,0 +1,122 @@
+import random
+import unittest
+
+from sassafrasstile import dispatch
+from sassafrasstile import membership
+from sassafrasstile import routes
+from sassafrasstile import testing
+
+_SERVICE = routes.Service(
+    name="engine",
+    engine=routes.EngineProfile(
+        slots=8, capacity_tokens=10_000, tokens_per_event=1, handle_ttl_s=0.5
+    ),
+)
+_SIZE = dispatch.WorkSize(prompt_tokens=4000, output_tokens=500)
+
+
+class QueueTest(unittest.TestCase):
+    """Who gets room when there is less than is wanted."""
+
+    def setUp(self):
+        self.table = dispatch.EndpointTable(silence_s=1.0)
+        for name, role in (
+            ("d1", membership.Role.DECODE),
+            ("p1", membership.Role.PREFILL),
+        ):
+            self.table.note_record(
+                name, testing.make_endpoint_record(name, role=role)
+            )
+        self.queue = dispatch.GenerationQueue(
+            placement=dispatch.Placement(
+                endpoints=self.table, zone="a", generator=random.Random(1)
+            )
+        )
+
+    def add(self, *, target_at=1.0, give_up_at=5.0, **fields):
+        return self.queue.add(
+            service=_SERVICE,
+            size=_SIZE,
+            target_at=target_at,
+            give_up_at=give_up_at,
+            **fields,
+        )
+
+    def fill(self, now=0.0):
+        """Fills the decode engine and returns the grants."""
+        waiters = [self.add(), self.add()]
+        self.assertEqual(self.queue.admit(now), waiters)
+        for waiter in waiters:
+            waiter.grant.release_prefill()
+        return [waiter.grant for waiter in waiters]
+
+    def test_burst_gets_room_in_the_order_of_arrival(self):
+        grants = self.fill()
+        first, second = self.add(), self.add()
+        self.assertEqual(self.queue.admit(0.1), [])
+        grants[0].release()
+        self.assertEqual(self.queue.admit(0.1), [first])
+        grants[1].release()
+        self.assertEqual(self.queue.admit(0.1), [second])
+
+    def test_late_one_lets_those_pass_that_can_be_on_time(self):
+        grants = self.fill()
+        self.add(target_at=0.2)
+        on_time = self.add(target_at=2.0)
+        grants[0].release()
+        self.assertEqual(self.queue.admit(0.1), [on_time])
+
+    def test_late_one_leaves_room_to_those_that_will_arrive(self):
+        grants = self.fill()
+        late = self.add(target_at=0.2)
+        grants[0].release()
+        self.assertEqual(self.queue.admit(0.1), [])
+        grants[1].release()
+        self.assertEqual(self.queue.admit(0.1), [late])
+
+    def test_resumed_one_goes_before_all_others(self):
+        grants = self.fill()
+        self.add()
+        resumed = self.add(is_resumed=True, needs_prefill=False)
+        grants[0].release()
+        self.assertEqual(self.queue.admit(0.1), [resumed])
+
+    def test_one_without_hope_is_given_up_at_once(self):
+        self.fill()
+        waiters = [self.add() for _ in range(6)]
+        # The queue moves by one a second.
+        expired = self.queue.expire(0.1)
+        self.assertNotIn(waiters[0], expired)
+        self.assertIn(waiters[-1], expired)
+
+    def test_backlog_of_prefills_holds_new_ones_back(self):
+        long = dispatch.WorkSize(prompt_tokens=9000, output_tokens=10)
+        prefill = next(
+            item for item in self.table.list_all() if item.name == "p1"
+        )
+        prefill.prefill_tokens = 40_000
+        waiter = self.queue.add(
+            service=_SERVICE, size=long, target_at=1.0, give_up_at=5.0
+        )
+        self.assertEqual(self.queue.admit(0.0), [])
+        prefill.prefill_tokens = 0
+        self.assertEqual(self.queue.admit(0.0), [waiter])
+        self.assertIs(waiter.grant.prefill, prefill)
+
+    def test_decode_engine_reads_a_short_prompt_behind_a_backlog(self):
+        prefill = next(
+            item for item in self.table.list_all() if item.name == "p1"
+        )
+        prefill.prefill_tokens = 40_000
+        waiter = self.add()
+        self.assertEqual(self.queue.admit(0.0), [waiter])
+        self.assertIs(waiter.grant.prefill, waiter.grant.decode)
+
+    def test_engine_that_changes_its_role_gets_nothing(self):
+        decode = next(
+            item for item in self.table.list_all() if item.name == "d1"
+        )
+        decode.changing_until = 10.0
+        waiter = self.add()
+        self.assertEqual(self.queue.admit(0.0), [])
+        self.assertEqual(self.queue.admit(10.0), [waiter])
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -83,7 +83,9 @@
         """
         while True:
             grant = await self.room.acquire(
-                task, needs_prefill=progress.handle is None
+                task,
+                needs_prefill=progress.handle is None,
+                is_resumed=progress.events > 0,
             )
             if grant is None:
                 return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
--- a/sassafrasstile/forwarding/_room.py
+++ b/sassafrasstile/forwarding/_room.py
@@ -14,6 +14,8 @@
 _WAIT_TARGETS = 2.0
 # ... but one that was sent already waits at least so long again.
 _LEAST_WAIT_S = 0.4
+# One whose caller has a part of the answer waits as long as callers may.
+_RESUMED_WAIT_S = 2.0
 
 
 class RoomService:
@@ -34,13 +36,18 @@
         return len(self._queue)
 
     async def acquire(
-        self, task: _task.RequestTask, *, needs_prefill: bool
+        self,
+        task: _task.RequestTask,
+        *,
+        needs_prefill: bool,
+        is_resumed: bool = False,
     ) -> dispatch.Grant | None:
         """Waits for room and reserves it.
 
         Args:
             task: The request.
             needs_prefill: False when its prompt is read already.
+            is_resumed: True when its caller has a part of the answer.
 
         Returns:
             The room, or None when there won't be any in time.
@@ -55,9 +62,11 @@
             target_at=received_at + target_s,
             give_up_at=max(
                 received_at + _WAIT_TARGETS * target_s,
-                self._context.now() + _LEAST_WAIT_S,
+                self._context.now()
+                + (_RESUMED_WAIT_S if is_resumed else _LEAST_WAIT_S),
             ),
             needs_prefill=needs_prefill,
+            is_resumed=is_resumed,
             excluded=tuple(task.may_have_run),
         )
         answered: defer.Deferred = defer.Deferred()
--- a/sassafrasstile/roles/_plan.py
+++ b/sassafrasstile/roles/_plan.py
@@ -6,6 +6,10 @@
 from sassafrasstile import membership
 from sassafrasstile.roles import _base
 
+# An engine that is to prefill leaves at least so many that decode: it is away
+# for many seconds, and decode engines can read prompts themselves meanwhile.
+_LEAST_DECODES = 4
+
 
 def choose_order(
     engines: Sequence[dispatch.Endpoint],
@@ -36,7 +40,7 @@
     wanted = min(len(engines) - 1, wanted)
     if len(prefills) > wanted:
         candidates, role = prefills, membership.Role.DECODE
-    elif len(prefills) < wanted:
+    elif len(prefills) < wanted and len(decodes) > _LEAST_DECODES:
         candidates, role = decodes, membership.Role.PREFILL
     else:
         return None
