--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -25,8 +25,11 @@
 _LATE_BACKLOG_S = 0.1
 # The share of a decode engine's memory that late generations may fill.
 _LATE_MEMORY_SHARE = 0.75
-# Longer prompts hold up the other streams of a decode engine for too long.
-_SELF_READ_TOKENS = 5000
+# Longer prompts hold up the other streams of a decode engine: it reads 1,024
+# tokens between two of theirs, for 40 ms, and an event has seven tokens.
+_SELF_READ_TOKENS = 6000
+# ... unless there are hardly any.
+_FEW_STREAMS = 1
 # A usual rate, to compare engines before any is known.
 _PREFILL_TOKENS_PER_S = 50_000.0
 # Draws between endpoints that look alike, so that gateways spread.
@@ -123,7 +126,7 @@
         )
         if prefill is not None:
             return _grants.Grant(decode=decode, size=size, prefill=prefill)
-        if self._may_read_itself(decode, size, service.name, now):
+        if self.may_read_itself(decode, size):
             return _grants.Grant(decode=decode, size=size, prefill=decode)
         return None
 
@@ -187,16 +190,22 @@
             if item.health.is_reachable(now)
         ]
 
-    def _may_read_itself(self, decode, size, service, now) -> bool:
+    @staticmethod
+    def may_read_itself(
+        decode: _endpoints.Endpoint, size: _base.WorkSize
+    ) -> bool:
         """Says whether a decode engine may read a prompt itself.
 
         It does so between the tokens of others, which wait meanwhile.
+
+        Args:
+            decode: The engine.
+            size: The size of the generation.
         """
         if decode.total_prefill_tokens:
             return False
-        if size.prompt_tokens <= _SELF_READ_TOKENS:
-            return True
-        return not self._list_prefill(service, now)
+        is_short = size.prompt_tokens <= _SELF_READ_TOKENS
+        return is_short or decode.total_in_flight <= _FEW_STREAMS
 
     def _choose_least(
         self,
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -36,12 +36,14 @@
     Attributes:
         last_event_id: The id of the last event passed on, or None.
         events: Events passed on.
+        sent_at: When the last one was passed on, in seconds.
         handle: A finished prefill that no engine has taken yet.
         unexplained_refusals: Engines with room that refused the handle.
     """
 
     last_event_id: str | None = None
     events: int = 0
+    sent_at: float = 0.0
     handle: _base.KvHandle | None = None
     unexplained_refusals: int = 0
 
@@ -110,6 +112,8 @@
         if grant.reads_apart and not progress.events:
             progress.handle = await self._prefills.run(task, grant.prefill)
             self.room.release_prefill(grant)
+            if progress.handle is None and not self._may_go_on(grant):
+                return verdicts.NotRun(code=errors.Code.PREFILL_FAILED)
         if not engine.takes_work:
             # It began to leave during the prefill; nothing was sent.
             return verdicts.NotRun(code=errors.Code.LEAVING)
@@ -144,6 +148,10 @@
             self._judge_refusal(task, engine, progress)
         return result
 
+    def _may_go_on(self, grant: dispatch.Grant) -> bool:
+        """Says whether the decode engine may do without a prefill."""
+        return self._context.placement.may_read_itself(grant.decode, grant.size)
+
     def _judge_refusal(
         self,
         task: _task.RequestTask,
@@ -241,13 +249,17 @@
         if not task.exchange.began:
             context = self._context
             attempt.note_success(context.now() - attempt.began_at)
-            context.metrics.first_token.observe(
-                context.now() - task.request.received_at
-            )
+            task.first_token_s = context.now() - task.request.received_at
+            context.metrics.first_token.observe(task.first_token_s)
             task.exchange.begin(
                 status=answered.head.status,
                 headers=web.drop_hop_headers(answered.head.headers),
             )
+        now = self._context.now()
+        if progress.events:
+            gap_s = now - progress.sent_at
+            task.longest_gap_s = max(task.longest_gap_s, gap_s)
+        progress.sent_at = now
         progress.events += 1
         if event.event_id is not None:
             progress.last_event_id = event.event_id
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -42,6 +42,7 @@
             The handle, or None when the decode engine has to read the
             prompt itself.
         """
+        task.prefills += 1
         with _attempts.hold_slot(engine):
             return await self._send(task, engine)
 
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -48,7 +48,9 @@
         verdict: The verdict on the last send.
     """
     now = context.now()
-    if task.deadline - now < LEAST_TIME_S or task.sends >= MOST_SENDS:
+    if task.deadline - now < LEAST_TIME_S:
+        return False
+    if task.sends >= MOST_SENDS or task.prefills >= MOST_SENDS:
         return False
     if isinstance(verdict, verdicts.NotRun):
         if verdict.code in _NOTHING_ARRIVED:
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -215,5 +215,7 @@
                 "sends": task.sends,
                 "outcome": task.outcome,
                 "taken_ms": round(taken_s * 1000),
+                "first_token_ms": round((task.first_token_s or 0.0) * 1000),
+                "longest_gap_ms": round(task.longest_gap_s * 1000),
             },
         )
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -23,8 +23,11 @@
         exchange: The way to answer.
         deadline: When it must be answered, in seconds.
         sends: How often it was sent to an endpoint that might run it.
+        prefills: How often a prefill engine was asked to read its prompt.
         tried: Endpoints that it was sent to.
         may_have_run: Endpoints that may have run it.
+        first_token_s: Seconds from its arrival to the first event sent.
+        longest_gap_s: The longest pause between two events sent.
         outcome: The word for logs and metrics, set at the end.
     """
 
@@ -36,10 +39,13 @@
     exchange: web.IngressRequest
     deadline: float
     sends: int = 0
+    prefills: int = 0
     tried: list[dispatch.Endpoint] = dataclasses.field(default_factory=list)
     may_have_run: list[dispatch.Endpoint] = dataclasses.field(
         default_factory=list
     )
+    first_token_s: float | None = None
+    longest_gap_s: float = 0.0
     outcome: str = ""
 
     @property
