--- a/sassafrasstile/roles/_plan.py
+++ b/sassafrasstile/roles/_plan.py
@@ -1,6 +1,7 @@
 """Decides which engine should change its role."""
 
 from collections.abc import Mapping, Sequence
+import math
 
 from sassafrasstile import dispatch
 from sassafrasstile import membership
@@ -36,7 +37,7 @@
         role = changing.get(engine, engine.record.role)
         is_prefill = role is membership.Role.PREFILL
         (prefills if is_prefill else decodes).append(engine)
-    wanted = max(1, round(prefill_share * len(engines)))
+    wanted = max(1, math.ceil(prefill_share * len(engines)))
     wanted = min(len(engines) - 1, wanted)
     if len(prefills) > wanted:
         candidates, role = prefills, membership.Role.DECODE
