--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -32,6 +32,8 @@
 _FEW_STREAMS = 1
 # A usual rate, to compare engines before any is known.
 _PREFILL_TOKENS_PER_S = 50_000.0
+# Of many engines with room, one of this many is looked at.
+_DRAWN_PART = 3
 # Draws between endpoints that look alike, so that gateways spread.
 _JITTER = 0.02
 
@@ -159,7 +161,20 @@
                 cost += _DECODE_ZONE_COST
             return cost
 
-        return self._choose_least(list(filter(has_room, usable)), estimate)
+        roomy = list(filter(has_room, usable))
+        return self._choose_least(self._draw(roomy), estimate)
+
+    def _draw(
+        self, engines: list[_endpoints.Endpoint]
+    ) -> list[_endpoints.Endpoint]:
+        """Returns some of the engines, at random.
+
+        Gateways that see the same loads must not all choose the same one.
+        """
+        count = max(2, len(engines) // _DRAWN_PART)
+        if count >= len(engines):
+            return engines
+        return self._generator.sample(engines, count)
 
     def _choose_for_prefill(self, service, now, zone, limit_s):
         """Chooses the prefill engine that will be done first."""
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -15,8 +15,11 @@
 _LOG = logging.getLogger("sassafrasstile.peers")
 # Changes are looked for this often.
 _TICK_S = 0.02
-# Datagrams a second that one gateway sends at the most, to all together.
-_DATAGRAMS_PER_S = 100.0
+# Datagrams a second that one gateway sends at the most, to all together; as
+# many may be saved up for a burst.
+_DATAGRAMS_PER_S = 150.0
+# Mere counts of requests are told this often at the most.
+_COUNTS_S = 0.2
 # A report is sent this often, changed or not.
 _HEARTBEAT_S = 0.5
 # A gateway that was silent for this long has nothing in flight any more.
@@ -68,6 +71,8 @@
         self._sequence = 0
         self._sent: Mapping[str, _base.EndpointLoad] = {}
         self._sent_at = float("-inf")
+        self._allowed = _DATAGRAMS_PER_S
+        self._allowed_at = 0.0
 
     def list_live(self) -> list[str]:
         """Returns the other gateways that were heard of a moment ago."""
@@ -128,17 +133,36 @@
         self._drop_silent(now)
         if not self._peers:
             return
-        age_s = now - self._sent_at
-        if age_s < len(self._peers) / _DATAGRAMS_PER_S:
-            return
         loads = {
             name: load
             for name, load in self._read_loads().items()
             if not load.is_empty
         }
-        if loads != self._sent or age_s >= _HEARTBEAT_S:
+        if self._is_due(loads, now) and self._take_allowance(now):
             self._send(loads)
 
+    def _is_due(
+        self, loads: Mapping[str, _base.EndpointLoad], now: float
+    ) -> bool:
+        """Says whether there is something that peers should know by now."""
+        age_s = now - self._sent_at
+        if age_s >= _HEARTBEAT_S:
+            return True
+        if loads == self._sent:
+            return False
+        is_urgent = _forget_counts(loads) != _forget_counts(self._sent)
+        return is_urgent or age_s >= _COUNTS_S
+
+    def _take_allowance(self, now: float) -> bool:
+        """Takes one report from the allowance, if there is one left."""
+        grown = (now - self._allowed_at) * _DATAGRAMS_PER_S
+        self._allowed = min(_DATAGRAMS_PER_S, self._allowed + grown)
+        self._allowed_at = now
+        if self._allowed < len(self._peers):
+            return False
+        self._allowed -= len(self._peers)
+        return True
+
     def _send(self, loads: Mapping[str, _base.EndpointLoad]) -> None:
         self._sequence += 1
         data = _codec.encode_report(
@@ -169,3 +193,14 @@
                 self._on_report(name, {})
             if silent_s >= _FORGET_S:
                 del self._peers[name]
+
+
+def _forget_counts(
+    loads: Mapping[str, _base.EndpointLoad],
+) -> dict[str, _base.EndpointLoad]:
+    """Returns the loads without the counts of requests."""
+    kept = {
+        name: dataclasses.replace(load, in_flight=0)
+        for name, load in loads.items()
+    }
+    return {name: load for name, load in kept.items() if not load.is_empty}
