--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -108,6 +108,10 @@
         self.in_flight += 1
         self.reserved_tokens += size.memory_tokens
 
+    def resize(self, before: _base.WorkSize, after: _base.WorkSize) -> None:
+        """Counts a generation with another size."""
+        self.reserved_tokens += after.memory_tokens - before.memory_tokens
+
     def release(self, size: _base.WorkSize) -> None:
         """Counts a generation out."""
         self.in_flight -= 1
--- a/sassafrasstile/dispatch/_grants.py
+++ b/sassafrasstile/dispatch/_grants.py
@@ -5,6 +5,9 @@
 from sassafrasstile.dispatch import _base
 from sassafrasstile.dispatch import _endpoints
 
+# An output that grows beyond what was expected grows by about so much more.
+_GROWTH_TOKENS = 150
+
 
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Grant:
@@ -36,6 +39,20 @@
             self.prefill.prefill_tokens += self.size.prompt_tokens
             self._holds_prefill = True
 
+    def note_output(self, tokens: int) -> None:
+        """Reserves more when an output grows beyond what was expected.
+
+        Args:
+            tokens: Tokens generated so far.
+        """
+        if not self._holds_decode or tokens <= self.size.output_tokens:
+            return
+        grown = dataclasses.replace(
+            self.size, output_tokens=tokens + _GROWTH_TOKENS
+        )
+        self.decode.resize(self.size, grown)
+        self.size = grown
+
     def release_prefill(self) -> None:
         """Counts the prefill out, once."""
         if self._holds_prefill:
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -140,7 +140,9 @@
                 progress.handle = None
                 engine.note_acceptance()
                 self.room.release_prefill(grant)
-                return await self._pass_on(task, attempt, result, progress)
+                return await self._pass_on(
+                    task, attempt, result, progress, grant
+                )
         finally:
             attempt.close()
         if isinstance(result, verdicts.NotRun):
@@ -188,6 +190,7 @@
         attempt: _attempts.Attempt,
         answered: _attempts.Answered,
         progress: _Progress,
+        grant: dispatch.Grant,
     ) -> verdicts.Verdict | None:
         if answered.kind is not _base.AnswerKind.SUCCESS:
             return await self._pass_failure(task, attempt, answered)
@@ -199,6 +202,7 @@
                     break
                 for event in splitter.feed(piece):
                     self._pass_event(task, attempt, answered, event, progress)
+                grant.note_output(self._count_tokens(task, progress))
         except web.ExchangeError as reason:
             attempt.note_failure()
             return verdicts.MayHaveRun(code=reason.code)
@@ -221,10 +225,17 @@
             return
         self._context.lengths.note(
             task.service.name,
-            tokens=progress.events * engine.tokens_per_event,
+            tokens=self._count_tokens(task, progress),
             declared_tokens=task.details.output_tokens,
         )
 
+    @staticmethod
+    def _count_tokens(task: _task.RequestTask, progress: _Progress) -> int:
+        """Returns the tokens generated so far."""
+        engine = task.service.engine
+        per_event = engine.tokens_per_event if engine else 1
+        return progress.events * per_event
+
     async def _read_piece(
         self, task: _task.RequestTask, reply: web.Reply
     ) -> bytes | None:
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -55,10 +55,13 @@
         sender: Where the gateway hears from others.
         incarnation: This start of the gateway.
         sequence: The report's number in that incarnation.
-        loads: The load by endpoint id; endpoints without any are left out.
+        is_whole: True when endpoints that it leaves out have no load; False
+            when they have the load that was told before.
+        loads: The load by endpoint id.
     """
 
     sender: PeerAddress
     incarnation: str
     sequence: int
+    is_whole: bool
     loads: Mapping[str, EndpointLoad]
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -17,16 +17,18 @@
 _TICK_S = 0.02
 # Datagrams a second that one gateway sends at the most, to all together; as
 # many may be saved up for a burst.
-_DATAGRAMS_PER_S = 150.0
-# Mere counts of requests are told this often at the most.
-_COUNTS_S = 0.2
-# A report is sent this often, changed or not.
-_HEARTBEAT_S = 0.5
+_DATAGRAMS_PER_S = 400.0
+# That room was given back may be told this much later.
+_RELEASED_S = 0.1
+# The whole load is told this often, changed or not.
+_WHOLE_S = 0.5
 # A gateway that was silent for this long has nothing in flight any more.
 _SILENCE_S = 1.5
 # ... and for this long is no longer told anything.
 _FORGET_S = 20.0
 
+_NO_LOAD = _base.EndpointLoad()
+
 
 @dataclasses.dataclass(kw_only=True)
 class _Peer:
@@ -35,6 +37,9 @@
     incarnation: str = ""
     sequence: int = -1
     counts: bool = False
+    loads: dict[str, _base.EndpointLoad] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class PeerChannel(protocol.DatagramProtocol):
@@ -71,6 +76,7 @@
         self._sequence = 0
         self._sent: Mapping[str, _base.EndpointLoad] = {}
         self._sent_at = float("-inf")
+        self._whole_at = float("-inf")
         self._allowed = _DATAGRAMS_PER_S
         self._allowed_at = 0.0
 
@@ -89,7 +95,7 @@
         """Says that nothing is in flight any more, and stops."""
         if self._loop.running:
             self._loop.stop()
-        self._send({})
+        self._send({}, is_whole=True)
         return self._port.stopListening()
 
     def add_peer(self, address: _base.PeerAddress) -> None:
@@ -126,7 +132,11 @@
         peer.sequence = report.sequence
         peer.heard_at = self._reactor.seconds()
         peer.counts = True
-        self._on_report(peer.address.name, report.loads)
+        if report.is_whole:
+            peer.loads = dict(report.loads)
+        else:
+            peer.loads.update(report.loads)
+        self._on_report(peer.address.name, peer.loads)
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
@@ -138,20 +148,23 @@
             for name, load in self._read_loads().items()
             if not load.is_empty
         }
-        if self._is_due(loads, now) and self._take_allowance(now):
-            self._send(loads)
+        is_whole = now - self._whole_at >= _WHOLE_S
+        if not is_whole and not self._is_due(loads, now):
+            return
+        if self._take_allowance(now):
+            self._send(loads, is_whole=is_whole)
 
     def _is_due(
         self, loads: Mapping[str, _base.EndpointLoad], now: float
     ) -> bool:
         """Says whether there is something that peers should know by now."""
-        age_s = now - self._sent_at
-        if age_s >= _HEARTBEAT_S:
-            return True
         if loads == self._sent:
             return False
-        is_urgent = _forget_counts(loads) != _forget_counts(self._sent)
-        return is_urgent or age_s >= _COUNTS_S
+        age_s = now - self._sent_at
+        return age_s >= _RELEASED_S or any(
+            _takes_more(load, self._sent.get(name, _NO_LOAD))
+            for name, load in loads.items()
+        )
 
     def _take_allowance(self, now: float) -> bool:
         """Takes one report from the allowance, if there is one left."""
@@ -163,18 +176,31 @@
         self._allowed -= len(self._peers)
         return True
 
-    def _send(self, loads: Mapping[str, _base.EndpointLoad]) -> None:
+    def _send(
+        self, loads: Mapping[str, _base.EndpointLoad], *, is_whole: bool
+    ) -> None:
+        now = self._reactor.seconds()
+        told = loads
+        if is_whole:
+            self._whole_at = now
+        else:
+            told = {
+                name: loads.get(name, _NO_LOAD)
+                for name in {*loads, *self._sent}
+                if loads.get(name) != self._sent.get(name)
+            }
         self._sequence += 1
         data = _codec.encode_report(
             _base.LoadReport(
                 sender=self._address,
                 incarnation=self._incarnation,
                 sequence=self._sequence,
-                loads=loads,
+                is_whole=is_whole,
+                loads=told,
             )
         )
         self._sent = loads
-        self._sent_at = self._reactor.seconds()
+        self._sent_at = now
         for peer in self._peers.values():
             self._write(data, peer.address)
 
@@ -190,17 +216,17 @@
             if peer.counts and silent_s >= _SILENCE_S:
                 peer.counts = False
                 _LOG.info("peers: gateway %s is silent.", name)
+                peer.loads = {}
                 self._on_report(name, {})
             if silent_s >= _FORGET_S:
                 del self._peers[name]
 
 
-def _forget_counts(
-    loads: Mapping[str, _base.EndpointLoad],
-) -> dict[str, _base.EndpointLoad]:
-    """Returns the loads without the counts of requests."""
-    kept = {
-        name: dataclasses.replace(load, in_flight=0)
-        for name, load in loads.items()
-    }
-    return {name: load for name, load in kept.items() if not load.is_empty}
+def _takes_more(load: _base.EndpointLoad, before: _base.EndpointLoad) -> bool:
+    """Says whether room was taken that others must not take as well."""
+    return (
+        load.reserved_tokens > before.reserved_tokens
+        or load.prefill_tokens > before.prefill_tokens
+        or load.is_changing != before.is_changing
+        or load.is_unreachable != before.is_unreachable
+    )
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -32,7 +32,7 @@
 
     >>> report = _base.LoadReport(
     ...     sender=_base.PeerAddress(name="a", host="127.0.0.1", port=1),
-    ...     incarnation="x", sequence=3,
+    ...     incarnation="x", sequence=3, is_whole=True,
     ...     loads={"e": _base.EndpointLoad(in_flight=1)})
     >>> decode_report(encode_report(report)) == report
     True
@@ -53,6 +53,7 @@
         [sender.name, sender.host, sender.port],
         report.incarnation,
         report.sequence,
+        int(report.is_whole),
         rows,
     ]
     return json.dumps(fields, separators=(",", ":")).encode()
@@ -65,7 +66,9 @@
         errors.Error: With BAD_VALUE.
     """
     try:
-        (name, host, port), incarnation, sequence, rows = json.loads(data)
+        (name, host, port), incarnation, sequence, is_whole, rows = json.loads(
+            data
+        )
         loads = {
             str(endpoint): _base.EndpointLoad(
                 in_flight=int(in_flight),
@@ -89,6 +92,7 @@
             ),
             incarnation=str(incarnation),
             sequence=int(sequence),
+            is_whole=bool(is_whole),
             loads=loads,
         )
     except (ValueError, TypeError) as reason:
