Take calls for as long as a stop lasts

Ruled out: the balancer sending to a gateway that had ended (the port was closed while streams were still served). Now the port closes last, and what wouldn't be done in time is refused as not run.

--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -119,9 +119,10 @@
         """Says whether a request will be done before the process ends."""
         if self._ends_at is None:
             return True
-        if task.route.kind is not routes.RouteKind.GENERATION:
-            return True
-        needed_s = _LONG_GENERATIONS * self._usual_generation_s
+        needed_s = task.deadline - self._context.now()
+        if task.route.kind is routes.RouteKind.GENERATION:
+            usual_s = _LONG_GENERATIONS * self._usual_generation_s
+            needed_s = min(needed_s, usual_s)
         return self._context.now() + needed_s < self._ends_at
 
     def _choose_service(self, route: routes.Route) -> routes.Service:
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -246,11 +246,14 @@
         ends_at = began_at + self.settings.grace_s - _LAST_MARGIN_S
         self._router.note_stop(ends_at)
         await self._sleep(_NOTICE_S)
+        while self._router.in_flight and self._now() < ends_at:
+            await self._sleep(_IDLE_POLL_S)
+            self._ingress.close_idle()
+        # Callers may have been sent here until now, if no gateway was ready.
         await defer.maybeDeferred(self._caller_port.stopListening)
         self._ingress.close_idle()
         while self._router.in_flight and self._now() < ends_at:
             await self._sleep(_IDLE_POLL_S)
-            self._ingress.close_idle()
         cut = self._router.in_flight
         self._router.abort_all()
         # The last answers leave.
