Run on a clock that never jumps; read changed settings without a signal

Cause: twisted's own clock is the time of day, so that a step of it fires every timer at once or holds all back. A process that stood still doesn't take its own pause for others' silence, nor tell its peers so.

--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -12,6 +12,8 @@
 # An endpoint that refused work gets none for so long, doubled each time.
 _REFUSED_S = 0.1
 _REFUSED_DOUBLINGS = 4
+# This process stood still when it wasn't called for so long.
+_PAUSE_S = 0.3
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -128,6 +130,7 @@
     def __init__(self, *, silence_s: float):
         self._silence_s = silence_s
         self._endpoints: dict[str, Endpoint] = {}
+        self._noticed_at = float("inf")
 
     def note_record(
         self, endpoint_id: str, record: membership.EndpointRecord | None
@@ -165,6 +168,19 @@
             if load.is_unreachable:
                 endpoint.health.suspect(now)
 
+    def notice_pause(self, now: float) -> bool:
+        """Notices that this process has stood still; to be called often.
+
+        Returns:
+            True when it has.
+        """
+        paused = now - self._noticed_at > _PAUSE_S
+        self._noticed_at = now
+        if paused:
+            for endpoint in self._endpoints.values():
+                endpoint.health.forgive_silence(now)
+        return paused
+
     def list_own_loads(self, now: float) -> dict[str, peers.EndpointLoad]:
         """Returns what this gateway has in flight and knows, by id."""
         return {
--- a/sassafrasstile/dispatch/_health.py
+++ b/sassafrasstile/dispatch/_health.py
@@ -72,6 +72,11 @@
         if now - self._heard_at > _SUSPICION_S:
             self.note_unreachable(now)
 
+    def forgive_silence(self, now: float) -> None:
+        """Doesn't count a pause of this process as silence of others."""
+        for attempt in self._expected:
+            self._expected[attempt] = now
+
     def is_silent(self, now: float) -> bool:
         """Says whether it owes an answer and has been silent for too long."""
         limit_s = max(
--- /dev/null
+++ b/sassafrasstile/dispatch/tests/test_health.py
@@ -0,0 +1,67 @@
+import random
+import unittest
+
+from sassafrasstile import dispatch
+from sassafrasstile import membership
+from sassafrasstile import testing
+
+
+class HealthTest(unittest.TestCase):
+    """What endpoints' answers, silence and this process's pauses show."""
+
+    def setUp(self):
+        self.table = dispatch.EndpointTable(silence_s=0.8)
+        for name in ("a", "b"):
+            self.table.note_record(
+                name,
+                testing.make_endpoint_record(name, role=membership.Role.PLAIN),
+            )
+        self.first, self.second = self.table.list_all()
+
+    def list_usable(self, now):
+        return self.table.list_usable(
+            service="engine", role=membership.Role.PLAIN, now=now
+        )
+
+    def test_silent_endpoint_gets_no_new_work_until_it_is_heard(self):
+        self.first.health.expect("r1", 0.0)
+        self.assertEqual(self.list_usable(1.0), [self.second])
+        self.assertEqual(self.table.list_unreachable(1.0), [self.first])
+        self.first.health.hear(1.1)
+        self.assertIn(self.first, self.list_usable(1.2))
+
+    def test_pause_of_this_process_is_no_silence_of_others(self):
+        self.table.notice_pause(0.0)
+        self.first.health.expect("r1", 0.0)
+        self.assertTrue(self.table.notice_pause(5.0))
+        self.assertIn(self.first, self.list_usable(5.1))
+        self.assertFalse(self.table.notice_pause(5.02))
+
+    def test_others_word_counts_only_without_own_evidence(self):
+        self.first.health.hear(1.0)
+        self.first.health.suspect(1.1)
+        self.assertIn(self.first, self.list_usable(1.1))
+        self.first.health.suspect(2.0)
+        self.assertEqual(self.list_usable(2.0), [self.second])
+
+    def test_when_none_is_reachable_all_are_tried(self):
+        for endpoint in (self.first, self.second):
+            endpoint.health.note_unreachable(0.0)
+        self.assertEqual(len(self.list_usable(0.1)), 2)
+
+    def test_endpoint_that_fails_a_part_gets_less(self):
+        placement = dispatch.Placement(
+            endpoints=self.table, zone="a", generator=random.Random(1)
+        )
+        for number in range(10):
+            self.first.health.note_failure(0.01 * number)
+            self.second.health.note_success(0.1, 0.01 * number)
+        chosen = [
+            placement.choose_for_call(service="engine", now=0.1)
+            for _ in range(20)
+        ]
+        self.assertNotIn(self.first, chosen)
+
+    def test_failures_fade(self):
+        self.first.health.note_failure(0.0)
+        self.assertLess(self.first.health.read_failure_rate(30.0), 0.01)
--- a/sassafrasstile/platform/__main__.py
+++ b/sassafrasstile/platform/__main__.py
@@ -20,12 +20,9 @@
     metrics = telemetry.RouterMetrics()
     telemetry.configure_bounded_logs(dropped=metrics.log_lines_dropped)
     metrics_port = int(os.environ.get(_METRICS_PORT_VARIABLE, "0"))
-
-    def read_settings() -> router.RouterSettings:
-        return _settings.read_settings(metrics_port=metrics_port)
-
+    source = _settings.SettingsFile(metrics_port=metrics_port)
     try:
-        settings = read_settings()
+        settings = source.read()
     except errors.ConfigurationError as reason:
         print(reason, file=sys.stderr)
         return _EXIT_USAGE
@@ -34,7 +31,7 @@
         return router.RouterDaemon(
             reactor=reactor,
             settings=settings,
-            read_settings=read_settings,
+            settings_source=source,
             store=_store.PlatformStore(
                 reactor=reactor,
                 host=settings.store_host,
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -61,31 +61,48 @@
     return host, int(port)
 
 
-def read_settings(*, metrics_port: int = 0) -> router.RouterSettings:
-    """Reads the settings file that the environment names.
+class SettingsFile(router.SettingsSource):
+    """The settings file that the environment names.
 
     Args:
         metrics_port: The port of the metrics, or zero for none.
-
-    Raises:
-        errors.ConfigurationError: It can't be read or isn't valid.
     """
-    path = os.environ.get(_names.SETTINGS_VARIABLE, "")
-    try:
-        with open(path, encoding="utf-8") as file:
-            return _decode(yaml.safe_load(file), metrics_port=metrics_port)
-    except OSError as reason:
-        raise errors.ConfigurationError(
-            code=errors.Code.CONFIG_UNREADABLE, detail=str(reason), file=path
-        ) from reason
-    except yaml.YAMLError as reason:
-        raise errors.ConfigurationError(
-            code=errors.Code.CONFIG_SYNTAX, detail=str(reason), file=path
-        ) from reason
-    except ValueError as reason:
-        raise errors.ConfigurationError(
-            code=errors.Code.CONFIG_INVALID, detail=str(reason), file=path
-        ) from reason
+
+    def __init__(self, *, metrics_port: int = 0):
+        self._path = os.environ.get(_names.SETTINGS_VARIABLE, "")
+        self._metrics_port = metrics_port
+        self._seen: tuple[int, int, int] | None = None
+
+    def read(self) -> router.RouterSettings:
+        """Reads the settings."""
+        path = self._path
+        self._seen = self._describe()
+        try:
+            with open(path, encoding="utf-8") as file:
+                document = yaml.safe_load(file)
+            return _decode(document, metrics_port=self._metrics_port)
+        except OSError as reason:
+            code = errors.Code.CONFIG_UNREADABLE
+            detail = str(reason)
+        except yaml.YAMLError as reason:
+            code = errors.Code.CONFIG_SYNTAX
+            detail = str(reason)
+        except ValueError as reason:
+            code = errors.Code.CONFIG_INVALID
+            detail = str(reason)
+        raise errors.ConfigurationError(code=code, detail=detail, file=path)
+
+    def has_changed(self) -> bool:
+        """Says whether the file has changed since it was read."""
+        return self._describe() != self._seen
+
+    def _describe(self) -> tuple[int, int, int] | None:
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            # It is being replaced; what was read last stays in force.
+            return self._seen
+        return status.st_ino, status.st_mtime_ns, status.st_size
 
 
 def _decode(document: object, *, metrics_port: int) -> router.RouterSettings:
--- /dev/null
+++ b/sassafrasstile/platform/tests/test_settings.py
@@ -0,0 +1,72 @@
+import os
+import tempfile
+import unittest
+from unittest import mock
+
+from sassafrasstile import errors
+from sassafrasstile.platform import _names
+from sassafrasstile.platform import _settings
+
+_GOOD = """
+nodeName: "edge-1"
+zone: "a"
+ip: "10.1.0.38"
+listen: {frontend: "10.1.0.38:8149", ready: "10.1.0.38:8141"}
+internalPorts: [7380, 7395]
+bounds: {graceS: 6, retryBudgetRatio: 0.1, retryWindowS: 5, new: 1}
+platform: {address: "10.200.1.7:8142"}
+unknown: true
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file of the platform."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = os.path.join(folder.name, "local.yaml")
+        patch = mock.patch.dict(
+            os.environ, {_names.SETTINGS_VARIABLE: self.path}
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def write(self, text):
+        with open(self.path, "w", encoding="utf-8") as file:
+            file.write(text)
+
+    def test_values_are_decoded_into_the_project_s_units(self):
+        self.write(_GOOD)
+        settings = _settings.SettingsFile(metrics_port=9).read()
+        self.assertEqual((settings.host, settings.port), ("10.1.0.38", 8149))
+        self.assertEqual(settings.store_port, 8142)
+        self.assertEqual(settings.grace_s, 6)
+        self.assertEqual(settings.dispatch.retry_ratio, 0.1)
+
+    def test_errors_have_a_code_the_file_and_the_field(self):
+        cases = {
+            errors.Code.CONFIG_SYNTAX: "a: [",
+            errors.Code.CONFIG_INVALID: _GOOD.replace("10.1.0.38:8149", "x"),
+        }
+        for code, text in cases.items():
+            self.write(text)
+            with self.assertRaises(errors.ConfigurationError) as caught:
+                _settings.SettingsFile().read()
+            self.assertEqual(caught.exception.code, code)
+            self.assertIn(self.path, str(caught.exception))
+
+    def test_missing_file(self):
+        with self.assertRaises(errors.ConfigurationError) as caught:
+            _settings.SettingsFile().read()
+        self.assertEqual(caught.exception.code, errors.Code.CONFIG_UNREADABLE)
+
+    def test_change_without_a_signal_is_seen(self):
+        self.write(_GOOD)
+        source = _settings.SettingsFile()
+        source.read()
+        self.assertFalse(source.has_changed())
+        self.write(_GOOD + "more: 1\n")
+        self.assertTrue(source.has_changed())
+        source.read()
+        self.assertFalse(source.has_changed())
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -1,6 +1,6 @@
 """Wires configuration, membership, routing and ports together."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 import logging
 import random
 import secrets
@@ -39,7 +39,7 @@
     Args:
         reactor: The reactor.
         settings: The settings.
-        read_settings: Reads them again.
+        settings_source: Reads them again.
         store: The platform's store.
         sources: Decodes what the store holds.
         codec: The endpoints' protocol.
@@ -52,7 +52,7 @@
         *,
         reactor: Any,
         settings: _settings.RouterSettings,
-        read_settings: Callable[[], _settings.RouterSettings],
+        settings_source: _settings.SettingsSource,
         store: stores.Store,
         sources: _sources.Sources,
         codec: forwarding.EndpointCodec,
@@ -63,7 +63,7 @@
         self.incarnation = secrets.token_hex(6)
         self.is_draining = False
         self._reactor = reactor
-        self._read_settings = read_settings
+        self._settings_source = settings_source
         self._store = store
         self._metrics = metrics
         self._generator = generator or random.Random()
@@ -137,7 +137,7 @@
             reactor=self._reactor,
             address=address,
             incarnation=self.incarnation,
-            read_loads=lambda: self._endpoints.list_own_loads(self._now()),
+            read_loads=self._read_loads,
             on_report=self._note_peer,
         )
         directory = peers.PeerDirectory(
@@ -278,7 +278,7 @@
     def reload(self) -> None:
         """Reads the settings again; the last good ones stay on an error."""
         try:
-            settings = self._read_settings()
+            settings = self._settings_source.read()
         except errors.Error as reason:
             _LOG.error("router: settings not reloaded: %s", reason)
             return
@@ -333,7 +333,15 @@
         self._endpoints.note_peer(peer, loads, self._now())
         self._router.admit_waiting()
 
+    def _read_loads(self) -> Mapping[str, peers.EndpointLoad]:
+        now = self._now()
+        if self._endpoints.notice_pause(now):
+            _LOG.warning("router: this process has stood still.")
+        return self._endpoints.list_own_loads(now)
+
     def _tick(self) -> None:
+        if self._settings_source.has_changed():
+            self.reload()
         self._roster.tick(self._now())
         self._router.admit_waiting()
 
--- a/sassafrasstile/router/_process.py
+++ b/sassafrasstile/router/_process.py
@@ -4,6 +4,7 @@
 import logging
 import signal
 import sys
+import time
 
 from twisted.internet import defer
 
@@ -14,6 +15,15 @@
 EXIT_FAILED = 1
 
 
+def read_clock() -> float:
+    """Returns seconds that never go back.
+
+    They go on while the VM is suspended, so that a process that was paused
+    sees how long.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def run_router(make_daemon: Callable[..., _daemon.RouterDaemon]) -> int:
     """Runs a gateway until SIGTERM or SIGINT.
 
@@ -27,6 +37,8 @@
     """
     from twisted.internet import reactor
 
+    # Its own clock is the time of day, which jumps.
+    reactor.seconds = read_clock
     daemon = make_daemon(reactor)
     codes = [EXIT_OK]
 
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -1,5 +1,6 @@
 """Settings of the process."""
 
+import abc
 import dataclasses
 
 from sassafrasstile import dispatch
@@ -38,3 +39,19 @@
     grace_s: float
     term_s: float
     dispatch: dispatch.DispatchSettings
+
+
+class SettingsSource(abc.ABC):
+    """Where the settings come from."""
+
+    @abc.abstractmethod
+    def read(self) -> RouterSettings:
+        """Reads the settings.
+
+        Raises:
+            errors.ConfigurationError: They can't be read or aren't valid.
+        """
+
+    @abc.abstractmethod
+    def has_changed(self) -> bool:
+        """Says whether they have changed since they were read."""
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -139,6 +139,19 @@
     }
 
 
+class _FixedSettings(router.SettingsSource):
+    """Settings that never change."""
+
+    def __init__(self, *, settings: router.RouterSettings):
+        self._settings = settings
+
+    def read(self):
+        return self._settings
+
+    def has_changed(self):
+        return False
+
+
 class PlatformSite:
     """A store, scripted endpoints and a gateway on loopback.
 
@@ -165,7 +178,7 @@
         self.daemon = router.RouterDaemon(
             reactor=self._reactor,
             settings=self._make_settings(),
-            read_settings=self._make_settings,
+            settings_source=_FixedSettings(settings=self._make_settings()),
             store=_store.PlatformStore(
                 reactor=self._reactor,
                 host=self.server.host,
