Take room that others gave back after a random moment, and tell at once

Ruled out: outputs that grow, the engines' queue (174 of 184 refused with nothing pending there), a margin of memory (no fewer refusals).

--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -17,7 +17,7 @@
 _RATE_WINDOW_S = 2.0
 # Late generations wait as long as they are likely to get room so soon.
 _LATE_WAIT_S = 1.0
-_LEAST_RATE = 1.0
+_LEAST_RATE = 3.0
 
 
 class Urgency(enum.IntEnum):
--- a/sassafrasstile/dispatch/tests/test_queue.py
+++ b/sassafrasstile/dispatch/tests/test_queue.py
@@ -87,7 +87,7 @@
     def test_one_without_hope_is_given_up_at_once(self):
         self.fill()
         waiters = [self.add() for _ in range(6)]
-        # The queue moves by one a second.
+        # Nothing has moved yet, so a usual rate is taken.
         expired = self.queue.expire(0.1)
         self.assertNotIn(waiters[0], expired)
         self.assertIn(waiters[-1], expired)
--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -1,5 +1,6 @@
 """One attempt of a request at one endpoint, and what it proved."""
 
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import logging
@@ -44,6 +45,50 @@
     return deferred
 
 
+async def wait_while_alive(
+    work: defer.Deferred,
+    reactor,
+    *,
+    first_s: float,
+    longest_s: float,
+    is_alive: Callable[[], bool],
+):
+    """Waits for a result, and longer while its source shows signs of life.
+
+    Args:
+        work: What to wait for; it is cancelled when the wait ends.
+        reactor: The reactor.
+        first_s: Seconds to wait in any case.
+        longest_s: Seconds to wait at the most.
+        is_alive: Asked once the first time has passed.
+
+    Raises:
+        defer.TimeoutError: The wait has ended without a result.
+    """
+    timed_out = []
+
+    def give_up():
+        timed_out.append(True)
+        work.cancel()
+
+    def check():
+        if is_alive() and longest_s > first_s:
+            timers[0] = reactor.callLater(longest_s - first_s, give_up)
+        else:
+            give_up()
+
+    timers = [reactor.callLater(max(0.0, min(first_s, longest_s)), check)]
+    try:
+        return await work
+    except defer.CancelledError:
+        if timed_out:
+            raise defer.TimeoutError from None
+        raise
+    finally:
+        if timers[0].active():
+            timers[0].cancel()
+
+
 class Attempt:
     """One sending of a request to an endpoint.
 
@@ -72,13 +117,19 @@
         self._reply: web.Reply | None = None
 
     async def start(
-        self, outgoing: _base.OutgoingRequest, *, timeout_s: float
+        self,
+        outgoing: _base.OutgoingRequest,
+        *,
+        timeout_s: float,
+        longest_s: float | None = None,
     ) -> AttemptResult:
         """Sends the request and waits for the answer's head.
 
         Args:
             outgoing: The request.
             timeout_s: Seconds to wait for the head.
+            longest_s: Seconds to wait while the endpoint sends something to
+                others; `timeout_s` when left out.
 
         Returns:
             The beginning of the answer, or what is proved without one.
@@ -87,8 +138,12 @@
         context.metrics.attempts.inc()
         result: AttemptResult
         try:
-            head = await fail_on_timeout(
-                self._exchange(outgoing), context.reactor, timeout_s
+            head = await wait_while_alive(
+                defer.ensureDeferred(self._exchange(outgoing)),
+                context.reactor,
+                first_s=timeout_s,
+                longest_s=longest_s or timeout_s,
+                is_alive=self._is_alive,
             )
             result = self._classify(head)
         except web.ExchangeError as reason:
@@ -113,6 +168,11 @@
         if self._reply is not None:
             self._reply.close()
 
+    def _is_alive(self) -> bool:
+        return self.was_sent and not self.endpoint.health.is_silent(
+            self._context.now()
+        )
+
     async def _exchange(
         self, outgoing: _base.OutgoingRequest
     ) -> web.ResponseHead:
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -1,5 +1,6 @@
 """What the parts of the router share."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 from typing import Any
@@ -23,6 +24,7 @@
         placement: Chooses among them.
         settings: Settings of the decisions.
         metrics: Counters and histograms.
+        announce: Called when room was taken, to tell other gateways.
         lengths: Output lengths learnt so far.
         generator: The source of random numbers.
     """
@@ -35,6 +37,7 @@
     settings: dispatch.DispatchSettings
     metrics: telemetry.RouterMetrics
     generator: random.Random
+    announce: Callable[[], None] = lambda: None
     lengths: dispatch.OutputLengths = dataclasses.field(
         default_factory=dispatch.OutputLengths
     )
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -16,6 +16,8 @@
 _PATIENCE_SHARE = 0.7
 # ... and this many times its usual time.
 _PATIENCE_LATENCIES = 4.0
+# One that is behind, and not silent, may take this many targets.
+_LONGEST_TARGETS = 2.0
 _RELEASE_TIMEOUT_S = 1.0
 
 
@@ -64,6 +66,9 @@
             result = await attempt.start(
                 outgoing,
                 timeout_s=self._choose_patience(task, engine, remaining_s),
+                longest_s=min(
+                    remaining_s, _LONGEST_TARGETS * task.route.target_s
+                ),
             )
             if isinstance(result, verdicts.NotRun):
                 # It is busy with an order, or full.
--- a/sassafrasstile/forwarding/_room.py
+++ b/sassafrasstile/forwarding/_room.py
@@ -94,6 +94,8 @@
         """Answers those for whom there is room now, or never will be."""
         now = self._context.now()
         admitted = self._queue.admit(now)
+        if admitted:
+            self._context.announce()
         for waiter in [*admitted, *self._queue.expire(now)]:
             answered = self._waiting.pop(waiter, None)
             if answered is not None:
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -91,6 +91,10 @@
         )
         self._loop.start(_TICK_S, now=False)
 
+    def announce(self) -> None:
+        """Tells the peers at once that room was taken here."""
+        self._tick()
+
     def close(self):
         """Says that nothing is in flight any more, and stops."""
         if self._loop.running:
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -31,6 +31,10 @@
 # What is left of the grace time when the last requests are ended.
 _LAST_MARGIN_S = 0.7
 _IDLE_POLL_S = 0.05
+# Waiting generations take room that others gave back within this time for
+# each other gateway, drawn at random.
+_SPREAD_S = 0.01
+_SPREAD_MOST_S = 0.25
 
 
 class RouterDaemon:
@@ -80,10 +84,12 @@
         )
         self._followers = self._make_followers(sources)
         self._peers = self._make_peers(sources)
+        self._context.announce = self._peers[0].announce
         self._roles = self._make_roles(sources, self._peers[0])
         self._sources = sources
         self._ports: list[interfaces.IListeningPort] = []
         self._caller_port: interfaces.IListeningPort | None = None
+        self._admitting: interfaces.IDelayedCall | None = None
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
 
@@ -268,6 +274,8 @@
         if self._loop.running:
             self._loop.stop()
         self._prober.close()
+        if self._admitting is not None and self._admitting.active():
+            self._admitting.cancel()
         for part in [self._roles, *self._followers, *self._peers]:
             part.close()
         for port in [self._caller_port, *self._ports]:
@@ -331,7 +339,17 @@
         self, peer: str, loads: Mapping[str, peers.EndpointLoad]
     ) -> None:
         self._endpoints.note_peer(peer, loads, self._now())
-        self._router.admit_waiting()
+        if self._admitting is None or not self._admitting.active():
+            # All gateways hear at once that room was given back: the first
+            # to take it has to be heard by the others before they do.
+            spread_s = min(_SPREAD_MOST_S, _SPREAD_S * self._count_peers())
+            self._admitting = self._reactor.callLater(
+                spread_s * self._generator.random(),
+                self._router.admit_waiting,
+            )
+
+    def _count_peers(self) -> int:
+        return len(self._peers[0].list_live())
 
     def _read_loads(self) -> Mapping[str, peers.EndpointLoad]:
         now = self._now()
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -14,7 +14,7 @@
 _LOG = logging.getLogger("sassafrasstile.stores")
 # Long enough to be cheap, short enough that a call which got lost in an
 # outage is made again soon after.
-_WAIT_S = 3.0
+_WAIT_S = 4.0
 _BACKOFF_FIRST_S = 0.2
 _BACKOFF_MOST_S = 0.8
 # Pages are asked for no faster than this, however fast records come.
