Split connections by job; one base for the platform's documents

Also: a line for an attempt whose caller left, and an order that is given only if the term's confirmation came back within 0.3 s of being asked for (the check before compared two readings of one moment).

--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -150,6 +150,9 @@
             result = self._note_broken(reason)
         except defer.TimeoutError:
             result = self._note_timeout()
+        except defer.CancelledError:
+            self._log(verdicts.MayHaveRun(code=errors.Code.CANCELLED))
+            raise
         finally:
             self.endpoint.health.settle(self._key)
         self._log(result)
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -7,9 +7,9 @@
 from sassafrasstile import membership
 from sassafrasstile import routes
 from sassafrasstile import web
+from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
 
-_MS = 1000.0
 _MISDIRECTED = 421
 # These statuses promise callers that nothing ran.
 _PROMISES = frozenset((408, 429, 503))
@@ -44,7 +44,7 @@
         patience_ms = request.get(_names.DEADLINE_MS.lower())
         last_event_id = request.get(_names.LAST_EVENT_ID.lower())
         try:
-            patience_s = patience_ms and float(patience_ms) / _MS
+            patience_s = patience_ms and float(patience_ms) / _models.MS_PER_S
         except ValueError as reason:
             raise errors.RequestError(
                 code=errors.Code.REQUEST_INVALID,
@@ -97,7 +97,7 @@
         headers = [
             item for item in request.headers if item[0].lower() not in replaced
         ]
-        remaining_ms = max(1, int(remaining_s * _MS))
+        remaining_ms = max(1, int(remaining_s * _models.MS_PER_S))
         headers.append((_names.DEADLINE_MS, str(remaining_ms).encode()))
         headers.append((_names.EXPECT_INSTANCE, record.endpoint_id.encode()))
         headers.extend(extra)
--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -3,17 +3,16 @@
 from typing import Literal
 
 import pydantic
-from pydantic import alias_generators
 
 from sassafrasstile import errors
 from sassafrasstile import membership
 from sassafrasstile import router
 from sassafrasstile import routes
 from sassafrasstile import stores
+from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
 from sassafrasstile.platform import _settings
 
-_MS = 1000.0
 _KINDS = {
     "safe": routes.RouteKind.IDEMPOTENT_CALL,
     "unsafe": routes.RouteKind.NON_IDEMPOTENT_CALL,
@@ -26,20 +25,12 @@
 }
 
 
-class _Model(pydantic.BaseModel):
-    """Fields in camel case; unknown ones are ignored."""
-
-    model_config = pydantic.ConfigDict(
-        alias_generator=alias_generators.to_camel, extra="ignore"
-    )
-
-
-class _WeightedService(_Model):
+class _WeightedService(_models.Document):
     service: str
     weight: float
 
 
-class _Route(_Model):
+class _Route(_models.Document):
     name: str
     hostname: str
     path_prefix: str
@@ -55,7 +46,7 @@
     weighted_services: list[_WeightedService] = []
 
 
-class _Engine(_Model):
+class _Engine(_models.Document):
     slots: int
     kv_capacity_tokens: int
     # Tokens in one event of a stream.
@@ -64,28 +55,28 @@
     kv_ttl_s: float = pydantic.Field(alias="kvTtlS", default=0.5)
 
 
-class _Service(_Model):
+class _Service(_models.Document):
     name: str
     health_path: str = ""
     max_connections: int = 1
     engine: _Engine | None = None
 
 
-class _Limits(_Model):
+class _Limits(_models.Document):
     max_header_bytes: int
     max_body_bytes: int
     header_timeout_ms: float
     idle_timeout_ms: float
 
 
-class _Configuration(_Model):
+class _Configuration(_models.Document):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
 
 
-class _Endpoint(_Model):
+class _Endpoint(_models.Document):
     service: str
     address: str
     zone: str
@@ -111,9 +102,9 @@
         prefix=route.path_prefix,
         kind=_KINDS[route.route_type],
         services=tuple(services),
-        timeout_s=route.timeout_ms / _MS,
-        target_s=route.target_latency_ms / _MS,
-        target_gap_s=route.target_gap_ms / _MS,
+        timeout_s=route.timeout_ms / _models.MS_PER_S,
+        target_s=route.target_latency_ms / _models.MS_PER_S,
+        target_gap_s=route.target_gap_ms / _models.MS_PER_S,
         priority=route.priority,
         max_attempts=route.max_attempts,
         resumable=route.resumable,
@@ -162,8 +153,10 @@
                 limits=routes.CallerLimits(
                     header_bytes=document.limits.max_header_bytes,
                     body_bytes=document.limits.max_body_bytes,
-                    header_timeout_s=document.limits.header_timeout_ms / _MS,
-                    idle_timeout_s=document.limits.idle_timeout_ms / _MS,
+                    header_timeout_s=document.limits.header_timeout_ms
+                    / _models.MS_PER_S,
+                    idle_timeout_s=document.limits.idle_timeout_ms
+                    / _models.MS_PER_S,
                 ),
             )
         except ValueError as reason:
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -2,43 +2,32 @@
 
 import os
 
-import pydantic
-from pydantic import alias_generators
 import yaml
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import router
+from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
 
-_MS = 1000.0
 
-
-class _Model(pydantic.BaseModel):
-    """Fields in camel case; unknown ones are ignored."""
-
-    model_config = pydantic.ConfigDict(
-        alias_generator=alias_generators.to_camel, extra="ignore"
-    )
-
-
-class _Listen(_Model):
+class _Listen(_models.Document):
     frontend: str
     ready: str
 
 
-class _Bounds(_Model):
+class _Bounds(_models.Document):
     grace_s: float = 8.0
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10.0
     lease_ms: float = 3000.0
 
 
-class _Store(_Model):
+class _Store(_models.Document):
     address: str
 
 
-class _File(_Model):
+class _File(_models.Document):
     node_name: str
     zone: str
     ip: str
@@ -122,7 +111,7 @@
         store_host=store_host,
         store_port=store_port,
         grace_s=file.bounds.grace_s,
-        term_s=file.bounds.lease_ms / _MS,
+        term_s=file.bounds.lease_ms / _models.MS_PER_S,
         dispatch=dispatch.DispatchSettings(
             retry_ratio=file.bounds.retry_budget_ratio,
             retry_window_s=file.bounds.retry_window_s,
--- a/sassafrasstile/roles/_manager.py
+++ b/sassafrasstile/roles/_manager.py
@@ -4,7 +4,6 @@
 import dataclasses
 import logging
 import random
-import time
 
 from twisted.internet import defer
 from twisted.internet import task
@@ -27,7 +26,7 @@
 _HOLDER_SILENCE_S = 4.0
 # ... and its last order is past after so much more than a term.
 _TAKEOVER_MARGIN_S = 0.5
-# An order leaves this soon after the term was confirmed, or not at all.
+# An order leaves this soon after the term's confirmation was asked for.
 _CONFIRMED_S = 0.3
 
 
@@ -159,14 +158,11 @@
         if self._may_order_at is None or now < self._may_order_at:
             return
         number = await self._term.write()
-        confirmed_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self._pending[order.engine] = _Pending(
             role=order.role, until=now + _PENDING_S
         )
-        if (
-            time.clock_gettime(time.CLOCK_BOOTTIME) - confirmed_at
-            > _CONFIRMED_S
-        ):
+        if self._reactor.seconds() - now > _CONFIRMED_S:
+            # The term may have been lost again meanwhile.
             return
         accepted = await self._send_order(order, number)
         order.engine.changing_until = now + _PENDING_S
--- a/sassafrasstile/web/__init__.py
+++ b/sassafrasstile/web/__init__.py
@@ -6,19 +6,19 @@
     EventStreamReader,
     HttpClient,
 )
-from sassafrasstile.web._connection import (
-    ConnectionPool,
-    ExchangeError,
-    Headers,
-    Reply,
-    ResponseHead,
-)
 from sassafrasstile.web._ingress import (
     CallerRequest,
     IngressFactory,
     IngressRequest,
     drop_hop_headers,
 )
+from sassafrasstile.web._pool import ConnectionPool
+from sassafrasstile.web._reply import (
+    ExchangeError,
+    Headers,
+    Reply,
+    ResponseHead,
+)
 
 __all__ = [
     "NOT_CONNECTED",
--- a/sassafrasstile/web/_connection.py
+++ b/sassafrasstile/web/_connection.py
@@ -1,25 +1,20 @@
-"""HTTP/1.1 connections to one server, each with one request at a time.
+"""An HTTP/1.1 connection to a server, with one request at a time.
 
 twisted.web's client drops what follows an answer; here such bytes show that
 a connection can't be trusted any more, so h11 parses instead.
 """
 
-import collections
-from collections.abc import Callable, Sequence
-import dataclasses
+from collections.abc import Callable
 import socket
 
 import h11
-from twisted.internet import defer
-from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
 
 from sassafrasstile import errors
-
-Headers = Sequence[tuple[bytes, bytes]]
+from sassafrasstile.web import _reply
 
 _MAX_HEAD_BYTES = 65536
 # Silent peers are given up after about three seconds.
@@ -32,44 +27,6 @@
 _KEPT_DEFAULT_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ResponseHead:
-    """Status and headers of an answer.
-
-    Attributes:
-        status: The HTTP status.
-        reason: The reason phrase.
-        headers: The headers, names in lower case.
-    """
-
-    status: int
-    reason: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-
-    def get(self, name: bytes) -> bytes | None:
-        """Returns the first value of a header, or None.
-
-        Args:
-            name: The name, in lower case.
-        """
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
-class ExchangeError(errors.Error):
-    """An exchange with a server failed.
-
-    Attributes:
-        was_sent: True when bytes of the request may have reached the server.
-    """
-
-    def __init__(self, *, code: errors.Code, detail: str, was_sent: bool):
-        super().__init__(code=code, detail=detail)
-        self.was_sent = was_sent
-
-
 def tune_socket(transport) -> None:
     """Makes a silent peer show as a lost connection within seconds."""
     if not interfaces.ITCPTransport.providedBy(transport):
@@ -86,87 +43,6 @@
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
-class Reply:
-    """The answer to one request, read piece by piece."""
-
-    def __init__(self, *, connection: "HttpConnection"):
-        self._connection = connection
-        self._head: ResponseHead | None = None
-        self._pieces: collections.deque[bytes] = collections.deque()
-        self._ended = False
-        self._error: ExchangeError | None = None
-        self._waiting: defer.Deferred | None = None
-
-    async def read_head(self) -> ResponseHead:
-        """Waits for status and headers.
-
-        Raises:
-            ExchangeError: The connection broke or its bytes are no answer.
-        """
-        while self._head is None:
-            await self._wait()
-        return self._head
-
-    async def read_piece(self) -> bytes | None:
-        """Waits for the next piece of the body; None at its whole end.
-
-        Raises:
-            ExchangeError: The body broke off.
-        """
-        while True:
-            if self._pieces:
-                return self._pieces.popleft()
-            if self._ended:
-                return None
-            await self._wait()
-
-    async def read_body(self) -> bytes:
-        """Waits for the whole body."""
-        pieces = []
-        while (piece := await self.read_piece()) is not None:
-            pieces.append(piece)
-        return b"".join(pieces)
-
-    def close(self) -> None:
-        """Drops the connection unless the answer has ended."""
-        if not self._ended:
-            self._connection.abort()
-
-    async def _wait(self) -> None:
-        if self._error is not None:
-            raise self._error
-        self._waiting = defer.Deferred()
-        await self._waiting
-
-    def _wake(self) -> None:
-        waiting, self._waiting = self._waiting, None
-        if waiting is not None and not waiting.called:
-            waiting.callback(None)
-
-    # Called by the connection.
-
-    def set_head(self, head: ResponseHead) -> None:
-        """Takes status and headers."""
-        self._head = head
-        self._wake()
-
-    def add_piece(self, piece: bytes) -> None:
-        """Takes a piece of the body."""
-        self._pieces.append(piece)
-        self._wake()
-
-    def end(self) -> None:
-        """Takes the whole end of the body."""
-        self._ended = True
-        self._wake()
-
-    def fail(self, reason: ExchangeError) -> None:
-        """Takes the end of the connection before the answer's."""
-        if not self._ended and self._error is None:
-            self._error = reason
-            self._wake()
-
-
 class HttpConnection(protocol.Protocol):
     """A connection that carries one request after another.
 
@@ -187,7 +63,7 @@
         self._on_lost = on_lost
         self._on_heard = on_heard
         self._parser = self._make_parser()
-        self._reply: Reply | None = None
+        self._reply: _reply.Reply | None = None
         self.is_open = False
         self.kept_s = _KEPT_DEFAULT_S
         self.free_since = 0.0
@@ -204,8 +80,13 @@
         tune_socket(self.transport)
 
     def send(
-        self, *, method: bytes, target: bytes, headers: Headers, body: bytes
-    ) -> Reply:
+        self,
+        *,
+        method: bytes,
+        target: bytes,
+        headers: _reply.Headers,
+        body: bytes,
+    ) -> _reply.Reply:
         """Sends a request on a free connection.
 
         Args:
@@ -218,7 +99,7 @@
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             fields.append((b"Content-Length", str(len(body)).encode()))
         request = h11.Request(method=method, target=target, headers=fields)
-        self._reply = Reply(connection=self)
+        self._reply = _reply.Reply(abort=self.abort)
         data = self._parser.send(request)
         if body:
             data += self._parser.send(h11.Data(data=body))
@@ -263,7 +144,9 @@
     def _fail(self, code: errors.Code, detail: str) -> None:
         reply, self._reply = self._reply, None
         if reply is not None:
-            reply.fail(ExchangeError(code=code, detail=detail, was_sent=True))
+            reply.fail(
+                _reply.ExchangeError(code=code, detail=detail, was_sent=True)
+            )
 
     def _handle_events(self) -> None:
         while self._reply is not None:
@@ -282,7 +165,7 @@
 
     def _handle_head(self, event: h11.Response) -> None:
         headers = tuple(event.headers)
-        head = ResponseHead(
+        head = _reply.ResponseHead(
             status=event.status_code, reason=event.reason, headers=headers
         )
         kept = head.get(b"keep-alive") or b""
@@ -303,122 +186,3 @@
             return
         self._parser.start_next_cycle()
         self._on_free(self)
-
-
-class ConnectionPool:
-    """Connections to one server.
-
-    Args:
-        reactor: The reactor.
-        host: The server's IP number.
-        port: Its port.
-        connect_timeout_s: Seconds until a connection must be up.
-        on_heard: Called whenever the server has sent something.
-    """
-
-    def __init__(
-        self,
-        *,
-        reactor,
-        host: str,
-        port: int,
-        connect_timeout_s: float,
-        on_heard: Callable[[], None] = lambda: None,
-    ):
-        self._reactor = reactor
-        self._on_heard = on_heard
-        self._endpoint = endpoints.TCP4ClientEndpoint(
-            reactor, host, port, timeout=connect_timeout_s
-        )
-        self._address = f"{host}:{port}"
-        self._free: list[HttpConnection] = []
-        self._all: set[HttpConnection] = set()
-        self._closed = False
-        self.opened = 0
-
-    async def send(
-        self,
-        *,
-        method: bytes,
-        target: bytes,
-        headers: Headers,
-        body: bytes = b"",
-        fresh: bool = False,
-        on_send: Callable[[], None] = lambda: None,
-    ) -> Reply:
-        """Sends a request on a free connection, or on a new one.
-
-        Args:
-            method: The method.
-            target: The path with its query.
-            headers: The headers, framing and connection headers left out.
-            body: The body.
-            fresh: True when a kept connection won't do.
-            on_send: Called just before the first byte is written.
-
-        Raises:
-            ExchangeError: No connection could be made; nothing was sent.
-        """
-        connection = None if fresh else self._take_free()
-        if connection is None:
-            connection = await self._connect()
-        on_send()
-        return connection.send(
-            method=method, target=target, headers=headers, body=body
-        )
-
-    def close(self) -> None:
-        """Drops every free connection, and the others once they are free."""
-        self._closed = True
-        free, self._free = self._free, []
-        for connection in free:
-            connection.abort()
-
-    def abort(self) -> None:
-        """Drops every connection at once."""
-        self.close()
-        for connection in list(self._all):
-            connection.abort()
-
-    def _take_free(self) -> HttpConnection | None:
-        now = self._reactor.seconds()
-        while self._free:
-            connection = self._free.pop()
-            if not connection.is_open:
-                continue
-            if now - connection.free_since < connection.kept_s:
-                return connection
-            connection.abort()
-        return None
-
-    async def _connect(self) -> HttpConnection:
-        factory = protocol.Factory.forProtocol(self._build)
-        factory.noisy = False
-        try:
-            connection = await self._endpoint.connect(factory)
-        except error.ConnectError as reason:
-            raise ExchangeError(
-                code=errors.Code.ENDPOINT_UNREACHABLE,
-                detail=f"{self._address}: {reason}",
-                was_sent=False,
-            ) from reason
-        self._all.add(connection)
-        self.opened += 1
-        return connection
-
-    def _build(self) -> HttpConnection:
-        return HttpConnection(
-            on_free=self._keep, on_lost=self._forget, on_heard=self._on_heard
-        )
-
-    def _keep(self, connection: HttpConnection) -> None:
-        if self._closed:
-            connection.abort()
-            return
-        connection.free_since = self._reactor.seconds()
-        self._free.append(connection)
-
-    def _forget(self, connection: HttpConnection) -> None:
-        self._all.discard(connection)
-        if connection in self._free:
-            self._free.remove(connection)
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -7,6 +7,7 @@
 
 from sassafrasstile import routes
 from sassafrasstile.web import _connection
+from sassafrasstile.web import _reply
 
 # Headers that concern one connection only.
 _HOP_HEADERS = frozenset(
@@ -31,7 +32,7 @@
 _CLOSING = b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 
 
-def drop_hop_headers(headers: _connection.Headers) -> list[tuple[bytes, bytes]]:
+def drop_hop_headers(headers: _reply.Headers) -> list[tuple[bytes, bytes]]:
     """Returns the headers that are to be passed on.
 
     >>> drop_hop_headers([(b"TE", b"x"), (b"A", b"1"), (b"Connection", b"b")])
@@ -134,7 +135,7 @@
         self,
         *,
         status: int,
-        headers: _connection.Headers = (),
+        headers: _reply.Headers = (),
         body: bytes = b"",
     ) -> None:
         """Sends a whole answer."""
@@ -149,7 +150,7 @@
         self,
         *,
         status: int,
-        headers: _connection.Headers = (),
+        headers: _reply.Headers = (),
         length: int | None = None,
     ) -> None:
         """Sends status and headers."""
--- /dev/null
+++ b/sassafrasstile/web/_pool.py
@@ -0,0 +1,130 @@
+"""Connections to one server, kept for the next request."""
+
+from collections.abc import Callable
+
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import protocol
+
+from sassafrasstile import errors
+from sassafrasstile.web import _connection
+from sassafrasstile.web import _reply
+
+
+class ConnectionPool:
+    """Connections to one server.
+
+    Args:
+        reactor: The reactor.
+        host: The server's IP number.
+        port: Its port.
+        connect_timeout_s: Seconds until a connection must be up.
+        on_heard: Called whenever the server has sent something.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        host: str,
+        port: int,
+        connect_timeout_s: float,
+        on_heard: Callable[[], None] = lambda: None,
+    ):
+        self._reactor = reactor
+        self._on_heard = on_heard
+        self._endpoint = endpoints.TCP4ClientEndpoint(
+            reactor, host, port, timeout=connect_timeout_s
+        )
+        self._address = f"{host}:{port}"
+        self._free: list[_connection.HttpConnection] = []
+        self._all: set[_connection.HttpConnection] = set()
+        self._closed = False
+        self.opened = 0
+
+    async def send(
+        self,
+        *,
+        method: bytes,
+        target: bytes,
+        headers: _reply.Headers,
+        body: bytes = b"",
+        fresh: bool = False,
+        on_send: Callable[[], None] = lambda: None,
+    ) -> _reply.Reply:
+        """Sends a request on a free connection, or on a new one.
+
+        Args:
+            method: The method.
+            target: The path with its query.
+            headers: The headers, framing and connection headers left out.
+            body: The body.
+            fresh: True when a kept connection won't do.
+            on_send: Called just before the first byte is written.
+
+        Raises:
+            ExchangeError: No connection could be made; nothing was sent.
+        """
+        connection = None if fresh else self._take_free()
+        if connection is None:
+            connection = await self._connect()
+        on_send()
+        return connection.send(
+            method=method, target=target, headers=headers, body=body
+        )
+
+    def close(self) -> None:
+        """Drops every free connection, and the others once they are free."""
+        self._closed = True
+        free, self._free = self._free, []
+        for connection in free:
+            connection.abort()
+
+    def abort(self) -> None:
+        """Drops every connection at once."""
+        self.close()
+        for connection in list(self._all):
+            connection.abort()
+
+    def _take_free(self) -> _connection.HttpConnection | None:
+        now = self._reactor.seconds()
+        while self._free:
+            connection = self._free.pop()
+            if not connection.is_open:
+                continue
+            if now - connection.free_since < connection.kept_s:
+                return connection
+            connection.abort()
+        return None
+
+    async def _connect(self) -> _connection.HttpConnection:
+        factory = protocol.Factory.forProtocol(self._build)
+        factory.noisy = False
+        try:
+            connection = await self._endpoint.connect(factory)
+        except error.ConnectError as reason:
+            raise _reply.ExchangeError(
+                code=errors.Code.ENDPOINT_UNREACHABLE,
+                detail=f"{self._address}: {reason}",
+                was_sent=False,
+            ) from reason
+        self._all.add(connection)
+        self.opened += 1
+        return connection
+
+    def _build(self) -> _connection.HttpConnection:
+        return _connection.HttpConnection(
+            on_free=self._keep, on_lost=self._forget, on_heard=self._on_heard
+        )
+
+    def _keep(self, connection: _connection.HttpConnection) -> None:
+        if self._closed:
+            connection.abort()
+            return
+        connection.free_since = self._reactor.seconds()
+        self._free.append(connection)
+
+    def _forget(self, connection: _connection.HttpConnection) -> None:
+        self._all.discard(connection)
+        if connection in self._free:
+            self._free.remove(connection)
