--- /dev/null
+++ b/sassafrasstile/roles/tests/test_term.py
@@ -0,0 +1,164 @@
+import random
+import unittest
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile import membership
+from sassafrasstile import roles
+from sassafrasstile import routes
+from sassafrasstile import stores
+from sassafrasstile import testing
+
+_TERM_S = 3.0
+
+
+class _Store(stores.Store):
+    """A topic in memory; appends can be conditional or get no answer."""
+
+    def __init__(self):
+        self.records = []
+        self.loses_answer = False
+
+    def load(self, topic):
+        newest = {key: (value, at) for at, (key, value) in self._number()}
+        entries = tuple(
+            stores.Change(key=key, value=value, offset=at)
+            for key, (value, at) in newest.items()
+        )
+        snapshot = stores.Snapshot(
+            entries=entries, next_offset=len(self.records)
+        )
+        return defer.succeed(snapshot)
+
+    def _number(self):
+        return enumerate(self.records)
+
+    def follow(self, topic, *, offset, wait_s):
+        raise NotImplementedError
+
+    def put(self, topic, *, key, value, at=None):
+        if at is not None and at != len(self.records):
+            return defer.fail(
+                stores.StoreError(code=errors.Code.CONFLICT, detail="late")
+            )
+        self.records.append((key, value))
+        if self.loses_answer:
+            return defer.fail(
+                stores.StoreError(
+                    code=errors.Code.STORE_UNAVAILABLE, detail="no answer"
+                )
+            )
+        return defer.succeed(len(self.records) - 1)
+
+    def close(self):
+        pass
+
+
+class TermTest(unittest.TestCase):
+    """One gateway at a time gives orders, with rising numbers."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.store = _Store()
+        self.orders = []
+        self.live = {"a": {"b"}, "b": {"a"}}
+        self.endpoints = dispatch.EndpointTable(silence_s=1.0)
+        for number in range(9):
+            role = membership.Role.DECODE
+            if number < 6:
+                role = membership.Role.PREFILL
+            name = f"e{number}"
+            self.endpoints.note_record(
+                name, testing.make_endpoint_record(name, role=role)
+            )
+        self.book = routes.ConfigurationBook()
+        service = routes.Service(
+            name="engine",
+            engine=routes.EngineProfile(
+                slots=8,
+                capacity_tokens=10_000,
+                tokens_per_event=1,
+                handle_ttl_s=0.5,
+            ),
+        )
+        self.book.offer(
+            routes.Configuration(
+                version=1, routes=(), services={"engine": service}
+            )
+        )
+
+    def start(self, name):
+        def send(order, number):
+            self.orders.append((self.clock.seconds(), name, number))
+            return defer.succeed(True)
+
+        manager = roles.RoleManager(
+            reactor=self.clock,
+            name=name,
+            term=roles.TermHolder(store=self.store, topic="orders", name=name),
+            term_s=_TERM_S,
+            endpoints=self.endpoints,
+            book=self.book,
+            prefill_share=0.2,
+            list_peers=lambda: self.live[name],
+            send_order=send,
+            generator=random.Random(name),
+        )
+        manager.start()
+        self.addCleanup(manager.close)
+        return manager
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+
+    def check_numbers(self):
+        numbers = [number for _, _, number in self.orders]
+        self.assertEqual(numbers, sorted(set(numbers)))
+
+    def test_only_one_of_two_gives_orders(self):
+        self.start("a")
+        self.start("b")
+        self.advance(20.0)
+        self.assertEqual(len({name for _, name, _ in self.orders}), 1)
+        self.assertGreaterEqual(len(self.orders), 4)
+        self.check_numbers()
+
+    def test_successor_waits_for_a_term_and_has_higher_numbers(self):
+        first = self.start("a")
+        self.advance(4.0)
+        self.assertTrue(self.orders)
+        first.close()
+        last_at = self.orders[-1][0]
+        self.live["b"] = set()
+        self.endpoints.note_record(
+            "e9",
+            testing.make_endpoint_record("e9", role=membership.Role.PREFILL),
+        )
+        self.start("b")
+        self.advance(40.0)
+        later = [item for item in self.orders if item[1] == "b"]
+        self.assertTrue(later)
+        self.assertGreater(later[0][0] - last_at, _TERM_S)
+        self.check_numbers()
+
+    def test_holder_that_lost_its_term_gives_no_order(self):
+        self.start("a")
+        self.advance(3.0)
+        self.store.records.append(("holder", b'"b"'))
+        before = len(self.orders)
+        self.advance(20.0)
+        self.assertEqual(len(self.orders), before)
+
+    def test_confirmation_without_an_answer_gives_no_order(self):
+        self.store.loses_answer = True
+        self.start("a")
+        self.advance(10.0)
+        self.assertEqual(self.orders, [])
+        self.store.loses_answer = False
+        self.advance(15.0)
+        self.assertTrue(self.orders)
+        self.check_numbers()
--- /dev/null
+++ b/sassafrasstile/telemetry/tests/test_bounded_logs.py
@@ -0,0 +1,64 @@
+import logging
+import os
+import unittest
+
+import prometheus_client
+
+from sassafrasstile import telemetry
+
+
+class BoundedLogTest(unittest.TestCase):
+    """Log lines that never wait for their reader."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.dropped = prometheus_client.Counter(
+            "dropped",
+            "Dropped.",
+            registry=prometheus_client.CollectorRegistry(),
+        )
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+
+    def make_logger(self, lines_per_s):
+        handler = telemetry.BoundedStreamHandler(
+            descriptor=self.writer,
+            dropped=self.dropped,
+            lines_per_s=lines_per_s,
+        )
+        logger = logging.Logger("bounded")
+        logger.addHandler(handler)
+        return logger
+
+    def count_dropped(self):
+        return self.dropped._value.get()
+
+    def test_lines_beyond_the_rate_are_dropped_and_counted(self):
+        logger = self.make_logger(10.0)
+        for number in range(50):
+            logger.info("line %d", number)
+        written = os.read(self.reader, 65536).count(b"\n")
+        self.assertEqual(written + self.count_dropped(), 50)
+        self.assertGreaterEqual(self.count_dropped(), 30)
+
+    def test_warnings_are_written_beyond_the_rate(self):
+        logger = self.make_logger(1.0)
+        for number in range(5):
+            logger.warning("line %d", number)
+        self.assertEqual(os.read(self.reader, 65536).count(b"\n"), 5)
+
+    def test_reader_that_stands_still_holds_nobody_up(self):
+        logger = self.make_logger(1e9)
+        for _ in range(2000):
+            logger.info("x" * 100)
+        self.assertGreater(self.count_dropped(), 0)
+        got = os.read(self.reader, 1 << 20)
+        lines = got.split(b"\n")
+        self.assertEqual(set(lines[:-1]), {b"x" * 100})
+        # The line that was cut goes on where it ended.
+        logger.info("last")
+        rest = lines[-1] + os.read(self.reader, 1 << 20)
+        self.assertEqual(
+            [line for line in rest.split(b"\n") if line],
+            [b"x" * 100, b"last"],
+        )
