Soak real gateway processes under faults from outside

Gateways run as processes behind loopback proxies; they are killed, paused and stopped by signals, links are reset, delayed and silenced, endpoints and the store fail. Callers and endpoints check at most once, true refusals, whole answers and released engines.

--- /dev/null
+++ b/sassafrasstile/faultsoak/_gateways.py
@@ -0,0 +1,89 @@
+"""Gateway processes, started and ended by their ids."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import yaml
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class GatewayProcess:
+    """One gateway, restarted with the same settings.
+
+    Args:
+        name: Its name.
+        folder: Where its settings file and output go.
+        store_port: The port of the store, or of a proxy before it.
+    """
+
+    def __init__(self, *, name: str, folder: pathlib.Path, store_port: int):
+        self.name = name
+        self.port = _find_port()
+        self._ready_port = _find_port()
+        self._path = folder / f"{name}.yaml"
+        self._output = folder / f"{name}.log"
+        self._store_port = store_port
+        self._process: subprocess.Popen | None = None
+        # Since when faults may have touched its requests, or None.
+        self.disturbed_at: float | None = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        inner = _find_port()
+        settings = {
+            "nodeName": self.name,
+            "zone": "a",
+            "ip": "127.0.0.1",
+            "listen": {
+                "frontend": f"127.0.0.1:{self.port}",
+                "ready": f"127.0.0.1:{self._ready_port}",
+            },
+            "internalPorts": [inner, inner],
+            "bounds": {"graceS": 8},
+            "platform": {"address": f"127.0.0.1:{self._store_port}"},
+        }
+        self._path.write_text(yaml.safe_dump(settings))
+        environment = {**os.environ, "SASSAFRASSTILE_BOOT": str(self._path)}
+        with open(self._output, "ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "sassafrasstile.platform"],
+                env=environment,
+                stdout=output,
+                stderr=output,
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """True until the process has ended."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code of a process that has ended, or None."""
+        return self._process.poll()
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal."""
+        if self.is_running:
+            self._process.send_signal(number)
+
+    def close(self) -> None:
+        """Ends the process at once."""
+        if self.is_running:
+            self.send(signal.SIGCONT)
+            self._process.kill()
+            self._process.wait()
--- /dev/null
+++ b/sassafrasstile/faultsoak/tests/test_faultsoak.py
@@ -0,0 +1,26 @@
+import unittest
+
+from sassafrasstile import faultsoak
+from sassafrasstile import testing
+
+# Seeds that failed once stay here, each with its cause.
+_SEEDS = (
+    1,
+    # The proxy kept a connection whose near side had closed early.
+    2,
+)
+_SECONDS = 10.0
+
+
+class FaultSoakTest(unittest.TestCase):
+    """Real gateway processes under faults from outside."""
+
+    def test_promises_hold(self):
+        for seed in _SEEDS:
+            with self.subTest(seed=seed):
+                run = faultsoak.SoakRun(
+                    reactor=testing.reactor, seed=seed, seconds=_SECONDS
+                )
+                report = testing.run(run.run)
+                self.assertEqual(report.violations, [])
+                self.assertGreater(report.whole, 0)
--- a/sassafrasstile/testing/__init__.py
+++ b/sassafrasstile/testing/__init__.py
@@ -5,6 +5,8 @@
     Caller,
     PlatformSite,
     RawAnswer,
+    make_configuration_document,
+    make_endpoint_document,
     make_platform_route,
     make_request,
 )
@@ -13,6 +15,7 @@
     ReactorTestCase,
     fetch_json,
     on_reactor,
+    reactor,
     run,
     spawn,
 )
@@ -29,12 +32,15 @@
     "ProcessSite",
     "ReactorTestCase",
     "fetch_json",
+    "make_configuration_document",
+    "make_endpoint_document",
     "make_endpoint_record",
     "make_platform_route",
     "make_request",
     "make_route",
     "make_samples",
     "on_reactor",
+    "reactor",
     "run",
     "spawn",
 ]
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -139,6 +139,49 @@
     }
 
 
+def make_endpoint_document(*, port: int, **changes) -> dict:
+    """Returns what an endpoint says of itself."""
+    return {
+        "service": "desk",
+        "address": f"127.0.0.1:{port}",
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        "born": 1,
+        **changes,
+    }
+
+
+def make_configuration_document(
+    *, version: int, routes: list[dict], **limits
+) -> dict:
+    """Returns a configuration as the operator writes it."""
+    engine = {
+        "slots": 8,
+        "kvCapacityTokens": 10000,
+        "stride": 1,
+        "kvTtlS": 0.5,
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "desk", "healthPath": "/healthz"},
+            {"name": "writer", "healthPath": "/healthz", "engine": engine},
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 500,
+            "idleTimeoutMs": 5000,
+            **limits,
+        },
+    }
+
+
 class _FixedSettings(router.SettingsSource):
     """Settings that never change."""
 
@@ -236,18 +279,7 @@
     def announce(self, name: str, **changes) -> None:
         """Writes what an endpoint says of itself."""
         endpoint = self.endpoints[name]
-        document = {
-            "service": "desk",
-            "address": f"127.0.0.1:{endpoint.port}",
-            "zone": "a",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "coldRemainingMs": 0,
-            "sequence": 1,
-            "born": 1,
-            **changes,
-        }
+        document = make_endpoint_document(port=endpoint.port, **changes)
         self.store.put_json(_MEMBERSHIP_TOPIC, name, document)
 
     def withdraw(self, name: str) -> None:
@@ -257,30 +289,9 @@
     def configure(self, **limits) -> None:
         """Writes the configuration, with a higher version each time."""
         self.version += 1
-        document = {
-            "version": self.version,
-            "routes": self.routes,
-            "services": [
-                {"name": "desk", "healthPath": "/healthz"},
-                {
-                    "name": "writer",
-                    "healthPath": "/healthz",
-                    "engine": {
-                        "slots": 8,
-                        "kvCapacityTokens": 10000,
-                        "stride": 1,
-                        "kvTtlS": 0.5,
-                    },
-                },
-            ],
-            "limits": {
-                "maxHeaderBytes": 4096,
-                "maxBodyBytes": 65536,
-                "headerTimeoutMs": 500,
-                "idleTimeoutMs": 5000,
-                **limits,
-            },
-        }
+        document = make_configuration_document(
+            version=self.version, routes=self.routes, **limits
+        )
         self.store.put_json(_CONFIGURATION_TOPIC, "config", document)
 
     async def connect(self) -> Caller:
