--- a/sassafrasstile/faultsoak/_proxy.py
+++ b/sassafrasstile/faultsoak/_proxy.py
@@ -12,6 +12,7 @@
         self._proxy = proxy
         self.other: _Side | None = None
         self._early: list[bytes] = []
+        self.due_at = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802
         self._proxy.sides.add(self)
@@ -88,8 +89,12 @@
         """Passes bytes on, as the fault of the moment allows."""
         if self.is_silent:
             return
-        if self.delay_s:
-            self._reactor.callLater(self.delay_s, self._write, side, data)
+        now = self._reactor.seconds()
+        # Bytes never overtake each other, however the delay changes.
+        side.due_at = max(side.due_at, now + self.delay_s)
+        if side.due_at > now:
+            wait_s = side.due_at - now
+            self._reactor.callLater(wait_s, self._write, side, data)
         else:
             side.transport.write(data)
 
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -15,6 +15,10 @@
 # Long enough to be cheap, short enough that a call which got lost in an
 # outage is made again soon after.
 _WAIT_S = 4.0
+# After trouble a waiting call may not hear of new records until it ends, so
+# calls are this short for so long.
+_CAUTIOUS_WAIT_S = 1.2
+_CAUTIOUS_S = 12.0
 _BACKOFF_FIRST_S = 0.2
 _BACKOFF_MOST_S = 0.8
 # Pages are asked for no faster than this, however fast records come.
@@ -58,6 +62,7 @@
         self._view = _view.KeyedView()
         self._offset: int | None = None
         self._failures = 0
+        self._cautious_until = 0.0
         self._running: defer.Deferred | None = None
 
     def start(self) -> None:
@@ -94,14 +99,22 @@
         page = await self._store.follow(
             self._topic,
             offset=self._offset,
-            # A short call shows soon that an outage has ended.
-            wait_s=0.0 if self._failures else _WAIT_S,
+            wait_s=self._choose_wait(),
         )
         self._note_contact()
         for change in page.changes:
             self._take(change)
         self._offset = page.next_offset
 
+    def _choose_wait(self) -> float:
+        """Returns how long the store may wait for a record."""
+        if self._failures:
+            # A short call shows soon that an outage has ended.
+            return 0.0
+        if self._reactor.seconds() < self._cautious_until:
+            return _CAUTIOUS_WAIT_S
+        return _WAIT_S
+
     def _take_snapshot(self, snapshot: _base.Snapshot) -> None:
         for change in snapshot.entries:
             self._take(change)
@@ -132,6 +145,7 @@
         self._on_contact()
 
     async def _handle_failure(self, reason: _base.StoreError) -> None:
+        self._cautious_until = self._reactor.seconds() + _CAUTIOUS_S
         if reason.code == errors.Code.HISTORY_GONE:
             _LOG.info("store: topic %s has lost its history.", self._topic)
             self._offset = None
--- a/sassafrasstile/stores/tests/test_follower.py
+++ b/sassafrasstile/stores/tests/test_follower.py
@@ -94,6 +94,20 @@
         self.assertEqual(self.changes[-1].value, b"new")
         self.assertNotIn("outage", self.notes)
 
+    def test_calls_stay_short_for_a_while_after_trouble(self):
+        self.load(_make_change(0))
+        usual_s = self.store.follows[-1][2]
+        _fail(self.store.follows[-1][0], errors.Code.HISTORY_GONE)
+        self.load(_make_change(7), next_offset=8)
+        # A call made now may not hear of new records until it ends.
+        self.assertLessEqual(self.store.follows[-1][2], 1.5)
+        self.assertGreater(usual_s, 1.5)
+        for _ in range(20):
+            page = stores.ChangePage(changes=(), next_offset=8)
+            self.store.follows[-1][0].callback(page)
+            self.clock.advance(1.0)
+        self.assertEqual(self.store.follows[-1][2], usual_s)
+
     def test_snapshot_out_of_date_changes_nothing(self):
         self.load(_make_change(5, b"new"), next_offset=6)
         _fail(self.store.follows[-1][0], errors.Code.HISTORY_GONE)
