--- a/sassafrasstile/faultsoak/_proxy.py
+++ b/sassafrasstile/faultsoak/_proxy.py
@@ -1,5 +1,7 @@
 """A loopback proxy that delays, silences or resets connections."""
 
+import collections
+
 from twisted.internet import endpoints
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -12,7 +14,7 @@
         self._proxy = proxy
         self.other: _Side | None = None
         self._early: list[bytes] = []
-        self.due_at = 0.0
+        self.waiting: collections.deque[bytes] = collections.deque()
 
     def connectionMade(self) -> None:  # noqa: N802
         self._proxy.sides.add(self)
@@ -89,20 +91,20 @@
         """Passes bytes on, as the fault of the moment allows."""
         if self.is_silent:
             return
-        now = self._reactor.seconds()
-        # Bytes never overtake each other, however the delay changes.
-        side.due_at = max(side.due_at, now + self.delay_s)
-        if side.due_at > now:
-            wait_s = side.due_at - now
-            self._reactor.callLater(wait_s, self._write, side, data)
-        else:
+        if not self.delay_s and not side.waiting:
             side.transport.write(data)
+            return
+        # Bytes never overtake each other, however the delay changes: each
+        # timer writes the oldest that wait.
+        side.waiting.append(data)
+        self._reactor.callLater(self.delay_s, self._write, side)
 
     def reset(self) -> None:
         """Breaks every connection."""
         for side in list(self.sides):
             side.transport.abortConnection()
 
-    def _write(self, side: _Side, data: bytes) -> None:
+    def _write(self, side: _Side) -> None:
+        data = side.waiting.popleft()
         if side in self.sides and not self.is_silent:
             side.transport.write(data)
