--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -83,9 +83,13 @@
             reactor=reactor, handler=self._router.handle
         )
         self._followers = self._make_followers(sources)
-        self._peers = self._make_peers(sources)
-        self._context.announce = self._peers[0].announce
-        self._roles = self._make_roles(sources, self._peers[0])
+        address = peers.PeerAddress(
+            name=settings.name, host=settings.host, port=settings.peer_port
+        )
+        self._channel = self._make_channel(address)
+        self._directory = self._make_directory(sources, address)
+        self._context.announce = self._channel.announce
+        self._roles = self._make_roles(sources)
         self._sources = sources
         self._ports: list[interfaces.IListeningPort] = []
         self._caller_port: interfaces.IListeningPort | None = None
@@ -133,30 +137,26 @@
         )
         return [configuration, endpoints]
 
-    def _make_peers(self, sources) -> list:
-        address = peers.PeerAddress(
-            name=self.settings.name,
-            host=self.settings.host,
-            port=self.settings.peer_port,
-        )
-        channel = peers.PeerChannel(
+    def _make_channel(self, address) -> peers.PeerChannel:
+        return peers.PeerChannel(
             reactor=self._reactor,
             address=address,
             incarnation=self.incarnation,
             read_loads=self._read_loads,
             on_report=self._note_peer,
         )
-        directory = peers.PeerDirectory(
+
+    def _make_directory(self, sources, address) -> peers.PeerDirectory:
+        return peers.PeerDirectory(
             reactor=self._reactor,
             store=self._store,
             topic=sources.peer_topic,
             address=address,
-            channel=channel,
+            channel=self._channel,
             generator=self._generator,
         )
-        return [channel, directory]
 
-    def _make_roles(self, sources, channel) -> roles.RoleManager:
+    def _make_roles(self, sources) -> roles.RoleManager:
         return roles.RoleManager(
             reactor=self._reactor,
             name=self.settings.name,
@@ -169,7 +169,7 @@
             endpoints=self._endpoints,
             book=self._book,
             prefill_share=self.settings.dispatch.prefill_share,
-            list_peers=channel.list_live,
+            list_peers=self._channel.list_live,
             send_order=self._send_order,
             generator=self._generator,
         )
@@ -185,6 +185,16 @@
             number=number,
         )
 
+    def _list_parts(self) -> list:
+        """Returns what is started and closed together, in that order."""
+        return [
+            *self._followers,
+            self._channel,
+            self._directory,
+            self._prober,
+            self._roles,
+        ]
+
     def _now(self) -> float:
         return self._reactor.seconds()
 
@@ -198,9 +208,8 @@
         self._ports.append(self._listen(settings.ready_port, admin))
         if settings.metrics_port:
             self._ports.append(self._listen(settings.metrics_port, admin))
-        for part in [*self._followers, *self._peers, self._roles]:
+        for part in self._list_parts():
             part.start()
-        self._prober.start()
         self._loop.start(_TICK_S, now=False)
         _LOG.info(
             "router: gateway %s starts.",
@@ -273,10 +282,9 @@
         """Closes everything at once."""
         if self._loop.running:
             self._loop.stop()
-        self._prober.close()
         if self._admitting is not None and self._admitting.active():
             self._admitting.cancel()
-        for part in [self._roles, *self._followers, *self._peers]:
+        for part in reversed(self._list_parts()):
             part.close()
         for port in [self._caller_port, *self._ports]:
             await defer.maybeDeferred(port.stopListening)
@@ -349,7 +357,7 @@
             )
 
     def _count_peers(self) -> int:
-        return len(self._peers[0].list_live())
+        return len(self._channel.list_live())
 
     def _read_loads(self) -> Mapping[str, peers.EndpointLoad]:
         now = self._now()
