--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format setup generate
+.PHONY: demo demo-platform test lint format setup generate
 
 setup: $(VENV)/.ready
 
@@ -14,6 +14,9 @@
 demo: setup
 	$(BIN)/sassafrasstile demo
 
+demo-platform: setup
+	$(BIN)/python -m sassafrasstile.faultsoak --seconds 8 --no-faults
+
 test: setup
 	$(BIN)/python -m nose2 --config nose2.cfg
 
--- a/sassafrasstile/faultsoak/__main__.py
+++ b/sassafrasstile/faultsoak/__main__.py
@@ -15,18 +15,28 @@
 
 
 @app.default
-def soak(*, seed: int = 1, seeds: int = 1, seconds: float = 30.0) -> int:
+def soak(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 30.0,
+    faults: bool = True,
+) -> int:
     """Run one seed after another; exit 1 when a promise was broken.
 
     Args:
         seed: The first seed.
         seeds: How many seeds.
         seconds: How long callers send in each.
+        faults: `--no-faults` for a calm run, as in `make demo-platform`.
     """
     broken = 0
     for number in range(seed, seed + seeds):
         run = faultsoak.SoakRun(
-            reactor=testing.reactor, seed=number, seconds=seconds
+            reactor=testing.reactor,
+            seed=number,
+            seconds=seconds,
+            faults=faults,
         )
         report = testing.run(run.run)
         broken += bool(report.violations)
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -51,15 +51,23 @@
         seed: The seed of all random numbers.
         seconds: How long callers send.
         gateways: How many gateways.
+        faults: False for a calm run.
     """
 
     def __init__(
-        self, *, reactor, seed: int, seconds: float, gateways: int = 3
+        self,
+        *,
+        reactor,
+        seed: int,
+        seconds: float,
+        gateways: int = 3,
+        faults: bool = True,
     ):
         self._reactor = reactor
         self._seed = seed
         self._seconds = seconds
         self._count = gateways
+        self._has_faults = faults
         self._generator = random.Random(seed)
         self._ledger = _workers.WorkLedger()
         self._server = standins.PlatformStoreServer(reactor=reactor)
@@ -89,7 +97,8 @@
         sending = testing.spawn(crowd.run())
         while self._reactor.seconds() < crowd.until:
             await self._sleep(0.2 + self._generator.random())
-            self._inject()
+            if self._has_faults:
+                self._inject()
         await sending
         await defer.gatherResults(self._running, consumeErrors=False)
         await self._sleep(_END_S)
