--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -21,6 +21,8 @@
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10.0
     lease_ms: float = 3000.0
+    config_apply_ms: float = 2000.0
+    drain_ms: float = 2000.0
 
 
 class _Store(_models.Document):
@@ -111,6 +113,8 @@
         store_host=store_host,
         store_port=store_port,
         grace_s=file.bounds.grace_s,
+        notice_s=min(file.bounds.config_apply_ms, file.bounds.drain_ms)
+        / _models.MS_PER_S,
         term_s=file.bounds.lease_ms / _models.MS_PER_S,
         dispatch=dispatch.DispatchSettings(
             retry_ratio=file.bounds.retry_budget_ratio,
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -22,6 +22,8 @@
         store_host: The IP number of the platform's store.
         store_port: Its port.
         grace_s: Seconds from SIGTERM to SIGKILL.
+        notice_s: A change of the configuration or of an endpoint is acted on
+            within this time of its writing, seconds.
         term_s: Orders of two gateways lie at least this far apart, seconds.
         dispatch: Settings of the decisions.
     """
@@ -37,6 +39,7 @@
     store_host: str
     store_port: int
     grace_s: float
+    notice_s: float
     term_s: float
     dispatch: dispatch.DispatchSettings
 
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -12,13 +12,9 @@
 from sassafrasstile.stores import _view
 
 _LOG = logging.getLogger("sassafrasstile.stores")
-# Long enough to be cheap, short enough that a call which got lost in an
-# outage is made again soon after.
-_WAIT_S = 4.0
-# After trouble a waiting call may not hear of new records until it ends, so
-# calls are this short for so long.
-_CAUTIOUS_WAIT_S = 1.2
-_CAUTIOUS_S = 12.0
+# A waiting call may not hear of a new record until it ends, so it ends after
+# this share of the time within which a change has to be acted on.
+_WAIT_SHARE = 0.7
 _BACKOFF_FIRST_S = 0.2
 _BACKOFF_MOST_S = 0.8
 # Pages are asked for no faster than this, however fast records come.
@@ -32,6 +28,8 @@
         reactor: The reactor.
         store: The store.
         topic: The topic.
+        notice_s: A change is acted on within this time of its writing,
+            seconds.
         on_change: Called with each newer record.
         on_loaded: Called after a whole snapshot was handled.
         on_outage: Called when the store stops answering.
@@ -45,6 +43,7 @@
         reactor,
         store: _base.Store,
         topic: str,
+        notice_s: float,
         on_change: Callable[[_base.Change], None],
         on_loaded: Callable[[], None],
         on_outage: Callable[[], None],
@@ -54,6 +53,7 @@
         self._reactor = reactor
         self._store = store
         self._topic = topic
+        self._wait_s = _WAIT_SHARE * notice_s
         self._on_change = on_change
         self._on_loaded = on_loaded
         self._on_outage = on_outage
@@ -62,7 +62,6 @@
         self._view = _view.KeyedView()
         self._offset: int | None = None
         self._failures = 0
-        self._cautious_until = 0.0
         self._running: defer.Deferred | None = None
 
     def start(self) -> None:
@@ -111,9 +110,7 @@
         if self._failures:
             # A short call shows soon that an outage has ended.
             return 0.0
-        if self._reactor.seconds() < self._cautious_until:
-            return _CAUTIOUS_WAIT_S
-        return _WAIT_S
+        return self._wait_s
 
     def _take_snapshot(self, snapshot: _base.Snapshot) -> None:
         for change in snapshot.entries:
@@ -145,7 +142,6 @@
         self._on_contact()
 
     async def _handle_failure(self, reason: _base.StoreError) -> None:
-        self._cautious_until = self._reactor.seconds() + _CAUTIOUS_S
         if reason.code == errors.Code.HISTORY_GONE:
             _LOG.info("store: topic %s has lost its history.", self._topic)
             self._offset = None
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -255,6 +255,7 @@
             store_host=self.server.host,
             store_port=self.server.port,
             grace_s=self._grace_s,
+            notice_s=2.0,
             term_s=3.0,
             dispatch=dispatch.DispatchSettings(retry_slack=10),
         )
