--- a/sassafrasstile/dispatch/_grants.py
+++ b/sassafrasstile/dispatch/_grants.py
@@ -39,6 +39,17 @@
             self.prefill.prefill_tokens += self.size.prompt_tokens
             self._holds_prefill = True
 
+    def move(self, decode: _endpoints.Endpoint) -> None:
+        """Takes the room at another decode engine instead.
+
+        Args:
+            decode: The engine.
+        """
+        if self._holds_decode:
+            self.decode.release(self.size)
+            decode.reserve(self.size)
+        self.decode = decode
+
     def note_output(self, tokens: int) -> None:
         """Reserves more when an output grows beyond what was expected.
 
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -132,6 +132,38 @@
             return _grants.Grant(decode=decode, size=size, prefill=decode)
         return None
 
+    def choose_instead(
+        self,
+        grant: _grants.Grant,
+        *,
+        service: routes.Service,
+        now: float,
+        excluded: Collection[_endpoints.Endpoint] = (),
+    ) -> _endpoints.Endpoint | None:
+        """Chooses another decode engine when a granted one is doubtful.
+
+        Gateways may take the same room before they hear of each other, and
+        an engine may leave or refuse work meanwhile.
+
+        Args:
+            grant: The room that was granted, its prompt read elsewhere.
+            service: The service wanted.
+            now: The time in seconds.
+            excluded: Engines that have failed this request.
+
+        Returns:
+            An engine with room, or None when the granted one is as good.
+        """
+        decode = grant.decode
+        capacity = service.engine.capacity_tokens if service.engine else 1
+        is_overbooked = decode.total_reserved_tokens > capacity
+        if decode.takes_work and decode.is_open(now) and not is_overbooked:
+            return None
+        other = self._choose_for_decode(
+            service, grant.size, now, False, (*excluded, decode)
+        )
+        return None if other is decode else other
+
     def _choose_for_decode(self, service, size, now, is_late, excluded):
         usable = self._endpoints.list_usable(
             service=service.name,
--- a/sassafrasstile/dispatch/tests/test_placement.py
+++ b/sassafrasstile/dispatch/tests/test_placement.py
@@ -1,9 +1,20 @@
+import random
 import unittest
 
 from sassafrasstile import dispatch
 from sassafrasstile import membership
+from sassafrasstile import peers
+from sassafrasstile import routes
 from sassafrasstile import testing
 
+_SERVICE = routes.Service(
+    name="engine",
+    engine=routes.EngineProfile(
+        slots=8, capacity_tokens=10_000, tokens_per_event=1, handle_ttl_s=0.5
+    ),
+)
+_SIZE = dispatch.WorkSize(prompt_tokens=4000, output_tokens=500)
+
 
 def _make_engine(**load):
     table = dispatch.EndpointTable(silence_s=1.0)
@@ -38,3 +49,65 @@
     def test_one_at_a_time(self):
         engine = _make_engine(in_flight=2, prefill_tokens=3000)
         self.assertFalse(self.check(engine, 2000))
+
+
+class SameRoomTest(unittest.TestCase):
+    """A burst on many gateways, two of which take the same last room."""
+
+    def setUp(self):
+        self.table = dispatch.EndpointTable(silence_s=1.0)
+        for name, role in (
+            ("d1", membership.Role.DECODE),
+            ("d2", membership.Role.DECODE),
+            ("p1", membership.Role.PREFILL),
+        ):
+            record = testing.make_endpoint_record(name, role=role)
+            self.table.note_record(name, record)
+        self.placement = dispatch.Placement(
+            endpoints=self.table, zone="a", generator=random.Random(1)
+        )
+        self.grant = self.placement.choose_for_generation(
+            service=_SERVICE, size=_SIZE, now=0.0
+        )
+        self.grant.reserve()
+
+    def tell(self, engine, tokens):
+        load = peers.EndpointLoad(in_flight=1, reserved_tokens=tokens)
+        self.table.note_peer("other", {engine.name: load}, 0.1)
+
+    def choose_instead(self):
+        return self.placement.choose_instead(
+            self.grant, service=_SERVICE, now=0.2
+        )
+
+    def get_other(self):
+        return next(
+            item
+            for item in self.table.list_all()
+            if item.record.role is membership.Role.DECODE
+            and item is not self.grant.decode
+        )
+
+    def test_room_that_nobody_else_took_is_kept(self):
+        self.tell(self.grant.decode, 5000)
+        self.assertIsNone(self.choose_instead())
+
+    def test_generation_goes_elsewhere_once_its_prompt_is_read(self):
+        self.tell(self.grant.decode, 6000)
+        other = self.get_other()
+        self.assertIs(self.choose_instead(), other)
+        former = self.grant.decode
+        self.grant.move(other)
+        self.assertEqual(former.reserved_tokens, 0)
+        self.assertEqual(other.reserved_tokens, _SIZE.memory_tokens)
+        self.grant.release()
+        self.assertEqual((other.in_flight, other.reserved_tokens), (0, 0))
+
+    def test_it_stays_where_nothing_else_has_room(self):
+        self.tell(self.grant.decode, 6000)
+        self.get_other().in_flight = 8
+        self.assertIsNone(self.choose_instead())
+
+    def test_engine_that_refused_others_meanwhile_is_avoided(self):
+        self.grant.decode.note_refusal(0.15)
+        self.assertIs(self.choose_instead(), self.get_other())
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -108,12 +108,14 @@
     ) -> verdicts.Verdict | None:
         """Has it run by the engines that have room for it."""
         context = self._context
-        engine = grant.decode
         if grant.reads_apart and not progress.events:
             progress.handle = await self._prefills.run(task, grant.prefill)
             self.room.release_prefill(grant)
             if progress.handle is None and not self._may_go_on(grant):
                 return verdicts.NotRun(code=errors.Code.PREFILL_FAILED)
+            if progress.handle is not None:
+                self.room.confirm(task, grant)
+        engine = grant.decode
         if not engine.takes_work:
             # It began to leave during the prefill; nothing was sent.
             return verdicts.NotRun(code=errors.Code.LEAVING)
--- a/sassafrasstile/forwarding/_room.py
+++ b/sassafrasstile/forwarding/_room.py
@@ -80,6 +80,37 @@
         self._log(task, grant)
         return grant
 
+    def confirm(self, task: _task.RequestTask, grant: dispatch.Grant) -> None:
+        """Takes room elsewhere if what was granted is doubtful by now.
+
+        Args:
+            task: The request.
+            grant: Its room, once its prompt has been read elsewhere.
+        """
+        doubtful = grant.decode
+        engine = self._context.placement.choose_instead(
+            grant,
+            service=task.service,
+            now=self._context.now(),
+            excluded=tuple(task.may_have_run),
+        )
+        if engine is None:
+            return
+        _LOG.info(
+            "room: request %s goes to %s instead.",
+            task.request_id,
+            engine.name,
+            extra={
+                "request": task.request_id,
+                "endpoint": engine.name,
+                "reserved_tokens": engine.total_reserved_tokens,
+                "doubtful": doubtful.name,
+                "doubtful_reserved_tokens": doubtful.total_reserved_tokens,
+            },
+        )
+        grant.move(engine)
+        self._context.announce()
+
     def release(self, grant: dispatch.Grant) -> None:
         """Gives room back."""
         grant.release()
