--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -24,8 +24,9 @@
     """The order in which generations get room."""
 
     RESUMED = 0
-    ON_TIME = 1
-    LATE = 2
+    READ = 1
+    ON_TIME = 2
+    LATE = 3
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -38,7 +39,8 @@
         target_at: Its first token is on time until then, in seconds.
         give_up_at: It isn't worth waiting any longer then, in seconds.
         number: Its place in the order of arrival.
-        needs_prefill: False when its prompt is read already.
+        read_until: Its prompt is read, and is kept until then, in seconds,
+            or None.
         is_resumed: True when its caller has a part of the answer.
         excluded: Engines that have failed it.
         grant: Its room, once it has some.
@@ -49,15 +51,27 @@
     target_at: float
     give_up_at: float
     number: int
-    needs_prefill: bool = True
+    read_until: float | None = None
     is_resumed: bool = False
     excluded: tuple[_endpoints.Endpoint, ...] = ()
     grant: _grants.Grant | None = None
 
+    def needs_prefill(self, now: float) -> bool:
+        """Says whether its prompt has to be read, or read again.
+
+        Args:
+            now: The time in seconds.
+        """
+        if self.is_resumed:
+            return False
+        return self.read_until is None or now >= self.read_until
+
     def rank(self, now: float) -> Urgency:
         """Returns how urgent it is."""
         if self.is_resumed:
             return Urgency.RESUMED
+        if not self.needs_prefill(now):
+            return Urgency.READ
         if self.target_at < now + START_S:
             return Urgency.LATE
         return Urgency.ON_TIME
@@ -66,8 +80,9 @@
 class GenerationQueue:
     """Hands out room in the order of what can still be on time.
 
-    Generations that can still meet their target go first, in the order of
-    their arrival. Late ones follow in that order, as long as some room is
+    Generations whose prompt is read go first, as that work is lost soon.
+    Others that can still meet their target follow, in the order of their
+    arrival. Late ones follow in that order, as long as some room is
     left over for those that will arrive. Those that can't expect room soon
     are given up at once, so that their callers don't wait for nothing.
 
@@ -91,7 +106,7 @@
         size: _base.WorkSize,
         target_at: float,
         give_up_at: float,
-        needs_prefill: bool = True,
+        read_until: float | None = None,
         is_resumed: bool = False,
         excluded: tuple[_endpoints.Endpoint, ...] = (),
     ) -> Waiter:
@@ -102,7 +117,7 @@
             target_at=target_at,
             give_up_at=give_up_at,
             number=next(self._numbers),
-            needs_prefill=needs_prefill,
+            read_until=read_until,
             is_resumed=is_resumed,
             excluded=excluded,
         )
@@ -122,7 +137,7 @@
                 service=waiter.service,
                 size=waiter.size,
                 now=now,
-                needs_prefill=waiter.needs_prefill,
+                needs_prefill=waiter.needs_prefill(now),
                 is_late=waiter.rank(now) is Urgency.LATE,
                 excluded=waiter.excluded,
             )
--- a/sassafrasstile/dispatch/tests/test_queue.py
+++ b/sassafrasstile/dispatch/tests/test_queue.py
@@ -80,10 +80,27 @@
     def test_resumed_one_goes_before_all_others(self):
         grants = self.fill()
         self.add()
-        resumed = self.add(is_resumed=True, needs_prefill=False)
+        resumed = self.add(is_resumed=True)
         grants[0].release()
         self.assertEqual(self.queue.admit(0.1), [resumed])
 
+    def test_one_whose_prompt_is_read_goes_before_those_that_arrived(self):
+        grants = self.fill()
+        self.add()
+        read = self.add(read_until=0.5)
+        grants[0].release()
+        self.assertEqual(self.queue.admit(0.1), [read])
+        self.assertIsNone(read.grant.prefill)
+
+    def test_prompt_that_was_kept_too_long_is_read_again(self):
+        grants = self.fill()
+        first, read = self.add(), self.add(read_until=0.5)
+        grants[0].release()
+        self.assertEqual(self.queue.admit(0.6), [first])
+        grants[1].release()
+        self.assertEqual(self.queue.admit(0.6), [read])
+        self.assertIsNotNone(read.grant.prefill)
+
     def test_one_without_hope_is_given_up_at_once(self):
         self.fill()
         waiters = [self.add() for _ in range(6)]
--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -53,6 +53,7 @@
     NOT_CONFIGURED = "not_configured"
     UNKNOWN_ROUTE = "unknown_route"
     PREFILL_FAILED = "prefill_failed"
+    HANDLE_EXPIRED = "handle_expired"
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_SILENT = "endpoint_silent"
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -39,10 +39,12 @@
     Attributes:
         endpoint: The engine.
         token: The handle's name there.
+        expires_at: It may be gone from then on, in seconds.
     """
 
     endpoint: dispatch.Endpoint
     token: str
+    expires_at: float = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -66,8 +66,7 @@
         try:
             verdict = await self._try_until_done(task, progress)
         finally:
-            if progress.handle is not None:
-                self._prefills.release(progress.handle)
+            self._drop_handle(progress)
         if verdict is not None:
             final = task.decide_verdict(
                 verdict.code, retry_after_s=_NO_ENDPOINT_RETRY_S
@@ -86,7 +85,7 @@
         while True:
             grant = await self.room.acquire(
                 task,
-                needs_prefill=progress.handle is None,
+                handle=progress.handle,
                 is_resumed=progress.events > 0,
             )
             if grant is None:
@@ -108,6 +107,11 @@
     ) -> verdicts.Verdict | None:
         """Has it run by the engines that have room for it."""
         context = self._context
+        if grant.prefill is not None and progress.handle is not None:
+            # It waited for room for longer than its prompt was kept.
+            self._drop_handle(progress)
+            if not _retries.may_read_again(context, task):
+                return verdicts.NotRun(code=errors.Code.HANDLE_EXPIRED)
         if grant.reads_apart and not progress.events:
             progress.handle = await self._prefills.run(task, grant.prefill)
             self.room.release_prefill(grant)
@@ -174,9 +178,13 @@
         if progress.unexplained_refusals <= 1:
             return
         # There was room at two engines: it is the handle that is gone.
-        progress.handle = None
         handle.endpoint.health.note_failure(now)
-        self._prefills.release(handle)
+        self._drop_handle(progress)
+
+    def _drop_handle(self, progress: _Progress) -> None:
+        handle, progress.handle = progress.handle, None
+        if handle is not None:
+            self._prefills.release(handle)
 
     def _choose_patience(
         self, task: _task.RequestTask, remaining_s: float
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -19,6 +19,10 @@
 # One that is behind, and not silent, may take this many targets.
 _LONGEST_TARGETS = 2.0
 _RELEASE_TIMEOUT_S = 1.0
+# For the way of the answer, and of the request that takes the handle.
+_HANDLE_MARGIN_S = 0.05
+# Where the configuration doesn't say how long a handle is kept.
+_LEAST_KEPT_S = 0.5
 
 
 class PrefillRunner:
@@ -76,7 +80,7 @@
             if not isinstance(result, _attempts.Answered):
                 return None
             engine.note_acceptance()
-            return await self._read_handle(attempt, result)
+            return await self._read_handle(task, attempt, result)
         finally:
             attempt.close()
 
@@ -91,7 +95,10 @@
         return min(remaining_s, patience_s)
 
     async def _read_handle(
-        self, attempt: _attempts.Attempt, answered: _attempts.Answered
+        self,
+        task: _task.RequestTask,
+        attempt: _attempts.Attempt,
+        answered: _attempts.Answered,
     ) -> _base.KvHandle | None:
         context = self._context
         try:
@@ -110,7 +117,13 @@
             return None
         now = context.now()
         attempt.note_success(now - attempt.began_at)
-        return _base.KvHandle(endpoint=attempt.endpoint, token=token)
+        engine = task.service.engine
+        kept_s = engine.handle_ttl_s if engine else _LEAST_KEPT_S
+        return _base.KvHandle(
+            endpoint=attempt.endpoint,
+            token=token,
+            expires_at=now + kept_s - _HANDLE_MARGIN_S,
+        )
 
     def release(self, handle: _base.KvHandle) -> None:
         """Frees a handle that nobody will take."""
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -61,3 +61,20 @@
     if not allowed:
         context.metrics.retries_denied.inc()
     return allowed
+
+
+def may_read_again(
+    context: _context.ForwardingContext, task: _task.RequestTask
+) -> bool:
+    """Says whether a lost prefill may be repeated; spends the budget.
+
+    Args:
+        context: What the router shares.
+        task: The request.
+    """
+    if task.prefills >= MOST_SENDS:
+        return False
+    allowed = context.get_budget(task.service.name).spend(context.now())
+    if not allowed:
+        context.metrics.retries_denied.inc()
+    return allowed
--- a/sassafrasstile/forwarding/_room.py
+++ b/sassafrasstile/forwarding/_room.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 
 from sassafrasstile import dispatch
+from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _task
 
@@ -39,14 +40,14 @@
         self,
         task: _task.RequestTask,
         *,
-        needs_prefill: bool,
+        handle: _base.KvHandle | None = None,
         is_resumed: bool = False,
     ) -> dispatch.Grant | None:
         """Waits for room and reserves it.
 
         Args:
             task: The request.
-            needs_prefill: False when its prompt is read already.
+            handle: Its prompt, read already, or None.
             is_resumed: True when its caller has a part of the answer.
 
         Returns:
@@ -65,7 +66,7 @@
                 self._context.now()
                 + (_RESUMED_WAIT_S if is_resumed else _LEAST_WAIT_S),
             ),
-            needs_prefill=needs_prefill,
+            read_until=handle.expires_at if handle else None,
             is_resumed=is_resumed,
             excluded=tuple(task.may_have_run),
         )
