--- a/sassafrasstile/forwarding/_events.py
+++ b/sassafrasstile/forwarding/_events.py
@@ -61,3 +61,19 @@
         if line.startswith(_ID_FIELD):
             return line[len(_ID_FIELD) :].strip().decode("latin-1")
     return None
+
+
+def may_follow(event: Event, last_event_id: str | None) -> bool:
+    """Says whether an event may come after the last one of a stream.
+
+    Ids that are numbers have to increase; an engine that repeats some, or
+    that starts anew where a stream should go on, must not be joined to it.
+
+    Args:
+        event: The event.
+        last_event_id: The id of the event before it, or None.
+    """
+    try:
+        return int(event.event_id) > int(last_event_id)
+    except (TypeError, ValueError):
+        return True
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -1,6 +1,7 @@
 """Generations over separate prefill and decode engines."""
 
 import dataclasses
+import logging
 
 from twisted.internet import defer
 
@@ -18,6 +19,7 @@
 from sassafrasstile.forwarding import _room
 from sassafrasstile.forwarding import _task
 
+_LOG = logging.getLogger("sassafrasstile.forwarding")
 # A resumable generation without a first token goes elsewhere after this
 # share of its time.
 _FIRST_TOKEN_PATIENCE_SHARE = 0.15
@@ -211,9 +213,22 @@
                 if piece is None:
                     break
                 for event in splitter.feed(piece):
+                    _check_order(event, progress, attempt)
                     self._pass_event(task, attempt, answered, event, progress)
                 grant.note_output(self._count_tokens(task, progress))
         except web.ExchangeError as reason:
+            _LOG.info(
+                "stream: request %s broke off. Reason: %s.",
+                task.request_id,
+                reason.detail,
+                extra={
+                    "request": task.request_id,
+                    "endpoint": attempt.endpoint.name,
+                    "code": reason.code,
+                    "events": progress.events,
+                    "last_event_id": progress.last_event_id,
+                },
+            )
             attempt.note_failure()
             return verdicts.MayHaveRun(code=reason.code)
         except defer.TimeoutError:
@@ -307,3 +322,22 @@
             body=body,
         )
         return None
+
+
+def _check_order(
+    event: _events.Event, progress: _Progress, attempt: _attempts.Attempt
+) -> None:
+    """Checks that an event follows what the caller has.
+
+    Raises:
+        web.ExchangeError: With BAD_ANSWER.
+    """
+    if not _events.may_follow(event, progress.last_event_id):
+        raise web.ExchangeError(
+            code=errors.Code.BAD_ANSWER,
+            detail=(
+                f"event {event.event_id!r} of {attempt.endpoint.name} follows "
+                f"{progress.last_event_id!r}; allowed are higher ids"
+            ),
+            was_sent=True,
+        )
--- a/sassafrasstile/router/tests/test_generations.py
+++ b/sassafrasstile/router/tests/test_generations.py
@@ -123,6 +123,21 @@
         wanted = [f"data: token {number}".encode() for number in range(1, 7)]
         self.assertEqual(tokens, wanted)
 
+    @testing.on_reactor
+    async def test_run_that_starts_anew_is_not_joined_to_the_stream(self):
+        def answer(request):
+            if "last-event-id" in request.headers:
+                return standins.make_stream(request, count=5)
+            return standins.make_stream(request, gap_s=0.01, end="reset")
+
+        site = await self.start_site(
+            decode=[answer, answer], resumable=True, maxAttempts=2
+        )
+        got = await site.call("/gen/", headers=_COUNT)
+        await self.close_sites()
+        self.assertFalse(got.is_whole_stream)
+        self.assertEqual(got.data.count(b"data: token"), 3)
+
     @testing.on_reactor
     async def test_refused_handle_is_offered_to_another_engine(self):
         def refuse_once():
