--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -15,6 +15,9 @@
 START_S = 0.25
 # Grants of the last seconds tell how fast the queue moves.
 _RATE_WINDOW_S = 2.0
+# A generation yields to one of the next more urgent rank that arrives so
+# much later at most, so that no rank starves.
+_RANK_HEADSTART_S = 0.25
 # Late generations wait as long as they are likely to get room so soon.
 _LATE_WAIT_S = 1.0
 _LEAST_RATE = 3.0
@@ -38,7 +41,9 @@
         size: What it needs.
         target_at: Its first token is on time until then, in seconds.
         give_up_at: It isn't worth waiting any longer then, in seconds.
-        number: Its place in the order of arrival.
+        turn_at: Its place in the order of arrival, in seconds, later for
+            routes that are less urgent.
+        number: Its place among those of the same turn.
         read_until: Its prompt is read, and is kept until then, in seconds,
             or None.
         is_resumed: True when its caller has a part of the answer.
@@ -50,6 +55,7 @@
     size: _base.WorkSize
     target_at: float
     give_up_at: float
+    turn_at: float
     number: int
     read_until: float | None = None
     is_resumed: bool = False
@@ -106,16 +112,32 @@
         size: _base.WorkSize,
         target_at: float,
         give_up_at: float,
+        arrived_at: float = 0.0,
+        priority: int = 0,
         read_until: float | None = None,
         is_resumed: bool = False,
         excluded: tuple[_endpoints.Endpoint, ...] = (),
     ) -> Waiter:
-        """Adds a generation; `admit` says when it has room."""
+        """Adds a generation; `admit` says when it has room.
+
+        Args:
+            service: The service wanted.
+            size: What it needs.
+            target_at: Its first token is on time until then, in seconds.
+            give_up_at: It isn't worth waiting any longer then, in seconds.
+            arrived_at: When its request arrived, in seconds.
+            priority: The rank of its route; 0 is the most urgent.
+            read_until: Its prompt is read, and is kept until then, in
+                seconds, or None.
+            is_resumed: True when its caller has a part of the answer.
+            excluded: Engines that have failed it.
+        """
         waiter = Waiter(
             service=service,
             size=size,
             target_at=target_at,
             give_up_at=give_up_at,
+            turn_at=arrived_at + _RANK_HEADSTART_S * priority,
             number=next(self._numbers),
             read_until=read_until,
             is_resumed=is_resumed,
@@ -183,5 +205,6 @@
 
     def _sort(self, now: float) -> list[Waiter]:
         return sorted(
-            self._waiters, key=lambda item: (item.rank(now), item.number)
+            self._waiters,
+            key=lambda item: (item.rank(now), item.turn_at, item.number),
         )
--- a/sassafrasstile/dispatch/tests/test_queue.py
+++ b/sassafrasstile/dispatch/tests/test_queue.py
@@ -62,6 +62,20 @@
         grants[1].release()
         self.assertEqual(self.queue.admit(0.1), [second])
 
+    def test_burst_of_two_ranks_lets_the_urgent_one_pass(self):
+        grants = self.fill()
+        self.add(arrived_at=0.0, priority=1)
+        urgent = self.add(arrived_at=0.1, priority=0)
+        grants[0].release()
+        self.assertEqual(self.queue.admit(0.2), [urgent])
+
+    def test_less_urgent_one_that_has_waited_is_not_passed(self):
+        grants = self.fill()
+        self.add(arrived_at=0.4, priority=0)
+        patient = self.add(arrived_at=0.0, priority=1)
+        grants[0].release()
+        self.assertEqual(self.queue.admit(0.5), [patient])
+
     def test_late_one_lets_those_pass_that_can_be_on_time(self):
         grants = self.fill()
         self.add(target_at=0.2)
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -91,6 +91,7 @@
         *,
         record: membership.EndpointRecord,
         remaining_s: float,
+        priority: int,
         handle: KvHandle | None = None,
         resume_after: str | None = None,
     ) -> OutgoingRequest:
@@ -100,6 +101,7 @@
             request: The caller's request.
             record: The endpoint that is meant.
             remaining_s: Seconds until the caller's deadline.
+            priority: The rank of its route; 0 is the most urgent.
             handle: The finished prefill to start from, if any.
             resume_after: The id of the last event that the caller has.
         """
@@ -111,6 +113,7 @@
         *,
         record: membership.EndpointRecord,
         remaining_s: float,
+        priority: int,
     ) -> OutgoingRequest:
         """Returns the request that makes an engine only read the prompt."""
 
--- a/sassafrasstile/forwarding/_calls.py
+++ b/sassafrasstile/forwarding/_calls.py
@@ -78,7 +78,10 @@
         context = self._context
         remaining_s = task.deadline - context.now()
         outgoing = context.codec.encode_run(
-            task.request, record=endpoint.record, remaining_s=remaining_s
+            task.request,
+            record=endpoint.record,
+            remaining_s=remaining_s,
+            priority=task.route.priority,
         )
         patience_s = self._choose_patience(task, endpoint, remaining_s)
         task.note_send(endpoint)
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -130,6 +130,7 @@
             task.request,
             record=engine.record,
             remaining_s=remaining_s,
+            priority=task.route.priority,
             handle=progress.handle,
             resume_after=progress.last_event_id if progress.events else None,
         )
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -58,7 +58,10 @@
         context = self._context
         remaining_s = task.deadline - context.now()
         outgoing = context.codec.encode_prefill(
-            task.request, record=engine.record, remaining_s=remaining_s
+            task.request,
+            record=engine.record,
+            remaining_s=remaining_s,
+            priority=task.route.priority,
         )
         attempt = _attempts.Attempt(
             context=context,
--- a/sassafrasstile/forwarding/_room.py
+++ b/sassafrasstile/forwarding/_room.py
@@ -66,6 +66,8 @@
                 self._context.now()
                 + (_RESUMED_WAIT_S if is_resumed else _LEAST_WAIT_S),
             ),
+            arrived_at=received_at,
+            priority=task.route.priority,
             read_until=handle.expires_at if handle else None,
             is_resumed=is_resumed,
             excluded=tuple(task.may_have_run),
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -11,6 +11,8 @@
 from sassafrasstile.platform import _names
 
 _MISDIRECTED = 421
+# The last of the ranks that engines know; 0 is the most urgent.
+_LEAST_URGENT = 9
 # These statuses promise callers that nothing ran.
 _PROMISES = frozenset((408, 429, 503))
 
@@ -68,11 +70,12 @@
         *,
         record: membership.EndpointRecord,
         remaining_s: float,
+        priority: int,
         handle: forwarding.KvHandle | None = None,
         resume_after: str | None = None,
     ) -> forwarding.OutgoingRequest:
         """Returns the request that makes an endpoint run the work."""
-        extra = []
+        extra = self._rank(record, priority)
         if handle is not None:
             source = handle.endpoint.record
             place = f"{source.host}:{source.port}/{handle.token}"
@@ -87,11 +90,23 @@
         *,
         record: membership.EndpointRecord,
         remaining_s: float,
+        priority: int,
     ) -> forwarding.OutgoingRequest:
         """Returns the request that makes an engine only read the prompt."""
-        extra = [(_names.STAGE, _names.PREFILL_STAGE)]
+        extra = self._rank(record, priority)
+        extra.append((_names.STAGE, _names.PREFILL_STAGE))
         return self._encode(request, record, remaining_s, extra)
 
+    @staticmethod
+    def _rank(
+        record: membership.EndpointRecord, priority: int
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns the headers that rank a request among an engine's."""
+        if record.role is membership.Role.PLAIN:
+            return []
+        rank = min(max(priority, 0), _LEAST_URGENT)
+        return [(_names.PRIORITY, str(rank).encode())]
+
     def _encode(self, request, record, remaining_s, extra):
         replaced = {name.lower() for name, _ in extra} | _names.SYSTEM_HEADERS
         headers = [
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -13,6 +13,7 @@
 EXPECT_INSTANCE = b"X-Expect-Instance"
 STAGE = b"X-Stage"
 KV_SOURCE = b"X-Kv-Source"
+PRIORITY = b"X-Request-Priority"
 SYSTEM_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -24,7 +25,7 @@
         b"X-Kv-Backup",
         b"X-Pin-Ms",
         b"X-Expect-Version",
-        b"X-Request-Priority",
+        PRIORITY,
         b"Kv-Fetch",
     )
 )
@@ -50,7 +51,8 @@
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 MEMBERSHIP_TOPIC = "keyed.servers"
-# A topic of this system's own: where gateways hear from each other.
+# Topics of this system's own: who gives orders, and where gateways hear from
+# each other.
 TERM_TOPIC = "keyed.orders"
 PEER_TOPIC = "keyed.gateways"
 
--- a/sassafrasstile/router/tests/test_generations.py
+++ b/sassafrasstile/router/tests/test_generations.py
@@ -55,6 +55,20 @@
         port = site.endpoints["p0"].port
         self.assertEqual(decode.headers["x-kv-source"], f"127.0.0.1:{port}/h1")
 
+    @testing.on_reactor
+    async def test_engines_learn_the_rank_of_the_route(self):
+        site = await self.start_site(
+            decode=[standins.make_stream],
+            prefill=[lambda request: standins.make_handle(request, "h1")],
+            priority=2,
+        )
+        forged = ("X-Request-Priority: 0",)
+        await site.call("/gen/", headers=(*_COUNT, *forged))
+        await self.close_sites()
+        for name in ("p0", "d0"):
+            (request,) = site.endpoints[name].requests
+            self.assertEqual(request.headers["x-request-priority"], "2")
+
     @testing.on_reactor
     async def test_decode_engine_reads_the_prompt_when_the_prefill_fails(self):
         site = await self.start_site(
