--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -25,6 +25,8 @@
         b"upgrade",
     )
 )
+# A caller of an answer that was cut gets this long to read what was sent.
+_CUT_LINGER_S = 2.0
 _PAYLOAD_TOO_LARGE = b"HTTP/1.1 413 Payload Too Large\r\n"
 _BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n"
 _HEADERS_TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -184,9 +186,19 @@
         self.finish()
 
     def cut(self) -> None:
-        """Breaks the connection, so that the answer doesn't look whole."""
-        if not self.is_gone:
-            self.channel.transport.abortConnection()
+        """Ends the connection, so that the answer doesn't look whole."""
+        if self.is_gone:
+            return
+        transport = self.channel.transport
+        if not self.chunked:
+            # A close might pass for the end of the answer.
+            transport.abortConnection()
+            return
+        # What was sent still reaches the caller. Its last chunk is missing.
+        self.channel.loseConnection()
+        self.channel.factory.reactor.callLater(
+            _CUT_LINGER_S, transport.abortConnection
+        )
 
 
 class IngressChannel(http.HTTPChannel):
