--- a/sassafrasstile/gateway/_endpoints.py
+++ b/sassafrasstile/gateway/_endpoints.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 
+from sassafrasstile import errors
 from sassafrasstile import messages
 from sassafrasstile import policies
 
@@ -41,6 +42,17 @@
     full_until: float = 0.0
     avoid_until: float = 0.0
 
+    def note_refusal(self, code: str, *, until: float) -> None:
+        """Notes that it refused work.
+
+        Args:
+            code: Why.
+            until: It isn't asked before, in kernel time.
+        """
+        if code == errors.Code.LEAVING:
+            self.leaving = True
+        self.full_until = until
+
 
 class EndpointTable:
     """All endpoints that a gateway may use.
--- a/sassafrasstile/gateway/_generation.py
+++ b/sassafrasstile/gateway/_generation.py
@@ -86,3 +86,26 @@
             or self.answer.texts
             or self.request.resume_offset is not None
         )
+
+    def rank(self, *, late_before: float) -> tuple[bool, int, float]:
+        """Ranks a queued request; lower goes first.
+
+        A request that is late already can't become good any more. It waits
+        for what those that can still be good leave over, so that an overload
+        makes some requests late and not all of them.
+
+        Args:
+            late_before: Requests that came before are late, in kernel time.
+        """
+        is_late = self.arrived_at < late_before
+        return is_late, self.priority, self.arrived_at
+
+    def take_placements(
+        self,
+    ) -> "list[_placements.Placement[Generation] | None]":
+        """Returns all its placements and leaves none."""
+        placements = [self.decode, self.prefill, *self.asked]
+        self.decode = None
+        self.prefill = None
+        self.asked.clear()
+        return placements
--- a/sassafrasstile/gateway/_generation_table.py
+++ b/sassafrasstile/gateway/_generation_table.py
@@ -11,7 +11,9 @@
 from sassafrasstile.gateway import _context
 from sassafrasstile.gateway import _endpoints
 from sassafrasstile.gateway import _generation
+from sassafrasstile.gateway import _orders
 from sassafrasstile.gateway import _placements
+from sassafrasstile.gateway import _resumption
 
 _LOG = logging.getLogger("sassafrasstile.gateway")
 
@@ -36,6 +38,11 @@
         self._placements: _placements.PlacementTable[Generation] = (
             _placements.PlacementTable(context=context)
         )
+        self._resumption = _resumption.Resumption(
+            context=context,
+            placements=self._placements,
+            begin_anew=self._begin_attempt,
+        )
         self._requests: dict[str, Generation] = {}
 
     def __len__(self) -> int:
@@ -76,7 +83,7 @@
         item = self._admission.admit(request, now)
         self._requests[request.request_id] = item
         if request.resume_offset is not None:
-            self._ask_to_resume(item, now)
+            self._resumption.ask(item, now)
         else:
             self._begin_attempt(item, now)
 
@@ -108,7 +115,7 @@
             return False
         item = placement.item
         if placement in item.asked:
-            self._receive_resume_reply(placement, message, now)
+            self._resumption.receive(placement, message, now)
             return True
         match message:
             case messages.Reserved():
@@ -127,7 +134,7 @@
         """Fails the attempts at an endpoint whose link has broken."""
         for placement in self._placements.list_at(endpoint):
             if placement in placement.item.asked:
-                self._end_resume_reply(placement, now)
+                self._resumption.end_reply(placement, now)
                 continue
             self._fail_attempt(
                 placement.item,
@@ -144,7 +151,7 @@
         """
         for item in self._requests.values():
             if item.phase in (Phase.RESERVING, Phase.PREFILLING):
-                self._cancel_placements(item)
+                self._placements.cancel_all(item.take_placements())
                 item.phase = Phase.QUEUED
 
     def tick(self, now: float) -> None:
@@ -156,20 +163,11 @@
             for item in self._requests.values()
             if item.phase is Phase.QUEUED
         ]
-        queued.sort(key=lambda item: self._rank(item, now))
+        late_before = now - self._settings.late_after_s
+        queued.sort(key=lambda item: item.rank(late_before=late_before))
         for item in queued:
             self._begin_attempt(item, now)
 
-    def _rank(self, item: Generation, now: float) -> tuple[bool, int, float]:
-        """Ranks a queued request; lower goes first.
-
-        A request that is late already can't become good any more. It waits
-        for what those that can still be good leave over, so that an overload
-        makes some requests late and not all of them.
-        """
-        is_late = now - item.arrived_at > self._settings.late_after_s
-        return is_late, item.priority, item.arrived_at
-
     # Admission.
 
     def _count_queued(self) -> int:
@@ -233,16 +231,7 @@
         item.decode = self._open(item, endpoint)
         item.phase = Phase.RESERVING
         item.phase_until = now + self._settings.reserve_limit_s
-        self._context.send(
-            endpoint.name,
-            messages.Reserve(
-                request_id=item.request_id,
-                attempt=item.decode.attempt,
-                model=item.request.model,
-                tokens=item.size,
-                priority=item.priority,
-            ),
-        )
+        self._context.send(endpoint.name, _orders.make_reserve(item))
 
     def _open(
         self, item: Generation, endpoint: _endpoints.Endpoint
@@ -281,19 +270,7 @@
         item.prefill = self._open(item, endpoint)
         item.phase_until = now + self._settings.prefill_limit_s
         item.unproved.add(item.prefill.attempt)
-        sent = tuple(item.answer.texts)
-        self._context.send(
-            endpoint.name,
-            messages.Prefill(
-                request_id=item.request_id,
-                attempt=item.prefill.attempt,
-                model=request.model,
-                prompt=request.prompt,
-                prompt_tokens=request.prompt_tokens + len(sent),
-                priority=item.priority,
-                sent=sent,
-            ),
-        )
+        self._context.send(endpoint.name, _orders.make_prefill(item))
 
     def _on_prefilled(
         self, placement: Placement, message: messages.Prefilled, now: float
@@ -301,30 +278,12 @@
         item = placement.item
         if item.phase is not Phase.PREFILLING or placement is not item.prefill:
             return
-        request = item.request
-        sent = tuple(item.answer.texts)
-        tokens = request.prompt_tokens + len(sent)
-        limit_s = self._settings.transfer_base_s + (
-            tokens / self._settings.transfer_token_rate
-        )
+        order = _orders.make_decode(item, message, self._settings)
         item.phase = Phase.DECODING
-        item.phase_until = now + limit_s + self._settings.decode_limit_s
-        self._context.send(
-            item.decode.endpoint.name,
-            messages.Decode(
-                request_id=item.request_id,
-                attempt=item.decode.attempt,
-                model=request.model,
-                prompt=request.prompt,
-                prompt_tokens=tokens,
-                max_tokens=request.max_tokens,
-                priority=item.priority,
-                sent=sent,
-                source_address=message.source_address,
-                handle=message.handle,
-                transfer_limit_s=limit_s,
-            ),
+        item.phase_until = (
+            now + order.transfer_limit_s + self._settings.decode_limit_s
         )
+        self._context.send(item.decode.endpoint.name, order)
 
     def _on_pieces(
         self, placement: Placement, message: messages.Pieces, now: float
@@ -402,7 +361,9 @@
         endpoint = placement.endpoint
         is_refusal = isinstance(verdict, verdicts.NotRun)
         if is_refusal:
-            self._note_refusal(endpoint, message, now)
+            endpoint.note_refusal(
+                message.code, until=now + self._settings.full_pause_s
+            )
         if placement is item.prefill and is_refusal:
             item.unproved.discard(placement.attempt)
             item.prefill = None
@@ -411,16 +372,6 @@
             return
         self._fail_attempt(item, endpoint, verdict=verdict, now=now)
 
-    def _note_refusal(
-        self,
-        endpoint: _endpoints.Endpoint,
-        message: messages.Failed,
-        now: float,
-    ) -> None:
-        if message.code == errors.Code.LEAVING:
-            endpoint.leaving = True
-        endpoint.full_until = now + self._settings.full_pause_s
-
     def _fail_attempt(
         self,
         item: Generation,
@@ -441,7 +392,7 @@
             verdict.code,
         )
         self._observe_failure(endpoint, verdict, now)
-        self._cancel_placements(item)
+        self._placements.cancel_all(item.take_placements())
         item.answer.drop_early()
         if verdict.code == errors.Code.REQUEST_TOO_LARGE:
             self._end(item, verdict, "The request is too large.")
@@ -485,13 +436,6 @@
         elif endpoint is not None:
             self._begin_attempt(item, now)
 
-    def _cancel_placements(self, item: Generation) -> None:
-        for placement in (item.decode, item.prefill, *item.asked):
-            self._placements.cancel(placement)
-        item.decode = None
-        item.prefill = None
-        item.asked.clear()
-
     def _end_unserved(self, item: Generation, code: str) -> None:
         if item.may_have_run:
             self._end(
@@ -526,7 +470,7 @@
         )
 
     def _remove(self, item: Generation) -> None:
-        self._cancel_placements(item)
+        self._placements.cancel_all(item.take_placements())
         del self._requests[item.request_id]
         self._admission.release(item.request)
 
@@ -541,7 +485,7 @@
         if now < item.phase_until:
             return
         if item.phase is Phase.RESUMING:
-            self._end_resume(item, now)
+            self._resumption.end(item, now)
             return
         placement = item.decode
         if item.phase is Phase.PREFILLING:
@@ -552,71 +496,3 @@
             verdict=verdicts.MayHaveRun(code=errors.Code.DEADLINE_EXCEEDED),
             now=now,
         )
-
-    # Resuming after the loss of another gateway.
-
-    def _ask_to_resume(self, item: Generation, now: float) -> None:
-        """Asks every decode endpoint of the model for the answer."""
-        item.phase = Phase.RESUMING
-        item.phase_until = now + self._settings.resume_wait_s
-        for endpoint in self._context.endpoints.list_all():
-            if endpoint.role != "decode" or not endpoint.connected:
-                continue
-            if endpoint.serves != item.request.model:
-                continue
-            placement = self._open(item, endpoint)
-            item.asked.append(placement)
-            self._context.send(
-                endpoint.name,
-                messages.Resume(
-                    request_id=item.request_id,
-                    attempt=placement.attempt,
-                    offset=item.request.resume_offset,
-                ),
-            )
-        if not item.asked:
-            self._end_resume(item, now)
-
-    def _receive_resume_reply(
-        self, placement: Placement, message: messages.Message, now: float
-    ) -> None:
-        match message:
-            case messages.Resumed():
-                self._adopt(placement, message, now)
-            case messages.Failed():
-                self._end_resume_reply(placement, now)
-
-    def _adopt(
-        self, placement: Placement, message: messages.Resumed, now: float
-    ) -> None:
-        """Goes on with the answer at the endpoint that has the newest."""
-        item = placement.item
-        item.asked.remove(placement)
-        if item.decode is not None:
-            if message.previous < item.resumed_from:
-                self._placements.cancel(placement)
-                return
-            self._placements.cancel(item.decode)
-        item.decode = placement
-        item.resumed_from = message.previous
-        item.phase = Phase.DECODING
-        item.phase_until = now + self._settings.decode_limit_s
-        _LOG.info(
-            "gateway %s: request %s: resumes at %s with %d tokens.",
-            self._context.name,
-            item.request_id,
-            placement.endpoint.name,
-            message.tokens,
-        )
-
-    def _end_resume_reply(self, placement: Placement, now: float) -> None:
-        item = placement.item
-        item.asked.remove(placement)
-        self._placements.drop(placement)
-        if not item.asked and item.phase is Phase.RESUMING:
-            self._end_resume(item, now)
-
-    def _end_resume(self, item: Generation, now: float) -> None:
-        """Starts the request anew: no endpoint has its answer."""
-        self._cancel_placements(item)
-        self._begin_attempt(item, now)
--- a/sassafrasstile/gateway/_placements.py
+++ b/sassafrasstile/gateway/_placements.py
@@ -5,6 +5,7 @@
 order the two arrive.
 """
 
+from collections.abc import Iterable
 import dataclasses
 from typing import Generic, TypeVar
 
@@ -94,3 +95,8 @@
                 request_id=placement.request_id, attempt=placement.attempt
             ),
         )
+
+    def cancel_all(self, placements: Iterable[Placement[Item] | None]) -> None:
+        """Forgets placements and frees what they may hold."""
+        for placement in placements:
+            self.cancel(placement)
--- a/sassafrasstile/sidecar/_engine.py
+++ b/sassafrasstile/sidecar/_engine.py
@@ -12,12 +12,12 @@
 from sassafrasstile.sidecar import _base
 from sassafrasstile.sidecar import _holds
 from sassafrasstile.sidecar import _invariants
+from sassafrasstile.sidecar import _keeper
 from sassafrasstile.sidecar import _leases
 from sassafrasstile.sidecar import _replies
 from sassafrasstile.sidecar import _settings
 
 _LOG = logging.getLogger("sassafrasstile.sidecar")
-_CANCEL_AGAIN_S = 1.0
 _RECONCILE_S = 1.0
 
 Phase = _holds.Phase
@@ -60,6 +60,9 @@
         )
         self._leases = _leases.LeaseTable(lease_s=self.lease_settings.lease_s)
         self._replies = _replies.Replies(name=name)
+        self._keeper = _keeper.HoldKeeper(
+            table=self._table, leases=self._leases, replies=self._replies
+        )
         self._last_now: float | None = None
         self._reconcile_at = 0.0
 
@@ -124,7 +127,7 @@
         if hold is not None and texts:
             offset = len(hold.texts)
             hold.texts.extend(texts)
-            self._send_pieces(hold, offset)
+            self._replies.send_pieces(hold, offset)
         return self._end()
 
     def finish_decode(
@@ -138,8 +141,8 @@
             hold.tokens = len(hold.texts)
             hold.reason = reason
             hold.until = now + self.lease_settings.retain_s
-            self._send_finished(hold)
-            self._grant_waiting(now)
+            self._replies.send_finished(hold)
+            self._keeper.grant_waiting(now)
         return self._end()
 
     def fail_work(
@@ -165,8 +168,8 @@
                     if started
                     else verdicts.VerdictName.NOT_RUN
                 )
-                self._fail(hold, verdict=verdict, code=code)
-            self._forget(hold, now)
+                self._replies.fail_hold(hold, verdict=verdict, code=code)
+            self._keeper.forget(hold, now)
         return self._end()
 
     def confirm_cancel(self, work_id: str, *, now: float) -> list[_base.Effect]:
@@ -174,7 +177,7 @@
         self._begin(now)
         hold = self._table.holds.get(work_id)
         if hold is not None and hold.phase is Phase.RELEASING:
-            self._forget(hold, now)
+            self._keeper.forget(hold, now)
         return self._end()
 
     def list_work(
@@ -199,7 +202,7 @@
             _LOG.info("sidecar %s: drains. New work is refused.", self.name)
         self.leaving = True
         for hold in self._table.list_waiting():
-            self._refuse_hold(hold, errors.Code.LEAVING)
+            self._keeper.refuse(hold, errors.Code.LEAVING)
         return self._end()
 
     def tick(self, now: float) -> list[_base.Effect]:
@@ -207,7 +210,7 @@
         self._begin(now)
         self._reconcile(now)
         for hold in list(self._table.holds.values()):
-            self._expire(hold, now)
+            self._keeper.expire(hold, now)
         holders = {hold.owner.gateway for hold in self._table.holds.values()}
         self._leases.forget_idle(now=now, holders=holders)
         _invariants.check_holds(
@@ -229,9 +232,7 @@
 
     def is_idle(self) -> bool:
         """Says whether nothing is held or waits."""
-        return all(
-            hold.phase is Phase.FINISHED for hold in self._table.holds.values()
-        )
+        return self._table.is_idle()
 
     def describe_load(self) -> messages.Load:
         """Returns the load for the next batch."""
@@ -249,11 +250,7 @@
 
     def list_held(self) -> list[str]:
         """Returns the work that has engine memory, sorted."""
-        return sorted(
-            hold.work_id
-            for hold in self._table.holds.values()
-            if hold.phase in _holds.MEMORY_PHASES
-        )
+        return self._table.list_held()
 
     # Time and identity.
 
@@ -303,7 +300,7 @@
             if hold.phase is Phase.FINISHED or hold.owner.gateway != gateway:
                 continue
             if hold.owner.incarnation != incarnation:
-                self._abandon(hold, now, "its gateway restarted")
+                self._keeper.abandon(hold, now, "its gateway restarted")
 
     # Messages.
 
@@ -355,25 +352,14 @@
             if owner.attempt in live or hold.phase is Phase.FINISHED:
                 continue
             if owner.attempt < message.issued_below:
-                self._release(hold, now, "the gateway has given it up")
+                self._keeper.release(hold, now, "the gateway has given it up")
         for attempt in sorted(live - known):
-            self._report_unknown(batch, attempt)
-
-    def _report_unknown(self, batch: messages.Batch, attempt: int) -> None:
-        owner = _base.Owner(
-            gateway=batch.sender,
-            incarnation=batch.incarnation,
-            attempt=attempt,
-        )
-        self._replies.send(
-            owner,
-            messages.Failed(
-                request_id="",
+            owner = _base.Owner(
+                gateway=batch.sender,
+                incarnation=batch.incarnation,
                 attempt=attempt,
-                verdict=verdicts.VerdictName.MAY_HAVE_RUN,
-                code=errors.Code.UNKNOWN_HOLD,
-            ),
-        )
+            )
+            self._replies.report_unknown(owner)
 
     def _reserve(
         self, owner: _base.Owner, message: messages.Reserve, now: float
@@ -381,7 +367,7 @@
         known = self._table.find(owner)
         if known is not None:
             if known.phase is Phase.RESERVED:
-                self._send_reserved(known)
+                self._replies.send_reserved(known)
             return
         code = self._check_new_work(owner, message.model, role="decode")
         if code is not None:
@@ -397,10 +383,9 @@
         if not fits and message.wait_s <= 0:
             self._replies.refuse(owner, message, errors.Code.NO_CAPACITY)
             return
-        hold = _holds.Hold(
-            work_id=f"{message.request_id}.{owner.incarnation}.{owner.attempt}",
-            request_id=message.request_id,
-            owner=owner,
+        hold = _holds.make_hold(
+            owner,
+            message.request_id,
             phase=Phase.WAITING,
             pieces=pieces,
             priority=message.priority,
@@ -408,25 +393,7 @@
         )
         self._table.add(hold)
         if fits:
-            self._grant(hold)
-
-    def _grant(self, hold: _holds.Hold) -> None:
-        hold.phase = Phase.RESERVED
-        hold.until = None
-        _LOG.info(
-            "sidecar %s: request %s: reserves %d pieces. Free slots: %d.",
-            self.name,
-            hold.request_id,
-            hold.pieces,
-            self.limits.slots - self._table.count_slots(),
-        )
-        self._send_reserved(hold)
-
-    def _grant_waiting(self, now: float) -> None:
-        for hold in self._table.list_waiting():
-            if not self._table.fits(hold.pieces):
-                return
-            self._grant(hold)
+            self._keeper.grant(hold)
 
     def _prefill(self, owner: _base.Owner, message: messages.Prefill) -> None:
         if self._table.find(owner) is not None:
@@ -442,10 +409,9 @@
         if code is not None:
             self._replies.refuse(owner, message, code)
             return
-        hold = _holds.Hold(
-            work_id=f"{message.request_id}.{owner.incarnation}.{owner.attempt}",
-            request_id=message.request_id,
-            owner=owner,
+        hold = _holds.make_hold(
+            owner,
+            message.request_id,
             phase=Phase.PREFILLING,
             pieces=pieces,
             priority=message.priority,
@@ -485,7 +451,7 @@
         hold = self._table.find(owner)
         self._replies.remember_ended(owner)
         if hold is not None and hold.phase is not Phase.FINISHED:
-            self._release(hold, now, "the gateway cancelled it")
+            self._keeper.release(hold, now, "the gateway cancelled it")
 
     def _resume(self, owner: _base.Owner, message: messages.Resume) -> None:
         hold = self._table.find_answer(message.request_id)
@@ -495,14 +461,10 @@
         former = hold.owner
         if former == owner:
             return
-        self._replies.send(
-            former,
-            messages.Failed(
-                request_id=hold.request_id,
-                attempt=former.attempt,
-                verdict=verdicts.VerdictName.MAY_HAVE_RUN,
-                code=errors.Code.SUPERSEDED,
-            ),
+        self._replies.fail_hold(
+            hold,
+            verdict=verdicts.VerdictName.MAY_HAVE_RUN,
+            code=errors.Code.SUPERSEDED,
         )
         hold.owner = owner
         _LOG.info(
@@ -512,18 +474,10 @@
             owner.gateway,
             len(hold.texts),
         )
-        self._replies.send(
-            owner,
-            messages.Resumed(
-                request_id=hold.request_id,
-                attempt=owner.attempt,
-                previous=former.attempt,
-                tokens=len(hold.texts),
-            ),
-        )
-        self._send_pieces(hold, 0)
+        self._replies.send_resumed(hold, previous=former.attempt)
+        self._replies.send_pieces(hold, 0)
         if hold.phase is Phase.FINISHED:
-            self._send_finished(hold)
+            self._replies.send_finished(hold)
 
     def _check_new_work(
         self, owner: _base.Owner, model: str, *, role: str
@@ -538,112 +492,8 @@
             return errors.Code.CANCELLED
         return None
 
-    # Ends of holds.
-
-    def _expire(self, hold: _holds.Hold, now: float) -> None:
-        is_over = hold.until is not None and now >= hold.until
-        match hold.phase:
-            case Phase.FINISHED:
-                if is_over:
-                    self._table.remove(hold.work_id)
-                return
-            case Phase.RELEASING:
-                if is_over:
-                    self._cancel_work(hold, now)
-                return
-            case Phase.WAITING if is_over:
-                self._refuse_hold(hold, errors.Code.NO_CAPACITY)
-                return
-            case Phase.PREFILLED if is_over:
-                self._release(hold, now, "the prefill result was not fetched")
-                return
-        if self._leases.has_lapsed(
-            gateway=hold.owner.gateway,
-            incarnation=hold.owner.incarnation,
-            now=now,
-        ):
-            self._abandon(hold, now, "its lease lapsed")
-
-    def _abandon(self, hold: _holds.Hold, now: float, reason: str) -> None:
-        if hold.phase is not Phase.RELEASING:
-            self._fail(
-                hold,
-                verdict=verdicts.VerdictName.MAY_HAVE_RUN,
-                code=errors.Code.LEASE_LAPSED,
-            )
-        self._release(hold, now, reason)
-
-    def _release(self, hold: _holds.Hold, now: float, reason: str) -> None:
-        self._replies.remember_ended(hold.owner)
-        if hold.phase is Phase.RELEASING:
-            return
-        _LOG.info(
-            "sidecar %s: request %s: releases its hold. Reason: %s.",
-            self.name,
-            hold.request_id,
-            reason,
-        )
-        if hold.phase in _holds.ENGINE_PHASES:
-            self._cancel_work(hold, now)
-            return
-        self._forget(hold, now)
-
-    def _cancel_work(self, hold: _holds.Hold, now: float) -> None:
-        hold.phase = Phase.RELEASING
-        hold.until = now + _CANCEL_AGAIN_S
-        self._replies.add(_base.CancelWork(work_id=hold.work_id))
-
-    def _forget(self, hold: _holds.Hold, now: float) -> None:
-        self._replies.remember_ended(hold.owner)
-        self._table.remove(hold.work_id)
-        self._grant_waiting(now)
-
     def _find_work(self, work_id: str, phase: Phase) -> _holds.Hold | None:
         hold = self._table.holds.get(work_id)
         if hold is None or hold.phase is not phase:
             return None
         return hold
-
-    # Messages to gateways.
-
-    def _send_reserved(self, hold: _holds.Hold) -> None:
-        self._replies.send(
-            hold.owner,
-            messages.Reserved(
-                request_id=hold.request_id, attempt=hold.owner.attempt
-            ),
-        )
-
-    def _send_pieces(self, hold: _holds.Hold, offset: int) -> None:
-        self._replies.send(
-            hold.owner,
-            messages.Pieces(
-                request_id=hold.request_id,
-                attempt=hold.owner.attempt,
-                offset=offset,
-                texts=tuple(hold.texts[offset:]),
-            ),
-        )
-
-    def _send_finished(self, hold: _holds.Hold) -> None:
-        self._replies.send(
-            hold.owner,
-            messages.Finished(
-                request_id=hold.request_id,
-                attempt=hold.owner.attempt,
-                tokens=hold.tokens,
-                reason=hold.reason,
-            ),
-        )
-
-    def _fail(
-        self, hold: _holds.Hold, *, verdict: verdicts.VerdictName, code: str
-    ) -> None:
-        self._replies.fail(
-            hold.owner, hold.request_id, verdict=verdict, code=code
-        )
-
-    def _refuse_hold(self, hold: _holds.Hold, code: errors.Code) -> None:
-        self._fail(hold, verdict=verdicts.VerdictName.NOT_RUN, code=code)
-        self._replies.remember_ended(hold.owner)
-        self._table.remove(hold.work_id)
--- a/sassafrasstile/sidecar/_holds.py
+++ b/sassafrasstile/sidecar/_holds.py
@@ -62,6 +62,18 @@
     reason: str = ""
 
 
+def make_hold(owner: _base.Owner, request_id: str, **fields) -> Hold:
+    """Returns the hold of an attempt.
+
+    Args:
+        owner: The attempt.
+        request_id: The request.
+        **fields: The other fields of the hold.
+    """
+    work_id = f"{request_id}.{owner.incarnation}.{owner.attempt}"
+    return Hold(work_id=work_id, request_id=request_id, owner=owner, **fields)
+
+
 class HoldTable:
     """The holds of one engine, with its memory counted.
 
@@ -105,6 +117,16 @@
             return False
         return self.count_pieces() + pieces <= self.pieces
 
+    def is_idle(self) -> bool:
+        """Says whether nothing is held or waits."""
+        return all(hold.phase is Phase.FINISHED for hold in self.holds.values())
+
+    def list_held(self) -> list[str]:
+        """Returns the work that has engine memory, sorted."""
+        return sorted(
+            hold.work_id for hold in self.holds.values() if _has_memory(hold)
+        )
+
     def find(self, owner: _base.Owner) -> Hold | None:
         """Returns the hold of an attempt, or None."""
         for hold in self.holds.values():
--- /dev/null
+++ b/sassafrasstile/sidecar/_keeper.py
@@ -0,0 +1,126 @@
+"""Grants waiting holds and releases those that are over."""
+
+import logging
+
+from sassafrasstile import errors
+from sassafrasstile import verdicts
+from sassafrasstile.sidecar import _base
+from sassafrasstile.sidecar import _holds
+from sassafrasstile.sidecar import _leases
+from sassafrasstile.sidecar import _replies
+
+_LOG = logging.getLogger("sassafrasstile.sidecar")
+_CANCEL_AGAIN_S = 1.0
+
+Phase = _holds.Phase
+
+
+class HoldKeeper:
+    """Gives engine memory to holds and takes it back.
+
+    Args:
+        table: The holds.
+        leases: The gateways' leases.
+        replies: Tells gateways and the engine.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: _holds.HoldTable,
+        leases: _leases.LeaseTable,
+        replies: _replies.Replies,
+    ):
+        self._table = table
+        self._leases = leases
+        self._replies = replies
+
+    def grant(self, hold: _holds.Hold) -> None:
+        """Gives a hold its memory."""
+        hold.phase = Phase.RESERVED
+        hold.until = None
+        _LOG.info(
+            "sidecar %s: request %s: reserves %d pieces. Free slots: %d.",
+            self._replies.name,
+            hold.request_id,
+            hold.pieces,
+            self._table.slots - self._table.count_slots(),
+        )
+        self._replies.send_reserved(hold)
+
+    def grant_waiting(self, now: float) -> None:
+        """Gives memory to those that wait, while it lasts."""
+        for hold in self._table.list_waiting():
+            if not self._table.fits(hold.pieces):
+                return
+            self.grant(hold)
+
+    def expire(self, hold: _holds.Hold, now: float) -> None:
+        """Ends a hold whose phase or lease has run out."""
+        is_over = hold.until is not None and now >= hold.until
+        match hold.phase:
+            case Phase.FINISHED:
+                if is_over:
+                    self._table.remove(hold.work_id)
+                return
+            case Phase.RELEASING:
+                if is_over:
+                    self._cancel_work(hold, now)
+                return
+            case Phase.WAITING if is_over:
+                self.refuse(hold, errors.Code.NO_CAPACITY)
+                return
+            case Phase.PREFILLED if is_over:
+                self.release(hold, now, "the prefill result was not fetched")
+                return
+        if self._leases.has_lapsed(
+            gateway=hold.owner.gateway,
+            incarnation=hold.owner.incarnation,
+            now=now,
+        ):
+            self.abandon(hold, now, "its lease lapsed")
+
+    def abandon(self, hold: _holds.Hold, now: float, reason: str) -> None:
+        """Ends a hold that nobody answers for any more."""
+        if hold.phase is not Phase.RELEASING:
+            self._replies.fail_hold(
+                hold,
+                verdict=verdicts.VerdictName.MAY_HAVE_RUN,
+                code=errors.Code.LEASE_LAPSED,
+            )
+        self.release(hold, now, reason)
+
+    def release(self, hold: _holds.Hold, now: float, reason: str) -> None:
+        """Takes back what a hold has."""
+        self._replies.remember_ended(hold.owner)
+        if hold.phase is Phase.RELEASING:
+            return
+        _LOG.info(
+            "sidecar %s: request %s: releases its hold. Reason: %s.",
+            self._replies.name,
+            hold.request_id,
+            reason,
+        )
+        if hold.phase in _holds.ENGINE_PHASES:
+            self._cancel_work(hold, now)
+            return
+        self.forget(hold, now)
+
+    def _cancel_work(self, hold: _holds.Hold, now: float) -> None:
+        hold.phase = Phase.RELEASING
+        hold.until = now + _CANCEL_AGAIN_S
+        self._replies.add(_base.CancelWork(work_id=hold.work_id))
+
+    def forget(self, hold: _holds.Hold, now: float) -> None:
+        """Removes a hold whose memory is free again."""
+        self._replies.remember_ended(hold.owner)
+        self._table.remove(hold.work_id)
+        self.grant_waiting(now)
+
+    def refuse(self, hold: _holds.Hold, code: errors.Code) -> None:
+        """Refuses a hold that waits."""
+        self._replies.fail_hold(
+            hold, verdict=verdicts.VerdictName.NOT_RUN, code=code
+        )
+        self._replies.remember_ended(hold.owner)
+        self._table.remove(hold.work_id)
--- a/sassafrasstile/sidecar/_replies.py
+++ b/sassafrasstile/sidecar/_replies.py
@@ -7,6 +7,7 @@
 from sassafrasstile import messages
 from sassafrasstile import verdicts
 from sassafrasstile.sidecar import _base
+from sassafrasstile.sidecar import _holds
 
 _LOG = logging.getLogger("sassafrasstile.sidecar")
 _ENDED_ATTEMPTS_KEPT = 8192
@@ -61,6 +62,66 @@
             ),
         )
 
+    def fail_hold(
+        self, hold: _holds.Hold, *, verdict: verdicts.VerdictName, code: str
+    ) -> None:
+        """Tells a hold's gateway that its attempt is over."""
+        self.fail(hold.owner, hold.request_id, verdict=verdict, code=code)
+
+    def send_reserved(self, hold: _holds.Hold) -> None:
+        """Tells a hold's gateway that it has its memory."""
+        self.send(
+            hold.owner,
+            messages.Reserved(
+                request_id=hold.request_id, attempt=hold.owner.attempt
+            ),
+        )
+
+    def send_pieces(self, hold: _holds.Hold, offset: int) -> None:
+        """Sends a hold's tokens from an offset on."""
+        self.send(
+            hold.owner,
+            messages.Pieces(
+                request_id=hold.request_id,
+                attempt=hold.owner.attempt,
+                offset=offset,
+                texts=tuple(hold.texts[offset:]),
+            ),
+        )
+
+    def send_resumed(self, hold: _holds.Hold, *, previous: int) -> None:
+        """Tells a hold's new gateway how far the answer has come."""
+        self.send(
+            hold.owner,
+            messages.Resumed(
+                request_id=hold.request_id,
+                attempt=hold.owner.attempt,
+                previous=previous,
+                tokens=len(hold.texts),
+            ),
+        )
+
+    def send_finished(self, hold: _holds.Hold) -> None:
+        """Tells a hold's gateway that the answer is whole."""
+        self.send(
+            hold.owner,
+            messages.Finished(
+                request_id=hold.request_id,
+                attempt=hold.owner.attempt,
+                tokens=hold.tokens,
+                reason=hold.reason,
+            ),
+        )
+
+    def report_unknown(self, owner: _base.Owner) -> None:
+        """Tells a gateway that nothing is known of an attempt of its own."""
+        self.fail(
+            owner,
+            "",
+            verdict=verdicts.VerdictName.MAY_HAVE_RUN,
+            code=errors.Code.UNKNOWN_HOLD,
+        )
+
     def refuse(
         self,
         owner: _base.Owner,
