--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -1,10 +1,7 @@
 """Generations over separate prefill and decode engines."""
 
-import dataclasses
 import logging
 
-from twisted.internet import defer
-
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import verdicts
@@ -13,43 +10,21 @@
 from sassafrasstile.forwarding import _attempts
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
-from sassafrasstile.forwarding import _events
 from sassafrasstile.forwarding import _prefills
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _room
+from sassafrasstile.forwarding import _streams
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
 # A resumable generation without a first token goes elsewhere after this
 # share of its time.
 _FIRST_TOKEN_PATIENCE_SHARE = 0.15
-# A resumable generation goes elsewhere after a pause of this many targets.
-_GAP_PATIENCE_TARGETS = 4.0
-_LEAST_GAP_PATIENCE_S = 1.0
 _NO_ENDPOINT_RETRY_S = 0.5
 # With this share of its memory in use, an engine may well be full.
 _FULL_SHARE = 0.85
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Progress:
-    """What the caller has of the answer.
-
-    Attributes:
-        last_event_id: The id of the last event passed on, or None.
-        events: Events passed on.
-        sent_at: When the last one was passed on, in seconds.
-        handle: A finished prefill that no engine has taken yet.
-        unexplained_refusals: Engines with room that refused the handle.
-    """
-
-    last_event_id: str | None = None
-    events: int = 0
-    sent_at: float = 0.0
-    handle: _base.KvHandle | None = None
-    unexplained_refusals: int = 0
-
-
 class GenerationForwarder:
     """Runs a prefill at one engine and the decode at another.
 
@@ -60,11 +35,12 @@
     def __init__(self, *, context: _context.ForwardingContext):
         self._context = context
         self._prefills = _prefills.PrefillRunner(context=context)
+        self._streams = _streams.StreamForwarder(context=context)
         self.room = _room.RoomService(context=context)
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Answers a generation request."""
-        progress = _Progress(last_event_id=task.details.resumes_after)
+        progress = _streams.Progress(last_event_id=task.details.resumes_after)
         try:
             verdict = await self._try_until_done(task, progress)
         finally:
@@ -76,7 +52,7 @@
             _answers.fail_task(self._context, task, final)
 
     async def _try_until_done(
-        self, task: _task.RequestTask, progress: _Progress
+        self, task: _task.RequestTask, progress: _streams.Progress
     ) -> verdicts.Verdict | None:
         """Sends it until it is answered or may not be sent again.
 
@@ -105,7 +81,7 @@
         self,
         task: _task.RequestTask,
         grant: dispatch.Grant,
-        progress: _Progress,
+        progress: _streams.Progress,
     ) -> verdicts.Verdict | None:
         """Has it run by the engines that have room for it."""
         context = self._context
@@ -149,7 +125,9 @@
                 progress.handle = None
                 engine.note_acceptance()
                 self.room.release_prefill(grant)
-                return await self._pass_on(
+                if result.kind is not _base.AnswerKind.SUCCESS:
+                    return await self._pass_failure(task, attempt, result)
+                return await self._streams.pass_on(
                     task, attempt, result, progress, grant
                 )
         finally:
@@ -167,7 +145,7 @@
         self,
         task: _task.RequestTask,
         engine: dispatch.Endpoint,
-        progress: _Progress,
+        progress: _streams.Progress,
     ) -> None:
         """Learns whether the engine was full or the handle was gone."""
         now = self._context.now()
@@ -184,7 +162,7 @@
         handle.endpoint.health.note_failure(now)
         self._drop_handle(progress)
 
-    def _drop_handle(self, progress: _Progress) -> None:
+    def _drop_handle(self, progress: _streams.Progress) -> None:
         handle, progress.handle = progress.handle, None
         if handle is not None:
             self._prefills.release(handle)
@@ -197,111 +175,6 @@
         patience_s = _FIRST_TOKEN_PATIENCE_SHARE * task.route.timeout_s
         return min(remaining_s, patience_s)
 
-    async def _pass_on(
-        self,
-        task: _task.RequestTask,
-        attempt: _attempts.Attempt,
-        answered: _attempts.Answered,
-        progress: _Progress,
-        grant: dispatch.Grant,
-    ) -> verdicts.Verdict | None:
-        if answered.kind is not _base.AnswerKind.SUCCESS:
-            return await self._pass_failure(task, attempt, answered)
-        splitter = _events.EventSplitter()
-        try:
-            while True:
-                piece = await self._read_piece(task, answered.reply)
-                if piece is None:
-                    break
-                for event in splitter.feed(piece):
-                    _check_order(event, progress, attempt)
-                    self._pass_event(task, attempt, answered, event, progress)
-                grant.note_output(self._count_tokens(task, progress))
-        except web.ExchangeError as reason:
-            _LOG.info(
-                "stream: request %s broke off. Reason: %s.",
-                task.request_id,
-                reason.detail,
-                extra={
-                    "request": task.request_id,
-                    "endpoint": attempt.endpoint.name,
-                    "code": reason.code,
-                    "events": progress.events,
-                    "last_event_id": progress.last_event_id,
-                },
-            )
-            attempt.note_failure()
-            return verdicts.MayHaveRun(code=reason.code)
-        except defer.TimeoutError:
-            attempt.note_failure()
-            return verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
-        if not splitter.is_empty or not progress.events:
-            attempt.note_failure()
-            return verdicts.MayHaveRun(code=errors.Code.BAD_ANSWER)
-        task.exchange.complete()
-        self._learn_length(task, progress)
-        task.outcome = f"answered {answered.head.status}"
-        return None
-
-    def _learn_length(
-        self, task: _task.RequestTask, progress: _Progress
-    ) -> None:
-        engine = task.service.engine
-        if engine is None or task.details.resumes_after is not None:
-            return
-        self._context.lengths.note(
-            task.service.name,
-            tokens=self._count_tokens(task, progress),
-            declared_tokens=task.details.output_tokens,
-        )
-
-    @staticmethod
-    def _count_tokens(task: _task.RequestTask, progress: _Progress) -> int:
-        """Returns the tokens generated so far."""
-        engine = task.service.engine
-        per_event = engine.tokens_per_event if engine else 1
-        return progress.events * per_event
-
-    async def _read_piece(
-        self, task: _task.RequestTask, reply: web.Reply
-    ) -> bytes | None:
-        if not _retries.may_run_elsewhere(task):
-            return await reply.read_piece()
-        patience_s = max(
-            _LEAST_GAP_PATIENCE_S,
-            _GAP_PATIENCE_TARGETS * task.route.target_gap_s,
-        )
-        return await _attempts.fail_on_timeout(
-            reply.read_piece(), self._context.reactor, patience_s
-        )
-
-    def _pass_event(
-        self,
-        task: _task.RequestTask,
-        attempt: _attempts.Attempt,
-        answered: _attempts.Answered,
-        event: _events.Event,
-        progress: _Progress,
-    ) -> None:
-        if not task.exchange.began:
-            context = self._context
-            attempt.note_success(context.now() - attempt.began_at)
-            task.first_token_s = context.now() - task.request.received_at
-            context.metrics.first_token.observe(task.first_token_s)
-            task.exchange.begin(
-                status=answered.head.status,
-                headers=web.drop_hop_headers(answered.head.headers),
-            )
-        now = self._context.now()
-        if progress.events:
-            gap_s = now - progress.sent_at
-            task.longest_gap_s = max(task.longest_gap_s, gap_s)
-        progress.sent_at = now
-        progress.events += 1
-        if event.event_id is not None:
-            progress.last_event_id = event.event_id
-        task.exchange.send(event.data)
-
     async def _pass_failure(
         self,
         task: _task.RequestTask,
@@ -323,22 +196,3 @@
             body=body,
         )
         return None
-
-
-def _check_order(
-    event: _events.Event, progress: _Progress, attempt: _attempts.Attempt
-) -> None:
-    """Checks that an event follows what the caller has.
-
-    Raises:
-        web.ExchangeError: With BAD_ANSWER.
-    """
-    if not _events.may_follow(event, progress.last_event_id):
-        raise web.ExchangeError(
-            code=errors.Code.BAD_ANSWER,
-            detail=(
-                f"event {event.event_id!r} of {attempt.endpoint.name} follows "
-                f"{progress.last_event_id!r}; allowed are higher ids"
-            ),
-            was_sent=True,
-        )
