--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -65,7 +65,7 @@
             reserved_tokens=self.reserved_tokens,
             prefill_tokens=self.prefill_tokens,
             is_changing=now < self.changing_until,
-            is_unreachable=not self.health.is_reachable(now),
+            is_unreachable=self.health.is_found_unreachable(now),
         )
 
     def is_open(self, now: float) -> bool:
@@ -160,12 +160,12 @@
     ) -> None:
         """Notes what another gateway has in flight everywhere."""
         for endpoint_id, endpoint in self._endpoints.items():
+            before = endpoint.peer_loads.pop(peer, _NO_LOAD)
             load = loads.get(endpoint_id, _NO_LOAD)
-            if load.is_empty:
-                endpoint.peer_loads.pop(peer, None)
-            else:
+            if not load.is_empty:
                 endpoint.peer_loads[peer] = load
-            if load.is_unreachable:
+            # Only news makes this gateway doubt what it knows itself.
+            if load.is_unreachable and not before.is_unreachable:
                 endpoint.health.suspect(now)
 
     def notice_pause(self, now: float) -> bool:
--- a/sassafrasstile/dispatch/_health.py
+++ b/sassafrasstile/dispatch/_health.py
@@ -30,6 +30,7 @@
         self.silence_s = silence_s
         self.latency_s: float | None = None
         self.unreachable_since: float | None = None
+        self.suspected_since: float | None = None
         self._expected: dict[str, float] = {}
         self._heard_at = float("-inf")
         self._failure_rate = 0.0
@@ -47,6 +48,7 @@
         """Notes that the endpoint has sent something."""
         self._heard_at = now
         self.unreachable_since = None
+        self.suspected_since = None
 
     def note_success(self, latency_s: float, now: float) -> None:
         """Notes a good answer and how long it took."""
@@ -67,10 +69,11 @@
     def suspect(self, now: float) -> None:
         """Notes that another gateway couldn't reach the endpoint.
 
-        It counts until the endpoint is heard of by this one.
+        It counts until the endpoint is heard of by this one. It isn't told
+        on: a rumour would outlive its cause.
         """
-        if now - self._heard_at > _SUSPICION_S:
-            self.note_unreachable(now)
+        if now - self._heard_at > _SUSPICION_S and not self.suspected_since:
+            self.suspected_since = now
 
     def forgive_silence(self, now: float) -> None:
         """Doesn't count a pause of this process as silence of others."""
@@ -87,9 +90,14 @@
             for sent_at in self._expected.values()
         )
 
+    def is_found_unreachable(self, now: float) -> bool:
+        """Says whether this gateway itself couldn't reach it."""
+        return self.unreachable_since is not None or self.is_silent(now)
+
     def is_reachable(self, now: float) -> bool:
         """Says whether new work may go there."""
-        return self.unreachable_since is None and not self.is_silent(now)
+        is_suspected = self.suspected_since is not None
+        return not is_suspected and not self.is_found_unreachable(now)
 
     def read_failure_rate(self, now: float) -> float:
         """Returns the share of recent attempts that failed, faded by age."""
--- a/sassafrasstile/dispatch/tests/test_health.py
+++ b/sassafrasstile/dispatch/tests/test_health.py
@@ -3,6 +3,7 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import membership
+from sassafrasstile import peers
 from sassafrasstile import testing
 
 
@@ -44,6 +45,33 @@
         self.first.health.suspect(2.0)
         self.assertEqual(self.list_usable(2.0), [self.second])
 
+    def test_rumour_ends_with_its_cause(self):
+        # One of two gateways couldn't reach an endpoint for a moment. Each
+        # tells the other all it knows, also after the endpoint is back.
+        other = dispatch.EndpointTable(silence_s=0.8)
+        record = testing.make_endpoint_record("a", role=membership.Role.PLAIN)
+        other.note_record("a", record)
+        (theirs,) = other.list_all()
+        theirs.health.note_unreachable(0.0)
+        for step in range(8):
+            now = 1.0 + 0.5 * step
+            self.table.note_peer("other", other.list_own_loads(now), now)
+            other.note_peer("this", self.table.list_own_loads(now), now)
+            if step == 1:
+                theirs.health.hear(now)
+            if step == 2:
+                self.first.health.hear(now)
+        self.assertTrue(theirs.health.is_reachable(5.0))
+        self.assertTrue(self.first.health.is_reachable(5.0))
+
+    def test_word_that_is_repeated_is_no_news(self):
+        load = {"a": peers.EndpointLoad(is_unreachable=True)}
+        self.table.note_peer("other", load, 1.0)
+        self.assertEqual(self.list_usable(1.0), [self.second])
+        self.first.health.hear(1.2)
+        self.table.note_peer("other", load, 2.0)
+        self.assertIn(self.first, self.list_usable(2.0))
+
     def test_when_none_is_reachable_all_are_tried(self):
         for endpoint in (self.first, self.second):
             endpoint.health.note_unreachable(0.0)
--- a/sassafrasstile/forwarding/__init__.py
+++ b/sassafrasstile/forwarding/__init__.py
@@ -9,8 +9,10 @@
 )
 from sassafrasstile.forwarding._context import ForwardingContext
 from sassafrasstile.forwarding._probes import Prober
+from sassafrasstile.forwarding._room import RoomService
 from sassafrasstile.forwarding._router import Router
 from sassafrasstile.forwarding._side_calls import send_order
+from sassafrasstile.forwarding._task import RequestTask
 
 __all__ = [
     "AnswerKind",
@@ -20,6 +22,8 @@
     "OutgoingRequest",
     "Prober",
     "RequestDetails",
+    "RequestTask",
+    "RoomService",
     "Router",
     "send_order",
 ]
--- a/sassafrasstile/forwarding/_probes.py
+++ b/sassafrasstile/forwarding/_probes.py
@@ -37,7 +37,8 @@
     def _probe_all(self) -> None:
         now = self._context.now()
         for endpoint in self._context.endpoints.list_unreachable(now):
-            endpoint.health.note_unreachable(now)
+            if endpoint.health.is_silent(now):
+                endpoint.health.note_unreachable(now)
             if endpoint not in self._running:
                 self._probe(endpoint)
 
@@ -61,6 +62,10 @@
             fresh=True,
         )
 
+        def fail(reason) -> str:
+            endpoint.health.note_unreachable(self._context.now())
+            return f"no answer ({reason.getErrorMessage()})"
+
         def note(outcome: str) -> None:
             self._running.discard(endpoint)
             _LOG.info(
@@ -70,8 +75,5 @@
                 extra={"endpoint": endpoint.name},
             )
 
-        probing.addCallbacks(
-            lambda status: f"answered {status}",
-            lambda reason: f"no answer ({reason.getErrorMessage()})",
-        )
+        probing.addCallbacks(lambda status: f"answered {status}", fail)
         probing.addCallback(note)
--- /dev/null
+++ b/sassafrasstile/simulation/__init__.py
@@ -0,0 +1,51 @@
+"""A model of prefill and decode pools in virtual time, to compare policies.
+
+Gateways run the real queue, placement and load reports; engines, callers and
+the network are models.
+
+>>> from sassafrasstile import simulation
+>>> plan = simulation.Plan(site="fellesvarsel", load=0.5, seconds=5)
+>>> simulation.simulate(plan).goodput > 0.9
+True
+"""
+
+from sassafrasstile.simulation._patterns import (
+    Burst,
+    DarkPrefills,
+    LongPrompts,
+    OneZone,
+    Pattern,
+    RepeatAtOnce,
+    ShortHandles,
+    SlowLinks,
+    Steady,
+    PATTERNS,
+)
+from sassafrasstile.simulation._profiles import (
+    EngineProfile,
+    SITES,
+    SiteProfile,
+)
+from sassafrasstile.simulation._report import Figures, plot_figures
+from sassafrasstile.simulation._run import POLICIES, Plan, simulate
+
+__all__ = [
+    "Burst",
+    "DarkPrefills",
+    "EngineProfile",
+    "Figures",
+    "LongPrompts",
+    "OneZone",
+    "PATTERNS",
+    "POLICIES",
+    "Pattern",
+    "Plan",
+    "RepeatAtOnce",
+    "SITES",
+    "ShortHandles",
+    "SiteProfile",
+    "SlowLinks",
+    "Steady",
+    "plot_figures",
+    "simulate",
+]
--- /dev/null
+++ b/sassafrasstile/simulation/_engines.py
@@ -0,0 +1,227 @@
+"""Models of prefill and decode engines."""
+
+from collections.abc import Callable
+import dataclasses
+
+from twisted.internet import defer
+
+from sassafrasstile.simulation import _profiles
+
+
+class FullError(Exception):
+    """An engine has no room; nothing ran."""
+
+
+class HandleGoneError(Exception):
+    """A finished prefill isn't kept any more; nothing ran."""
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Handle:
+    """A finished prefill.
+
+    Attributes:
+        tokens: Its size.
+        expires_at: It is gone from then on.
+    """
+
+    tokens: int
+    expires_at: float
+
+
+class PrefillEngine:
+    """Reads one prompt after the other.
+
+    Args:
+        reactor: The reactor.
+        profile: Its speed.
+    """
+
+    def __init__(self, *, reactor, profile: _profiles.EngineProfile):
+        self._reactor = reactor
+        self._profile = profile
+        self._free_at = 0.0
+        self.is_dark = False
+        self.ttl_s = profile.handle_ttl_s
+        self.read_tokens = 0
+
+    def read(self, tokens: int) -> defer.Deferred:
+        """Reads a prompt; results in a `Handle`."""
+        done: defer.Deferred = defer.Deferred()
+        if self.is_dark:
+            return done
+        begin_at = max(self._free_at, self._reactor.seconds())
+        self._free_at = begin_at + tokens / self._profile.prefill_tokens_per_s
+        self.read_tokens += tokens
+        delay_s = self._free_at - self._reactor.seconds()
+        self._reactor.callLater(delay_s, self._finish, done, tokens)
+        return done
+
+    def _finish(self, done: defer.Deferred, tokens: int) -> None:
+        expires_at = self._reactor.seconds() + self.ttl_s
+        if not done.called:
+            done.callback(Handle(tokens=tokens, expires_at=expires_at))
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Sequence:
+    """A generation that runs.
+
+    Attributes:
+        prompt_tokens: Its prompt.
+        output_tokens: Tokens that it will generate.
+        on_event: Called at each event.
+        is_arriving: True while its KV cache is on the way.
+        unread_tokens: Tokens that the engine has yet to read itself.
+        produced_tokens: Tokens generated so far.
+        done: Results in None once it has ended.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    on_event: Callable[[], None]
+    is_arriving: bool = False
+    unread_tokens: int = 0
+    produced_tokens: int = 0
+    done: defer.Deferred = dataclasses.field(default_factory=defer.Deferred)
+
+    @property
+    def memory_tokens(self) -> int:
+        """Tokens of KV cache that it holds."""
+        return self.prompt_tokens + self.produced_tokens
+
+    @property
+    def is_generating(self) -> bool:
+        """True when each step makes a token of it."""
+        return not self.is_arriving and not self.unread_tokens
+
+
+class DecodeEngine:
+    """Generates a token of each of its requests in each step.
+
+    Args:
+        reactor: The reactor.
+        profile: Its speed and size.
+    """
+
+    def __init__(self, *, reactor, profile: _profiles.EngineProfile):
+        self._reactor = reactor
+        self._profile = profile
+        self._running: list[Sequence] = []
+        self._preempted: list[Sequence] = []
+        self._is_stepping = False
+        self._link_free_at = 0.0
+        self.link_factor = 1.0
+        self.read_tokens = 0
+        self.read_again_tokens = 0
+
+    @property
+    def used_tokens(self) -> int:
+        """Tokens of KV cache in use."""
+        return sum(item.memory_tokens for item in self._running)
+
+    def run(self, sequence: Sequence, handle: Handle | None) -> None:
+        """Starts a generation.
+
+        Args:
+            sequence: The generation.
+            handle: Its prompt, read elsewhere, or None.
+
+        Raises:
+            FullError: There is no room.
+            HandleGoneError: The handle isn't kept any more.
+        """
+        now = self._reactor.seconds()
+        held = len(self._running) + len(self._preempted)
+        used = self.used_tokens + sequence.prompt_tokens
+        if held >= self._profile.slots or used > self._profile.memory_tokens:
+            raise FullError
+        if handle is None:
+            sequence.unread_tokens = sequence.prompt_tokens
+            self._start(sequence)
+            return
+        if now >= handle.expires_at:
+            raise HandleGoneError
+        handle.expires_at = now
+        self._running.append(sequence)
+        sequence.is_arriving = True
+        self._link_free_at = max(now, self._link_free_at) + (
+            self.link_factor * handle.tokens / self._profile.link_tokens_per_s
+        )
+        self._reactor.callLater(
+            self._link_free_at - now, self._arrive, sequence
+        )
+
+    def _arrive(self, sequence: Sequence) -> None:
+        sequence.is_arriving = False
+        if sequence in self._running:
+            self._ensure_stepping()
+
+    def _start(self, sequence: Sequence) -> None:
+        self._running.append(sequence)
+        self._ensure_stepping()
+
+    def cancel(self, sequence: Sequence) -> None:
+        """Ends a generation whose caller has gone."""
+        for items in (self._running, self._preempted):
+            if sequence in items:
+                items.remove(sequence)
+
+    def _ensure_stepping(self) -> None:
+        if not self._is_stepping:
+            self._is_stepping = True
+            self._reactor.callLater(self._measure_step(), self._step)
+
+    def _measure_step(self) -> float:
+        """Returns the seconds of the next step, reading included."""
+        profile = self._profile
+        step_s = profile.step_s + profile.step_request_s * len(self._running)
+        reader = self._find_reader()
+        if reader is not None:
+            piece = min(profile.self_read_piece, reader.unread_tokens)
+            step_s += piece / profile.self_read_tokens_per_s
+        return step_s
+
+    def _find_reader(self) -> Sequence | None:
+        for item in self._running:
+            if item.unread_tokens > 0:
+                return item
+        return None
+
+    def _step(self) -> None:
+        self._is_stepping = False
+        reader = self._find_reader()
+        for item in list(self._running):
+            if item.is_generating:
+                self._produce(item)
+        if reader is not None and reader in self._running:
+            piece = min(self._profile.self_read_piece, reader.unread_tokens)
+            reader.unread_tokens -= piece
+            self.read_tokens += piece
+        self._preempt()
+        if any(not item.is_arriving for item in self._running):
+            self._ensure_stepping()
+
+    def _produce(self, item: Sequence) -> None:
+        item.produced_tokens += 1
+        is_last = item.produced_tokens >= item.output_tokens
+        if is_last or not item.produced_tokens % self._profile.tokens_per_event:
+            item.on_event()
+        if is_last:
+            self._running.remove(item)
+            if not item.done.called:
+                item.done.callback(None)
+
+    def _preempt(self) -> None:
+        """Takes the newest out while memory is short; lets it in again."""
+        while self.used_tokens > self._profile.memory_tokens:
+            newest = self._running.pop()
+            newest.unread_tokens = newest.memory_tokens
+            self.read_again_tokens += newest.memory_tokens
+            self._preempted.append(newest)
+        while self._preempted:
+            oldest = self._preempted[0]
+            used = self.used_tokens + oldest.memory_tokens
+            if used > self._profile.memory_tokens:
+                return
+            self._running.append(self._preempted.pop(0))
--- /dev/null
+++ b/sassafrasstile/simulation/_gateways.py
@@ -0,0 +1,337 @@
+"""Simulated gateways, on the real dispatch kernel."""
+
+from collections.abc import Mapping
+import dataclasses
+import random
+
+from twisted.internet import defer
+
+from sassafrasstile import dispatch
+from sassafrasstile import forwarding
+from sassafrasstile import membership
+from sassafrasstile import peers
+from sassafrasstile import routes
+from sassafrasstile import web
+from sassafrasstile.simulation import _dispatchers
+from sassafrasstile.simulation import _engines
+from sassafrasstile.simulation import _network
+from sassafrasstile.simulation import _profiles
+
+SERVICE = "engine"
+_MOST_SENDS = 3
+# A prefill may take this share of the time to the first token's target.
+_PREFILL_PATIENCE_SHARE = 0.7
+_PROBE_S = 0.5
+_ADMIT_S = 0.25
+_PEER_PORT = 7000
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Work:
+    """One try of a caller's request.
+
+    Attributes:
+        request_id: Its id.
+        prompt_tokens: Its prompt.
+        output_tokens: The output that it will have.
+        declared_tokens: The longest output that its caller would take.
+        arrived_at: When it came, in seconds.
+        deadline: When its caller leaves, in seconds.
+        first_event_at: When its first event came, or None.
+        last_event_at: When its last event came, or None.
+        longest_gap_s: The longest pause between two events.
+    """
+
+    request_id: str
+    prompt_tokens: int
+    output_tokens: int
+    declared_tokens: int
+    arrived_at: float
+    deadline: float
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_gap_s: float = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Notes an event that has reached the caller."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+        else:
+            gap_s = now - self.last_event_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.last_event_at = now
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pools:
+    """The engines by name.
+
+    Attributes:
+        prefills: Those that prefill.
+        decodes: Those that decode.
+        records: What each announced.
+    """
+
+    prefills: Mapping[str, _engines.PrefillEngine]
+    decodes: Mapping[str, _engines.DecodeEngine]
+    records: tuple[membership.EndpointRecord, ...]
+
+
+class Gateway:
+    """A gateway that serves generations from simulated engines.
+
+    Args:
+        reactor: The reactor.
+        name: Its name.
+        number: Its number among the gateways.
+        profile: The site.
+        pools: The engines.
+        policy: `queue`, or the name of a registered policy.
+        generator: The source of random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: _network.VirtualReactor,
+        name: str,
+        number: int,
+        profile: _profiles.SiteProfile,
+        pools: Pools,
+        policy: str,
+        generator: random.Random,
+    ):
+        self.name = name
+        self.zone = profile.zones[number % len(profile.zones)]
+        self.endpoints = dispatch.EndpointTable(silence_s=0.8)
+        for record in pools.records:
+            self.endpoints.note_record(record.endpoint_id, record)
+        self._reactor = reactor
+        self._profile = profile
+        self._pools = pools
+        self._service = _make_service(profile)
+        self._context = self._make_context(generator)
+        self._dispatcher = self._make_dispatcher(policy, generator)
+        self.address = peers.PeerAddress(
+            name=name, host=f"10.0.0.{number}", port=_PEER_PORT
+        )
+        self.channel = peers.PeerChannel(
+            reactor=reactor,
+            address=self.address,
+            incarnation="1",
+            read_loads=self._read_loads,
+            on_report=self._note_peer,
+        )
+
+    def _make_context(self, generator) -> forwarding.ForwardingContext:
+        return forwarding.ForwardingContext(
+            reactor=self._reactor,
+            codec=None,
+            book=routes.ConfigurationBook(),
+            endpoints=self.endpoints,
+            placement=dispatch.Placement(
+                endpoints=self.endpoints, zone=self.zone, generator=generator
+            ),
+            settings=dispatch.DispatchSettings(),
+            metrics=None,
+            generator=generator,
+        )
+
+    def _make_dispatcher(self, policy, generator) -> _dispatchers.Dispatcher:
+        if policy == "queue":
+            return _dispatchers.QueueDispatcher(context=self._context)
+        return _dispatchers.PolicyDispatcher(
+            endpoints=self.endpoints,
+            policy=policy,
+            service=self._service,
+            generator=generator,
+        )
+
+    def start(self) -> None:
+        """Starts looking for room and probing now and then."""
+        self._tick()
+        self._probe()
+
+    def meet(self, others: list["Gateway"]) -> None:
+        """Lets gateways tell each other what they have in flight."""
+        self.channel.start()
+        self._context.announce = self.channel.announce
+        for other in others:
+            self.channel.add_peer(other.address)
+
+    def _tick(self) -> None:
+        if isinstance(self._dispatcher, _dispatchers.QueueDispatcher):
+            self._dispatcher.admit()
+        self._reactor.callLater(_ADMIT_S, self._tick)
+
+    def _probe(self) -> None:
+        """Finds out whether engines answer again."""
+        now = self._reactor.seconds()
+        for endpoint in self.endpoints.list_unreachable(now):
+            engine = self._pools.prefills.get(endpoint.name)
+            if engine is not None and engine.is_dark:
+                endpoint.health.note_unreachable(now)
+            else:
+                endpoint.health.hear(now)
+        self._reactor.callLater(_PROBE_S, self._probe)
+
+    def _read_loads(self) -> dict[str, peers.EndpointLoad]:
+        return self.endpoints.list_own_loads(self._reactor.seconds())
+
+    def _note_peer(self, peer, loads) -> None:
+        self.endpoints.note_peer(peer, loads, self._reactor.seconds())
+        if isinstance(self._dispatcher, _dispatchers.QueueDispatcher):
+            self._dispatcher.admit()
+
+    # One request.
+
+    async def serve(self, work: Work) -> bool:
+        """Serves a request.
+
+        Returns:
+            False when it was refused and nothing ran.
+        """
+        task = self._make_task(work)
+        self._context.get_budget(SERVICE).note_request(work.arrived_at)
+        handle: forwarding.KvHandle | None = None
+        while task.sends < _MOST_SENDS and task.prefills < _MOST_SENDS:
+            grant = await self._dispatcher.acquire(task, handle)
+            if grant is None:
+                return False
+            try:
+                if grant.prefill is not None:
+                    handle = await self._read(task, grant)
+                served, handle = await self._run(task, grant, handle, work)
+            finally:
+                self._dispatcher.release(grant)
+            if served:
+                return True
+            now = self._reactor.seconds()
+            if not self._context.get_budget(SERVICE).spend(now):
+                return False
+        return False
+
+    def _make_task(self, work: Work) -> forwarding.RequestTask:
+        output_tokens = self._context.lengths.expect(
+            SERVICE, declared_tokens=work.declared_tokens
+        )
+        return forwarding.RequestTask(
+            request=web.CallerRequest(
+                method=b"POST",
+                target=b"/",
+                headers=(),
+                body=b"",
+                received_at=work.arrived_at,
+            ),
+            details=forwarding.RequestDetails(
+                request_id=work.request_id,
+                host="",
+                patience_s=None,
+                prompt_tokens=work.prompt_tokens,
+                output_tokens=work.declared_tokens,
+                resumes_after=None,
+            ),
+            route=_make_route(self._profile),
+            service=self._service,
+            size=dispatch.WorkSize(
+                prompt_tokens=work.prompt_tokens, output_tokens=output_tokens
+            ),
+            exchange=None,
+            deadline=work.deadline,
+        )
+
+    async def _read(
+        self, task: forwarding.RequestTask, grant: dispatch.Grant
+    ) -> forwarding.KvHandle | None:
+        """Has the prompt read elsewhere, unless the decode engine does it."""
+        if not grant.reads_apart:
+            return None
+        task.prefills += 1
+        engine = grant.prefill
+        reading = self._pools.prefills[engine.name].read(
+            task.size.prompt_tokens
+        )
+        patience_s = _PREFILL_PATIENCE_SHARE * self._profile.target_s
+        reading.addTimeout(patience_s, self._reactor)
+        now = self._reactor.seconds()
+        engine.health.expect(task.request_id, now)
+        try:
+            read = await reading
+        except defer.TimeoutError:
+            engine.health.note_unreachable(self._reactor.seconds())
+            return None
+        finally:
+            engine.health.settle(task.request_id)
+            self._dispatcher.release_prefill(grant)
+        engine.health.hear(self._reactor.seconds())
+        self._dispatcher.confirm(task, grant)
+        return forwarding.KvHandle(
+            endpoint=engine, token=read, expires_at=read.expires_at
+        )
+
+    async def _run(
+        self,
+        task: forwarding.RequestTask,
+        grant: dispatch.Grant,
+        handle: forwarding.KvHandle | None,
+        work: Work,
+    ) -> tuple[bool, forwarding.KvHandle | None]:
+        """Has it generated.
+
+        Returns:
+            Whether it was, and the handle if that may still be used.
+        """
+        now = self._reactor.seconds()
+        if handle is None and not self._dispatcher.may_read_itself(grant):
+            return False, None
+        task.sends += 1
+        engine = self._pools.decodes[grant.decode.name]
+        sequence = _engines.Sequence(
+            prompt_tokens=work.prompt_tokens,
+            output_tokens=work.output_tokens,
+            on_event=lambda: work.note_event(self._reactor.seconds()),
+        )
+        try:
+            engine.run(sequence, handle and handle.token)
+        except _engines.FullError:
+            grant.decode.note_refusal(now)
+            return False, handle
+        except _engines.HandleGoneError:
+            return False, None
+        grant.decode.note_acceptance()
+        try:
+            await sequence.done
+        finally:
+            engine.cancel(sequence)
+        self._context.lengths.note(
+            SERVICE,
+            tokens=work.output_tokens,
+            declared_tokens=work.declared_tokens,
+        )
+        return True, None
+
+
+def _make_service(profile: _profiles.SiteProfile) -> routes.Service:
+    engine = profile.engine
+    return routes.Service(
+        name=SERVICE,
+        engine=routes.EngineProfile(
+            slots=engine.slots,
+            capacity_tokens=engine.memory_tokens,
+            tokens_per_event=engine.tokens_per_event,
+            handle_ttl_s=engine.handle_ttl_s,
+        ),
+    )
+
+
+def _make_route(profile: _profiles.SiteProfile) -> routes.Route:
+    return routes.Route(
+        name="generation",
+        host="",
+        prefix="/",
+        kind=routes.RouteKind.GENERATION,
+        services=(routes.WeightedService(service=SERVICE),),
+        timeout_s=profile.deadline_s,
+        target_s=profile.target_s,
+        target_gap_s=profile.gap_s,
+    )
--- /dev/null
+++ b/sassafrasstile/simulation/_run.py
@@ -0,0 +1,198 @@
+"""Runs one policy on one site, load and pattern."""
+
+import dataclasses
+import random
+
+from sassafrasstile import membership
+from sassafrasstile.simulation import _callers
+from sassafrasstile.simulation import _engines
+from sassafrasstile.simulation import _gateways
+from sassafrasstile.simulation import _network
+from sassafrasstile.simulation import _patterns
+from sassafrasstile.simulation import _profiles
+from sassafrasstile.simulation import _report
+
+# `queue` is what gateways run; in `queue_own` they don't hear of each other,
+# and in `queue_reports` they read the engines' load now and then instead.
+POLICIES = (
+    "queue",
+    "queue_own",
+    "queue_reports",
+    "random",
+    "round_robin",
+    "least_loaded",
+    "two_choices",
+)
+_REPORT_S = 0.3
+# Requests that came last may still end.
+_DRAIN_S = 15.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Plan:
+    """What to run.
+
+    Attributes:
+        site: A name in `SITES`.
+        policy: A name in `POLICIES`.
+        pattern: What happens.
+        load: Requests as a share of the site's capacity.
+        seconds: For how long requests come.
+        seed: Decides everything random.
+    """
+
+    site: str
+    policy: str = "queue"
+    pattern: _patterns.Pattern = _patterns.Steady()
+    load: float = 1.0
+    seconds: float = 25.0
+    seed: int = 1
+
+
+class _Site:
+    """Engines, gateways and callers of one run."""
+
+    def __init__(self, *, plan: Plan):
+        self._plan = plan
+        self._profile = _profiles.SITES[plan.site]
+        # Arrivals don't depend on what a policy draws.
+        self._generator = random.Random(f"policy {plan.seed}")
+        self._reactor = _network.VirtualReactor(
+            generator=random.Random(f"network {plan.seed}")
+        )
+        self._pools = self._make_pools()
+        self._gateways = [
+            self._make_gateway(number)
+            for number in range(self._profile.gateways)
+        ]
+        self._callers = _callers.Callers(
+            reactor=self._reactor,
+            profile=self._profile,
+            pattern=plan.pattern,
+            rate_per_s=plan.load * self._profile.capacity_per_s,
+            gateways=self._gateways,
+            generator=random.Random(f"callers {plan.seed}"),
+        )
+
+    def _make_pools(self) -> _gateways.Pools:
+        engine = self._profile.engine
+        prefills = {
+            f"prefill-{number}": _engines.PrefillEngine(
+                reactor=self._reactor, profile=engine
+            )
+            for number in range(self._profile.prefills)
+        }
+        decodes = {
+            f"decode-{number}": _engines.DecodeEngine(
+                reactor=self._reactor, profile=engine
+            )
+            for number in range(self._profile.decodes)
+        }
+        records = tuple(
+            self._make_record(name, number, role)
+            for role, names in (
+                (membership.Role.PREFILL, prefills),
+                (membership.Role.DECODE, decodes),
+            )
+            for number, name in enumerate(names)
+        )
+        return _gateways.Pools(
+            prefills=prefills, decodes=decodes, records=records
+        )
+
+    def _make_record(self, name, number, role) -> membership.EndpointRecord:
+        zones = self._profile.zones
+        return membership.EndpointRecord(
+            endpoint_id=name,
+            started_ms=1,
+            service=_gateways.SERVICE,
+            host=name,
+            port=1,
+            zone=zones[number % len(zones)],
+            role=role,
+            state=membership.EndpointState.READY,
+            slots=self._profile.engine.slots,
+        )
+
+    def _make_gateway(self, number: int) -> _gateways.Gateway:
+        policy = self._plan.policy
+        return _gateways.Gateway(
+            reactor=self._reactor,
+            name=f"gateway-{number}",
+            number=number,
+            profile=self._profile,
+            pools=self._pools,
+            policy="queue" if policy.startswith("queue") else policy,
+            generator=self._generator,
+        )
+
+    def run(self) -> _report.Figures:
+        """Runs to the end."""
+        plan = self._plan
+        for gateway in self._gateways:
+            gateway.start()
+            if plan.policy == "queue":
+                gateway.meet(self._gateways)
+        if plan.policy == "queue_reports":
+            self._report()
+        for at_s in (plan.pattern.start_s, self._find_pattern_end()):
+            self._reactor.callLater(at_s, self._apply_pattern)
+        self._callers.start(plan.seconds)
+        self._reactor.run_until(plan.seconds + _DRAIN_S)
+        return _report.make_figures(
+            self._callers.stories,
+            profile=self._profile,
+            read_tokens=self._count_read_tokens(),
+        )
+
+    def _find_pattern_end(self) -> float:
+        return self._plan.pattern.start_s + self._plan.pattern.length_s
+
+    def _apply_pattern(self) -> None:
+        """Makes engines and links behave as the pattern says."""
+        pattern = self._plan.pattern
+        is_on = pattern.is_on(self._reactor.seconds())
+        prefills = list(self._pools.prefills.values())
+        match pattern:
+            case _patterns.DarkPrefills(share=share):
+                for engine in prefills[: round(share * len(prefills))]:
+                    engine.is_dark = is_on
+            case _patterns.ShortHandles(ttl_s=ttl_s):
+                usual_s = self._profile.engine.handle_ttl_s
+                for engine in prefills:
+                    engine.ttl_s = ttl_s if is_on else usual_s
+            case _patterns.SlowLinks(factor=factor):
+                for engine in self._pools.decodes.values():
+                    engine.link_factor = factor if is_on else 1.0
+
+    def _report(self) -> None:
+        """Tells each gateway what the others have in flight, out of date."""
+        now = self._reactor.seconds()
+        loads = {
+            gateway.name: gateway.endpoints.list_own_loads(now)
+            for gateway in self._gateways
+        }
+        for gateway in self._gateways:
+            for name, load in loads.items():
+                if name != gateway.name:
+                    gateway.endpoints.note_peer(name, load, now)
+        self._reactor.callLater(_REPORT_S, self._report)
+
+    def _count_read_tokens(self) -> int:
+        decodes = self._pools.decodes.values()
+        return sum(
+            engine.read_tokens
+            for engine in (*self._pools.prefills.values(), *decodes)
+        )
+
+
+def simulate(plan: Plan) -> _report.Figures:
+    """Runs a plan.
+
+    Args:
+        plan: What to run.
+
+    Returns:
+        Its figures; the same ones each time.
+    """
+    return _Site(plan=plan).run()
