--- a/sassafrasstile/commands/_main.py
+++ b/sassafrasstile/commands/_main.py
@@ -227,6 +227,65 @@
     return code
 
 
+@app.command
+def simulate(
+    *,
+    site: str = "fellesvarsel",
+    policy: str = "all",
+    pattern: str = "steady",
+    seeds: str = "1:3",
+    load: str = "0.9,1.1,1.3",
+    seconds: float = 25.0,
+    plot: str = "",
+    json_output: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+) -> int:
+    """Compare ways to place generations, on a model of the engines.
+
+    Args:
+        site: A site of `simulation.SITES`.
+        policy: `all`, or names with commas between.
+        pattern: What happens: a name of `simulation.PATTERNS`.
+        seeds: First and last seed, as `1:20`.
+        load: Arrivals as shares of capacity, with commas between.
+        seconds: Virtual seconds of arrivals.
+        plot: A file for a plot; needs the extra `plot`.
+        json_output: Print a JSON object a row.
+    """
+    from sassafrasstile import simulation
+
+    telemetry.configure_logs(level="error", style="text")
+    _parse_names(site, tuple(simulation.SITES), what="--site")
+    _parse_names(pattern, tuple(simulation.PATTERNS), what="--pattern")
+    rows = []
+    for rate in _parse_loads(load):
+        for name in _parse_names(policy, simulation.POLICIES, what="--policy"):
+            plan = simulation.Plan(
+                site=site,
+                policy=name,
+                pattern=simulation.PATTERNS[pattern],
+                load=rate,
+                seconds=seconds,
+            )
+            summary = simulation.simulate_seeds(plan, _parse_seeds(seeds))
+            rows.append((name, rate, summary.mean))
+            figures = {
+                "policy": name,
+                "load": rate,
+                **dataclasses.asdict(summary.mean),
+                "spread": summary.spread,
+            }
+            if json_output:
+                print(json.dumps(figures), flush=True)
+                continue
+            print(
+                "  ".join(f"{key} {value}" for key, value in figures.items()),
+                flush=True,
+            )
+    if plot:
+        simulation.plot_figures(rows, path=plot)
+    return EXIT_OK
+
+
 def _parse_seeds(text: str) -> tuple[int, ...]:
     first, _, last = text.partition(":")
     try:
--- a/sassafrasstile/simulation/__init__.py
+++ b/sassafrasstile/simulation/__init__.py
@@ -27,7 +27,13 @@
     SiteProfile,
 )
 from sassafrasstile.simulation._report import Figures, plot_figures
-from sassafrasstile.simulation._run import POLICIES, Plan, simulate
+from sassafrasstile.simulation._run import (
+    POLICIES,
+    Plan,
+    Summary,
+    simulate,
+    simulate_seeds,
+)
 
 __all__ = [
     "Burst",
@@ -46,6 +52,8 @@
     "SiteProfile",
     "SlowLinks",
     "Steady",
+    "Summary",
     "plot_figures",
     "simulate",
+    "simulate_seeds",
 ]
--- a/sassafrasstile/simulation/_run.py
+++ b/sassafrasstile/simulation/_run.py
@@ -1,7 +1,9 @@
 """Runs one policy on one site, load and pattern."""
 
+from collections.abc import Sequence
 import dataclasses
 import random
+import statistics
 
 from sassafrasstile import membership
 from sassafrasstile.simulation import _callers
@@ -196,3 +198,34 @@
         Its figures; the same ones each time.
     """
     return _Site(plan=plan).run()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Summary:
+    """A plan over some seeds.
+
+    Attributes:
+        mean: The mean of each figure.
+        spread: The deviation of the goodput.
+    """
+
+    mean: _report.Figures
+    spread: float
+
+
+def simulate_seeds(plan: Plan, seeds: Sequence[int]) -> Summary:
+    """Runs a plan with each of some seeds.
+
+    Args:
+        plan: What to run; its own seed doesn't count.
+        seeds: The seeds, one at least.
+    """
+    runs = [simulate(dataclasses.replace(plan, seed=seed)) for seed in seeds]
+    means = {
+        field.name: round(
+            statistics.fmean(getattr(run, field.name) for run in runs), 4
+        )
+        for field in dataclasses.fields(_report.Figures)
+    }
+    spread = statistics.pstdev(run.goodput for run in runs)
+    return Summary(mean=_report.Figures(**means), spread=round(spread, 4))
