--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -9,7 +9,7 @@
 from sassafrasstile.dispatch._grants import Grant
 from sassafrasstile.dispatch._health import Health
 from sassafrasstile.dispatch._lengths import OutputLengths
-from sassafrasstile.dispatch._placement import Placement
+from sassafrasstile.dispatch._placement import Placement, Shortage
 from sassafrasstile.dispatch._queue import GenerationQueue, Waiter
 
 __all__ = [
@@ -21,6 +21,7 @@
     "Health",
     "OutputLengths",
     "Placement",
+    "Shortage",
     "Waiter",
     "WindowedRetryBudget",
     "WorkSize",
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -1,6 +1,7 @@
 """Chooses endpoints for calls, prefills and decodes."""
 
 from collections.abc import Callable, Collection, Sequence
+import enum
 import random
 
 from sassafrasstile import membership
@@ -38,6 +39,13 @@
 _JITTER = 0.02
 
 
+class Shortage(enum.Enum):
+    """What a generation lacks."""
+
+    DECODE = "room at a decode engine"
+    PREFILL = "a prefill engine without a long backlog"
+
+
 class Placement:
     """Chooses an endpoint by load, health and availability zone.
 
@@ -102,7 +110,7 @@
         needs_prefill: bool = True,
         is_late: bool = False,
         excluded: Collection[_endpoints.Endpoint] = (),
-    ) -> _grants.Grant | None:
+    ) -> _grants.Grant | Shortage:
         """Chooses a decode engine with room, and who reads the prompt.
 
         Args:
@@ -115,11 +123,11 @@
             excluded: Engines that have failed this request.
 
         Returns:
-            The engines, or None when there is no room now.
+            The engines, or what there is too little of now.
         """
         decode = self._choose_for_decode(service, size, now, is_late, excluded)
         if decode is None:
-            return None
+            return Shortage.DECODE
         if not needs_prefill:
             return _grants.Grant(decode=decode, size=size)
         limit_s = _LATE_BACKLOG_S if is_late else _BACKLOG_S
@@ -130,7 +138,7 @@
             return _grants.Grant(decode=decode, size=size, prefill=prefill)
         if self.may_read_itself(decode, size):
             return _grants.Grant(decode=decode, size=size, prefill=decode)
-        return None
+        return Shortage.PREFILL
 
     def choose_instead(
         self,
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -155,23 +155,34 @@
         """Reserves room for whom there is some, and returns them."""
         admitted = []
         for waiter in self._sort(now):
-            waiter.grant = self._placement.choose_for_generation(
-                service=waiter.service,
-                size=waiter.size,
-                now=now,
-                needs_prefill=waiter.needs_prefill(now),
-                is_late=waiter.rank(now) is Urgency.LATE,
-                excluded=waiter.excluded,
-            )
-            if waiter.grant is None:
-                # Smaller ones must not pass it for ever.
-                break
+            match self._choose(waiter, now):
+                case _placement.Shortage.DECODE:
+                    # Smaller ones must not pass it for ever.
+                    break
+                case _placement.Shortage.PREFILL:
+                    # Others whose prompts are read already, or that a
+                    # decode engine reads itself, don't hold it up.
+                    continue
+                case grant:
+                    waiter.grant = grant
             waiter.grant.reserve()
             self._granted.append(now)
             self._waiters.remove(waiter)
             admitted.append(waiter)
         return admitted
 
+    def _choose(
+        self, waiter: Waiter, now: float
+    ) -> _grants.Grant | _placement.Shortage:
+        return self._placement.choose_for_generation(
+            service=waiter.service,
+            size=waiter.size,
+            now=now,
+            needs_prefill=waiter.needs_prefill(now),
+            is_late=waiter.rank(now) is Urgency.LATE,
+            excluded=waiter.excluded,
+        )
+
     def expire(self, now: float) -> list[Waiter]:
         """Takes out those that can't expect room in time."""
         rate = self.measure_rate(now)
--- a/sassafrasstile/dispatch/tests/test_queue.py
+++ b/sassafrasstile/dispatch/tests/test_queue.py
@@ -136,6 +136,23 @@
         self.assertEqual(self.queue.admit(0.0), [waiter])
         self.assertIs(waiter.grant.prefill, prefill)
 
+    def test_long_prompt_without_prefill_doesn_t_hold_up_short_ones(self):
+        # As when half of the prefill engines are dark.
+        long = dispatch.WorkSize(prompt_tokens=7000, output_tokens=10)
+        decode = self.find("d1")
+        decode.in_flight = 2
+        prefill = self.find("p1")
+        prefill.prefill_tokens = 40_000
+        waiter = self.queue.add(
+            service=_SERVICE, size=long, target_at=1.0, give_up_at=5.0
+        )
+        short = self.add()
+        self.assertEqual(self.queue.admit(0.0), [short])
+        self.assertIs(short.grant.prefill, decode)
+        short.grant.release()
+        prefill.prefill_tokens = 0
+        self.assertEqual(self.queue.admit(0.1), [waiter])
+
     def test_decode_engine_reads_a_short_prompt_behind_a_backlog(self):
         prefill = self.find("p1")
         prefill.prefill_tokens = 40_000
