--- a/sassafrasstile/peers/__init__.py
+++ b/sassafrasstile/peers/__init__.py
@@ -1,6 +1,11 @@
 """Gateways that tell each other what they have in flight."""
 
-from sassafrasstile.peers._base import EndpointLoad, LoadReport, PeerAddress
+from sassafrasstile.peers._base import (
+    EndpointLoad,
+    LoadReport,
+    PeerAddress,
+    TopicAge,
+)
 from sassafrasstile.peers._channel import PeerChannel
 from sassafrasstile.peers._directory import PeerDirectory
 
@@ -10,4 +15,5 @@
     "PeerAddress",
     "PeerChannel",
     "PeerDirectory",
+    "TopicAge",
 ]
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -47,9 +47,22 @@
 _NO_LOAD = EndpointLoad()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TopicAge:
+    """Where a topic of the store ended a while ago.
+
+    Attributes:
+        next_offset: The offset of the record that would have come next.
+        age_s: How long ago, in seconds.
+    """
+
+    next_offset: int
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LoadReport:
-    """One gateway's load on all endpoints.
+    """One gateway's load on all endpoints, and what it knows of the store.
 
     Attributes:
         sender: Where the gateway hears from others.
@@ -58,6 +71,7 @@
         is_whole: True when endpoints that it leaves out have no load; False
             when they have the load that was told before.
         loads: The load by endpoint id.
+        topics: Where topics ended, by the gateway's own calls.
     """
 
     sender: PeerAddress
@@ -65,3 +79,4 @@
     sequence: int
     is_whole: bool
     loads: Mapping[str, EndpointLoad]
+    topics: Mapping[str, TopicAge] = dataclasses.field(default_factory=dict)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -51,6 +51,8 @@
         incarnation: This start of the gateway.
         read_loads: Returns this gateway's load by endpoint id.
         on_report: Called with a peer's name and its load by endpoint id.
+        read_topics: Returns where topics ended, by this gateway's own calls.
+        on_topics: Called with where topics ended by a peer's calls.
     """
 
     noisy = False
@@ -63,17 +65,24 @@
         incarnation: str,
         read_loads: Callable[[], Mapping[str, _base.EndpointLoad]],
         on_report: Callable[[str, Mapping[str, _base.EndpointLoad]], None],
+        read_topics: Callable[[], Mapping[str, _base.TopicAge]] = dict,
+        on_topics: Callable[
+            [Mapping[str, _base.TopicAge]], None
+        ] = lambda _topics: None,
     ):
         self._reactor = reactor
         self._address = address
         self._incarnation = incarnation
         self._read_loads = read_loads
         self._on_report = on_report
+        self._read_topics = read_topics
+        self._on_topics = on_topics
         self._peers: dict[str, _Peer] = {}
         self._port: interfaces.IListeningPort | None = None
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
         self._sequence = 0
+        self._has_topic_news = False
         self._sent: Mapping[str, _base.EndpointLoad] = {}
         self._sent_at = float("-inf")
         self._whole_at = float("-inf")
@@ -95,6 +104,11 @@
         """Tells the peers at once that room was taken here."""
         self._tick()
 
+    def tell_topics(self) -> None:
+        """Tells the peers at once where topics of the store end."""
+        self._has_topic_news = True
+        self._tick()
+
     def close(self):
         """Says that nothing is in flight any more, and stops."""
         if self._loop.running:
@@ -141,6 +155,7 @@
         else:
             peer.loads.update(report.loads)
         self._on_report(peer.address.name, peer.loads)
+        self._on_topics(report.topics)
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
@@ -162,6 +177,8 @@
         self, loads: Mapping[str, _base.EndpointLoad], now: float
     ) -> bool:
         """Says whether there is something that peers should know by now."""
+        if self._has_topic_news:
+            return True
         if loads == self._sent:
             return False
         age_s = now - self._sent_at
@@ -194,6 +211,7 @@
                 if loads.get(name) != self._sent.get(name)
             }
         self._sequence += 1
+        self._has_topic_news = False
         data = _codec.encode_report(
             _base.LoadReport(
                 sender=self._address,
@@ -201,6 +219,7 @@
                 sequence=self._sequence,
                 is_whole=is_whole,
                 loads=told,
+                topics=self._read_topics(),
             )
         )
         self._sent = loads
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -5,6 +5,8 @@
 from sassafrasstile import errors
 from sassafrasstile.peers import _base
 
+_MS_PER_S = 1000
+
 
 def encode_address(address: _base.PeerAddress) -> bytes:
     """Returns an address as it stands in the store."""
@@ -55,6 +57,10 @@
         report.sequence,
         int(report.is_whole),
         rows,
+        [
+            [name, view.next_offset, round(view.age_s * _MS_PER_S)]
+            for name, view in report.topics.items()
+        ],
     ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
@@ -66,9 +72,14 @@
         errors.Error: With BAD_VALUE.
     """
     try:
-        (name, host, port), incarnation, sequence, is_whole, rows = json.loads(
-            data
-        )
+        sender, incarnation, sequence, is_whole, rows, ends = json.loads(data)
+        name, host, port = sender
+        topics = {
+            str(topic): _base.TopicAge(
+                next_offset=int(next_offset), age_s=int(age_ms) / _MS_PER_S
+            )
+            for topic, next_offset, age_ms in ends
+        }
         loads = {
             str(endpoint): _base.EndpointLoad(
                 in_flight=int(in_flight),
@@ -94,6 +105,7 @@
             sequence=int(sequence),
             is_whole=bool(is_whole),
             loads=loads,
+            topics=topics,
         )
     except (ValueError, TypeError) as reason:
         raise errors.Error(
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -35,6 +35,8 @@
         self.wire = _Wire()
         self.loads = {"a": {}, "b": {}}
         self.heard = {"a": {}, "b": {}}
+        self.topics = {"a": {}, "b": {}}
+        self.heard_topics = {"a": {}, "b": {}}
         self.channels = {
             name: self.make_channel(name, port)
             for name, port in (("a", 1), ("b", 2))
@@ -50,6 +52,8 @@
             incarnation="1",
             read_loads=lambda: self.loads[name],
             on_report=self.heard[name].__setitem__,
+            read_topics=lambda: self.topics[name],
+            on_topics=self.heard_topics[name].update,
         )
         channel.transport = self.wire
         self.wire.channels[("h", port)] = channel
@@ -91,6 +95,12 @@
         self.assertEqual(self.heard["b"]["a"], {})
         self.assertEqual(self.channels["b"].list_live(), [])
 
+    def test_end_of_a_topic_is_told_at_once(self):
+        self.advance(0.1)
+        self.topics["a"] = {"t": peers.TopicAge(next_offset=7, age_s=0.25)}
+        self.channels["a"].tell_topics()
+        self.assertEqual(self.heard_topics["b"], self.topics["a"])
+
     def test_datagrams_stay_within_their_allowance(self):
         for number in range(200):
             self.take(number)
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -23,6 +23,7 @@
 from sassafrasstile import web
 from sassafrasstile.router import _settings
 from sassafrasstile.router import _sources
+from sassafrasstile.router import _topics
 
 _LOG = logging.getLogger("sassafrasstile.router")
 _TICK_S = 0.25
@@ -82,11 +83,15 @@
         self._ingress = web.IngressFactory(
             reactor=reactor, handler=self._router.handle
         )
+        self._sharing = _topics.TopicSharing(
+            reactor=reactor, name=settings.name
+        )
         self._followers = self._make_followers(sources)
         address = peers.PeerAddress(
             name=settings.name, host=settings.host, port=settings.peer_port
         )
         self._channel = self._make_channel(address)
+        self._sharing.connect(channel=self._channel, followers=self._followers)
         self._directory = self._make_directory(sources, address)
         self._context.announce = self._channel.announce
         self._roles = self._make_roles(sources)
@@ -114,7 +119,7 @@
             generator=self._generator,
         )
 
-    def _make_followers(self, sources) -> list[stores.Follower]:
+    def _make_followers(self, sources) -> dict[str, stores.Follower]:
         configuration = stores.Follower(
             reactor=self._reactor,
             store=self._store,
@@ -123,8 +128,9 @@
             on_change=self._take_configuration,
             on_loaded=lambda: None,
             on_outage=lambda: None,
-            on_contact=lambda: None,
+            on_contact=self._sharing.tell,
             generator=self._generator,
+            is_watcher=self._sharing.is_watcher,
         )
         endpoints = stores.Follower(
             reactor=self._reactor,
@@ -134,10 +140,18 @@
             on_change=self._take_endpoint,
             on_loaded=self._roster.note_loaded,
             on_outage=self._roster.note_outage,
-            on_contact=lambda: self._roster.note_contact(self._now()),
+            on_contact=self._note_membership_contact,
             generator=self._generator,
+            is_watcher=self._sharing.is_watcher,
         )
-        return [configuration, endpoints]
+        return {
+            sources.configuration_topic: configuration,
+            sources.membership_topic: endpoints,
+        }
+
+    def _note_membership_contact(self) -> None:
+        self._roster.note_contact(self._now())
+        self._sharing.tell()
 
     def _make_channel(self, address) -> peers.PeerChannel:
         return peers.PeerChannel(
@@ -146,6 +160,8 @@
             incarnation=self.incarnation,
             read_loads=self._read_loads,
             on_report=self._note_peer,
+            read_topics=self._sharing.read,
+            on_topics=self._sharing.note,
         )
 
     def _make_directory(self, sources, address) -> peers.PeerDirectory:
@@ -190,7 +206,7 @@
     def _list_parts(self) -> list:
         """Returns what is started and closed together, in that order."""
         return [
-            *self._followers,
+            *self._followers.values(),
             self._channel,
             self._directory,
             self._prober,
@@ -365,6 +381,7 @@
         now = self._now()
         if self._endpoints.notice_pause(now):
             _LOG.warning("router: this process has stood still.")
+            self._sharing.doubt()
         return self._endpoints.list_own_loads(now)
 
     def _tick(self) -> None:
--- a/sassafrasstile/stores/__init__.py
+++ b/sassafrasstile/stores/__init__.py
@@ -6,6 +6,7 @@
     Snapshot,
     Store,
     StoreError,
+    TopicEnd,
 )
 from sassafrasstile.stores._follower import Follower
 from sassafrasstile.stores._view import KeyedView
@@ -18,4 +19,5 @@
     "Snapshot",
     "Store",
     "StoreError",
+    "TopicEnd",
 ]
--- a/sassafrasstile/stores/_base.py
+++ b/sassafrasstile/stores/_base.py
@@ -49,6 +49,19 @@
     next_offset: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TopicEnd:
+    """Where a topic ended at some time.
+
+    Attributes:
+        next_offset: The offset of the record that would come next.
+        known_at: When it did, in seconds.
+    """
+
+    next_offset: int
+    known_at: float
+
+
 class StoreError(errors.Error):
     """A call to the store failed: unreachable, refused, or history gone."""
 
