--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -27,6 +27,7 @@
         reserved_tokens: KV memory that these take at their end.
         prefill_tokens: Prompt tokens of this gateway that it reads now.
         peer_loads: What other gateways have in flight there, by their name.
+        taken_at: When other gateways last took room there, by their name.
         changing_until: This gateway is having its role changed, at the
             latest until this time.
         full_until: It refused work for lack of room until this time.
@@ -42,6 +43,7 @@
     peer_loads: dict[str, peers.EndpointLoad] = dataclasses.field(
         default_factory=dict
     )
+    taken_at: dict[str, float] = dataclasses.field(default_factory=dict)
     changing_until: float = 0.0
     full_until: float = 0.0
     refusals: int = 0
@@ -164,6 +166,8 @@
             load = loads.get(endpoint_id, _NO_LOAD)
             if not load.is_empty:
                 endpoint.peer_loads[peer] = load
+            if load.reserved_tokens > before.reserved_tokens:
+                endpoint.taken_at[peer] = now
             # Only news makes this gateway doubt what it knows itself.
             if load.is_unreachable and not before.is_unreachable:
                 endpoint.health.suspect(now)
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -35,6 +35,10 @@
 _PREFILL_TOKENS_PER_S = 50_000.0
 # Of many engines with room, one of this many is looked at.
 _DRAWN_PART = 3
+# Above this share of its memory, gateways compete for the room of an engine ...
+_CONTESTED_SHARE = 0.85
+# ... and those that take it within this time didn't hear of each other.
+_SAME_TIME_S = 0.02
 # Draws between endpoints that look alike, so that gateways spread.
 _JITTER = 0.02
 
@@ -53,6 +57,7 @@
         endpoints: The endpoints.
         zone: This gateway's availability zone.
         generator: The source of random numbers.
+        name: This gateway's name.
     """
 
     def __init__(
@@ -61,7 +66,9 @@
         endpoints: _endpoints.EndpointTable,
         zone: str,
         generator: random.Random,
+        name: str = "",
     ):
+        self._name = name
         self._endpoints = endpoints
         self._zone = zone
         self._generator = generator
@@ -140,6 +147,47 @@
             return _grants.Grant(decode=decode, size=size, prefill=decode)
         return Shortage.PREFILL
 
+    def is_contested(
+        self, grant: _grants.Grant, *, service: routes.Service
+    ) -> bool:
+        """Says whether others may well take the same room at this moment.
+
+        Args:
+            grant: The room, taken just now.
+            service: The service wanted.
+        """
+        decode = grant.decode
+        capacity = service.engine.capacity_tokens if service.engine else 1
+        is_full = decode.total_reserved_tokens > _CONTESTED_SHARE * capacity
+        return is_full and bool(decode.peer_loads)
+
+    def has_lost(
+        self,
+        grant: _grants.Grant,
+        *,
+        service: routes.Service,
+        granted_at: float,
+    ) -> bool:
+        """Says whether this gateway has to leave room to another one.
+
+        Of those that took the same room at the same time, all but the one
+        with the first name do.
+
+        Args:
+            grant: The room.
+            service: The service wanted.
+            granted_at: When it was taken, in seconds.
+        """
+        decode = grant.decode
+        capacity = service.engine.capacity_tokens if service.engine else 1
+        if decode.total_reserved_tokens <= capacity:
+            return False
+        since = granted_at - _SAME_TIME_S
+        return any(
+            taken_at >= since and peer < self._name
+            for peer, taken_at in decode.taken_at.items()
+        )
+
     def choose_instead(
         self,
         grant: _grants.Grant,
--- a/sassafrasstile/dispatch/tests/test_placement.py
+++ b/sassafrasstile/dispatch/tests/test_placement.py
@@ -64,16 +64,19 @@
             record = testing.make_endpoint_record(name, role=role)
             self.table.note_record(name, record)
         self.placement = dispatch.Placement(
-            endpoints=self.table, zone="a", generator=random.Random(1)
+            endpoints=self.table,
+            zone="a",
+            generator=random.Random(1),
+            name="m",
         )
         self.grant = self.placement.choose_for_generation(
             service=_SERVICE, size=_SIZE, now=0.0
         )
         self.grant.reserve()
 
-    def tell(self, engine, tokens):
+    def tell(self, engine, tokens, peer="other", at=0.1):
         load = peers.EndpointLoad(in_flight=1, reserved_tokens=tokens)
-        self.table.note_peer("other", {engine.name: load}, 0.1)
+        self.table.note_peer(peer, {engine.name: load}, at)
 
     def choose_instead(self):
         return self.placement.choose_instead(
@@ -111,3 +114,25 @@
     def test_engine_that_refused_others_meanwhile_is_avoided(self):
         self.grant.decode.note_refusal(0.15)
         self.assertIs(self.choose_instead(), self.get_other())
+
+    def has_lost(self):
+        return self.placement.has_lost(
+            self.grant, service=_SERVICE, granted_at=0.0
+        )
+
+    def test_one_of_those_that_took_the_same_room_keeps_it(self):
+        self.tell(self.grant.decode, 6000, peer="z", at=0.005)
+        self.assertTrue(
+            self.placement.is_contested(self.grant, service=_SERVICE)
+        )
+        self.assertFalse(self.has_lost())
+        self.tell(self.grant.decode, 6000, peer="a", at=0.005)
+        self.assertTrue(self.has_lost())
+
+    def test_room_that_fits_both_is_left_to_nobody(self):
+        self.tell(self.grant.decode, 5000, peer="a", at=0.005)
+        self.assertFalse(self.has_lost())
+
+    def test_room_taken_long_before_counts_for_nobody(self):
+        self.tell(self.grant.decode, 6000, peer="a", at=-1.0)
+        self.assertFalse(self.has_lost())
--- a/sassafrasstile/forwarding/_room.py
+++ b/sassafrasstile/forwarding/_room.py
@@ -3,6 +3,7 @@
 import logging
 
 from twisted.internet import defer
+from twisted.internet import task as tasks
 
 from sassafrasstile import dispatch
 from sassafrasstile.forwarding import _base
@@ -15,6 +16,8 @@
 _WAIT_TARGETS = 2.0
 # ... but one that was sent already waits at least so long again.
 _LEAST_WAIT_S = 0.4
+# Other gateways that took the same room are heard of within this time.
+_SETTLE_S = 0.012
 # One whose caller has a part of the answer waits as long as callers may.
 _RESUMED_WAIT_S = 2.0
 
@@ -53,6 +56,51 @@
         Returns:
             The room, or None when there won't be any in time.
         """
+        while True:
+            grant = await self._wait(task, handle, is_resumed)
+            if grant is None or await self._settle(task, grant):
+                return grant
+
+    async def _settle(
+        self, task: _task.RequestTask, grant: dispatch.Grant
+    ) -> bool:
+        """Hears whether others took the same room, before it is used.
+
+        Returns:
+            False when the room was left to another gateway.
+        """
+        placement = self._context.placement
+        if not placement.is_contested(grant, service=task.service):
+            return True
+        granted_at = self._context.now()
+        try:
+            await tasks.deferLater(self._context.reactor, _SETTLE_S)
+        except defer.CancelledError:
+            self.release(grant)
+            raise
+        if not placement.has_lost(
+            grant, service=task.service, granted_at=granted_at
+        ):
+            return True
+        _LOG.info(
+            "room: request %s leaves room at %s to another gateway.",
+            task.request_id,
+            grant.decode.name,
+            extra={
+                "request": task.request_id,
+                "endpoint": grant.decode.name,
+                "reserved_tokens": grant.decode.total_reserved_tokens,
+            },
+        )
+        self.release(grant)
+        return False
+
+    async def _wait(
+        self,
+        task: _task.RequestTask,
+        handle: _base.KvHandle | None,
+        is_resumed: bool,
+    ) -> dispatch.Grant | None:
         if not self._context.placement.has_decode_engine(task.service.name):
             return None
         target_s = task.route.target_s
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -107,6 +107,7 @@
             endpoints=self._endpoints,
             zone=self.settings.zone,
             generator=self._generator,
+            name=self.settings.name,
         )
         return forwarding.ForwardingContext(
             reactor=self._reactor,
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -130,7 +130,10 @@
             book=routes.ConfigurationBook(),
             endpoints=self.endpoints,
             placement=dispatch.Placement(
-                endpoints=self.endpoints, zone=self.zone, generator=generator
+                endpoints=self.endpoints,
+                zone=self.zone,
+                generator=generator,
+                name=self.name,
             ),
             settings=dispatch.DispatchSettings(),
             metrics=None,
