--- a/sassafrasstile/roles/_manager.py
+++ b/sassafrasstile/roles/_manager.py
@@ -101,13 +101,23 @@
             pause_s = _STEP_S * (0.75 + 0.5 * self._generator.random())
             await task.deferLater(self._reactor, pause_s)
             order = self._choose()
-            if order is None:
+            if order is None or not self._takes_part():
                 continue
             try:
                 await self._follow_up(order)
             except stores.StoreError as reason:
                 _LOG.info("roles: no order given. Reason: %s.", reason)
 
+    def _takes_part(self) -> bool:
+        """Says whether this gateway looks after the orders now.
+
+        The holder does, and the first by name of the live gateways, which
+        would succeed it; the others needn't ask the store who that is.
+        """
+        if self._term.holder is None or self._term.is_held:
+            return True
+        return self._name == min([self._name, *self._list_peers()])
+
     def _choose(self) -> _base.RoleOrder | None:
         """Returns the order that is wanted now, whoever gives it."""
         now = self._reactor.seconds()
--- a/sassafrasstile/roles/tests/test_term.py
+++ b/sassafrasstile/roles/tests/test_term.py
@@ -20,9 +20,11 @@
 
     def __init__(self):
         self.records = []
+        self.loads = 0
         self.loses_answer = False
 
     def load(self, topic):
+        self.loads += 1
         newest = {key: (value, at) for at, (key, value) in self._number()}
         entries = tuple(
             stores.Change(key=key, value=value, offset=at)
@@ -127,6 +129,15 @@
         self.assertGreaterEqual(len(self.orders), 4)
         self.check_numbers()
 
+    def test_others_ask_once_who_gives_orders(self):
+        self.live = {name: set("abcdef") - {name} for name in "abcdef"}
+        for name in "abcdef":
+            self.start(name)
+        self.advance(10.0)
+        self.assertGreaterEqual(len(self.orders), 4)
+        # Two may ask again: the holder, and the first by name.
+        self.assertLessEqual(self.store.loads, 6 + 2 * 4)
+
     def test_successor_waits_for_a_term_and_has_higher_numbers(self):
         first = self.start("a")
         self.advance(4.0)
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -20,8 +20,10 @@
 _TOLD_SHARE = 0.65
 _BACKOFF_FIRST_S = 0.2
 _BACKOFF_MOST_S = 0.8
-# Pages are asked for no faster than this, however fast records come.
+# Pages are asked for no faster than this, however fast records come; a gateway
+# that is told of them asks for several together.
 _LEAST_INTERVAL_S = 0.25
+_LEAST_TOLD_INTERVAL_S = 0.6
 
 
 class Follower:
@@ -124,9 +126,14 @@
                 await self._handle_failure(reason)
                 continue
             self._note_contact()
+            least_s = (
+                _LEAST_INTERVAL_S
+                if self._is_watcher()
+                else _LEAST_TOLD_INTERVAL_S
+            )
             spent_s = self._reactor.seconds() - began_at
-            if spent_s < _LEAST_INTERVAL_S:
-                await self._sleep(_LEAST_INTERVAL_S - spent_s)
+            if spent_s < least_s:
+                await self._sleep(least_s - spent_s)
             await self._rest()
 
     async def _rest(self) -> None:
--- a/sassafrasstile/stores/tests/test_follower.py
+++ b/sassafrasstile/stores/tests/test_follower.py
@@ -170,6 +170,17 @@
         self.advance(0.5)
         self.assertEqual(len(self.store.follows), 1)
 
+    def test_records_in_quick_succession_are_read_together(self):
+        self.start_told()
+        self.tell(2)
+        self.answer(_make_change(1, b"w"), next_offset=2)
+        for offset in (3, 4, 5):
+            self.tell(offset)
+            self.advance(0.1)
+        self.assertEqual(len(self.store.follows), 1)
+        self.advance(0.4)
+        self.assertEqual(len(self.store.follows), 2)
+
     def test_it_looks_itself_before_a_change_should_be_acted_on(self):
         self.start_told()
         began_at = self.clock.seconds()
