--- a/sassafrasstile/soak/_faults.py
+++ b/sassafrasstile/soak/_faults.py
@@ -86,6 +86,30 @@
     site.world.call_later(site.world.generator.uniform(1.0, 60.0), end)
 
 
+def crash_in_outage(site) -> None:
+    """Kills a service's sidecar shortly before the log is back.
+
+    What it ran without a claim is known to nobody then, and callers who wait
+    for an answer come back while the log is up again.
+    """
+    site.world.note("the log is down")
+    site.log.model.is_down = True
+    outage_s = site.world.generator.uniform(2.0, 8.0)
+    before_s = site.world.generator.uniform(0.1, 1.0)
+    node = _choose(site.world, site.services)
+
+    def crash():
+        if node.is_alive:
+            _kill_and_restart(site, node)
+
+    def end():
+        site.world.note("the log is up")
+        site.log.model.is_down = False
+
+    site.world.call_later(outage_s - before_s, crash)
+    site.world.call_later(outage_s, end)
+
+
 def lose_answers(site) -> None:
     """Loses answers of the log, and delays appends, for a while."""
     site.log.lost_share = 0.5
@@ -138,6 +162,7 @@
     "disorder_network": (disorder_network, 40.0),
     "stop_log": (stop_log, 120.0),
     "lose_answers": (lose_answers, 50.0),
+    "crash_in_outage": (crash_in_outage, 60.0),
     "drain_endpoint": (drain_endpoint, 40.0),
     "drain_gateway": (drain_gateway, 60.0),
     "lose_vm": (lose_vm, 150.0),
