--- a/sassafrasstile/faultsoak/_callers.py
+++ b/sassafrasstile/faultsoak/_callers.py
@@ -90,13 +90,7 @@
     async def _exchange(
         self, request_id: str, outcome: Outcome
     ) -> testing.RawAnswer:
-        gateway = self._generator.choice(self._gateways)
-        target = endpoints.TCP4ClientEndpoint(
-            self._reactor, "127.0.0.1", gateway.port, timeout=1
-        )
-        caller = await target.connect(
-            protocol.Factory.forProtocol(testing.Caller)
-        )
+        caller = await self._connect(self._generator.choice(self._gateways))
         caller.send(
             testing.make_request(
                 f"/{outcome.kind}/",
@@ -118,6 +112,28 @@
             leaving.cancel()
         return answer
 
+    async def _connect(
+        self, gateway: _gateways.GatewayProcess
+    ) -> testing.Caller:
+        target = endpoints.TCP4ClientEndpoint(
+            self._reactor, "127.0.0.1", gateway.port, timeout=1
+        )
+        return await target.connect(
+            protocol.Factory.forProtocol(testing.Caller)
+        )
+
+    async def check_route(self, path: str) -> None:
+        """Checks that every gateway serves a path."""
+        for gateway in self._gateways:
+            caller = await self._connect(gateway)
+            request_id = f"{gateway.name}{path}"
+            caller.send(testing.make_request(path, request_id=request_id))
+            answer = await caller.read_all()
+            if answer.status != 200:
+                self.violations.append(
+                    f"{gateway.name}: {path} answered {answer.status}"
+                )
+
     @staticmethod
     def _leave(caller: testing.Caller, outcome: Outcome) -> None:
         outcome.left = True
--- a/sassafrasstile/faultsoak/_gateways.py
+++ b/sassafrasstile/faultsoak/_gateways.py
@@ -33,8 +33,6 @@
         self._output = folder / f"{name}.log"
         self._store_port = store_port
         self._process: subprocess.Popen | None = None
-        # Since when faults may have touched its requests, or None.
-        self.disturbed_at: float | None = None
 
     def start(self) -> None:
         """Starts the process."""
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -20,6 +20,9 @@
 _START_S = 3.0
 _END_S = 8.0
 _RELEASE_S = 5.0
+# A configuration is in force everywhere within two seconds; the rest is for
+# a busy machine.
+_IN_FORCE_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -103,6 +106,9 @@
         await defer.gatherResults(self._running, consumeErrors=False)
         await self._sleep(_END_S)
         crowd.check_runs(self._ledger.runs)
+        self._configure(2, "/new/")
+        await self._sleep(_IN_FORCE_S)
+        await crowd.check_route("/new/")
         await self._check_release(crowd)
         return SoakReport(
             seed=self._seed,
@@ -141,7 +147,7 @@
         for kind, stage in stages.items():
             for number in range(2):
                 self._add_worker(f"{kind}{number}", stage)
-        self._configure()
+        self._configure(1)
         for number in range(self._count):
             proxy = self._make_proxy(self._server.host, self._server.port)
             self._proxies[f"store{number}"] = proxy
@@ -177,7 +183,13 @@
             ),
         )
 
-    def _configure(self) -> None:
+    def _configure(self, version: int, *added: str) -> None:
+        """Writes a configuration.
+
+        Args:
+            version: Its version.
+            added: Paths of routes beyond the usual ones.
+        """
         routes = [
             testing.make_platform_route("/once/", "desk", "unsafe"),
             testing.make_platform_route(
@@ -186,11 +198,15 @@
             testing.make_platform_route(
                 "/gen/", "writer", "streaming", targetGapMs=300
             ),
+            *(
+                testing.make_platform_route(path, "desk", "unsafe")
+                for path in added
+            ),
         ]
         self._server.store.put_json(
             "keyed.op",
             "config",
-            testing.make_configuration_document(version=1, routes=routes),
+            testing.make_configuration_document(version=version, routes=routes),
         )
 
     async def close(self) -> None:
