--- a/sassafrasstile/faultsoak/_gateways.py
+++ b/sassafrasstile/faultsoak/_gateways.py
@@ -3,17 +3,12 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
 import yaml
 
-
-def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+from sassafrasstile import testing
 
 
 class GatewayProcess:
@@ -27,8 +22,8 @@
 
     def __init__(self, *, name: str, folder: pathlib.Path, store_port: int):
         self.name = name
-        self.port = _find_port()
-        self._ready_port = _find_port()
+        self.port = testing.pick_port()
+        self._ready_port = testing.pick_port()
         self._path = folder / f"{name}.yaml"
         self._output = folder / f"{name}.log"
         self._store_port = store_port
@@ -36,7 +31,7 @@
 
     def start(self) -> None:
         """Starts the process."""
-        inner = _find_port()
+        inner = testing.pick_port()
         settings = {
             "nodeName": self.name,
             "zone": "a",
--- a/sassafrasstile/faultsoak/tests/test_faultsoak.py
+++ b/sassafrasstile/faultsoak/tests/test_faultsoak.py
@@ -13,6 +13,8 @@
     8,
     17,
     18,
+    # A proxy was given a port that was meant for a gateway.
+    27,
 )
 _SECONDS = 4.0
 
--- a/sassafrasstile/testing/__init__.py
+++ b/sassafrasstile/testing/__init__.py
@@ -10,6 +10,7 @@
     make_platform_route,
     make_request,
 )
+from sassafrasstile.testing._ports import pick_port
 from sassafrasstile.testing._processes import ChildProcess, ProcessSite
 from sassafrasstile.testing._reactor import (
     ReactorTestCase,
@@ -40,6 +41,7 @@
     "make_route",
     "make_samples",
     "on_reactor",
+    "pick_port",
     "reactor",
     "run",
     "spawn",
