--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -43,6 +43,11 @@
 _JITTER = 0.02
 
 
+def _get_capacity(service: routes.Service) -> int:
+    """Returns the tokens that an engine of a service holds."""
+    return service.engine.capacity_tokens if service.engine else 1
+
+
 class Shortage(enum.Enum):
     """What a generation lacks."""
 
@@ -157,7 +162,7 @@
             service: The service wanted.
         """
         decode = grant.decode
-        capacity = service.engine.capacity_tokens if service.engine else 1
+        capacity = _get_capacity(service)
         is_full = decode.total_reserved_tokens > _CONTESTED_SHARE * capacity
         return is_full and bool(decode.peer_loads)
 
@@ -179,7 +184,7 @@
             granted_at: When it was taken, in seconds.
         """
         decode = grant.decode
-        capacity = service.engine.capacity_tokens if service.engine else 1
+        capacity = _get_capacity(service)
         if decode.total_reserved_tokens <= capacity:
             return False
         since = granted_at - _SAME_TIME_S
@@ -211,7 +216,7 @@
             An engine with room, or None when the granted one is as good.
         """
         decode = grant.decode
-        capacity = service.engine.capacity_tokens if service.engine else 1
+        capacity = _get_capacity(service)
         is_overbooked = decode.total_reserved_tokens > capacity
         if decode.takes_work and decode.is_open(now) and not is_overbooked:
             return None
@@ -229,7 +234,7 @@
         )
         if not usable and excluded:
             return self._choose_for_decode(service, size, now, is_late, ())
-        capacity = service.engine.capacity_tokens if service.engine else 1
+        capacity = _get_capacity(service)
         share = _LATE_MEMORY_SHARE if is_late else 1.0
 
         def has_room(item: _endpoints.Endpoint) -> bool:
--- a/sassafrasstile/router/_topics.py
+++ b/sassafrasstile/router/_topics.py
@@ -24,6 +24,7 @@
         self._name = name
         self._followers: dict[str, stores.Follower] = {}
         self._channel: peers.PeerChannel | None = None
+        self._told: dict[str, stores.TopicEnd | None] = {}
 
     def connect(
         self,
@@ -58,8 +59,13 @@
         }
 
     def tell(self) -> None:
-        """Tells the others what a call has just shown."""
-        self._channel.tell_topics()
+        """Tells the others what a call has just shown, if that is news."""
+        ends = {
+            topic: follower.end for topic, follower in self._followers.items()
+        }
+        if ends != self._told:
+            self._told = ends
+            self._channel.tell_topics()
 
     def note(self, topics: Mapping[str, peers.TopicAge]) -> None:
         """Notes what another gateway's calls have shown."""
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -126,16 +126,16 @@
                 await self._handle_failure(reason)
                 continue
             self._note_contact()
-            least_s = (
-                _LEAST_INTERVAL_S
-                if self._is_watcher()
-                else _LEAST_TOLD_INTERVAL_S
-            )
             spent_s = self._reactor.seconds() - began_at
-            if spent_s < least_s:
-                await self._sleep(least_s - spent_s)
+            await self._sleep(max(0.0, self._choose_interval() - spent_s))
             await self._rest()
 
+    def _choose_interval(self) -> float:
+        """Returns the shortest time from one call to the next."""
+        if self._is_watcher():
+            return _LEAST_INTERVAL_S
+        return _LEAST_TOLD_INTERVAL_S
+
     async def _rest(self) -> None:
         """Waits until there is a reason to call."""
         while (left_s := self._measure_rest()) > 0:
