--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -84,23 +84,48 @@
         progress: _streams.Progress,
     ) -> verdicts.Verdict | None:
         """Has it run by the engines that have room for it."""
-        context = self._context
+        refusal = await self._prepare(task, grant, progress)
+        if refusal is not None:
+            return refusal
+        return await self._send(task, grant, progress)
+
+    async def _prepare(
+        self,
+        task: _task.RequestTask,
+        grant: dispatch.Grant,
+        progress: _streams.Progress,
+    ) -> verdicts.NotRun | None:
+        """Has its prompt read, where a prefill engine is to do that.
+
+        Returns:
+            None when it can be sent to the decode engine.
+        """
         if grant.prefill is not None and progress.handle is not None:
             # It waited for room for longer than its prompt was kept.
             self._drop_handle(progress)
-            if not _retries.may_read_again(context, task):
+            if not _retries.may_read_again(self._context, task):
                 return verdicts.NotRun(code=errors.Code.HANDLE_EXPIRED)
         if grant.reads_apart and not progress.events:
             progress.handle = await self._prefills.run(task, grant.prefill)
             self.room.release_prefill(grant)
-            if progress.handle is None and not self._may_go_on(grant):
-                return verdicts.NotRun(code=errors.Code.PREFILL_FAILED)
             if progress.handle is not None:
                 self.room.confirm(task, grant)
-        engine = grant.decode
-        if not engine.takes_work:
+            elif not self._may_go_on(grant):
+                return verdicts.NotRun(code=errors.Code.PREFILL_FAILED)
+        if not grant.decode.takes_work:
             # It began to leave during the prefill; nothing was sent.
             return verdicts.NotRun(code=errors.Code.LEAVING)
+        return None
+
+    async def _send(
+        self,
+        task: _task.RequestTask,
+        grant: dispatch.Grant,
+        progress: _streams.Progress,
+    ) -> verdicts.Verdict | None:
+        """Sends it to the decode engine and passes the answer on."""
+        context = self._context
+        engine = grant.decode
         remaining_s = task.deadline - context.now()
         outgoing = context.codec.encode_run(
             task.request,
