--- a/sassafrasstile/daemons/tests/test_processes.py
+++ b/sassafrasstile/daemons/tests/test_processes.py
@@ -169,7 +169,9 @@
 
     @testing.on_reactor
     async def test_memory_is_freed_while_its_gateway_stands_still(self):
-        site = await self.start_site(step_s=0.2)
+        # The answer takes eleven seconds, so that it doesn't end by itself
+        # before the gateway stands still, on a busy machine either.
+        site = await self.start_site(step_s=0.5)
         stream = await self.begin(site)
         site.processes["gateway-1"].signal(signal.SIGSTOP)
         await self.wait_until_free(site)
