--- a/sassafrasstile/router/tests/test_byte_positions.py
+++ b/sassafrasstile/router/tests/test_byte_positions.py
@@ -58,15 +58,20 @@
         await self.sleep(0.3)
         return site
 
+    def count_runs(self, site, path):
+        """Counts what was to be run; probes of a silent endpoint aren't."""
+        requests = site.endpoints["e0"].requests
+        return sum(1 for item in requests if item.target == path)
+
     async def cut_everywhere(self, site, cutter, path):
         """Yields each cut with what the caller got."""
         whole = cutter.measure()
         for end in _ENDS:
             for place in range(whole + 1):
                 cutter.place, cutter.end = place, end
-                before = len(site.endpoints["e0"].requests)
+                before = self.count_runs(site, path)
                 answer = await site.call(path, headers=("X-Token-Count: 9,9",))
-                runs = len(site.endpoints["e0"].requests) - before
+                runs = self.count_runs(site, path) - before
                 with self.subTest(end=end, place=place):
                     yield place == whole, answer, runs
 
