Count refused prefills as retries, divide the slack, recognize replaced endpoints

Each round of prefill and local decode made two arrivals and spent one retry, since a refused prefill was never charged. And nothing was learned from the answer: each request, at each gateway, found out again.

Ruled out by reading: free codes (leaving, unreachable) cause no arrival; the slack of 2 a gateway was within the stated 176 with 68 gateways, though with 360 it would not be.

Now a refused prefill is charged, the stated slack is divided by the number of gateways (half of it, so that restarted ones may spend theirs again), and an answer from another instance takes the endpoint out of use for five seconds and is reported to the other gateways.

Also: the last of MAX_SENDS waits until the deadline like any last send, and a denied prefill no longer asks the budget a second time.

--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from sassafrasstile.dispatch._base import DispatchSettings, WorkSize
-from sassafrasstile.dispatch._budget import WindowedRetryBudget
+from sassafrasstile.dispatch._budget import WindowedRetryBudget, divide_slack
 from sassafrasstile.dispatch._endpoints import Endpoint, EndpointTable
 from sassafrasstile.dispatch._grants import Grant
 from sassafrasstile.dispatch._health import Health
@@ -25,4 +25,5 @@
     "Waiter",
     "WindowedRetryBudget",
     "WorkSize",
+    "divide_slack",
 ]
--- a/sassafrasstile/dispatch/_base.py
+++ b/sassafrasstile/dispatch/_base.py
@@ -28,8 +28,8 @@
     Attributes:
         retry_ratio: The maximum number of retries of a service, as a share
             of its requests in a window.
-        retry_slack: Retries that this gateway may add to that share in each
-            window.
+        retry_slack: Retries that all gateways together may add to that share
+            in each window.
         retry_window_s: The length of the window in seconds.
         silence_timeout_s: Seconds without a byte after which an endpoint
             with pending requests is considered unreachable.
@@ -41,7 +41,7 @@
     """
 
     retry_ratio: float = 0.2
-    retry_slack: int = 2
+    retry_slack: float = 50.0
     retry_window_s: float = 10.0
     silence_timeout_s: float = 0.8
     probe_interval_s: float = 0.5
--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -242,10 +242,10 @@
         reachable = [item for item in ready if item.health.is_reachable(now)]
         return reachable or ready
 
-    def list_unreachable(self, now: float) -> list[Endpoint]:
-        """Returns the endpoints that have to be probed."""
+    def list_to_probe(self, now: float) -> list[Endpoint]:
+        """Returns the unreachable endpoints that have to be probed."""
         return [
             item
             for item in self._endpoints.values()
-            if not item.health.is_reachable(now)
+            if item.health.needs_probe(now)
         ]
--- a/sassafrasstile/dispatch/_health.py
+++ b/sassafrasstile/dispatch/_health.py
@@ -8,6 +8,9 @@
 _LATENCY_WEIGHT = 0.2
 # Silence counts only beyond this multiple of the mean latency.
 _SILENCE_LATENCIES = 4.0
+# An endpoint whose address another instance has taken gets no work for this
+# long. Its record is usually dropped before.
+_REPLACED_S = 5.0
 # A peer's report is ignored if the endpoint sent something this recently.
 _RECENT_ACTIVITY_S = 0.3
 
@@ -33,6 +36,7 @@
         self.latency_s: float | None = None
         self.unreachable_since: float | None = None
         self.suspected_since: float | None = None
+        self._replaced_until = float("-inf")
         self._pending: dict[str, float] = {}
         self._last_activity_at = float("-inf")
         self._failure_rate = 0.0
@@ -81,6 +85,18 @@
         ):
             self.suspected_since = now
 
+    def mark_replaced(self, now: float) -> None:
+        """Marks that another instance has taken the endpoint's address.
+
+        Bytes from that address don't clear the mark, since they come from the
+        other instance.
+        """
+        self._replaced_until = now + _REPLACED_S
+
+    def is_replaced(self, now: float) -> bool:
+        """Returns whether another instance has taken its address recently."""
+        return now < self._replaced_until
+
     def reset_silence(self, now: float) -> None:
         """Restarts the silence timers of all pending attempts.
 
@@ -102,13 +118,19 @@
 
     def is_observed_unreachable(self, now: float) -> bool:
         """Returns whether this gateway itself found it unreachable."""
-        return self.unreachable_since is not None or self.is_silent(now)
+        if self.unreachable_since is not None or self.is_replaced(now):
+            return True
+        return self.is_silent(now)
 
     def is_reachable(self, now: float) -> bool:
         """Returns whether new work may be sent to the endpoint."""
         is_suspected = self.suspected_since is not None
         return not is_suspected and not self.is_observed_unreachable(now)
 
+    def needs_probe(self, now: float) -> bool:
+        """Returns whether a probe could show that it is reachable again."""
+        return not self.is_replaced(now) and not self.is_reachable(now)
+
     def compute_failure_rate(self, now: float) -> float:
         """Returns the moving failure rate, decayed since its last update."""
         age_s = max(0.0, now - self._rate_updated_at)
--- a/sassafrasstile/dispatch/tests/test_health.py
+++ b/sassafrasstile/dispatch/tests/test_health.py
@@ -27,7 +27,7 @@
     def test_silent_endpoint_gets_no_new_work_until_it_responds(self):
         self.first.health.add_pending("r1", 0.0)
         self.assertEqual(self.list_usable(1.0), [self.second])
-        self.assertEqual(self.table.list_unreachable(1.0), [self.first])
+        self.assertEqual(self.table.list_to_probe(1.0), [self.first])
         self.first.health.record_activity(1.1)
         self.assertIn(self.first, self.list_usable(1.2))
 
@@ -94,3 +94,11 @@
     def test_failure_rate_decays(self):
         self.first.health.record_failure(0.0)
         self.assertLess(self.first.health.compute_failure_rate(30.0), 0.01)
+
+    def test_replaced_endpoint_is_reported_and_not_probed(self):
+        self.first.health.mark_replaced(1.0)
+        # Bytes that still arrive come from the other instance.
+        self.first.health.record_activity(1.1)
+        self.assertEqual(self.list_usable(1.2), [self.second])
+        self.assertEqual(self.table.list_to_probe(1.2), [])
+        self.assertTrue(self.table.get_own_loads(1.2)["a"].is_unreachable)
--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -196,6 +196,12 @@
         self.endpoint.health.add_pending(self._key, self._context.now())
 
     def _classify(self, head: web.ResponseHead) -> AttemptResult:
+        if self._context.codec.is_from_other_instance(
+            head, endpoint_id=self.endpoint.name
+        ):
+            self._drain_short_answer()
+            self.endpoint.health.mark_replaced(self._context.now())
+            return verdicts.NotRun(code=errors.Code.ENDPOINT_REPLACED)
         kind = self._context.codec.classify(
             head, request_id=self._request_id, is_run=self._number > 0
         )
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -176,6 +176,19 @@
             is_run: False when it answers a request to prefill only.
         """
 
+    @abc.abstractmethod
+    def is_from_other_instance(
+        self, head: web.ResponseHead, *, endpoint_id: str
+    ) -> bool:
+        """Returns whether another instance has taken an endpoint's address.
+
+        Such an answer also proves that the request was not run.
+
+        Args:
+            head: Status and headers of the answer.
+            endpoint_id: The endpoint that the request was meant for.
+        """
+
     @abc.abstractmethod
     def encode_retry_after(self, seconds: float) -> web.Headers:
         """Returns the headers that tell a caller when to retry."""
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -26,6 +26,8 @@
         metrics: Counters and histograms.
         announce: Called after capacity was reserved, to notify the other
             gateways.
+        count_gateways: Returns the number of gateways, this one included, or
+            None while it isn't known.
         lengths: Estimates the output lengths of generations.
         generator: The random number generator.
     """
@@ -39,6 +41,7 @@
     metrics: telemetry.RouterMetrics
     generator: random.Random
     announce: Callable[[], None] = lambda: None
+    count_gateways: Callable[[], int | None] = lambda: 1
     lengths: dispatch.OutputLengthEstimator = dataclasses.field(
         default_factory=dispatch.OutputLengthEstimator
     )
@@ -57,12 +60,18 @@
         if budget is None:
             budget = dispatch.WindowedRetryBudget(
                 ratio=self.settings.retry_ratio,
-                slack=self.settings.retry_slack,
                 window_s=self.settings.retry_window_s,
+                read_slack=self._read_slack,
             )
             self._budgets[service] = budget
         return budget
 
+    def _read_slack(self) -> float:
+        """Returns this gateway's part of the slack of all retry budgets."""
+        return dispatch.divide_slack(
+            self.settings.retry_slack, self.count_gateways()
+        )
+
     def get_pool(self, endpoint: dispatch.Endpoint) -> web.ConnectionPool:
         """Returns the connection pool of an endpoint."""
         pool = self._pools.get(endpoint)
--- a/sassafrasstile/forwarding/_control_calls.py
+++ b/sassafrasstile/forwarding/_control_calls.py
@@ -34,11 +34,11 @@
         fresh: True to open a new connection instead of reusing an idle one.
 
     Returns:
-        A Deferred with the HTTP status. It fails with `web.ExchangeError`
-        or `defer.TimeoutError`.
+        A Deferred with the head of the answer. It fails with
+        `web.ExchangeError` or `defer.TimeoutError`.
     """
 
-    async def exchange() -> int:
+    async def exchange() -> web.ResponseHead:
         reply: web.Reply | None = None
         try:
             reply = await context.get_pool(endpoint).send(
@@ -53,7 +53,7 @@
         finally:
             if reply is not None:
                 reply.close()
-        return head.status
+        return head
 
     return _attempts.fail_on_timeout(exchange(), context.reactor, timeout_s)
 
@@ -98,5 +98,5 @@
         context, endpoint, outgoing, timeout_s=_ORDER_TIMEOUT_S
     )
     return call.addCallbacks(
-        lambda status: status in _ACCEPTED_STATUSES, log_failure
+        lambda head: head.status in _ACCEPTED_STATUSES, log_failure
     )
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -9,6 +9,7 @@
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _control_calls
+from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
@@ -80,8 +81,7 @@
                 ),
             )
             if isinstance(result, verdicts.NotRun):
-                # The engine is full, or is changing its role.
-                engine.record_refusal(context.now())
+                self._record_refusal(task, engine, result)
             if not isinstance(result, _attempts.Answered):
                 return None
             engine.record_acceptance()
@@ -89,6 +89,18 @@
         finally:
             attempt.close()
 
+    def _record_refusal(
+        self,
+        task: _task.RequestTask,
+        engine: dispatch.Endpoint,
+        verdict: verdicts.NotRun,
+    ) -> None:
+        """Records that an engine is full, changes its role or is gone."""
+        context = self._context
+        engine.record_refusal(context.now())
+        if _retries.counts_against_budget(verdict):
+            context.get_budget(task.service.name).charge(context.now())
+
     def _choose_timeout(
         self,
         task: _task.RequestTask,
--- a/sassafrasstile/forwarding/_probes.py
+++ b/sassafrasstile/forwarding/_probes.py
@@ -5,6 +5,7 @@
 from twisted.internet import task
 
 from sassafrasstile import dispatch
+from sassafrasstile import web
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _control_calls
 
@@ -36,7 +37,7 @@
 
     def _probe_all(self) -> None:
         now = self._context.now()
-        for endpoint in self._context.endpoints.list_unreachable(now):
+        for endpoint in self._context.endpoints.list_to_probe(now):
             if endpoint.health.is_silent(now):
                 endpoint.health.mark_unreachable(now)
             if endpoint not in self._running:
@@ -62,6 +63,14 @@
             fresh=True,
         )
 
+        def record_answer(head: web.ResponseHead) -> str:
+            if self._context.codec.is_from_other_instance(
+                head, endpoint_id=endpoint.name
+            ):
+                endpoint.health.mark_replaced(self._context.now())
+                return "another instance has its address"
+            return f"answered {head.status}"
+
         def record_failure(reason) -> str:
             endpoint.health.mark_unreachable(self._context.now())
             return f"no answer ({reason.getErrorMessage()})"
@@ -75,7 +84,5 @@
                 extra={"endpoint": endpoint.name},
             )
 
-        probing.addCallbacks(
-            lambda status: f"answered {status}", record_failure
-        )
+        probing.addCallbacks(record_answer, record_failure)
         probing.addCallback(finish)
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -22,7 +22,7 @@
     Call this before the send is recorded. The last send waits until the
     deadline: with a shorter timeout, a late answer would be lost.
     """
-    if not task.route.idempotent:
+    if not task.route.idempotent or task.sends + 1 >= MAX_SENDS:
         return True
     return task.count_run_endpoints() + 1 >= task.route.max_attempts
 
@@ -33,6 +33,15 @@
     return task.route.idempotent and has_endpoint_left
 
 
+def counts_against_budget(verdict: verdicts.Verdict) -> bool:
+    """Returns whether an endpoint may have received what the verdict is on.
+
+    A refused request counts too, and a prefill unless it was accepted.
+    """
+    is_proved = isinstance(verdict, verdicts.NotRun)
+    return not (is_proved and verdict.code in _NOT_DELIVERED_CODES)
+
+
 def may_send_again(
     context: _context.ForwardingContext,
     task: _task.RequestTask,
@@ -54,15 +63,13 @@
         return False
     if task.sends >= MAX_SENDS or task.prefill_attempts >= MAX_SENDS:
         return False
-    if isinstance(verdict, verdicts.NotRun):
-        if verdict.code in _NOT_DELIVERED_CODES:
-            return True
-    elif not may_run_elsewhere(task):
+    if verdict.code == errors.Code.HANDLE_EXPIRED:
+        # The budget has already denied another prefill.
         return False
-    allowed = context.get_budget(task.service.name).spend(now)
-    if not allowed:
-        context.metrics.retries_denied.inc()
-    return allowed
+    is_proved = isinstance(verdict, verdicts.NotRun)
+    if not is_proved and not may_run_elsewhere(task):
+        return False
+    return not counts_against_budget(verdict) or _spend_budget(context, task)
 
 
 def may_prefill_again(
@@ -74,8 +81,13 @@
         context: State shared by the parts of the router.
         task: The request.
     """
-    if task.prefill_attempts >= MAX_SENDS:
-        return False
+    return task.prefill_attempts < MAX_SENDS and _spend_budget(context, task)
+
+
+def _spend_budget(
+    context: _context.ForwardingContext, task: _task.RequestTask
+) -> bool:
+    """Takes one retry from the service's budget, if it allows one."""
     allowed = context.get_budget(task.service.name).spend(context.now())
     if not allowed:
         context.metrics.retries_denied.inc()
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -80,6 +80,7 @@
         self._read_topics = read_topics
         self._on_topics = on_topics
         self._peers: dict[str, _Peer] = {}
+        self._gateway_count = 1
         self._port: interfaces.IListeningPort | None = None
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
@@ -95,6 +96,13 @@
         """Returns the names of the peers from which reports arrive."""
         return [name for name, peer in self._peers.items() if peer.is_live]
 
+    def count_gateways(self) -> int:
+        """Returns the largest number of gateways known at once, with this one.
+
+        It doesn't fall while gateways are cut off from each other.
+        """
+        return self._gateway_count
+
     def start(self) -> None:
         """Listens and starts sending reports."""
         self._port = self._reactor.listenUDP(
@@ -133,6 +141,7 @@
             self._peers[address.name] = _Peer(
                 address=address, last_seen_at=self._reactor.seconds()
             )
+            self._gateway_count = max(self._gateway_count, len(self._peers) + 1)
 
     def datagramReceived(self, data: bytes, _address) -> None:  # noqa: N802
         """Handles a report from a peer."""
--- a/sassafrasstile/peers/_directory.py
+++ b/sassafrasstile/peers/_directory.py
@@ -33,6 +33,9 @@
         address: This gateway's address.
         channel: The channel to which peers are added.
         generator: The source of random numbers.
+
+    Attributes:
+        is_loaded: True once the addresses have been read.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         self._address = address
         self._channel = channel
         self._generator = generator
+        self.is_loaded = False
         self._running: defer.Deferred | None = None
 
     def start(self) -> None:
@@ -93,6 +97,7 @@
                 self._channel.add_peer(_codec.decode_address(change.value))
             except errors.Error as reason:
                 _LOG.warning("peers: record ignored: %s", reason)
+        self.is_loaded = True
 
     def _log_failure(self, reason) -> None:
         if not reason.check(defer.CancelledError):
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -210,6 +210,16 @@
             return forwarding.AnswerKind.SUCCESS
         return forwarding.AnswerKind.FAILURE
 
+    def is_from_other_instance(
+        self, head: web.ResponseHead, *, endpoint_id: str
+    ) -> bool:
+        """Returns whether another instance has taken an endpoint's address."""
+        instance = head.get(_names.INSTANCE_ID.lower())
+        if head.status != _MISDIRECTED or instance is None:
+            # Without another id, the endpoint only refuses this kind of work.
+            return False
+        return instance.decode("latin-1") != endpoint_id
+
     def encode_retry_after(self, seconds: float) -> web.Headers:
         """Returns the headers that tell a caller when to retry."""
         return [(_names.RETRY_AFTER, f"{seconds:.3f}".encode())]
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -35,6 +35,7 @@
 # Headers of responses.
 SERVER_STAMP = b"X-Server-Stamp"
 NOT_EXECUTED = b"X-Not-Executed"
+INSTANCE_ID = b"X-Instance-Id"
 RETRY_AFTER = b"Retry-After"
 
 # Paths and values in calls to endpoints.
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -20,6 +20,7 @@
     grace_s: float = 8.0
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10.0
+    budget_slack: float = 0.0
     lease_ms: float = 3000.0
     config_apply_ms: float = 2000.0
     drain_ms: float = 2000.0
@@ -121,6 +122,7 @@
         lease_s=document.bounds.lease_ms / _models.MS_PER_S,
         dispatch=dispatch.DispatchSettings(
             retry_ratio=document.bounds.retry_budget_ratio,
+            retry_slack=document.bounds.budget_slack,
             retry_window_s=document.bounds.retry_window_s,
         ),
     )
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -98,6 +98,7 @@
         )
         self._directory = self._make_directory(record_decoder, address)
         self._context.announce = self._channel.announce_loads
+        self._context.count_gateways = self._count_gateways
         self._roles = self._make_roles(record_decoder)
         self._record_decoder = record_decoder
         self._admin_ports: list[interfaces.IListeningPort] = []
@@ -390,6 +391,12 @@
     def _count_peers(self) -> int:
         return len(self._channel.list_live())
 
+    def _count_gateways(self) -> int | None:
+        """Returns the number of gateways, or None before it is known."""
+        if not self._directory.is_loaded:
+            return None
+        return self._channel.count_gateways()
+
     def _read_loads(self) -> Mapping[str, peers.EndpointLoad]:
         now = self._now()
         if self._endpoints.detect_suspension(now):
--- /dev/null
+++ b/sassafrasstile/router/tests/test_replaced_endpoints.py
@@ -0,0 +1,102 @@
+"""Endpoints whose address another instance has taken, and the retry budget."""
+
+from sassafrasstile import standins
+from sassafrasstile import testing
+
+_COUNT = ("X-Token-Count: 100,50",)
+# The share of requests, and the slack of the only gateway, that the retries of
+# `testing.PlatformSite` are limited to.
+_RETRY_RATIO = 0.2
+_RETRY_SLACK = 20
+
+
+def _misdirect(request):
+    return standins.make_misdirected(request, instance="newer")
+
+
+def _count_runs(endpoint):
+    return sum(request.method == "POST" for request in endpoint.requests)
+
+
+class ReplacedEndpointTest(testing.ReactorTestCase):
+    """Records outlive instances, so many gateways may call a replaced one."""
+
+    def setUp(self):
+        self.sites = []
+
+    async def start_site(self, endpoints):
+        site = testing.PlatformSite(
+            reactor=self.reactor,
+            routes=[
+                testing.make_platform_route("/once/", "desk", "unsafe"),
+                testing.make_platform_route(
+                    "/gen/", "writer", "streaming", targetGapMs=300
+                ),
+            ],
+        )
+        site.start()
+        self.sites.append(site)
+        site.configure()
+        for name, (script, service, stage) in endpoints.items():
+            site.add_endpoint(name, script, service=service, stage=stage)
+        await self.wait_until(site.daemon.is_ready)
+        await self.sleep(0.4)
+        return site
+
+    async def close_sites(self):
+        for site in self.sites:
+            await site.close()
+
+    @testing.on_reactor
+    async def test_replaced_engine_gets_no_more_requests(self):
+        site = await self.start_site(
+            {
+                "d0": (_misdirect, "writer", "decode"),
+                "d1": (_misdirect, "writer", "decode"),
+                "d2": (standins.make_stream, "writer", "decode"),
+            }
+        )
+        for number in range(8):
+            answer = await site.call(
+                "/gen/", headers=_COUNT, request_id=f"q{number}"
+            )
+            self.assertTrue(answer.is_complete_stream)
+            # Longer than the first backoff after a refusal.
+            await self.sleep(0.25)
+        await self.close_sites()
+        for name in ("d0", "d1"):
+            self.assertLessEqual(_count_runs(site.endpoints[name]), 1)
+
+    @testing.on_reactor
+    async def test_wrong_role_does_not_count_as_replaced(self):
+        def refuse_role(request):
+            return standins.make_misdirected(request, instance="e0")
+
+        site = await self.start_site({"e0": (refuse_role, "desk", None)})
+        for number in range(2):
+            answer = await site.call("/once/", request_id=f"q{number}")
+            self.assertEqual(answer.status, 503)
+        await self.close_sites()
+        self.assertGreaterEqual(_count_runs(site.endpoints["e0"]), 2)
+
+    @testing.on_reactor
+    async def test_refused_prefills_count_against_the_retry_budget(self):
+        refuse = standins.make_refusal
+        site = await self.start_site(
+            {
+                "p0": (refuse, "writer", "prefill"),
+                "p1": (refuse, "writer", "prefill"),
+                "d0": (refuse, "writer", "decode"),
+                "d1": (refuse, "writer", "decode"),
+                "d2": (refuse, "writer", "decode"),
+            }
+        )
+        requests = 12
+        for number in range(requests):
+            await site.call("/gen/", headers=_COUNT, request_id=f"q{number}")
+            # Longer than the backoff after a refusal.
+            await self.sleep(0.12)
+        await self.close_sites()
+        arrivals = sum(map(_count_runs, site.endpoints.values()))
+        allowed = _RETRY_RATIO * requests + _RETRY_SLACK
+        self.assertLessEqual(arrivals - requests, allowed)
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -135,9 +135,12 @@
                 generator=generator,
                 name=self.name,
             ),
-            settings=dispatch.DispatchSettings(),
+            settings=dispatch.DispatchSettings(
+                retry_slack=self._profile.retry_slack
+            ),
             metrics=None,
             generator=generator,
+            count_gateways=lambda: self._profile.gateways,
         )
 
     def _make_dispatcher(self, policy, generator) -> _dispatchers.Dispatcher:
@@ -170,7 +173,7 @@
     def _probe(self) -> None:
         """Checks whether unreachable engines respond again."""
         now = self._reactor.seconds()
-        for endpoint in self.endpoints.list_unreachable(now):
+        for endpoint in self.endpoints.list_to_probe(now):
             engine = self._pools.prefills.get(endpoint.name)
             if engine is not None and engine.is_unresponsive:
                 endpoint.health.mark_unreachable(now)
--- a/sassafrasstile/simulation/_profiles.py
+++ b/sassafrasstile/simulation/_profiles.py
@@ -55,6 +55,8 @@
         target_s: Target for the time to the first token.
         gap_s: Target for the time between two events.
         deadline_s: Seconds until a caller disconnects.
+        retry_slack: Retries that all gateways together may add in each window
+            to their share of the requests.
         late_weight: Weight of a late answer in the goodput; one on time
             counts as 1.
     """
@@ -73,6 +75,7 @@
     target_s: float = 0.9
     gap_s: float = 0.3
     deadline_s: float = 14.0
+    retry_slack: float = 20.0
     late_weight: float = 0.2
 
     @property
--- a/sassafrasstile/standins/__init__.py
+++ b/sassafrasstile/standins/__init__.py
@@ -30,6 +30,7 @@
     PlatformEndpoint,
     make_answer,
     make_handle,
+    make_misdirected,
     make_refusal,
     make_stream,
 )
@@ -62,6 +63,7 @@
     "generate_tokens",
     "make_answer",
     "make_handle",
+    "make_misdirected",
     "make_refusal",
     "make_stream",
 ]
--- a/sassafrasstile/standins/_platform_endpoint.py
+++ b/sassafrasstile/standins/_platform_endpoint.py
@@ -15,6 +15,7 @@
 _ATTEMPT_ID_HEADER = "X-Attempt-Id"
 _SERVER_STAMP_HEADER = "X-Server-Stamp"
 _NOT_EXECUTED_HEADER = "X-Not-Executed"
+_INSTANCE_ID_HEADER = "X-Instance-Id"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -102,6 +103,19 @@
     )
 
 
+def make_misdirected(
+    request: EndpointRequest, *, instance: str
+) -> EndpointAnswer:
+    """Returns the answer of another instance at the expected one's address."""
+    return make_answer(
+        request,
+        status=421,
+        body=b"",
+        headers=[(_INSTANCE_ID_HEADER, instance)],
+        signed=False,
+    )
+
+
 def make_handle(request: EndpointRequest, token: str) -> EndpointAnswer:
     """Returns the answer to a prefill."""
     body = json.dumps({"kvHandle": token, "tokens": 1, "version": 1}).encode()
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -257,7 +257,7 @@
             grace_s=self._grace_s,
             propagation_limit_s=2.0,
             lease_s=3.0,
-            dispatch=dispatch.DispatchSettings(retry_slack=10),
+            dispatch=dispatch.DispatchSettings(retry_slack=20.0),
         )
 
     def add_endpoint(
