Report load at once within a zone and at intervals beyond it

Now changes go at once to the gateways of the own zone, to the others at intervals or when an endpoint's state changes. Sums over peers are kept up to date by each report; a report touches only the endpoints that it names; idle endpoints are skipped when the own load is read.

--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -16,6 +16,27 @@
 _SUSPENSION_S = 0.3
 
 
+@dataclasses.dataclass(kw_only=True)
+class _PeerTotal:
+    """Sums over the loads of other gateways on one endpoint.
+
+    They are kept up to date with each report, since each decision reads them
+    for many endpoints.
+    """
+
+    in_flight: int = 0
+    reserved_tokens: int = 0
+    prefill_tokens: int = 0
+    changing: int = 0
+
+    def add(self, load: peers.EndpointLoad, sign: int) -> None:
+        """Adds a load, or subtracts it with the sign -1."""
+        self.in_flight += sign * load.in_flight
+        self.reserved_tokens += sign * load.reserved_tokens
+        self.prefill_tokens += sign * load.prefill_tokens
+        self.changing += sign * load.is_changing
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Endpoint:
     """One incarnation of an endpoint, and the load on it.
@@ -28,8 +49,9 @@
             they end.
         prefill_tokens: Prompt tokens of this gateway that it is prefilling.
         peer_loads: The load of other gateways on it, by gateway name.
-        peer_reserved_at: When other gateways last reserved capacity on it,
-            by gateway name.
+        peer_reserved_at: When other gateways with a load on it last reserved
+            capacity, by gateway name.
+        peer_total: The sums of `peer_loads`.
         role_change_until: Latest end of a role change that this gateway has
             ordered; until then it gets no work.
         backoff_until: End of the backoff after it refused work.
@@ -46,6 +68,7 @@
         default_factory=dict
     )
     peer_reserved_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    peer_total: _PeerTotal = dataclasses.field(default_factory=_PeerTotal)
     role_change_until: float = 0.0
     backoff_until: float = 0.0
     consecutive_refusals: int = 0
@@ -62,6 +85,16 @@
         is_ready = self.record.state is membership.EndpointState.READY
         return is_ready and not self.is_removed
 
+    def has_own_load(self, now: float) -> bool:
+        """Returns whether there is anything to report about it."""
+        return bool(
+            self.in_flight
+            or self.reserved_tokens
+            or self.prefill_tokens
+            or now < self.role_change_until
+            or self.health.is_observed_unreachable(now)
+        )
+
     def get_own_load(self, now: float) -> peers.EndpointLoad:
         """Returns this gateway's load on the endpoint and view of it."""
         return peers.EndpointLoad(
@@ -76,7 +109,25 @@
         """Returns whether it is neither in backoff nor changing its role."""
         if now < self.backoff_until or now < self.role_change_until:
             return False
-        return not any(load.is_changing for load in self.peer_loads.values())
+        return not self.peer_total.changing
+
+    def set_peer_load(
+        self, peer: str, load: peers.EndpointLoad, now: float
+    ) -> None:
+        """Updates another gateway's load on it."""
+        before = self.peer_loads.pop(peer, _NO_LOAD)
+        self.peer_total.add(before, -1)
+        if load.is_empty:
+            self.peer_reserved_at.pop(peer, None)
+            return
+        self.peer_loads[peer] = load
+        self.peer_total.add(load, 1)
+        if load.reserved_tokens > before.reserved_tokens:
+            self.peer_reserved_at[peer] = now
+        # Only a new report counts: a repeated one may be older than what this
+        # gateway has received from the endpoint.
+        if load.is_unreachable and not before.is_unreachable:
+            self.health.mark_suspected(now)
 
     def record_refusal(self, now: float) -> None:
         """Records that it refused work, and starts a backoff."""
@@ -93,23 +144,17 @@
     @property
     def total_in_flight(self) -> int:
         """Requests in flight of all gateways."""
-        return self.in_flight + sum(
-            load.in_flight for load in self.peer_loads.values()
-        )
+        return self.in_flight + self.peer_total.in_flight
 
     @property
     def total_reserved_tokens(self) -> int:
         """KV cache in tokens that all gateways have reserved."""
-        return self.reserved_tokens + sum(
-            load.reserved_tokens for load in self.peer_loads.values()
-        )
+        return self.reserved_tokens + self.peer_total.reserved_tokens
 
     @property
     def total_prefill_tokens(self) -> int:
         """Prompt tokens that it is prefilling for all gateways."""
-        return self.prefill_tokens + sum(
-            load.prefill_tokens for load in self.peer_loads.values()
-        )
+        return self.prefill_tokens + self.peer_total.prefill_tokens
 
     def reserve(self, size: _base.WorkSize) -> None:
         """Adds a generation to the load of its decode engine."""
@@ -137,6 +182,7 @@
     def __init__(self, *, silence_timeout_s: float):
         self._silence_timeout_s = silence_timeout_s
         self._endpoints: dict[str, Endpoint] = {}
+        self._peer_loads: dict[str, dict[str, peers.EndpointLoad]] = {}
         self._checked_at = float("inf")
 
     def update_record(
@@ -158,31 +204,64 @@
             former.record = record
             return None
         else:
-            self._endpoints[endpoint_id] = Endpoint(
-                record=record,
-                health=_health.Health(
-                    silence_timeout_s=self._silence_timeout_s
-                ),
-            )
+            self._endpoints[endpoint_id] = self._make_endpoint(record)
         if former is not None:
             former.is_removed = True
         return former
 
+    def _make_endpoint(self, record: membership.EndpointRecord) -> Endpoint:
+        endpoint = Endpoint(
+            record=record,
+            health=_health.Health(silence_timeout_s=self._silence_timeout_s),
+        )
+        # A gateway's report may arrive before the endpoint's record.
+        for peer, loads in self._peer_loads.items():
+            load = loads.get(record.endpoint_id)
+            if load is not None:
+                endpoint.set_peer_load(peer, load, float("-inf"))
+        return endpoint
+
     def update_peer_loads(
-        self, peer: str, loads: Mapping[str, peers.EndpointLoad], now: float
+        self,
+        peer: str,
+        loads: Mapping[str, peers.EndpointLoad],
+        now: float,
+        *,
+        is_complete: bool = True,
     ) -> None:
-        """Updates another gateway's load on all endpoints."""
-        for endpoint_id, endpoint in self._endpoints.items():
-            before = endpoint.peer_loads.pop(peer, _NO_LOAD)
-            load = loads.get(endpoint_id, _NO_LOAD)
-            if not load.is_empty:
-                endpoint.peer_loads[peer] = load
-            if load.reserved_tokens > before.reserved_tokens:
-                endpoint.peer_reserved_at[peer] = now
-            # Only a new report counts: a repeated one may be older than what
-            # this gateway has received from the endpoint.
-            if load.is_unreachable and not before.is_unreachable:
-                endpoint.health.mark_suspected(now)
+        """Updates another gateway's load on the endpoints.
+
+        Args:
+            peer: The gateway's name.
+            loads: The load by endpoint id.
+            now: The time in seconds.
+            is_complete: True when the gateway has no load on endpoints that
+                are left out; False when its load on them is unchanged.
+        """
+        known = self._peer_loads.setdefault(peer, {})
+        if is_complete:
+            for endpoint_id in known.keys() - loads.keys():
+                self._set_peer_load(peer, endpoint_id, _NO_LOAD, now)
+        for endpoint_id, load in loads.items():
+            if known.get(endpoint_id, _NO_LOAD) != load:
+                self._set_peer_load(peer, endpoint_id, load, now)
+        if not known:
+            del self._peer_loads[peer]
+
+    def _set_peer_load(
+        self,
+        peer: str,
+        endpoint_id: str,
+        load: peers.EndpointLoad,
+        now: float,
+    ) -> None:
+        if load.is_empty:
+            self._peer_loads[peer].pop(endpoint_id, None)
+        else:
+            self._peer_loads[peer][endpoint_id] = load
+        endpoint = self._endpoints.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.set_peer_load(peer, load, now)
 
     def detect_suspension(self, now: float) -> bool:
         """Detects that this process was suspended since the last call.
@@ -202,10 +281,14 @@
         return was_suspended
 
     def get_own_loads(self, now: float) -> dict[str, peers.EndpointLoad]:
-        """Returns this gateway's load on each endpoint, by endpoint id."""
+        """Returns this gateway's load by endpoint id.
+
+        Endpoints without anything to report are left out.
+        """
         return {
             name: item.get_own_load(now)
             for name, item in self._endpoints.items()
+            if item.has_own_load(now)
         }
 
     def list_all(self) -> list[Endpoint]:
--- a/sassafrasstile/dispatch/_health.py
+++ b/sassafrasstile/dispatch/_health.py
@@ -108,6 +108,8 @@
 
     def is_silent(self, now: float) -> bool:
         """Returns whether nothing came since an overdue attempt was sent."""
+        if not self._pending:
+            return False
         limit_s = max(
             self.silence_timeout_s, _SILENCE_LATENCIES * (self.latency_s or 0.0)
         )
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -12,11 +12,13 @@
         name: The gateway's name.
         host: Its IP address.
         port: Its UDP port.
+        zone: Its availability zone, or an empty string if it isn't known.
     """
 
     name: str
     host: str
     port: int
+    zone: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -1,6 +1,6 @@
 """Sends and receives load reports over UDP."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 import dataclasses
 import logging
 
@@ -11,25 +11,26 @@
 from sassafrasstile import errors
 from sassafrasstile.peers import _base
 from sassafrasstile.peers import _codec
+from sassafrasstile.peers import _schedule
 
 _LOG = logging.getLogger("sassafrasstile.peers")
 # Interval of the checks for changed loads and silent peers.
-_TICK_INTERVAL_S = 0.02
-# Rate limit of the datagrams that one gateway sends to all peers together. The
-# burst size is one second's worth.
-_MAX_DATAGRAMS_PER_S = 400.0
-# Changes that only release capacity may be reported this much later.
-_RELEASE_DELAY_S = 0.1
+_TICK_INTERVAL_S = 0.05
+# Rate limits of the datagrams to the gateways of this zone and of the others.
+_MAX_NEAR_DATAGRAMS_PER_S = 400.0
+_MAX_FAR_DATAGRAMS_PER_S = 200.0
 # Interval of the complete reports, sent also when nothing has changed. They
 # make up for lost datagrams.
 _COMPLETE_INTERVAL_S = 0.5
-# A peer that was silent for this long is taken to have nothing in flight.
-_SILENCE_TIMEOUT_S = 1.5
+# The interval is longer for this many gateways of other zones and more, so
+# that it takes at most half of the rate limit.
+_MAX_FAR_PEERS = 50
+# A peer that was silent for this many intervals, so that some of its datagrams
+# were lost, is taken to have nothing in flight.
+_SILENCE_INTERVALS = 3
 # A peer that was silent for this long is removed and gets no more reports.
 _REMOVAL_TIMEOUT_S = 20.0
 
-_NO_LOAD = _base.EndpointLoad()
-
 
 @dataclasses.dataclass(kw_only=True)
 class _Peer:
@@ -38,20 +39,24 @@
     incarnation: str = ""
     sequence: int = -1
     is_live: bool = False
-    loads: dict[str, _base.EndpointLoad] = dataclasses.field(
-        default_factory=dict
-    )
 
 
 class PeerChannel(protocol.DatagramProtocol):
     """Exchanges load reports with the other gateways.
 
+    Gateways of the same availability zone mostly use the same endpoints, so
+    they learn of each change at once. Those of other zones get a report at
+    intervals, and at once only when an endpoint's state has changed. So the
+    cost of a gateway grows little with the number of zones.
+
     Args:
         reactor: The reactor.
         address: The address at which this gateway receives reports.
         incarnation: Identifies this gateway's process; new at each start.
         read_loads: Returns this gateway's load by endpoint id.
-        on_report: Called with a peer's name and its load by endpoint id.
+        on_report: Called with a peer's name, its load by endpoint id, and
+            whether the endpoints left out have no load; otherwise their load
+            is unchanged.
         read_topics: Returns the ends of topics that this gateway's own calls
             to the store showed.
         on_topics: Called with the ends of topics that a peer reports.
@@ -66,7 +71,9 @@
         address: _base.PeerAddress,
         incarnation: str,
         read_loads: Callable[[], Mapping[str, _base.EndpointLoad]],
-        on_report: Callable[[str, Mapping[str, _base.EndpointLoad]], None],
+        on_report: Callable[
+            [str, Mapping[str, _base.EndpointLoad], bool], None
+        ],
         read_topics: Callable[[], Mapping[str, _base.TopicEndReport]] = dict,
         on_topics: Callable[
             [Mapping[str, _base.TopicEndReport]], None
@@ -85,12 +92,16 @@
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
         self._sequence = 0
-        self._has_new_topic_ends = False
-        self._sent: Mapping[str, _base.EndpointLoad] = {}
-        self._sent_at = float("-inf")
-        self._complete_sent_at = float("-inf")
-        self._send_budget = _MAX_DATAGRAMS_PER_S
-        self._refilled_at = 0.0
+        self._near = _schedule.ReportSchedule(
+            max_datagrams_per_s=_MAX_NEAR_DATAGRAMS_PER_S,
+            reports_each_change=True,
+        )
+        self._far = _schedule.ReportSchedule(
+            max_datagrams_per_s=_MAX_FAR_DATAGRAMS_PER_S,
+            reports_each_change=False,
+        )
+        self._near_peers: list[_Peer] = []
+        self._far_peers: list[_Peer] = []
 
     def list_live(self) -> list[str]:
         """Returns the names of the peers from which reports arrive."""
@@ -116,14 +127,15 @@
 
     def announce_topics(self) -> None:
         """Reports the ends of topics immediately, within the rate limit."""
-        self._has_new_topic_ends = True
+        self._near.has_news = True
+        self._far.has_news = True
         self._tick()
 
     def close(self):
         """Reports that nothing is in flight and stops."""
         if self._loop.running:
             self._loop.stop()
-        self._send({}, is_complete=True)
+        self._send({}, self._peers.values(), is_complete=True)
         return self._port.stopListening()
 
     def add_peer(self, address: _base.PeerAddress) -> None:
@@ -141,6 +153,7 @@
             self._peers[address.name] = _Peer(
                 address=address, last_seen_at=self._reactor.seconds()
             )
+            self._split_peers()
             self._gateway_count = max(self._gateway_count, len(self._peers) + 1)
 
     def datagramReceived(self, data: bytes, _address) -> None:  # noqa: N802
@@ -161,11 +174,7 @@
         peer.sequence = report.sequence
         peer.last_seen_at = self._reactor.seconds()
         peer.is_live = True
-        if report.is_complete:
-            peer.loads = dict(report.loads)
-        else:
-            peer.loads.update(report.loads)
-        self._on_report(peer.address.name, peer.loads)
+        self._on_report(peer.address.name, report.loads, report.is_complete)
         self._on_topics(report.topics)
 
     def _tick(self) -> None:
@@ -173,74 +182,63 @@
         self._expire_silent_peers(now)
         if not self._peers:
             return
-        loads = {
-            name: load
-            for name, load in self._read_loads().items()
-            if not load.is_empty
-        }
-        is_complete = now - self._complete_sent_at >= _COMPLETE_INTERVAL_S
-        if not is_complete and not self._is_due(loads, now):
-            return
-        if self._consume_send_budget(now):
-            self._send(loads, is_complete=is_complete)
+        loads = self._read_loads()
+        self._report(self._near, self._near_peers, loads, now)
+        self._report(self._far, self._far_peers, loads, now)
 
-    def _is_due(
-        self, loads: Mapping[str, _base.EndpointLoad], now: float
-    ) -> bool:
-        """Returns whether changes have to be reported now."""
-        if self._has_new_topic_ends:
-            return True
-        if loads == self._sent:
-            return False
-        age_s = now - self._sent_at
-        return age_s >= _RELEASE_DELAY_S or any(
-            _is_urgent(load, self._sent.get(name, _NO_LOAD))
-            for name, load in loads.items()
-        )
+    def _split_peers(self) -> None:
+        """Separates the peers in this gateway's zone from the others."""
+        self._near_peers = []
+        self._far_peers = []
+        for peer in self._peers.values():
+            is_near = peer.address.zone == self._address.zone
+            (self._near_peers if is_near else self._far_peers).append(peer)
 
-    def _consume_send_budget(self, now: float) -> bool:
-        """Returns whether the rate limit allows a report, and counts it.
+    def _choose_interval_s(self) -> float:
+        """Returns the interval of the complete reports in seconds."""
+        factor = len(self._far_peers) / _MAX_FAR_PEERS
+        return _COMPLETE_INTERVAL_S * max(1.0, factor)
 
-        This is a token bucket in which each datagram costs one token.
-        """
-        refill = (now - self._refilled_at) * _MAX_DATAGRAMS_PER_S
-        self._send_budget = min(
-            _MAX_DATAGRAMS_PER_S, self._send_budget + refill
+    def _report(
+        self,
+        schedule: _schedule.ReportSchedule,
+        group: Collection[_Peer],
+        loads: Mapping[str, _base.EndpointLoad],
+        now: float,
+    ) -> None:
+        """Sends a group its report if one is due and the rate allows it."""
+        if not group:
+            return
+        is_complete = schedule.is_complete_due(now, self._choose_interval_s())
+        is_due = (
+            is_complete
+            or schedule.has_news
+            or schedule.is_change_due(loads, now)
         )
-        self._refilled_at = now
-        if self._send_budget < len(self._peers):
-            return False
-        self._send_budget -= len(self._peers)
-        return True
+        if not is_due or not schedule.consume(len(group), now):
+            return
+        reported = schedule.select(loads, now, is_complete=is_complete)
+        self._send(reported, group, is_complete=is_complete)
 
     def _send(
-        self, loads: Mapping[str, _base.EndpointLoad], *, is_complete: bool
+        self,
+        loads: Mapping[str, _base.EndpointLoad],
+        group: Collection[_Peer],
+        *,
+        is_complete: bool,
     ) -> None:
-        now = self._reactor.seconds()
-        reported = loads
-        if is_complete:
-            self._complete_sent_at = now
-        else:
-            reported = {
-                name: loads.get(name, _NO_LOAD)
-                for name in {*loads, *self._sent}
-                if loads.get(name) != self._sent.get(name)
-            }
         self._sequence += 1
-        self._has_new_topic_ends = False
         data = _codec.encode_report(
             _base.LoadReport(
                 sender=self._address,
                 incarnation=self._incarnation,
                 sequence=self._sequence,
                 is_complete=is_complete,
-                loads=reported,
+                loads=loads,
                 topics=self._read_topics(),
             )
         )
-        self._sent = loads
-        self._sent_at = now
-        for peer in self._peers.values():
+        for peer in group:
             self._write(data, peer.address)
 
     def _write(self, data: bytes, address: _base.PeerAddress) -> None:
@@ -250,26 +248,13 @@
             _LOG.info("peers: report to %s not sent: %s", address.name, reason)
 
     def _expire_silent_peers(self, now: float) -> None:
+        timeout_s = _SILENCE_INTERVALS * self._choose_interval_s()
         for name, peer in list(self._peers.items()):
             silent_s = now - peer.last_seen_at
-            if peer.is_live and silent_s >= _SILENCE_TIMEOUT_S:
+            if peer.is_live and silent_s >= timeout_s:
                 peer.is_live = False
                 _LOG.info("peers: gateway %s is silent.", name)
-                peer.loads = {}
-                self._on_report(name, {})
+                self._on_report(name, {}, True)
             if silent_s >= _REMOVAL_TIMEOUT_S:
                 del self._peers[name]
-
-
-def _is_urgent(load: _base.EndpointLoad, former: _base.EndpointLoad) -> bool:
-    """Returns whether a change must reach the peers immediately.
-
-    Peers that don't know of it could reserve the same capacity or use an
-    endpoint that is changing its role or unreachable.
-    """
-    return (
-        load.reserved_tokens > former.reserved_tokens
-        or load.prefill_tokens > former.prefill_tokens
-        or load.is_changing != former.is_changing
-        or load.is_unreachable != former.is_unreachable
-    )
+                self._split_peers()
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -10,8 +10,22 @@
 
 def encode_address(address: _base.PeerAddress) -> bytes:
     """Returns an address as it is stored in the peer topic."""
-    fields = [address.name, address.host, address.port]
-    return json.dumps(fields).encode()
+    return json.dumps(_list_fields(address)).encode()
+
+
+def _list_fields(address: _base.PeerAddress) -> list:
+    return [address.name, address.host, address.port, address.zone]
+
+
+def _read_fields(fields: list) -> _base.PeerAddress:
+    """Returns an address; gateways of the last version write no zone."""
+    name, host, port, *zones = fields
+    return _base.PeerAddress(
+        name=str(name),
+        host=str(host),
+        port=int(port),
+        zone=str(zones[0]) if zones else "",
+    )
 
 
 def decode_address(data: bytes) -> _base.PeerAddress:
@@ -21,8 +35,7 @@
         errors.Error: With BAD_VALUE when it is malformed.
     """
     try:
-        name, host, port = json.loads(data)
-        return _base.PeerAddress(name=str(name), host=str(host), port=int(port))
+        return _read_fields(json.loads(data))
     except (ValueError, TypeError) as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"peer address: {reason}"
@@ -52,7 +65,7 @@
         for name, load in report.loads.items()
     ]
     fields = [
-        [sender.name, sender.host, sender.port],
+        _list_fields(sender),
         report.incarnation,
         report.sequence,
         int(report.is_complete),
@@ -75,7 +88,6 @@
         sender, incarnation, sequence, is_complete, rows, ends = json.loads(
             data
         )
-        name, host, port = sender
         topics = {
             str(topic): _base.TopicEndReport(
                 next_offset=int(next_offset), age_s=int(age_ms) / _MS_PER_S
@@ -100,9 +112,7 @@
             ) in rows
         }
         return _base.LoadReport(
-            sender=_base.PeerAddress(
-                name=str(name), host=str(host), port=int(port)
-            ),
+            sender=_read_fields(sender),
             incarnation=str(incarnation),
             sequence=int(sequence),
             is_complete=bool(is_complete),
--- /dev/null
+++ b/sassafrasstile/peers/_schedule.py
@@ -0,0 +1,121 @@
+"""When a gateway's load is reported to a group of other gateways."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from sassafrasstile.peers import _base
+
+# Changes that only release capacity may be reported this much later.
+_RELEASE_DELAY_S = 0.1
+_NO_LOAD = _base.EndpointLoad()
+
+
+@dataclasses.dataclass(kw_only=True)
+class ReportSchedule:
+    """Decides when the gateways of a group get a report, and which loads.
+
+    Attributes:
+        max_datagrams_per_s: Rate limit of the datagrams to the group. The
+            burst size is one second's worth.
+        reports_each_change: True when a change is reported at once; False
+            when only a change of an endpoint's state is.
+        has_news: True when a report is due for a reason beside the loads.
+    """
+
+    max_datagrams_per_s: float
+    reports_each_change: bool
+    has_news: bool = False
+    _sent: Mapping[str, _base.EndpointLoad] = dataclasses.field(
+        default_factory=dict
+    )
+    _sent_at: float = float("-inf")
+    _complete_sent_at: float = float("-inf")
+    _tokens: float = 0.0
+    _refilled_at: float = float("-inf")
+
+    def is_complete_due(self, now: float, interval_s: float) -> bool:
+        """Returns whether all loads have to be reported now.
+
+        Args:
+            now: The time in seconds.
+            interval_s: Seconds between two such reports.
+        """
+        return now - self._complete_sent_at >= interval_s
+
+    def is_change_due(
+        self, loads: Mapping[str, _base.EndpointLoad], now: float
+    ) -> bool:
+        """Returns whether changed loads have to be reported now."""
+        if loads == self._sent:
+            return False
+        pairs = [
+            (loads.get(name, _NO_LOAD), self._sent.get(name, _NO_LOAD))
+            for name in loads.keys() | self._sent.keys()
+        ]
+        if any(_has_new_state(load, former) for load, former in pairs):
+            return True
+        if not self.reports_each_change:
+            return False
+        is_delayed = now - self._sent_at >= _RELEASE_DELAY_S
+        return is_delayed or any(_reserves(*pair) for pair in pairs)
+
+    def consume(self, datagrams: int, now: float) -> bool:
+        """Returns whether the rate limit allows a report, and counts it.
+
+        This is a token bucket in which each datagram costs one token.
+        """
+        rate = self.max_datagrams_per_s
+        # A group may be larger than one second's worth.
+        size = max(rate, datagrams)
+        self._tokens = min(
+            size, self._tokens + (now - self._refilled_at) * rate
+        )
+        self._refilled_at = now
+        if self._tokens < datagrams:
+            return False
+        self._tokens -= datagrams
+        return True
+
+    def select(
+        self,
+        loads: Mapping[str, _base.EndpointLoad],
+        now: float,
+        *,
+        is_complete: bool,
+    ) -> Mapping[str, _base.EndpointLoad]:
+        """Returns the loads to report, and records them as reported."""
+        former, self._sent = self._sent, loads
+        self._sent_at = now
+        self.has_news = False
+        if is_complete:
+            self._complete_sent_at = now
+            return loads
+        return {
+            name: loads.get(name, _NO_LOAD)
+            for name in loads.keys() | former.keys()
+            if loads.get(name) != former.get(name)
+        }
+
+
+def _has_new_state(
+    load: _base.EndpointLoad, former: _base.EndpointLoad
+) -> bool:
+    """Returns whether an endpoint changes its role or became unreachable.
+
+    Gateways that don't know of it could send work to the endpoint.
+    """
+    return (
+        load.is_changing != former.is_changing
+        or load.is_unreachable != former.is_unreachable
+    )
+
+
+def _reserves(load: _base.EndpointLoad, former: _base.EndpointLoad) -> bool:
+    """Returns whether capacity was reserved.
+
+    Gateways that don't know of it could reserve the same capacity.
+    """
+    return (
+        load.reserved_tokens > former.reserved_tokens
+        or load.prefill_tokens > former.prefill_tokens
+    )
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -90,7 +90,10 @@
         )
         self._followers = self._make_followers(record_decoder)
         address = peers.PeerAddress(
-            name=settings.name, host=settings.host, port=settings.peer_port
+            name=settings.name,
+            host=settings.host,
+            port=settings.peer_port,
+            zone=settings.zone,
         )
         self._channel = self._make_channel(address)
         self._topic_sharing.connect(
@@ -372,9 +375,14 @@
             self._context.drop_endpoint(former)
 
     def _update_peer_loads(
-        self, peer: str, loads: Mapping[str, peers.EndpointLoad]
+        self,
+        peer: str,
+        loads: Mapping[str, peers.EndpointLoad],
+        is_complete: bool,
     ) -> None:
-        self._endpoints.update_peer_loads(peer, loads, self._now())
+        self._endpoints.update_peer_loads(
+            peer, loads, self._now(), is_complete=is_complete
+        )
         if self._admission_call is None or not self._admission_call.active():
             # All gateways learn of freed capacity at the same time. The random
             # delay lets the first one that reserves it announce that before
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -113,7 +113,10 @@
         self._context = self._make_context(generator)
         self._dispatcher = self._make_dispatcher(policy, generator)
         self.address = peers.PeerAddress(
-            name=name, host=f"10.0.0.{number}", port=_PEER_PORT
+            name=name,
+            host=f"10.0.0.{number}",
+            port=_PEER_PORT,
+            zone=self.zone,
         )
         self.channel = peers.PeerChannel(
             reactor=reactor,
@@ -184,8 +187,10 @@
     def _read_loads(self) -> dict[str, peers.EndpointLoad]:
         return self.endpoints.get_own_loads(self._reactor.seconds())
 
-    def _update_peer_loads(self, peer, loads) -> None:
-        self.endpoints.update_peer_loads(peer, loads, self._reactor.seconds())
+    def _update_peer_loads(self, peer, loads, is_complete) -> None:
+        self.endpoints.update_peer_loads(
+            peer, loads, self._reactor.seconds(), is_complete=is_complete
+        )
         if isinstance(self._dispatcher, _dispatchers.QueueDispatcher):
             self._dispatcher.admit()
 
--- a/sassafrasstile/simulation/_profiles.py
+++ b/sassafrasstile/simulation/_profiles.py
@@ -118,5 +118,16 @@
             target_s=0.92,
             deadline_s=14.3,
         ),
+        "fellesvarsel-large": SiteProfile(
+            zones=("a", "b", "c", "d", "e"),
+            gateways=68,
+            prefills=12,
+            decodes=48,
+            engine=EngineProfile(
+                memory_tokens=40_376, link_tokens_per_s=1_280_000.0
+            ),
+            target_s=0.91,
+            deadline_s=14.2,
+        ),
     }
 )
