--- a/sassafrasstile/daemons/_base.py
+++ b/sassafrasstile/daemons/_base.py
@@ -9,7 +9,6 @@
 import prometheus_client
 from twisted.internet import defer
 from twisted.internet import interfaces
-from twisted.web import server
 
 from sassafrasstile import errors
 from sassafrasstile import liveness
@@ -114,7 +113,7 @@
     Args:
         reactor: The reactor.
         address: The address to listen on.
-        resource: The resource to serve.
+        pages: The pages to serve.
     """
 
     def __init__(
@@ -122,11 +121,11 @@
         *,
         reactor,
         address: settings.Address,
-        resource: web.AdminResource,
+        pages: web.AdminPages,
     ):
         self._reactor = reactor
         self._address = address
-        self._resource = resource
+        self._pages = pages
         self._port: interfaces.IListeningPort | None = None
         self.port = 0
 
@@ -134,7 +133,9 @@
         """Starts listening."""
         self._port = self._reactor.listenTCP(
             self._address.port,
-            server.Site(self._resource),
+            web.IngressFactory(
+                reactor=self._reactor, handler=self._pages.handle
+            ),
             interface=self._address.host,
         )
         self.port = self._port.getHost().port
--- a/sassafrasstile/daemons/_gateway.py
+++ b/sassafrasstile/daemons/_gateway.py
@@ -160,7 +160,7 @@
         self._liveness.start(self._update_vm_states)
 
     def _start_admin(self) -> None:
-        resource = web.AdminResource(
+        pages = web.AdminPages(
             registry=self.metrics.registry,
             is_ready=self.is_ready,
             describe=self._describe,
@@ -168,7 +168,7 @@
         self._admin = _base.AdminPort(
             reactor=self._reactor,
             address=settings.parse_address(self._process_settings.admin),
-            resource=resource,
+            pages=pages,
         )
         self._admin.start()
         self.admin_port = self._admin.port
--- a/sassafrasstile/daemons/_sidecar.py
+++ b/sassafrasstile/daemons/_sidecar.py
@@ -112,7 +112,7 @@
         self._admin = _base.AdminPort(
             reactor=self._reactor,
             address=settings.parse_address(self._endpoint.admin),
-            resource=web.AdminResource(
+            pages=web.AdminPages(
                 registry=self.metrics.registry,
                 is_ready=lambda: not self._kernel.leaving,
                 describe=self._describe,
--- a/sassafrasstile/daemons/tests/test_processes.py
+++ b/sassafrasstile/daemons/tests/test_processes.py
@@ -5,9 +5,9 @@
 
 from twisted.internet import error
 
+from sassafrasstile import httpclient
 from sassafrasstile import standins
 from sassafrasstile import testing
-from sassafrasstile import web
 
 _PROMPT = "the valve of the cooker in flat seven leaks after the last visit"
 _MAX_TOKENS = 60
@@ -38,12 +38,16 @@
         headers = {"idempotency-key": "one"}
         if self._offset is not None:
             headers["last-event-id"] = str(self._offset)
-        http = web.HttpClient(reactor=self._case.reactor, base_url=self._url)
+        http = httpclient.HttpClient(
+            reactor=self._case.reactor, base_url=self._url
+        )
         response = await http.request(
             "POST", "/v1/completions", body=_BODY, headers=headers
         )
         self._case.assertEqual(response.code, 200)
-        self.reader = web.EventStreamReader(on_data=self._add, on_end=self._end)
+        self.reader = httpclient.EventStreamReader(
+            on_data=self._add, on_end=self._end
+        )
         response.deliverBody(self.reader)
 
     def _add(self, data):
--- a/sassafrasstile/demo/_callers.py
+++ b/sassafrasstile/demo/_callers.py
@@ -5,8 +5,8 @@
 from twisted.internet import defer
 from twisted.web import client
 
+from sassafrasstile import httpclient
 from sassafrasstile import standins
-from sassafrasstile import web
 from sassafrasstile.demo import _report
 from sassafrasstile.demo import _site
 from sassafrasstile.demo import _workload
@@ -26,7 +26,7 @@
     def __init__(self, *, reactor, urls: list[str], report: _report.DemoReport):
         self._reactor = reactor
         self._clients = [
-            web.HttpClient(reactor=reactor, base_url=url) for url in urls
+            httpclient.HttpClient(reactor=reactor, base_url=url) for url in urls
         ]
         self._report = report
         self.refused_keys: set[str] = set()
@@ -49,7 +49,7 @@
             return defer.ensureDeferred(self._call(step, index))
         return defer.ensureDeferred(self._generate(step, index))
 
-    def _choose_client(self, index: int) -> web.HttpClient:
+    def _choose_client(self, index: int) -> httpclient.HttpClient:
         return self._clients[index % len(self._clients)]
 
     # Calls.
@@ -148,7 +148,7 @@
     def __init__(self, *, reactor, started_at: float):
         self._reactor = reactor
         self._started_at = started_at
-        self._reader: web.EventStreamReader | None = None
+        self._reader: httpclient.EventStreamReader | None = None
         self.text = ""
         self.is_complete = False
         self.first_token_s = 0.0
@@ -158,7 +158,7 @@
     def read(self, response) -> defer.Deferred:
         """Reads a body; the Deferred fires at the end of the body."""
         ended: defer.Deferred = defer.Deferred()
-        self._reader = web.EventStreamReader(
+        self._reader = httpclient.EventStreamReader(
             on_data=self._add_event, on_end=lambda: ended.callback(None)
         )
         response.deliverBody(self._reader)
--- a/sassafrasstile/engines/_openai.py
+++ b/sassafrasstile/engines/_openai.py
@@ -12,9 +12,9 @@
 from twisted.web import client
 
 from sassafrasstile import errors
+from sassafrasstile import httpclient
 from sassafrasstile import messages
 from sassafrasstile import plugins
-from sassafrasstile import web
 from sassafrasstile.engines import _base
 
 _LOG = logging.getLogger("sassafrasstile.engine")
@@ -35,9 +35,9 @@
     def __init__(self, *, reactor, url: str):
         self.url = url
         self._reactor = reactor
-        self._http = web.HttpClient(reactor=reactor, base_url=url)
+        self._http = httpclient.HttpClient(reactor=reactor, base_url=url)
         self._listener: _base.EngineListener | None = None
-        self._readers: dict[str, web.EventStreamReader] = {}
+        self._readers: dict[str, httpclient.EventStreamReader] = {}
         self._running: set[str] = set()
         self._cancelled: set[str] = set()
         self._closed = False
@@ -98,7 +98,7 @@
             status, answer = await self._http.request_json(
                 "POST", "/v1/completions", body
             )
-        except web.CONNECT_ERRORS:
+        except httpclient.CONNECT_ERRORS:
             self._fail(work_id, errors.Code.ENGINE_FAILED, started=False)
             return
         except Exception as failure:
@@ -138,7 +138,7 @@
             response = await self._http.request(
                 "POST", "/v1/completions", body=json.dumps(body).encode()
             )
-        except web.CONNECT_ERRORS:
+        except httpclient.CONNECT_ERRORS:
             self._fail(work_id, errors.Code.ENGINE_FAILED, started=False)
             return
         except Exception as failure:
@@ -173,7 +173,7 @@
             status, _ = await self._http.request_json(
                 "POST", "/v1/abort", {"request_id": work_id}
             )
-        except web.CONNECT_ERRORS:
+        except httpclient.CONNECT_ERRORS:
             # An engine that refuses connections is down and holds no work.
             status = _HTTP_OK
         except Exception as failure:
@@ -241,7 +241,9 @@
         self._on_end = on_end
         self._texts: list[str] = []
         self._reason = ""
-        self.reader = web.EventStreamReader(on_data=self._add, on_end=self._end)
+        self.reader = httpclient.EventStreamReader(
+            on_data=self._add, on_end=self._end
+        )
 
     def _add(self, data: str) -> None:
         if data == "[DONE]":
--- a/sassafrasstile/frontend/tests/test_frontend.py
+++ b/sassafrasstile/frontend/tests/test_frontend.py
@@ -4,9 +4,9 @@
 from twisted.python import threadpool
 
 from sassafrasstile import demo
+from sassafrasstile import httpclient
 from sassafrasstile import standins
 from sassafrasstile import testing
-from sassafrasstile import web
 
 _HEADERS = {"x-workspace": "callers"}
 _PATH = "/v1/completions"
@@ -146,14 +146,14 @@
     @testing.on_reactor
     async def test_caller_s_disconnect_frees_the_engines(self):
         site = await self.start_site(gateways=1)
-        http = web.HttpClient(
+        http = httpclient.HttpClient(
             reactor=self.reactor, base_url=site.list_urls()[0]
         )
         body = json.dumps(_GOOD | {"max_tokens": 60, "stream": True}).encode()
         response = await http.request(
             "POST", _PATH, body=body, headers=_HEADERS
         )
-        reader = web.EventStreamReader(
+        reader = httpclient.EventStreamReader(
             on_data=lambda data: None, on_end=lambda: None
         )
         response.deliverBody(reader)
--- /dev/null
+++ b/sassafrasstile/httpclient/__init__.py
@@ -0,0 +1,13 @@
+"""An HTTP client, and a reader of server-sent events.
+
+It is a package of its own, since gateways on the users' platform don't need it
+and start sooner without its imports.
+"""
+
+from sassafrasstile.httpclient._client import (
+    CONNECT_ERRORS,
+    EventStreamReader,
+    HttpClient,
+)
+
+__all__ = ["CONNECT_ERRORS", "EventStreamReader", "HttpClient"]
--- a/sassafrasstile/liveness/_http.py
+++ b/sassafrasstile/liveness/_http.py
@@ -6,8 +6,8 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from sassafrasstile import httpclient
 from sassafrasstile import plugins
-from sassafrasstile import web
 from sassafrasstile.liveness import _base
 
 _LOG = logging.getLogger("sassafrasstile.liveness")
@@ -26,7 +26,7 @@
     def __init__(self, *, reactor, url: str, poll_s: float):
         self.url = url
         self.poll_s = poll_s
-        self._http = web.HttpClient(reactor=reactor, base_url=url)
+        self._http = httpclient.HttpClient(reactor=reactor, base_url=url)
         self._loop = task.LoopingCall(self._poll)
         self._loop.clock = reactor
         self._on_states: Callable[[_base.VmStates], None] | None = None
--- a/sassafrasstile/logs/_http.py
+++ b/sassafrasstile/logs/_http.py
@@ -7,9 +7,9 @@
 from twisted.web import client
 
 from sassafrasstile import errors
+from sassafrasstile import httpclient
 from sassafrasstile import ownership
 from sassafrasstile import plugins
-from sassafrasstile import web
 from sassafrasstile.logs import _base
 
 _HTTP_OK = 200
@@ -28,7 +28,7 @@
     def __init__(self, *, reactor, url: str):
         self.url = url
         self._reactor = reactor
-        self._http = web.HttpClient(reactor=reactor, base_url=url)
+        self._http = httpclient.HttpClient(reactor=reactor, base_url=url)
 
     def close(self) -> None:
         """Closes all connections to the log."""
@@ -44,7 +44,7 @@
             status, content = await self._exchange(
                 "POST", path, body, _RESPONSE_TIMEOUT_S
             )
-        except web.CONNECT_ERRORS as failure:
+        except httpclient.CONNECT_ERRORS as failure:
             raise errors.LogUnavailableError(
                 detail=repr(failure), may_have_taken_effect=False
             ) from failure
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -9,7 +9,6 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
-from twisted.web import server
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
@@ -231,7 +230,9 @@
         """Opens the ports and starts to follow the store."""
         settings = self.settings
         self._caller_port = self._listen(settings.port, self._ingress)
-        admin = server.Site(self._make_admin())
+        admin = web.IngressFactory(
+            reactor=self._reactor, handler=self._make_admin().handle
+        )
         self._admin_ports.append(self._listen(settings.ready_port, admin))
         if settings.metrics_port:
             self._admin_ports.append(self._listen(settings.metrics_port, admin))
@@ -254,8 +255,8 @@
             port, factory, interface=self.settings.host, backlog=511
         )
 
-    def _make_admin(self) -> web.AdminResource:
-        return web.AdminResource(
+    def _make_admin(self) -> web.AdminPages:
+        return web.AdminPages(
             registry=self._metrics.registry,
             is_ready=self.is_ready,
             describe=self._describe,
--- a/sassafrasstile/services/_http.py
+++ b/sassafrasstile/services/_http.py
@@ -5,9 +5,9 @@
 from twisted.internet import defer
 from twisted.web import client
 
+from sassafrasstile import httpclient
 from sassafrasstile import messages
 from sassafrasstile import plugins
-from sassafrasstile import web
 from sassafrasstile.services import _base
 
 _LOG = logging.getLogger("sassafrasstile.service")
@@ -25,7 +25,7 @@
     def __init__(self, *, reactor, url: str):
         self.url = url
         self._reactor = reactor
-        self._http = web.HttpClient(reactor=reactor, base_url=url)
+        self._http = httpclient.HttpClient(reactor=reactor, base_url=url)
         self._listener: _base.ServiceListener | None = None
 
     def start(self, listener: _base.ServiceListener) -> None:
@@ -62,7 +62,7 @@
             if call.limit_s > 0:
                 body_read.addTimeout(call.limit_s, self._reactor)
             body = await body_read
-        except web.CONNECT_ERRORS:
+        except httpclient.CONNECT_ERRORS:
             self._listener.fail_call(call_id, sent=False)
             return
         except Exception as failure:
--- a/sassafrasstile/standins/_engine_server.py
+++ b/sassafrasstile/standins/_engine_server.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from sassafrasstile import web
+from sassafrasstile import httpclient
 from sassafrasstile.standins import _engine_model
 from sassafrasstile.standins import _http_base
 
@@ -109,7 +109,7 @@
     def _fetch_kv_cache(self, params) -> defer.Deferred:
         if not params.get("do_remote_prefill"):
             return defer.succeed(None)
-        http = web.HttpClient(
+        http = httpclient.HttpClient(
             reactor=self._reactor, base_url=params["remote_address"]
         )
 
--- a/sassafrasstile/testing/_reactor.py
+++ b/sassafrasstile/testing/_reactor.py
@@ -10,7 +10,7 @@
 from twisted.web import client
 
 from sassafrasstile import daemons
-from sassafrasstile import web
+from sassafrasstile import httpclient
 
 reactor = daemons.install_reactor()
 _TEST_TIMEOUT_S = 120.0
@@ -96,7 +96,7 @@
     Returns:
         The status, the decoded body and the headers.
     """
-    http = web.HttpClient(reactor=reactor, base_url=url)
+    http = httpclient.HttpClient(reactor=reactor, base_url=url)
     data = body if isinstance(body, bytes) else json.dumps(body).encode()
     if body is None:
         data = None
--- a/sassafrasstile/web/__init__.py
+++ b/sassafrasstile/web/__init__.py
@@ -1,11 +1,6 @@
-"""HTTP servers and clients on Twisted, shared by the other packages."""
+"""HTTP servers and connections on Twisted, shared by the other packages."""
 
-from sassafrasstile.web._admin import AdminResource
-from sassafrasstile.web._client import (
-    CONNECT_ERRORS,
-    EventStreamReader,
-    HttpClient,
-)
+from sassafrasstile.web._admin import AdminPages
 from sassafrasstile.web._ingress import (
     CallerRequest,
     IngressFactory,
@@ -21,14 +16,11 @@
 )
 
 __all__ = [
-    "CONNECT_ERRORS",
-    "AdminResource",
+    "AdminPages",
     "CallerRequest",
     "ConnectionPool",
-    "EventStreamReader",
     "ExchangeError",
     "Headers",
-    "HttpClient",
     "IngressFactory",
     "IngressRequest",
     "Reply",
--- a/sassafrasstile/web/_admin.py
+++ b/sassafrasstile/web/_admin.py
@@ -1,13 +1,33 @@
 """The admin port: health, readiness, status and metrics."""
 
 from collections.abc import Callable
+import dataclasses
 import json
 
 import prometheus_client
-from twisted.web import resource
 
+from sassafrasstile.web import _ingress
 
-class AdminResource(resource.Resource):
+_TEXT = b"text/plain; charset=utf-8"
+_JSON = b"application/json"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AdminPage:
+    """A response of the admin port.
+
+    Attributes:
+        status: The HTTP status.
+        body: The body.
+        content_type: The value of the Content-Type header.
+    """
+
+    status: int = 200
+    body: bytes
+    content_type: bytes = _TEXT
+
+
+class AdminPages:
     """Serves `/healthz`, `/readyz`, `/status` and `/metrics`.
 
     Args:
@@ -17,8 +37,6 @@
         ready_path: The path of the readiness check.
     """
 
-    isLeaf = True  # noqa: N815
-
     def __init__(
         self,
         *,
@@ -27,34 +45,43 @@
         describe: Callable[[], dict],
         ready_path: str = "/readyz",
     ):
-        super().__init__()
         self._ready_path = ready_path.encode()
         self._registry = registry
         self._is_ready = is_ready
         self._describe = describe
 
-    def render_GET(self, request):  # noqa: N802
-        """Handles a GET request."""
-        match request.path:
+    def handle(
+        self, request: _ingress.CallerRequest, exchange: _ingress.IngressRequest
+    ) -> None:
+        """Answers a request."""
+        page = self._render(request)
+        exchange.respond(
+            status=page.status,
+            headers=[(b"Content-Type", page.content_type)],
+            body=page.body,
+        )
+
+    def _render(self, request: _ingress.CallerRequest) -> AdminPage:
+        if request.method != b"GET":
+            return AdminPage(status=405, body=b"method not allowed\n")
+        path, _, _ = request.target.partition(b"?")
+        match path:
             case b"/healthz":
-                return b"ok\n"
+                return AdminPage(body=b"ok\n")
             case self._ready_path:
-                return self._render_ready(request)
+                return self._render_ready()
             case b"/status":
-                request.setHeader(b"content-type", b"application/json")
-                return json.dumps(self._describe()).encode()
+                body = json.dumps(self._describe()).encode()
+                return AdminPage(body=body, content_type=_JSON)
             case b"/metrics":
-                request.setHeader(
-                    b"content-type",
-                    prometheus_client.CONTENT_TYPE_LATEST.encode(),
+                return AdminPage(
+                    body=prometheus_client.generate_latest(self._registry),
+                    content_type=prometheus_client.CONTENT_TYPE_LATEST.encode(),
                 )
-                return prometheus_client.generate_latest(self._registry)
             case _:
-                request.setResponseCode(404)
-                return b"not found\n"
+                return AdminPage(status=404, body=b"not found\n")
 
-    def _render_ready(self, request):
+    def _render_ready(self) -> AdminPage:
         if self._is_ready():
-            return b"ready\n"
-        request.setResponseCode(503)
-        return b"not ready\n"
+            return AdminPage(body=b"ready\n")
+        return AdminPage(status=503, body=b"not ready\n")
