Pass new records of the store on between gateways

Who reads records first sends them on in a datagram each; the others apply them when they follow what they have, and read the store when one is lost. A failed call counts as an outage of the list only when no other gateway has passed anything on. Only watchers announce ends of topics at once.

Tests: stores.tests.test_follower.RelayTest, router.tests.test_topics.

--- a/sassafrasstile/peers/__init__.py
+++ b/sassafrasstile/peers/__init__.py
@@ -5,6 +5,8 @@
     LoadReport,
     PeerAddress,
     TopicEndReport,
+    TopicPage,
+    TopicRecord,
 )
 from sassafrasstile.peers._channel import PeerChannel
 from sassafrasstile.peers._directory import PeerDirectory
@@ -16,4 +18,6 @@
     "PeerChannel",
     "PeerDirectory",
     "TopicEndReport",
+    "TopicPage",
+    "TopicRecord",
 ]
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -86,3 +86,35 @@
     topics: Mapping[str, TopicEndReport] = dataclasses.field(
         default_factory=dict
     )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TopicRecord:
+    """A record of a topic that a gateway passes on.
+
+    Attributes:
+        key: The key.
+        value: The key's value, or None when the key was removed.
+        offset: The record's offset.
+    """
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TopicPage:
+    """Consecutive records of a topic that a gateway has read.
+
+    Attributes:
+        topic: The topic.
+        offset: The offset of the first record.
+        next_offset: The offset at which the next page starts.
+        records: The records.
+    """
+
+    topic: str
+    offset: int
+    next_offset: int
+    records: tuple[TopicRecord, ...]
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -17,8 +17,12 @@
 # Interval of the checks for changed loads and silent peers.
 _TICK_INTERVAL_S = 0.05
 # Rate limits of the datagrams to the gateways of this zone and of the others.
+# Few gateways learn of each change at once, many only at intervals.
 _MAX_NEAR_DATAGRAMS_PER_S = 400.0
-_MAX_FAR_DATAGRAMS_PER_S = 200.0
+_MAX_FAR_DATAGRAMS_PER_S = 120.0
+_MAX_PAGE_DATAGRAMS_PER_S = 400.0
+# Larger datagrams would be sent in fragments, and lost with any of them.
+_MAX_PAGE_BYTES = 1400
 # Interval of the complete reports, sent also when nothing has changed. They
 # make up for lost datagrams.
 _COMPLETE_INTERVAL_S = 0.5
@@ -45,9 +49,9 @@
     """Exchanges load reports with the other gateways.
 
     Gateways of the same availability zone mostly use the same endpoints, so
-    they learn of each change at once. Those of other zones get a report at
-    intervals, and at once only when an endpoint's state has changed. So the
-    cost of a gateway grows little with the number of zones.
+    they learn of each change at once. Those of other zones share a lower rate
+    limit: the more they are, the longer a change waits for their next report.
+    So the cost of a gateway grows little with the number of zones.
 
     Args:
         reactor: The reactor.
@@ -60,6 +64,7 @@
         read_topics: Returns the ends of topics that this gateway's own calls
             to the store showed.
         on_topics: Called with the ends of topics that a peer reports.
+        on_page: Called with each page of records that a peer passes on.
     """
 
     noisy = False
@@ -78,6 +83,7 @@
         on_topics: Callable[
             [Mapping[str, _base.TopicEndReport]], None
         ] = lambda _topics: None,
+        on_page: Callable[[_base.TopicPage], None] = lambda _page: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -86,6 +92,7 @@
         self._on_report = on_report
         self._read_topics = read_topics
         self._on_topics = on_topics
+        self._on_page = on_page
         self._peers: dict[str, _Peer] = {}
         self._gateway_count = 1
         self._port: interfaces.IListeningPort | None = None
@@ -93,12 +100,13 @@
         self._loop.clock = reactor
         self._sequence = 0
         self._near = _schedule.ReportSchedule(
-            max_datagrams_per_s=_MAX_NEAR_DATAGRAMS_PER_S,
-            reports_each_change=True,
+            max_datagrams_per_s=_MAX_NEAR_DATAGRAMS_PER_S
         )
         self._far = _schedule.ReportSchedule(
-            max_datagrams_per_s=_MAX_FAR_DATAGRAMS_PER_S,
-            reports_each_change=False,
+            max_datagrams_per_s=_MAX_FAR_DATAGRAMS_PER_S
+        )
+        self._pages = _schedule.ReportSchedule(
+            max_datagrams_per_s=_MAX_PAGE_DATAGRAMS_PER_S
         )
         self._near_peers: list[_Peer] = []
         self._far_peers: list[_Peer] = []
@@ -131,6 +139,20 @@
         self._far.has_news = True
         self._tick()
 
+    def send_page(self, page: _base.TopicPage) -> None:
+        """Passes records of a topic on to all peers, unless they are too large.
+
+        Peers that don't get them learn from the next report that the topic has
+        grown, and read it themselves.
+        """
+        data = _codec.encode_page(page)
+        if len(data) > _MAX_PAGE_BYTES:
+            return
+        if not self._pages.consume(len(self._peers), self._reactor.seconds()):
+            return
+        for peer in self._peers.values():
+            self._write(data, peer.address)
+
     def close(self):
         """Reports that nothing is in flight and stops."""
         if self._loop.running:
@@ -159,10 +181,16 @@
     def datagramReceived(self, data: bytes, _address) -> None:  # noqa: N802
         """Handles a report from a peer."""
         try:
+            if _codec.is_page(data):
+                self._on_page(_codec.decode_page(data))
+                return
             report = _codec.decode_report(data)
         except errors.Error as reason:
             _LOG.warning("peers: datagram ignored: %s", reason)
             return
+        self._receive_report(report)
+
+    def _receive_report(self, report: _base.LoadReport) -> None:
         self.add_peer(report.sender)
         peer = self._peers.get(report.sender.name)
         if peer is None:
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -123,3 +123,60 @@
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"load report: {reason}"
         ) from reason
+
+
+# The first field of a datagram that holds a page; a report begins with a list.
+_PAGE_TAG = "page"
+
+
+def is_page(data: bytes) -> bool:
+    """Returns whether a datagram holds a page rather than a report."""
+    return data.startswith(b'["' + _PAGE_TAG.encode() + b'"')
+
+
+def encode_page(page: _base.TopicPage) -> bytes:
+    """Encodes a page as a datagram.
+
+    >>> record = _base.TopicRecord(key="e", value=b"x", offset=4)
+    >>> page = _base.TopicPage(
+    ...     topic="t", offset=4, next_offset=5, records=(record,))
+    >>> is_page(encode_page(page)), decode_page(encode_page(page)) == page
+    (True, True)
+    """
+    rows = [
+        [
+            record.key,
+            None if record.value is None else record.value.decode("latin-1"),
+            record.offset,
+        ]
+        for record in page.records
+    ]
+    fields = [_PAGE_TAG, page.topic, page.offset, page.next_offset, rows]
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_page(data: bytes) -> _base.TopicPage:
+    """Decodes a page.
+
+    Raises:
+        errors.Error: With BAD_VALUE when it is malformed.
+    """
+    try:
+        _, topic, offset, next_offset, rows = json.loads(data)
+        return _base.TopicPage(
+            topic=str(topic),
+            offset=int(offset),
+            next_offset=int(next_offset),
+            records=tuple(
+                _base.TopicRecord(
+                    key=str(key),
+                    value=None if value is None else value.encode("latin-1"),
+                    offset=int(at),
+                )
+                for key, value, at in rows
+            ),
+        )
+    except (ValueError, TypeError, AttributeError) as reason:
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE, detail=f"page: {reason}"
+        ) from reason
--- a/sassafrasstile/peers/_schedule.py
+++ b/sassafrasstile/peers/_schedule.py
@@ -17,13 +17,10 @@
     Attributes:
         max_datagrams_per_s: Rate limit of the datagrams to the group. The
             burst size is one second's worth.
-        reports_each_change: True when a change is reported at once; False
-            when only a change of an endpoint's state is.
         has_news: True when a report is due for a reason beside the loads.
     """
 
     max_datagrams_per_s: float
-    reports_each_change: bool
     has_news: bool = False
     _sent: Mapping[str, _base.EndpointLoad] = dataclasses.field(
         default_factory=dict
@@ -48,16 +45,13 @@
         """Returns whether changed loads have to be reported now."""
         if loads == self._sent:
             return False
-        pairs = [
-            (loads.get(name, _NO_LOAD), self._sent.get(name, _NO_LOAD))
-            for name in loads.keys() | self._sent.keys()
-        ]
-        if any(_has_new_state(load, former) for load, former in pairs):
-            return True
-        if not self.reports_each_change:
-            return False
         is_delayed = now - self._sent_at >= _RELEASE_DELAY_S
-        return is_delayed or any(_reserves(*pair) for pair in pairs)
+        return is_delayed or any(
+            _is_urgent(
+                loads.get(name, _NO_LOAD), self._sent.get(name, _NO_LOAD)
+            )
+            for name in loads.keys() | self._sent.keys()
+        )
 
     def consume(self, datagrams: int, now: float) -> bool:
         """Returns whether the rate limit allows a report, and counts it.
@@ -97,25 +91,15 @@
         }
 
 
-def _has_new_state(
-    load: _base.EndpointLoad, former: _base.EndpointLoad
-) -> bool:
-    """Returns whether an endpoint changes its role or became unreachable.
-
-    Gateways that don't know of it could send work to the endpoint.
-    """
-    return (
-        load.is_changing != former.is_changing
-        or load.is_unreachable != former.is_unreachable
-    )
-
-
-def _reserves(load: _base.EndpointLoad, former: _base.EndpointLoad) -> bool:
-    """Returns whether capacity was reserved.
+def _is_urgent(load: _base.EndpointLoad, former: _base.EndpointLoad) -> bool:
+    """Returns whether a change must reach the peers immediately.
 
-    Gateways that don't know of it could reserve the same capacity.
+    Peers that don't know of it could reserve the same capacity or use an
+    endpoint that is changing its role or unreachable.
     """
     return (
         load.reserved_tokens > former.reserved_tokens
         or load.prefill_tokens > former.prefill_tokens
+        or load.is_changing != former.is_changing
+        or load.is_unreachable != former.is_unreachable
     )
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -1,6 +1,7 @@
 """Connects configuration, membership, routing and listening ports."""
 
 from collections.abc import Mapping
+import functools
 import logging
 import random
 import secrets
@@ -139,6 +140,9 @@
             on_contact=self._topic_sharing.announce,
             generator=self._generator,
             is_watcher=self._topic_sharing.is_watcher,
+            on_page=functools.partial(
+                self._topic_sharing.relay, record_decoder.configuration_topic
+            ),
         )
         endpoints = stores.Follower(
             reactor=self._reactor,
@@ -151,6 +155,9 @@
             on_contact=self._record_membership_contact,
             generator=self._generator,
             is_watcher=self._topic_sharing.is_watcher,
+            on_page=functools.partial(
+                self._topic_sharing.relay, record_decoder.membership_topic
+            ),
         )
         return {
             record_decoder.configuration_topic: configuration,
@@ -170,6 +177,7 @@
             on_report=self._update_peer_loads,
             read_topics=self._topic_sharing.read_ages,
             on_topics=self._topic_sharing.update,
+            on_page=self._topic_sharing.apply_page,
         )
 
     def _make_directory(self, record_decoder, address) -> peers.PeerDirectory:
--- a/sassafrasstile/router/_topics.py
+++ b/sassafrasstile/router/_topics.py
@@ -15,7 +15,8 @@
     """Lets a few gateways watch the store for all of them.
 
     The watchers announce to the others where topics end, so that those call
-    the store less often.
+    the store less often. Whoever reads new records passes them on, so that most
+    gateways needn't read them, and those that can't reach the store get them.
 
     Args:
         reactor: The reactor.
@@ -62,7 +63,12 @@
         }
 
     def announce(self) -> None:
-        """Announces the topic ends to the peers if they have changed."""
+        """Announces the topic ends to the peers if they have changed.
+
+        Those of a gateway that isn't a watcher go with its next report.
+        """
+        if not self.is_watcher():
+            return
         ends = {
             topic: follower.end for topic, follower in self._followers.items()
         }
@@ -70,6 +76,49 @@
             self._announced = ends
             self._channel.announce_topics()
 
+    def relay(self, topic: str, offset: int, page: stores.ChangePage) -> None:
+        """Passes records that this gateway has read on to the others.
+
+        Args:
+            topic: The topic.
+            offset: The offset of the page's first record.
+            page: The records.
+        """
+        # Each record is a page of its own, so that a large one keeps no other
+        # back.
+        for change in page.changes:
+            self._channel.send_page(
+                peers.TopicPage(
+                    topic=topic,
+                    offset=offset,
+                    next_offset=change.offset + 1,
+                    records=(
+                        peers.TopicRecord(
+                            key=change.key,
+                            value=change.value,
+                            offset=change.offset,
+                        ),
+                    ),
+                )
+            )
+            offset = change.offset + 1
+
+    def apply_page(self, page: peers.TopicPage) -> None:
+        """Applies records that another gateway passes on."""
+        follower = self._followers.get(page.topic)
+        if follower is None:
+            return
+        changes = tuple(
+            stores.Change(
+                key=record.key, value=record.value, offset=record.offset
+            )
+            for record in page.records
+        )
+        follower.apply_relayed_page(
+            page.offset,
+            stores.ChangePage(changes=changes, next_offset=page.next_offset),
+        )
+
     def update(self, topics: Mapping[str, peers.TopicEndReport]) -> None:
         """Updates the followers with topic ends that a peer announced."""
         now = self._reactor.seconds()
--- a/sassafrasstile/router/tests/test_topics.py
+++ b/sassafrasstile/router/tests/test_topics.py
@@ -13,8 +13,12 @@
     def __init__(self):
         self.end = None
         self.ends = []
+        self.pages = []
         self.doubts = 0
 
+    def apply_relayed_page(self, offset, page):
+        self.pages.append((offset, page))
+
     def record_reported_end(self, end):
         self.ends.append(end)
 
@@ -28,6 +32,10 @@
     def __init__(self):
         self.live = []
         self.sent = 0
+        self.pages = []
+
+    def send_page(self, page):
+        self.pages.append(page)
 
     def list_live(self):
         return self.live
@@ -92,3 +100,25 @@
         self.assertEqual(end.next_offset, 9)
         # The report itself may have been in transit for a while.
         self.assertLess(end.known_at, 99.5)
+
+    def test_only_watchers_announce_ends_at_once(self):
+        self.channel.live = ["a", "b"]
+        self.set_end(7, 99.5)
+        self.sharing.announce()
+        self.assertEqual(self.channel.sent, 0)
+
+    def test_read_records_reach_the_other_gateways(self):
+        page = stores.ChangePage(
+            changes=(
+                stores.Change(key="k", value=b"\xe9", offset=4),
+                stores.Change(key="l", value=None, offset=6),
+            ),
+            next_offset=7,
+        )
+        self.sharing.relay("t", 3, page)
+        for sent in self.channel.pages:
+            self.sharing.apply_page(sent)
+        (first_offset, first), (second_offset, second) = self.follower.pages
+        self.assertEqual((first_offset, first.next_offset), (3, 5))
+        self.assertEqual((second_offset, second.next_offset), (5, 7))
+        self.assertEqual((*first.changes, *second.changes), page.changes)
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -47,6 +47,8 @@
         on_contact: Called after each call that the store answered.
         generator: The source of random numbers.
         is_watcher: Returns whether this gateway long-polls the topic now.
+        on_page: Called with the offset and the records of each page that this
+            gateway was the first to read, as far as it knows.
     """
 
     def __init__(
@@ -62,6 +64,9 @@
         on_contact: Callable[[], None],
         generator: random.Random,
         is_watcher: Callable[[], bool] = lambda: True,
+        on_page: Callable[[int, _base.ChangePage], None] = (
+            lambda _offset, _page: None
+        ),
     ):
         self._reactor = reactor
         self._store = store
@@ -74,11 +79,13 @@
         self._on_contact = on_contact
         self._generator = generator
         self._is_watcher = is_watcher
+        self._on_page = on_page
         self._view = _view.KeyedView()
         self._offset: int | None = None
         self._failures = 0
         self._end: _base.TopicEnd | None = None
         self._confirmed_at = float("-inf")
+        self._relayed_at = float("-inf")
         self._reported_offset = -1
         self._is_stale = False
         self._waiting: defer.Deferred | None = None
@@ -114,6 +121,32 @@
         elif end.next_offset == self._offset:
             self._confirmed_at = max(self._confirmed_at, end.known_at)
 
+    def apply_relayed_page(self, offset: int, page: _base.ChangePage) -> None:
+        """Applies records that another gateway has read from the store.
+
+        So a gateway that can't reach the store itself learns of changes. A
+        page that doesn't follow the records read so far only shows that the
+        topic has grown.
+
+        Args:
+            offset: The offset of the page's first record.
+            page: The records.
+        """
+        if self._offset is None or page.next_offset <= self._offset:
+            return
+        if offset > self._offset:
+            self._reported_offset = max(self._reported_offset, page.next_offset)
+            self._wake()
+            return
+        self._relayed_at = self._reactor.seconds()
+        self._on_contact()
+        for change in page.changes:
+            self._apply(change)
+        self._offset = page.next_offset
+        self._end = _base.TopicEnd(
+            next_offset=page.next_offset, known_at=self._end.known_at
+        )
+
     def mark_stale(self) -> None:
         """Reads the topic immediately, whatever peers have reported."""
         self._is_stale = True
@@ -175,13 +208,17 @@
             self._update_end(started_at)
             return
         wait_s = self._choose_wait_s()
+        offset = self._offset
         page = await self._store.follow(
-            self._topic, offset=self._offset, wait_s=wait_s
+            self._topic, offset=offset, wait_s=wait_s
         )
         self._record_contact()
+        if page.next_offset > self._offset:
+            # No other gateway has passed these records on meanwhile.
+            self._offset = page.next_offset
+            self._on_page(offset, page)
         for change in page.changes:
             self._apply(change)
-        self._offset = page.next_offset
         # If there is no record, the store held the call open for `wait_s`.
         self._update_end(started_at + (0.0 if page.changes else wait_s))
         if self._reported_offset == reported_offset:
@@ -243,7 +280,10 @@
                 extra={"code": reason.code, "offset": self._offset},
             )
         self._failures += 1
-        self._on_outage()
+        now = self._reactor.seconds()
+        if now - self._relayed_at > self._max_report_age_s:
+            # No other gateway reaches the store either.
+            self._on_outage()
         limit_s = min(
             _MAX_BACKOFF_S, _BACKOFF_BASE_S * 2 ** min(self._failures, 8)
         )
--- a/sassafrasstile/stores/tests/test_follower.py
+++ b/sassafrasstile/stores/tests/test_follower.py
@@ -40,14 +40,15 @@
     return stores.Change(key=key, value=value, offset=offset)
 
 
-class FollowerTest(unittest.TestCase):
-    """Following a topic, also across outages."""
+class _FollowerTestCase(unittest.TestCase):
+    """A follower of a store whose calls the test answers."""
 
     def setUp(self):
         self.clock = task.Clock()
         self.store = _Store()
         self.changes = []
         self.calls = []
+        self.pages = []
         self.is_watcher = True
         self.follower = stores.Follower(
             reactor=self.clock,
@@ -60,6 +61,7 @@
             on_contact=lambda: self.calls.append("contact"),
             generator=random.Random(1),
             is_watcher=lambda: self.is_watcher,
+            on_page=lambda offset, page: self.pages.append((offset, page)),
         )
         self.follower.start()
         self.addCleanup(self.follower.close)
@@ -70,6 +72,10 @@
         )
         self.clock.advance(1.0)
 
+
+class FollowerTest(_FollowerTestCase):
+    """Following a topic, also across outages."""
+
     def test_changes_after_the_snapshot_are_passed_on(self):
         self.load(_make_change(0))
         deferred, offset, _ = self.store.follows[-1]
@@ -210,3 +216,58 @@
         self.answer()
         self.advance(0.5)
         self.assertEqual(len(self.store.follows), 1)
+
+
+class RelayTest(_FollowerTestCase):
+    """Records that another gateway has read and passed on."""
+
+    def make_page(self, *changes):
+        return stores.ChangePage(
+            changes=changes, next_offset=changes[-1].offset + 1
+        )
+
+    def test_relayed_page_replaces_a_call(self):
+        self.is_watcher = False
+        self.load()
+        change = _make_change(1, b"w")
+        self.follower.apply_relayed_page(1, self.make_page(change))
+        self.assertEqual(self.changes, [change])
+        calls = len(self.store.follows)
+        end = stores.TopicEnd(next_offset=2, known_at=self.clock.seconds())
+        self.follower.record_reported_end(end)
+        self.clock.advance(0.01)
+        self.assertEqual(len(self.store.follows), calls)
+
+    def test_page_after_a_lost_one_leads_to_a_call(self):
+        self.is_watcher = False
+        self.load()
+        calls = len(self.store.follows)
+        self.follower.apply_relayed_page(3, self.make_page(_make_change(3)))
+        self.clock.advance(0.01)
+        self.assertEqual(self.changes, [])
+        self.assertEqual(len(self.store.follows), calls + 1)
+
+    def test_only_new_pages_are_passed_on(self):
+        self.load()
+        first = self.make_page(_make_change(1, b"w"))
+        self.follower.apply_relayed_page(1, first)
+        self.store.follows[-1][0].callback(first)
+        self.assertEqual(self.pages, [])
+        self.clock.advance(1.0)
+        second = self.make_page(_make_change(2, b"x"))
+        self.store.follows[-1][0].callback(second)
+        self.assertEqual(self.pages, [(2, second)])
+        self.assertEqual(len(self.changes), 2)
+
+    def test_gateway_cut_off_from_the_store_learns_of_changes(self):
+        self.load()
+        _fail(self.store.follows[-1][0])
+        self.assertEqual(self.calls[-1], "outage")
+        change = _make_change(1, b"w")
+        self.follower.apply_relayed_page(1, self.make_page(change))
+        self.assertEqual(self.changes, [change])
+        self.assertEqual(self.calls[-1], "contact")
+        # Only this gateway is cut off, so that isn't an outage of the list.
+        self.clock.advance(0.6)
+        _fail(self.store.follows[-1][0])
+        self.assertEqual(self.calls[-1], "contact")
