--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -15,7 +15,7 @@
 
 _LOG = logging.getLogger("sassafrasstile.peers")
 # Interval of the checks for changed loads and silent peers.
-_TICK_INTERVAL_S = 0.05
+_TICK_INTERVAL_S = 0.02
 # Rate limits of the datagrams to the gateways of this zone and of the others.
 # Few gateways learn of each change at once, many only at intervals.
 _MAX_NEAR_DATAGRAMS_PER_S = 400.0
