Let callers wait on the port of a gateway that is starting

Ruled out: the store, it answers each load within 40 ms.

A connection attempt that is cancelled ends as cancelled, not as an unknown error.

--- a/sassafrasstile/platform/__main__.py
+++ b/sassafrasstile/platform/__main__.py
@@ -1,49 +1,17 @@
 """Starts a gateway on the platform: `python -m sassafrasstile.platform`."""
 
-import os
 import sys
 
-from sassafrasstile import errors
-from sassafrasstile import router
-from sassafrasstile import telemetry
-from sassafrasstile.platform import _codec
-from sassafrasstile.platform import _records
-from sassafrasstile.platform import _settings
-from sassafrasstile.platform import _store
-
-_METRICS_PORT_VARIABLE = "SASSAFRASSTILE_METRICS_PORT"
-_EXIT_USAGE = 2
+from sassafrasstile.platform import _listener
 
 
 def main() -> int:
     """Runs the gateway until a stop signal arrives."""
-    metrics = telemetry.RouterMetrics()
-    telemetry.configure_bounded_logs(dropped=metrics.log_lines_dropped)
-    metrics_port = int(os.environ.get(_METRICS_PORT_VARIABLE, "0"))
-    source = _settings.SettingsFile(metrics_port=metrics_port)
-    try:
-        settings = source.read()
-    except errors.ConfigurationError as reason:
-        print(reason, file=sys.stderr)
-        return _EXIT_USAGE
-
-    def make_daemon(reactor) -> router.RouterDaemon:
-        return router.RouterDaemon(
-            reactor=reactor,
-            settings=settings,
-            settings_source=source,
-            store=_store.PlatformStore(
-                reactor=reactor,
-                host=settings.store_host,
-                port=settings.store_port,
-                metrics=metrics,
-            ),
-            record_decoder=_records.PlatformRecordDecoder(),
-            codec=_codec.PlatformCodec(),
-            metrics=metrics,
-        )
+    listener = _listener.open_listener()
+    # Imported only now, since most of the start is spent on it.
+    from sassafrasstile.platform import _gateway
 
-    return router.run_router(make_daemon)
+    return _gateway.run(listener)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/sassafrasstile/platform/_addresses.py
@@ -0,0 +1,21 @@
+"""Parses settings files and addresses; it imports little."""
+
+import yaml
+
+# The loader in C, where the library was built with it.
+LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits `HOST:PORT`.
+
+    Raises:
+        ValueError: The address has another form.
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    if not host:
+        raise ValueError(f"address is {address!r}; expected HOST:PORT")
+    return host, int(port)
--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -9,9 +9,9 @@
 from sassafrasstile import router
 from sassafrasstile import routes
 from sassafrasstile import stores
+from sassafrasstile.platform import _addresses
 from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
-from sassafrasstile.platform import _settings
 
 _KINDS = {
     "safe": routes.RouteKind.IDEMPOTENT_CALL,
@@ -172,7 +172,7 @@
             return None
         try:
             document = _Endpoint.model_validate_json(change.value)
-            host, port = _settings.split_address(document.address)
+            host, port = _addresses.split_address(document.address)
         except ValueError as reason:
             raise errors.Error(
                 code=errors.Code.BAD_VALUE, detail=str(reason)
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -7,6 +7,7 @@
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import router
+from sassafrasstile.platform import _addresses
 from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
 
@@ -41,18 +42,6 @@
     platform: _Store
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Splits `HOST:PORT`.
-
-    Raises:
-        ValueError: The address has another form.
-    """
-    host, _, port = address.rpartition(":")
-    if not host:
-        raise ValueError(f"address is {address!r}; expected HOST:PORT")
-    return host, int(port)
-
-
 class SettingsFile(router.SettingsSource):
     """The settings file that the environment names.
 
@@ -71,7 +60,7 @@
         self._fingerprint = self._read_fingerprint()
         try:
             with open(path, encoding="utf-8") as file:
-                raw = yaml.safe_load(file)
+                raw = yaml.load(file, Loader=_addresses.LOADER)
             return _decode(raw, metrics_port=self._metrics_port)
         except OSError as reason:
             code = errors.Code.CONFIG_UNREADABLE
@@ -100,9 +89,9 @@
 
 def _decode(raw: object, *, metrics_port: int) -> router.RouterSettings:
     document = _SettingsDocument.model_validate(raw)
-    _, port = split_address(document.listen.frontend)
-    _, ready_port = split_address(document.listen.ready)
-    store_host, store_port = split_address(document.platform.address)
+    _, port = _addresses.split_address(document.listen.frontend)
+    _, ready_port = _addresses.split_address(document.listen.ready)
+    store_host, store_port = _addresses.split_address(document.platform.address)
     return router.RouterSettings(
         name=document.node_name,
         zone=document.zone,
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import secrets
+import socket
 from typing import Any
 
 from twisted.internet import defer
@@ -27,6 +28,9 @@
 
 _LOG = logging.getLogger("sassafrasstile.router")
 _TICK_INTERVAL_S = 0.25
+# Callers that wait while the process starts are accepted after this time even
+# if it has no configuration yet, and are told when to return.
+_MAX_ACCEPT_DELAY_S = 1.0
 # Time after which the load balancer sends no new connections to a gateway
 # that isn't ready.
 _BALANCER_DELAY_S = 3.2
@@ -52,6 +56,9 @@
         codec: The endpoints' protocol.
         metrics: Counters and histograms.
         generator: The random number generator.
+        listener: A socket on which callers wait already. They are accepted once
+            this gateway can serve them. Without it the port is opened at the
+            start.
     """
 
     def __init__(
@@ -65,6 +72,7 @@
         codec: forwarding.EndpointCodec,
         metrics: telemetry.RouterMetrics,
         generator: random.Random | None = None,
+        listener: socket.socket | None = None,
     ):
         self.settings = settings
         self.incarnation = secrets.token_hex(6)
@@ -104,8 +112,10 @@
         self._context.count_gateways = self._count_gateways
         self._roles = self._make_roles(record_decoder)
         self._record_decoder = record_decoder
+        self._listener = listener
         self._admin_ports: list[interfaces.IListeningPort] = []
         self._caller_port: interfaces.IListeningPort | None = None
+        self._accept_call: interfaces.IDelayedCall | None = None
         self._admission_call: interfaces.IDelayedCall | None = None
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
@@ -150,7 +160,7 @@
             topic=record_decoder.membership_topic,
             max_lag_s=self.settings.propagation_limit_s,
             on_change=self._apply_endpoint_change,
-            on_loaded=self._roster.mark_loaded,
+            on_loaded=self._mark_endpoints_loaded,
             on_outage=self._roster.record_outage,
             on_contact=self._record_membership_contact,
             generator=self._generator,
@@ -165,6 +175,10 @@
         }
 
     def _record_membership_contact(self) -> None:
+    def _mark_endpoints_loaded(self) -> None:
+        self._roster.mark_loaded()
+        self._accept_callers_if_ready()
+
         self._roster.record_contact(self._now())
         self._topic_sharing.announce()
 
@@ -237,7 +251,12 @@
     def start(self) -> None:
         """Opens the ports and starts to follow the store."""
         settings = self.settings
-        self._caller_port = self._listen(settings.port, self._ingress)
+        if self._listener is None:
+            self._caller_port = self._listen(settings.port, self._ingress)
+        else:
+            self._accept_call = self._reactor.callLater(
+                _MAX_ACCEPT_DELAY_S, self._accept_callers
+            )
         admin = web.IngressFactory(
             reactor=self._reactor, handler=self._make_admin().handle
         )
@@ -258,6 +277,22 @@
         )
 
     def _listen(self, port: int, factory) -> interfaces.IListeningPort:
+    def _accept_callers(self) -> None:
+        """Starts to accept the callers that wait on the listener."""
+        listener, self._listener = self._listener, None
+        if listener is None:
+            return
+        # The reactor accepts until there are no more connections.
+        listener.setblocking(False)
+        self._caller_port = self._reactor.adoptStreamPort(
+            listener.fileno(), listener.family, self._ingress
+        )
+        listener.close()
+
+    def _accept_callers_if_ready(self) -> None:
+        if self._listener is not None and self.is_ready():
+            self._accept_callers()
+
         factory.noisy = False
         return self._reactor.listenTCP(
             port, factory, interface=self.settings.host, backlog=511
@@ -297,6 +332,7 @@
         deadline = started_at + self.settings.grace_s - _ABORT_MARGIN_S
         self._router.begin_shutdown(deadline)
         await self._sleep(_BALANCER_DELAY_S)
+        self._accept_callers()
         while self._router.in_flight and self._now() < deadline:
             await self._sleep(_IDLE_POLL_S)
             self._ingress.close_idle()
@@ -319,11 +355,13 @@
         """Closes everything immediately, without draining."""
         if self._loop.running:
             self._loop.stop()
-        if self._admission_call is not None and self._admission_call.active():
-            self._admission_call.cancel()
+        for call in (self._accept_call, self._admission_call):
+            if call is not None and call.active():
+                call.cancel()
         for component in reversed(self._list_components()):
             component.close()
         for port in [self._caller_port, *self._admin_ports]:
+        self._accept_callers()
             await defer.maybeDeferred(port.stopListening)
         self._context.close()
         self._store.close()
@@ -361,6 +399,7 @@
         ):
             self._ingress.limits = configuration.limits
 
+        self._accept_callers_if_ready()
     def _apply_endpoint_change(self, change: stores.Change) -> None:
         try:
             record = self._record_decoder.decode_endpoint(change)
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import socket
 
 from twisted.internet import defer
 from twisted.internet import endpoints
@@ -18,6 +19,9 @@
 HOST = "a.example"
 _CONFIGURATION_TOPIC = "keyed.op"
 _MEMBERSHIP_TOPIC = "keyed.servers"
+_PEER_TOPIC = "keyed.gateways"
+# Nothing listens there.
+_DISCARD_PORT = 9
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -164,6 +168,7 @@
         "kvCapacityTokens": 10000,
         "stride": 1,
         "kvTtlS": 0.5,
+        "holdMs": 2000,
     }
     return {
         "version": version,
@@ -202,10 +207,23 @@
         reactor: The reactor.
         routes: The routes in the format of the platform's configuration.
         grace_s: Maximum duration of a graceful shutdown in seconds.
+        listener: The socket on which callers wait for the gateway, or None.
+        other_gateways: The number of other gateways, which never report. They
+            are in another availability zone than the gateway.
     """
 
-    def __init__(self, *, reactor, routes: list[dict], grace_s: float = 8.0):
+    def __init__(
+        self,
+        *,
+        reactor,
+        routes: list[dict],
+        grace_s: float = 8.0,
+        listener: socket.socket | None = None,
+        other_gateways: int = 0,
+    ):
+        self._other_gateways = other_gateways
         self._reactor = reactor
+        self._listener = listener
         self._grace_s = grace_s
         self.routes = routes
         self.version = 1
@@ -218,6 +236,10 @@
     def start(self) -> None:
         """Starts the store and the gateway."""
         self.server.start()
+        for number in range(self._other_gateways):
+            name = f"other-{number}"
+            address = [name, "127.0.0.1", _DISCARD_PORT, "b"]
+            self.store.put_json(_PEER_TOPIC, name, address)
         self.daemon = router.RouterDaemon(
             reactor=self._reactor,
             settings=self._make_settings(),
@@ -232,6 +254,7 @@
             codec=_codec.PlatformCodec(),
             metrics=self.metrics,
             generator=random.Random(1),
+            listener=self._listener,
         )
         self.daemon.start()
 
@@ -267,6 +290,7 @@
         *,
         service: str = "desk",
         stage: str | None = None,
+        zone: str = "a",
     ) -> standins.PlatformEndpoint:
         """Starts an endpoint and writes its membership document."""
         endpoint = standins.PlatformEndpoint(
@@ -274,7 +298,7 @@
         )
         endpoint.start()
         self.endpoints[name] = endpoint
-        self.announce(name, service=service, stage=stage)
+        self.announce(name, service=service, stage=stage, zone=zone)
         return endpoint
 
     def announce(self, name: str, **changes) -> None:
--- a/sassafrasstile/web/_pool.py
+++ b/sassafrasstile/web/_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import protocol
@@ -108,6 +109,8 @@
         factory.noisy = False
         try:
             connection = await self._endpoint.connect(factory)
+        except error.ConnectingCancelledError as reason:
+            raise defer.CancelledError from reason
         except error.ConnectError as reason:
             raise _reply.ExchangeError(
                 code=errors.Code.ENDPOINT_UNREACHABLE,
