Ask engines of other zones for room where news of them is late

Where reports to other zones can't be timely (more than thirty gateways there), the decode engine is asked to set memory aside before the prefill, two such engines are compared in place of a third of all, and the own zone comes first. Reports to other zones are then sent at intervals only.

Tests: router.tests.test_holds, dispatch.tests.test_placement.LateNewsTest, peers.tests.test_channel.ZoneTest.

--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -21,6 +21,8 @@
 _PREFILL_ZONE_COST_S = 0.05
 # Cost of a decode in another zone, as a share of an engine's KV cache.
 _DECODE_ZONE_COST = 0.1
+# The same where this gateway hears of other gateways' reservations late.
+_DELAYED_DECODE_ZONE_COST = 0.25
 # Cost of a failed decode, as a share of an engine's KV cache.
 _DECODE_FAILURE_COST = 1.0
 # Maximum backlog at which a prefill engine gets another prompt.
@@ -39,6 +41,9 @@
 _PREFILL_TOKENS_PER_S = 50_000.0
 # One in this many of the decode engines with capacity is compared.
 _SAMPLE_DIVISOR = 3
+# Number of engines compared among those of which this gateway has late news. If
+# all gateways compared many, they would choose the same ones.
+_DELAYED_SAMPLE = 2
 # Gateways compete for an engine above this share of its KV cache.
 _CONTESTED_SHARE = 0.85
 # Gateways that reserve capacity within this time of each other haven't
@@ -69,6 +74,8 @@
         zone: This gateway's availability zone.
         generator: The source of random numbers.
         name: This gateway's name.
+        is_timely: Returns whether this gateway hears at once of reservations
+            that the gateways of a zone make.
     """
 
     def __init__(
@@ -78,8 +85,10 @@
         zone: str,
         generator: random.Random,
         name: str = "",
+        is_timely: Callable[[str], bool] = lambda _zone: True,
     ):
         self._name = name
+        self._is_timely = is_timely
         self._endpoints = endpoints
         self._zone = zone
         self._generator = generator
@@ -158,6 +167,13 @@
             return _grants.Grant(decode=decode, size=size, prefill=decode)
         return Shortage.PREFILL
 
+    def is_load_timely(self, endpoint: _endpoints.Endpoint) -> bool:
+        """Returns whether its load is known without delay.
+
+        Mostly the gateways of an endpoint's own zone reserve capacity on it.
+        """
+        return self._is_timely(endpoint.record.zone)
+
     def is_contested(
         self, grant: _grants.Grant, *, service: routes.Service
     ) -> bool:
@@ -261,7 +277,9 @@
             cost = item.total_reserved_tokens / capacity
             rate = item.health.compute_failure_rate(now)
             cost += _DECODE_FAILURE_COST * rate
-            if item.record.zone != self._zone:
+            if not self.is_load_timely(item):
+                cost += _DELAYED_DECODE_ZONE_COST
+            elif item.record.zone != self._zone:
                 cost += _DECODE_ZONE_COST
             return cost
 
@@ -275,10 +293,15 @@
 
         Gateways that see the same loads must not all choose the same engine.
         """
-        count = max(2, len(engines) // _SAMPLE_DIVISOR)
-        if count >= len(engines):
-            return engines
-        return self._generator.sample(engines, count)
+        timely = [item for item in engines if self.is_load_timely(item)]
+        delayed = [item for item in engines if not self.is_load_timely(item)]
+        count = max(2, len(timely) // _SAMPLE_DIVISOR)
+        return [
+            *self._generator.sample(timely, min(count, len(timely))),
+            *self._generator.sample(
+                delayed, min(_DELAYED_SAMPLE, len(delayed))
+            ),
+        ]
 
     def _choose_for_prefill(self, service, now, zone, limit_s):
         """Chooses the prefill engine expected to finish the prompt first."""
--- a/sassafrasstile/dispatch/tests/test_placement.py
+++ b/sassafrasstile/dispatch/tests/test_placement.py
@@ -136,3 +136,49 @@
     def test_earlier_reservation_of_a_peer_is_ignored(self):
         self.report_load(self.grant.decode, 6000, peer="a", at=-1.0)
         self.assertFalse(self.must_yield())
+
+
+class LateNewsTest(unittest.TestCase):
+    """Many gateways that hear late of an engine which has just become empty.
+
+    The pattern: engines that crashed come back, and the gateways of all zones
+    see the same empty engine for a while.
+    """
+
+    _ENGINES = 48
+    _GATEWAYS = 60
+
+    def choose(self, seed, *, is_timely):
+        table = dispatch.EndpointTable(silence_timeout_s=1.0)
+        for number in range(self._ENGINES):
+            name = f"d{number}"
+            record = testing.make_endpoint_record(
+                name, role=membership.Role.DECODE
+            )
+            table.update_record(name, record)
+            if number:
+                load = peers.EndpointLoad(in_flight=1, reserved_tokens=5000)
+                table.update_peer_loads(f"g{number}", {name: load}, 0.0)
+        placement = dispatch.Placement(
+            endpoints=table,
+            zone="other",
+            generator=random.Random(seed),
+            is_timely=lambda _zone: is_timely,
+        )
+        grant = placement.choose_for_generation(
+            service=_SERVICE, size=_SIZE, now=0.0, needs_prefill=False
+        )
+        return grant.decode.name
+
+    def count_same_choice(self, *, is_timely):
+        chosen = [
+            self.choose(seed, is_timely=is_timely)
+            for seed in range(self._GATEWAYS)
+        ]
+        return chosen.count("d0")
+
+    def test_few_gateways_choose_the_same_engine(self):
+        capacity = _SERVICE.engine.capacity_tokens // _SIZE.memory_tokens
+        late = self.count_same_choice(is_timely=False)
+        self.assertLessEqual(late, 3 * capacity)
+        self.assertGreater(self.count_same_choice(is_timely=True), late)
--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -56,6 +56,7 @@
     HANDLE_EXPIRED = "handle_expired"
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_FULL = "endpoint_full"
     ENDPOINT_REPLACED = "endpoint_replaced"
     ENDPOINT_SILENT = "endpoint_silent"
     BAD_ANSWER = "bad_answer"
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -103,6 +103,7 @@
         remaining_s: float,
         priority: int,
         handle: KvHandle | None = None,
+        hold: str | None = None,
         last_event_id: str | None = None,
     ) -> OutgoingRequest:
         """Returns the request that makes an endpoint run a caller's request.
@@ -113,6 +114,7 @@
             remaining_s: Seconds until the caller's deadline.
             priority: The priority of its route; 0 is the most urgent.
             handle: The finished prefill to start from, if any.
+            hold: The name of the memory that the engine has set aside, if any.
             last_event_id: The id of the last event that the caller has
                 received, to resume a stream after it.
         """
@@ -140,6 +142,32 @@
     def encode_release(self, handle: KvHandle) -> OutgoingRequest:
         """Returns the request that releases a handle."""
 
+    @abc.abstractmethod
+    def encode_hold(
+        self, *, record: membership.EndpointRecord, tokens: int, ttl_s: float
+    ) -> OutgoingRequest:
+        """Returns the request that makes an engine set memory aside.
+
+        Args:
+            record: The engine.
+            tokens: The KV cache in tokens.
+            ttl_s: Seconds after which the engine frees it unless it is used.
+        """
+
+    @abc.abstractmethod
+    def decode_hold(self, body: bytes) -> str:
+        """Decodes the name of the hold from the engine's answer.
+
+        Raises:
+            errors.Error: With BAD_ANSWER.
+        """
+
+    @abc.abstractmethod
+    def encode_hold_release(
+        self, *, record: membership.EndpointRecord, token: str
+    ) -> OutgoingRequest:
+        """Returns the request that releases a hold."""
+
     @abc.abstractmethod
     def encode_probe(
         self, *, record: membership.EndpointRecord, service: routes.Service
--- a/sassafrasstile/forwarding/_control_calls.py
+++ b/sassafrasstile/forwarding/_control_calls.py
@@ -1,5 +1,6 @@
 """The router's own calls to endpoints: orders, probes and releases."""
 
+import dataclasses
 import logging
 
 from twisted.internet import defer
@@ -16,6 +17,19 @@
 _ACCEPTED_STATUSES = (200, 202)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ControlAnswer:
+    """An endpoint's complete answer to a call of the router's own.
+
+    Attributes:
+        head: Status and headers.
+        body: The body.
+    """
+
+    head: web.ResponseHead
+    body: bytes
+
+
 def call_endpoint(
     context: _context.ForwardingContext,
     endpoint: dispatch.Endpoint,
@@ -34,11 +48,11 @@
         fresh: True to open a new connection instead of reusing an idle one.
 
     Returns:
-        A Deferred with the head of the answer. It fails with
-        `web.ExchangeError` or `defer.TimeoutError`.
+        A Deferred with a `ControlAnswer`. It fails with `web.ExchangeError`
+        or `defer.TimeoutError`.
     """
 
-    async def exchange() -> web.ResponseHead:
+    async def exchange() -> ControlAnswer:
         reply: web.Reply | None = None
         try:
             reply = await context.get_pool(endpoint).send(
@@ -49,11 +63,11 @@
                 fresh=fresh,
             )
             head = await reply.read_head()
-            await reply.read_body()
+            body = await reply.read_body()
         finally:
             if reply is not None:
                 reply.close()
-        return head
+        return ControlAnswer(head=head, body=body)
 
     return _attempts.fail_on_timeout(exchange(), context.reactor, timeout_s)
 
@@ -98,5 +112,5 @@
         context, endpoint, outgoing, timeout_s=_ORDER_TIMEOUT_S
     )
     return call.addCallbacks(
-        lambda head: head.status in _ACCEPTED_STATUSES, log_failure
+        lambda answer: answer.head.status in _ACCEPTED_STATUSES, log_failure
     )
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -11,6 +11,7 @@
 from sassafrasstile.forwarding import _attempts
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _holds
 from sassafrasstile.forwarding import _prefills
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _streams
@@ -35,6 +36,7 @@
     def __init__(self, *, context: _context.ForwardingContext):
         self._context = context
         self._prefills = _prefills.PrefillRunner(context=context)
+        self._holds = _holds.HoldTaker(context=context)
         self._streams = _streams.StreamForwarder(context=context)
         self.admission = _admission.AdmissionController(context=context)
 
@@ -84,10 +86,18 @@
         progress: _streams.Progress,
     ) -> verdicts.Verdict | None:
         """Runs a request on the engines that it was granted."""
-        refusal = await self._prepare(task, grant, progress)
-        if refusal is not None:
-            return refusal
-        return await self._send(task, grant, progress)
+        if self._holds.is_needed(task, grant):
+            hold = await self._holds.take(task, grant)
+            if isinstance(hold, verdicts.NotRun):
+                return hold
+            progress.hold = hold
+        try:
+            refusal = await self._prepare(task, grant, progress)
+            if refusal is not None:
+                return refusal
+            return await self._send(task, grant, progress)
+        finally:
+            self._release_hold(progress)
 
     async def _prepare(
         self,
@@ -109,9 +119,11 @@
         if grant.has_remote_prefill and not progress.events:
             progress.handle = await self._prefills.run(task, grant.prefill)
             self.admission.release_prefill(grant)
-            if progress.handle is not None:
+            if progress.handle is not None and progress.hold is None:
                 self.admission.confirm(task, grant)
-            elif not self._may_prefill_locally(grant):
+            elif progress.handle is None and not self._may_prefill_locally(
+                grant
+            ):
                 return verdicts.NotRun(code=errors.Code.PREFILL_FAILED)
         if not grant.decode.accepts_work:
             # The engine began to drain during the prefill; nothing was sent.
@@ -134,6 +146,7 @@
             remaining_s=remaining_s,
             priority=task.route.priority,
             handle=progress.handle,
+            hold=progress.hold.token if progress.hold else None,
             last_event_id=progress.last_event_id if progress.events else None,
         )
         timeout_s = self._choose_timeout(task, remaining_s)
@@ -147,8 +160,9 @@
         try:
             result = await attempt.start(outgoing, timeout_s=timeout_s)
             if isinstance(result, _attempts.Answered):
-                # The engine has consumed the handle.
+                # The engine has consumed the handle and the hold.
                 progress.handle = None
+                progress.hold = None
                 engine.record_acceptance()
                 self.admission.release_prefill(grant)
                 if result.kind is not _base.AnswerKind.SUCCESS:
@@ -195,6 +209,11 @@
         if handle is not None:
             self._prefills.release(handle)
 
+    def _release_hold(self, progress: _streams.Progress) -> None:
+        hold, progress.hold = progress.hold, None
+        if hold is not None:
+            self._holds.release(hold)
+
     def _choose_timeout(
         self, task: _task.RequestTask, remaining_s: float
     ) -> float:
--- /dev/null
+++ b/sassafrasstile/forwarding/_holds.py
@@ -0,0 +1,162 @@
+"""Holds: memory that an engine sets aside before a prompt is prefilled."""
+
+import dataclasses
+import logging
+
+from twisted.internet import defer
+
+from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile import verdicts
+from sassafrasstile import web
+from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _control_calls
+from sassafrasstile.forwarding import _task
+
+_LOG = logging.getLogger("sassafrasstile.forwarding")
+# An engine that hasn't answered after this time is taken to be unreachable; a
+# probe shows soon whether it is.
+_TIMEOUT_S = 0.25
+_STATUS_GRANTED = 200
+_STATUS_FULL = 503
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KvHold:
+    """A slot and KV cache that an engine has set aside for one request.
+
+    Attributes:
+        endpoint: The engine.
+        token: The name of the hold at that engine.
+    """
+
+    endpoint: dispatch.Endpoint
+    token: str
+
+
+class HoldTaker:
+    """Asks decode engines to set memory aside.
+
+    Where there are many gateways, one hears late of the reservations that those
+    of other availability zones make, so only the engine knows whether it has
+    room. Asking it costs a few milliseconds; a prompt that was prefilled for
+    an engine without room may be lost.
+
+    Args:
+        context: State shared by the parts of the router.
+    """
+
+    def __init__(self, *, context: _context.ForwardingContext):
+        self._context = context
+
+    def is_needed(self, task: _task.RequestTask, grant: dispatch.Grant) -> bool:
+        """Returns whether a grant has to be confirmed by its decode engine."""
+        engine = task.service.engine
+        supports_holds = engine is not None and engine.hold_s > 0
+        return supports_holds and not self._context.placement.is_load_timely(
+            grant.decode
+        )
+
+    async def take(
+        self, task: _task.RequestTask, grant: dispatch.Grant
+    ) -> KvHold | verdicts.NotRun | None:
+        """Asks the decode engine of a grant to set memory aside.
+
+        Args:
+            task: The request.
+            grant: Its grant.
+
+        Returns:
+            The hold; a verdict when the engine has no room or is gone; None
+            when it gave no usable answer, so that nothing is known.
+        """
+        context = self._context
+        endpoint = grant.decode
+        outgoing = context.codec.encode_hold(
+            record=endpoint.record,
+            tokens=grant.size.prompt_tokens,
+            ttl_s=task.service.engine.hold_s,
+        )
+        task.hold_attempts += 1
+        try:
+            answer = await _control_calls.call_endpoint(
+                context, endpoint, outgoing, timeout_s=_TIMEOUT_S
+            )
+            result = self._decode(endpoint, answer)
+        except (web.ExchangeError, defer.TimeoutError) as reason:
+            self._log(task, endpoint, f"no answer ({reason})")
+            endpoint.health.mark_unreachable(context.now())
+            return verdicts.NotRun(code=errors.Code.ENDPOINT_UNREACHABLE)
+        except errors.Error as reason:
+            self._log(task, endpoint, f"no usable answer ({reason})")
+            return None
+        outcome = "full or gone"
+        if isinstance(result, KvHold):
+            outcome = "granted"
+        self._log(task, endpoint, outcome)
+        return result
+
+    def _decode(
+        self, endpoint: dispatch.Endpoint, answer: _control_calls.ControlAnswer
+    ) -> KvHold | verdicts.NotRun:
+        """Returns the hold or the verdict in an answer.
+
+        Raises:
+            errors.Error: The answer is neither.
+        """
+        context = self._context
+        now = context.now()
+        if context.codec.is_from_other_instance(
+            answer.head, endpoint_id=endpoint.name
+        ):
+            endpoint.health.mark_replaced(now)
+            return verdicts.NotRun(code=errors.Code.ENDPOINT_FULL)
+        match answer.head.status:
+            case status if status == _STATUS_GRANTED:
+                token = context.codec.decode_hold(answer.body)
+                return KvHold(endpoint=endpoint, token=token)
+            case status if status == _STATUS_FULL:
+                endpoint.record_refusal(now)
+                return verdicts.NotRun(code=errors.Code.ENDPOINT_FULL)
+            case status:
+                raise errors.Error(
+                    code=errors.Code.BAD_ANSWER, detail=f"status {status}"
+                )
+
+    def release(self, hold: KvHold) -> None:
+        """Returns memory that no request will use."""
+        outgoing = self._context.codec.encode_hold_release(
+            record=hold.endpoint.record, token=hold.token
+        )
+
+        def log_failure(reason):
+            # The hold expires by itself.
+            _LOG.info(
+                "hold: not released at %s: %s.",
+                hold.endpoint.name,
+                reason.getErrorMessage(),
+            )
+
+        releasing = _control_calls.call_endpoint(
+            self._context, hold.endpoint, outgoing, timeout_s=_TIMEOUT_S
+        )
+        releasing.addErrback(log_failure)
+
+    def _log(
+        self,
+        task: _task.RequestTask,
+        endpoint: dispatch.Endpoint,
+        outcome: str,
+    ) -> None:
+        _LOG.info(
+            "hold: request %s at %s: %s.",
+            task.request_id,
+            endpoint.name,
+            outcome,
+            extra={
+                "request": task.request_id,
+                "endpoint": endpoint.name,
+                "reserved_tokens": endpoint.total_reserved_tokens,
+                "outcome": outcome,
+            },
+        )
--- a/sassafrasstile/forwarding/_probes.py
+++ b/sassafrasstile/forwarding/_probes.py
@@ -5,7 +5,6 @@
 from twisted.internet import task
 
 from sassafrasstile import dispatch
-from sassafrasstile import web
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _control_calls
 
@@ -63,13 +62,13 @@
             fresh=True,
         )
 
-        def record_answer(head: web.ResponseHead) -> str:
+        def record_answer(answer: _control_calls.ControlAnswer) -> str:
             if self._context.codec.is_from_other_instance(
-                head, endpoint_id=endpoint.name
+                answer.head, endpoint_id=endpoint.name
             ):
                 endpoint.health.mark_replaced(self._context.now())
                 return "another instance has its address"
-            return f"answered {head.status}"
+            return f"answered {answer.head.status}"
 
         def record_failure(reason) -> str:
             endpoint.health.mark_unreachable(self._context.now())
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -7,12 +7,18 @@
 
 # Maximum number of sends of a request, including refused ones.
 MAX_SENDS = 3
+# Maximum number of engines that are asked to set memory aside for a request.
+_MAX_HOLD_ATTEMPTS = 6
 # A request closer to its deadline than this isn't sent again.
 MIN_REMAINING_S = 0.02
 # With these codes no endpoint received the request, so that another send
 # doesn't count against the retry budget.
 _NOT_DELIVERED_CODES = frozenset(
-    (errors.Code.ENDPOINT_UNREACHABLE, errors.Code.LEAVING)
+    (
+        errors.Code.ENDPOINT_UNREACHABLE,
+        errors.Code.ENDPOINT_FULL,
+        errors.Code.LEAVING,
+    )
 )
 
 
@@ -63,6 +69,8 @@
         return False
     if task.sends >= MAX_SENDS or task.prefill_attempts >= MAX_SENDS:
         return False
+    if task.hold_attempts >= _MAX_HOLD_ATTEMPTS:
+        return False
     if verdict.code == errors.Code.HANDLE_EXPIRED:
         # The budget has already denied another prefill.
         return False
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -13,6 +13,7 @@
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _events
+from sassafrasstile.forwarding import _holds
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _task
 
@@ -32,6 +33,7 @@
         events: The number of events forwarded.
         sent_at: When the last event was forwarded, in seconds.
         handle: A finished prefill that no decode engine has consumed yet.
+        hold: Memory that a decode engine has set aside and not used yet.
         unexplained_refusals: How often an engine with capacity has refused
             the handle.
     """
@@ -40,6 +42,7 @@
     events: int = 0
     sent_at: float = 0.0
     handle: _base.KvHandle | None = None
+    hold: _holds.KvHold | None = None
     unexplained_refusals: int = 0
 
 
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -23,6 +23,7 @@
         exchange: The connection to the caller, to answer on.
         deadline: The time by which it must be answered, in seconds.
         sends: How often it was sent to an endpoint to be run.
+        hold_attempts: How often an engine was asked to set memory aside.
         prefill_attempts: How often it was sent to a prefill engine.
         tried: Endpoints that it was sent to.
         may_have_run: Endpoints that may have run it, one entry per send.
@@ -42,6 +43,7 @@
     deadline: float
     sends: int = 0
     prefill_attempts: int = 0
+    hold_attempts: int = 0
     tried: list[dispatch.Endpoint] = dataclasses.field(default_factory=list)
     may_have_run: list[dispatch.Endpoint] = dataclasses.field(
         default_factory=list
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -23,12 +23,15 @@
 _MAX_PAGE_DATAGRAMS_PER_S = 400.0
 # Larger datagrams would be sent in fragments, and lost with any of them.
 _MAX_PAGE_BYTES = 1400
+# A gateway reports about this often when it has work. Gateways of other zones
+# hear of each change in time if the rate limit allows that many reports.
+_TIMELY_REPORTS_PER_S = 4.0
 # Interval of the complete reports, sent also when nothing has changed. They
 # make up for lost datagrams.
 _COMPLETE_INTERVAL_S = 0.5
-# The interval is longer for this many gateways of other zones and more, so
-# that it takes at most half of the rate limit.
-_MAX_FAR_PEERS = 50
+# The interval is longer where reports to other zones can't be timely, but no
+# longer than this.
+_MAX_COMPLETE_INTERVAL_S = 2.0
 # A peer that was silent for this many intervals, so that some of its datagrams
 # were lost, is taken to have nothing in flight.
 _SILENCE_INTERVALS = 3
@@ -122,6 +125,18 @@
         """
         return self._gateway_count
 
+    def is_timely(self, zone: str) -> bool:
+        """Returns whether reports of a zone's gateways arrive without delay.
+
+        All gateways know about the same number of others, so this one's own
+        rate limit shows how late theirs are.
+        """
+        return zone == self._address.zone or self._is_far_timely()
+
+    def _is_far_timely(self) -> bool:
+        wanted_per_s = _TIMELY_REPORTS_PER_S * len(self._far_peers)
+        return wanted_per_s <= _MAX_FAR_DATAGRAMS_PER_S
+
     def start(self) -> None:
         """Listens and starts sending reports."""
         self._port = self._reactor.listenUDP(
@@ -224,8 +239,9 @@
 
     def _choose_interval_s(self) -> float:
         """Returns the interval of the complete reports in seconds."""
-        factor = len(self._far_peers) / _MAX_FAR_PEERS
-        return _COMPLETE_INTERVAL_S * max(1.0, factor)
+        wanted_per_s = _TIMELY_REPORTS_PER_S * len(self._far_peers)
+        factor = max(1.0, wanted_per_s / _MAX_FAR_DATAGRAMS_PER_S)
+        return min(_MAX_COMPLETE_INTERVAL_S, factor * _COMPLETE_INTERVAL_S)
 
     def _report(
         self,
@@ -238,11 +254,11 @@
         if not group:
             return
         is_complete = schedule.is_complete_due(now, self._choose_interval_s())
-        is_due = (
-            is_complete
-            or schedule.has_news
-            or schedule.is_change_due(loads, now)
-        )
+        is_due = is_complete or schedule.has_news
+        # Where changes would reach other zones late anyway, they wait for the
+        # next complete report.
+        if schedule is self._near or self._is_far_timely():
+            is_due = is_due or schedule.is_change_due(loads, now)
         if not is_due or not schedule.consume(len(group), now):
             return
         reported = schedule.select(loads, now, is_complete=is_complete)
--- a/sassafrasstile/peers/_schedule.py
+++ b/sassafrasstile/peers/_schedule.py
@@ -42,7 +42,12 @@
     def is_change_due(
         self, loads: Mapping[str, _base.EndpointLoad], now: float
     ) -> bool:
-        """Returns whether changed loads have to be reported now."""
+        """Returns whether changed loads have to be reported now.
+
+        Args:
+            loads: The loads by endpoint id.
+            now: The time in seconds.
+        """
         if loads == self._sent:
             return False
         is_delayed = now - self._sent_at >= _RELEASE_DELAY_S
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -194,3 +194,27 @@
             clock.advance(0.05)
             self.assertEqual(channels["g0"].list_live(), ["g1"])
             self.assertEqual(channels["g1"].list_live(), ["g0"])
+
+    def test_news_of_other_zones_is_late_only_among_many(self):
+        for gateways, is_timely in ((5, True), (26, True), (68, False)):
+            channel = peers.PeerChannel(
+                reactor=_Clock(),
+                address=peers.PeerAddress(
+                    name="a", host="h", port=1, zone="z0"
+                ),
+                incarnation="1",
+                read_loads=dict,
+                on_report=lambda *_: None,
+            )
+            for number in range(1, gateways):
+                channel.add_peer(
+                    peers.PeerAddress(
+                        name=f"g{number}",
+                        host="h",
+                        port=1 + number,
+                        zone=f"z{number % 3}",
+                    )
+                )
+            with self.subTest(gateways=gateways):
+                self.assertTrue(channel.is_timely("z0"))
+                self.assertEqual(channel.is_timely("z1"), is_timely)
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -32,6 +32,21 @@
         ) from reason
 
 
+def _read_name(body: bytes, field: str) -> str:
+    """Returns the name that an engine gave to what it keeps.
+
+    Raises:
+        errors.Error: With BAD_ANSWER when the response has none.
+    """
+    try:
+        return str(json.loads(body)[field])
+    except (ValueError, KeyError, TypeError) as reason:
+        raise errors.Error(
+            code=errors.Code.BAD_ANSWER,
+            detail=f"no {field} in the response {body[:100]!r}",
+        ) from reason
+
+
 class PlatformCodec(forwarding.EndpointCodec):
     """Implements the platform's protocol between gateways and endpoints."""
 
@@ -74,6 +89,7 @@
         remaining_s: float,
         priority: int,
         handle: forwarding.KvHandle | None = None,
+        hold: str | None = None,
         last_event_id: str | None = None,
     ) -> forwarding.OutgoingRequest:
         """Returns the request that makes an endpoint run the work."""
@@ -82,6 +98,8 @@
             source = handle.endpoint.record
             location = f"{source.host}:{source.port}/{handle.token}"
             extra.append((_names.KV_SOURCE, location.encode()))
+        if hold is not None:
+            extra.append((_names.KV_HOLD, hold.encode()))
         if last_event_id is not None:
             extra.append((_names.LAST_EVENT_ID, last_event_id.encode()))
         return self._encode_request(request, record, remaining_s, extra)
@@ -127,13 +145,7 @@
 
     def decode_handle(self, body: bytes) -> str:
         """Returns the handle's token from the response to a prefill."""
-        try:
-            return str(json.loads(body)["kvHandle"])
-        except (ValueError, KeyError, TypeError) as reason:
-            raise errors.Error(
-                code=errors.Code.BAD_ANSWER,
-                detail=f"no handle in the prefill's response {body[:100]!r}",
-            ) from reason
+        return _read_name(body, "kvHandle")
 
     def encode_release(
         self, handle: forwarding.KvHandle
@@ -145,6 +157,27 @@
             headers=self._encode_address(handle.endpoint.record),
         )
 
+    def encode_hold(
+        self, *, record: membership.EndpointRecord, tokens: int, ttl_s: float
+    ) -> forwarding.OutgoingRequest:
+        """Returns the request that makes an engine set memory aside."""
+        body = {"tokens": tokens, "ttlMs": int(ttl_s * _models.MS_PER_S)}
+        return self._encode_post(_names.HOLD_PATH, record, body)
+
+    def decode_hold(self, body: bytes) -> str:
+        """Returns the hold's name from the engine's response."""
+        return _read_name(body, "hold")
+
+    def encode_hold_release(
+        self, *, record: membership.EndpointRecord, token: str
+    ) -> forwarding.OutgoingRequest:
+        """Returns the request that releases a hold."""
+        return forwarding.OutgoingRequest(
+            method=b"DELETE",
+            target=_names.HOLD_RELEASE_PATH + token.encode(),
+            headers=self._encode_address(record),
+        )
+
     def encode_probe(
         self, *, record: membership.EndpointRecord, service: routes.Service
     ) -> forwarding.OutgoingRequest:
@@ -172,9 +205,14 @@
             "holder": holder,
             "fencingToken": fencing_token,
         }
+        return self._encode_post(_names.ORDER_PATH, record, body)
+
+    def _encode_post(
+        self, target: bytes, record: membership.EndpointRecord, body: dict
+    ) -> forwarding.OutgoingRequest:
         return forwarding.OutgoingRequest(
             method=b"POST",
-            target=_names.ORDER_PATH,
+            target=target,
             headers=[
                 (b"Content-Type", b"application/json"),
                 *self._encode_address(record),
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -15,6 +15,7 @@
 EXPECT_INSTANCE = b"X-Expect-Instance"
 STAGE = b"X-Stage"
 KV_SOURCE = b"X-Kv-Source"
+KV_HOLD = b"X-Kv-Hold"
 PRIORITY = b"X-Request-Priority"
 SYSTEM_HEADERS = frozenset(
     name.lower()
@@ -23,7 +24,7 @@
         EXPECT_INSTANCE,
         STAGE,
         KV_SOURCE,
-        b"X-Kv-Hold",
+        KV_HOLD,
         b"X-Kv-Backup",
         b"X-Pin-Ms",
         b"X-Expect-Version",
@@ -40,6 +41,8 @@
 
 # Paths and values in calls to endpoints.
 HANDLE_PATH = b"/sassafrasstile/kv-handle/"
+HOLD_PATH = b"/sassafrasstile/hold-take"
+HOLD_RELEASE_PATH = b"/sassafrasstile/hold-drop/"
 ORDER_PATH = b"/sassafrasstile/order"
 REPORT_PATH = b"/sassafrasstile/report"
 PREFILL_STAGE = b"prefill"
--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -53,6 +53,8 @@
     stride: int = 1
     # Time to live of a finished prefill's handle, in seconds.
     kv_ttl_s: float = pydantic.Field(alias="kvTtlS", default=0.5)
+    # The longest time for which an engine sets memory aside, in milliseconds.
+    hold_ms: float = 0.0
 
 
 class _Service(_models.Document):
@@ -119,6 +121,7 @@
             capacity_tokens=service.engine.kv_capacity_tokens,
             tokens_per_event=service.engine.stride,
             handle_ttl_s=service.engine.kv_ttl_s,
+            hold_s=service.engine.hold_ms / _models.MS_PER_S,
         )
     return routes.Service(
         name=service.name,
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -126,6 +126,7 @@
             zone=self.settings.zone,
             generator=self._generator,
             name=self.settings.name,
+            is_timely=lambda zone: self._channel.is_timely(zone),
         )
         return forwarding.ForwardingContext(
             reactor=self._reactor,
@@ -174,11 +175,11 @@
             record_decoder.membership_topic: endpoints,
         }
 
-    def _record_membership_contact(self) -> None:
     def _mark_endpoints_loaded(self) -> None:
         self._roster.mark_loaded()
         self._accept_callers_if_ready()
 
+    def _record_membership_contact(self) -> None:
         self._roster.record_contact(self._now())
         self._topic_sharing.announce()
 
@@ -276,7 +277,6 @@
             },
         )
 
-    def _listen(self, port: int, factory) -> interfaces.IListeningPort:
     def _accept_callers(self) -> None:
         """Starts to accept the callers that wait on the listener."""
         listener, self._listener = self._listener, None
@@ -293,6 +293,7 @@
         if self._listener is not None and self.is_ready():
             self._accept_callers()
 
+    def _listen(self, port: int, factory) -> interfaces.IListeningPort:
         factory.noisy = False
         return self._reactor.listenTCP(
             port, factory, interface=self.settings.host, backlog=511
@@ -331,8 +332,8 @@
         )
         deadline = started_at + self.settings.grace_s - _ABORT_MARGIN_S
         self._router.begin_shutdown(deadline)
-        await self._sleep(_BALANCER_DELAY_S)
         self._accept_callers()
+        await self._sleep(_BALANCER_DELAY_S)
         while self._router.in_flight and self._now() < deadline:
             await self._sleep(_IDLE_POLL_S)
             self._ingress.close_idle()
@@ -360,8 +361,8 @@
                 call.cancel()
         for component in reversed(self._list_components()):
             component.close()
-        for port in [self._caller_port, *self._admin_ports]:
         self._accept_callers()
+        for port in [self._caller_port, *self._admin_ports]:
             await defer.maybeDeferred(port.stopListening)
         self._context.close()
         self._store.close()
@@ -398,8 +399,8 @@
             and self._active_configuration.apply_if_newer(configuration)
         ):
             self._ingress.limits = configuration.limits
-
         self._accept_callers_if_ready()
+
     def _apply_endpoint_change(self, change: stores.Change) -> None:
         try:
             record = self._record_decoder.decode_endpoint(change)
--- a/sassafrasstile/routes/_base.py
+++ b/sassafrasstile/routes/_base.py
@@ -76,12 +76,15 @@
         capacity_tokens: Size of its KV cache in tokens.
         tokens_per_event: Number of tokens in one event of a stream.
         handle_ttl_s: Seconds after which a finished prefill expires.
+        hold_s: Seconds for which an engine sets memory aside at most, or zero
+            if it doesn't.
     """
 
     slots: int
     capacity_tokens: int
     tokens_per_event: int
     handle_ttl_s: float
+    hold_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -137,6 +137,7 @@
                 zone=self.zone,
                 generator=generator,
                 name=self.name,
+                is_timely=lambda zone: self.channel.is_timely(zone),
             ),
             settings=dispatch.DispatchSettings(
                 retry_slack=self._profile.retry_slack
--- a/sassafrasstile/standins/_platform_endpoint.py
+++ b/sassafrasstile/standins/_platform_endpoint.py
@@ -122,6 +122,12 @@
     return make_answer(request, body=body, signed=False)
 
 
+def make_hold(request: EndpointRequest, token: str) -> EndpointAnswer:
+    """Returns the answer of an engine that has set memory aside."""
+    body = json.dumps({"hold": token}).encode()
+    return make_answer(request, body=body, signed=False)
+
+
 def make_stream(
     request: EndpointRequest,
     *,
