--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -22,15 +22,13 @@
 from sassafrasstile import stores
 from sassafrasstile import telemetry
 from sassafrasstile import web
+from sassafrasstile.router import _caller_port
 from sassafrasstile.router import _record_decoder
 from sassafrasstile.router import _settings
 from sassafrasstile.router import _topics
 
 _LOG = logging.getLogger("sassafrasstile.router")
 _TICK_INTERVAL_S = 0.25
-# Callers that wait while the process starts are accepted after this time even
-# if it has no configuration yet, and are told when to return.
-_MAX_ACCEPT_DELAY_S = 1.0
 # Time after which the load balancer sends no new connections to a gateway
 # that isn't ready.
 _BALANCER_DELAY_S = 3.2
@@ -112,10 +110,14 @@
         self._context.count_gateways = self._count_gateways
         self._roles = self._make_roles(record_decoder)
         self._record_decoder = record_decoder
-        self._listener = listener
+        self._caller_port = _caller_port.CallerPort(
+            reactor=reactor,
+            host=settings.host,
+            port=settings.port,
+            factory=self._ingress,
+            listener=listener,
+        )
         self._admin_ports: list[interfaces.IListeningPort] = []
-        self._caller_port: interfaces.IListeningPort | None = None
-        self._accept_call: interfaces.IDelayedCall | None = None
         self._admission_call: interfaces.IDelayedCall | None = None
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
@@ -252,12 +254,7 @@
     def start(self) -> None:
         """Opens the ports and starts to follow the store."""
         settings = self.settings
-        if self._listener is None:
-            self._caller_port = self._listen(settings.port, self._ingress)
-        else:
-            self._accept_call = self._reactor.callLater(
-                _MAX_ACCEPT_DELAY_S, self._accept_callers
-            )
+        self._caller_port.start()
         admin = web.IngressFactory(
             reactor=self._reactor, handler=self._make_admin().handle
         )
@@ -277,21 +274,9 @@
             },
         )
 
-    def _accept_callers(self) -> None:
-        """Starts to accept the callers that wait on the listener."""
-        listener, self._listener = self._listener, None
-        if listener is None:
-            return
-        # The reactor accepts until there are no more connections.
-        listener.setblocking(False)
-        self._caller_port = self._reactor.adoptStreamPort(
-            listener.fileno(), listener.family, self._ingress
-        )
-        listener.close()
-
     def _accept_callers_if_ready(self) -> None:
-        if self._listener is not None and self.is_ready():
-            self._accept_callers()
+        if self.is_ready():
+            self._caller_port.accept()
 
     def _listen(self, port: int, factory) -> interfaces.IListeningPort:
         factory.noisy = False
@@ -310,7 +295,7 @@
     @property
     def port(self) -> int:
         """The port that accepts callers."""
-        return self._caller_port.getHost().port
+        return self._caller_port.port
 
     def is_ready(self) -> bool:
         """Returns whether this gateway should receive callers."""
@@ -332,14 +317,14 @@
         )
         deadline = started_at + self.settings.grace_s - _ABORT_MARGIN_S
         self._router.begin_shutdown(deadline)
-        self._accept_callers()
+        self._caller_port.accept()
         await self._sleep(_BALANCER_DELAY_S)
         while self._router.in_flight and self._now() < deadline:
             await self._sleep(_IDLE_POLL_S)
             self._ingress.close_idle()
         # While no gateway is ready, the load balancer may send callers to any
         # of them, so the port accepts connections until now.
-        await defer.maybeDeferred(self._caller_port.stopListening)
+        await self._caller_port.close()
         self._ingress.close_idle()
         while self._router.in_flight and self._now() < deadline:
             await self._sleep(_IDLE_POLL_S)
@@ -356,13 +341,12 @@
         """Closes everything immediately, without draining."""
         if self._loop.running:
             self._loop.stop()
-        for call in (self._accept_call, self._admission_call):
-            if call is not None and call.active():
-                call.cancel()
+        if self._admission_call is not None and self._admission_call.active():
+            self._admission_call.cancel()
         for component in reversed(self._list_components()):
             component.close()
-        self._accept_callers()
-        for port in [self._caller_port, *self._admin_ports]:
+        await self._caller_port.close()
+        for port in self._admin_ports:
             await defer.maybeDeferred(port.stopListening)
         self._context.close()
         self._store.close()
