Let holds expire with the target; a token bucket of its own

A hold whose answer is lost, or whose caller leaves while the engine is asked, was kept for two seconds by the engine. Now it expires with the request's target, and a request that comes later doesn't name it.

The rate limit on datagrams is a class, as pages of records use it without the rest of a report's schedule.

--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -146,7 +146,7 @@
             remaining_s=remaining_s,
             priority=task.route.priority,
             handle=progress.handle,
-            hold=progress.hold.token if progress.hold else None,
+            hold=self._get_hold_token(progress),
             last_event_id=progress.last_event_id if progress.events else None,
         )
         timeout_s = self._choose_timeout(task, remaining_s)
@@ -209,6 +209,13 @@
         if handle is not None:
             self._prefills.release(handle)
 
+    def _get_hold_token(self, progress: _streams.Progress) -> str | None:
+        """Returns the name of the hold unless it may have expired."""
+        hold = progress.hold
+        if hold is None or self._context.now() >= hold.expires_at:
+            return None
+        return hold.token
+
     def _release_hold(self, progress: _streams.Progress) -> None:
         hold, progress.hold = progress.hold, None
         if hold is not None:
--- a/sassafrasstile/forwarding/_holds.py
+++ b/sassafrasstile/forwarding/_holds.py
@@ -28,10 +28,13 @@
     Attributes:
         endpoint: The engine.
         token: The name of the hold at that engine.
+        expires_at: The time from which the engine may have freed it, in
+            seconds.
     """
 
     endpoint: dispatch.Endpoint
     token: str
+    expires_at: float
 
 
 class HoldTaker:
@@ -72,17 +75,19 @@
         """
         context = self._context
         endpoint = grant.decode
+        # A hold whose answer is lost, or whose caller leaves meanwhile, stays
+        # until it expires; after its target the request doesn't need it.
+        ttl_s = min(task.service.engine.hold_s, task.route.target_s)
         outgoing = context.codec.encode_hold(
-            record=endpoint.record,
-            tokens=grant.size.prompt_tokens,
-            ttl_s=task.service.engine.hold_s,
+            record=endpoint.record, tokens=grant.size.prompt_tokens, ttl_s=ttl_s
         )
+        expires_at = context.now() + ttl_s
         task.hold_attempts += 1
         try:
             answer = await _control_calls.call_endpoint(
                 context, endpoint, outgoing, timeout_s=_TIMEOUT_S
             )
-            result = self._decode(endpoint, answer)
+            result = self._decode(endpoint, answer, expires_at)
         except (web.ExchangeError, defer.TimeoutError) as reason:
             self._log(task, endpoint, f"no answer ({reason})")
             endpoint.health.mark_unreachable(context.now())
@@ -97,7 +102,10 @@
         return result
 
     def _decode(
-        self, endpoint: dispatch.Endpoint, answer: _control_calls.ControlAnswer
+        self,
+        endpoint: dispatch.Endpoint,
+        answer: _control_calls.ControlAnswer,
+        expires_at: float,
     ) -> KvHold | verdicts.NotRun:
         """Returns the hold or the verdict in an answer.
 
@@ -111,17 +119,19 @@
         ):
             endpoint.health.mark_replaced(now)
             return verdicts.NotRun(code=errors.Code.ENDPOINT_FULL)
-        match answer.head.status:
-            case status if status == _STATUS_GRANTED:
-                token = context.codec.decode_hold(answer.body)
-                return KvHold(endpoint=endpoint, token=token)
-            case status if status == _STATUS_FULL:
-                endpoint.record_refusal(now)
-                return verdicts.NotRun(code=errors.Code.ENDPOINT_FULL)
-            case status:
-                raise errors.Error(
-                    code=errors.Code.BAD_ANSWER, detail=f"status {status}"
-                )
+        status = answer.head.status
+        if status == _STATUS_GRANTED:
+            return KvHold(
+                endpoint=endpoint,
+                token=context.codec.decode_hold(answer.body),
+                expires_at=expires_at,
+            )
+        if status == _STATUS_FULL:
+            endpoint.record_refusal(now)
+            return verdicts.NotRun(code=errors.Code.ENDPOINT_FULL)
+        raise errors.Error(
+            code=errors.Code.BAD_ANSWER, detail=f"status {status}"
+        )
 
     def release(self, hold: KvHold) -> None:
         """Returns memory that no request will use."""
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -40,9 +40,12 @@
 
 
 def counts_against_budget(verdict: verdicts.Verdict) -> bool:
-    """Returns whether an endpoint may have received what the verdict is on.
+    """Returns whether an endpoint may have received the request.
 
-    A refused request counts too, and a prefill unless it was accepted.
+    It counts also if the endpoint refused it.
+
+    Args:
+        verdict: The verdict on a send or a prefill.
     """
     is_proved = isinstance(verdict, verdicts.NotRun)
     return not (is_proved and verdict.code in _NOT_DELIVERED_CODES)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -11,13 +11,14 @@
 from sassafrasstile import errors
 from sassafrasstile.peers import _base
 from sassafrasstile.peers import _codec
+from sassafrasstile.peers import _limits
 from sassafrasstile.peers import _schedule
 
 _LOG = logging.getLogger("sassafrasstile.peers")
 # Interval of the checks for changed loads and silent peers.
 _TICK_INTERVAL_S = 0.02
-# Rate limits of the datagrams to the gateways of this zone and of the others.
-# Few gateways learn of each change at once, many only at intervals.
+# Rate limits of the datagrams to the gateways of this zone, to those of other
+# zones, and of records passed on.
 _MAX_NEAR_DATAGRAMS_PER_S = 400.0
 _MAX_FAR_DATAGRAMS_PER_S = 120.0
 _MAX_PAGE_DATAGRAMS_PER_S = 400.0
@@ -52,9 +53,9 @@
     """Exchanges load reports with the other gateways.
 
     Gateways of the same availability zone mostly use the same endpoints, so
-    they learn of each change at once. Those of other zones share a lower rate
-    limit: the more they are, the longer a change waits for their next report.
-    So the cost of a gateway grows little with the number of zones.
+    they learn of each change at once. So do those of other zones while they
+    are few; where they are many they get a report at intervals. So the cost of
+    a gateway grows little with the number of zones.
 
     Args:
         reactor: The reactor.
@@ -103,13 +104,13 @@
         self._loop.clock = reactor
         self._sequence = 0
         self._near = _schedule.ReportSchedule(
-            max_datagrams_per_s=_MAX_NEAR_DATAGRAMS_PER_S
+            bucket=_limits.TokenBucket(rate_per_s=_MAX_NEAR_DATAGRAMS_PER_S)
         )
         self._far = _schedule.ReportSchedule(
-            max_datagrams_per_s=_MAX_FAR_DATAGRAMS_PER_S
+            bucket=_limits.TokenBucket(rate_per_s=_MAX_FAR_DATAGRAMS_PER_S)
         )
-        self._pages = _schedule.ReportSchedule(
-            max_datagrams_per_s=_MAX_PAGE_DATAGRAMS_PER_S
+        self._page_bucket = _limits.TokenBucket(
+            rate_per_s=_MAX_PAGE_DATAGRAMS_PER_S
         )
         self._near_peers: list[_Peer] = []
         self._far_peers: list[_Peer] = []
@@ -163,7 +164,8 @@
         data = _codec.encode_page(page)
         if len(data) > _MAX_PAGE_BYTES:
             return
-        if not self._pages.consume(len(self._peers), self._reactor.seconds()):
+        now = self._reactor.seconds()
+        if not self._page_bucket.take(len(self._peers), now):
             return
         for peer in self._peers.values():
             self._write(data, peer.address)
@@ -259,7 +261,7 @@
         # next complete report.
         if schedule is self._near or self._is_far_timely():
             is_due = is_due or schedule.is_change_due(loads, now)
-        if not is_due or not schedule.consume(len(group), now):
+        if not is_due or not schedule.bucket.take(len(group), now):
             return
         reported = schedule.select(loads, now, is_complete=is_complete)
         self._send(reported, group, is_complete=is_complete)
--- a/sassafrasstile/peers/_schedule.py
+++ b/sassafrasstile/peers/_schedule.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from sassafrasstile.peers import _base
+from sassafrasstile.peers import _limits
 
 # Changes that only release capacity may be reported this much later.
 _RELEASE_DELAY_S = 0.1
@@ -15,20 +16,17 @@
     """Decides when the gateways of a group get a report, and which loads.
 
     Attributes:
-        max_datagrams_per_s: Rate limit of the datagrams to the group. The
-            burst size is one second's worth.
+        bucket: The rate limit on the datagrams to the group.
         has_news: True when a report is due for a reason beside the loads.
     """
 
-    max_datagrams_per_s: float
+    bucket: _limits.TokenBucket
     has_news: bool = False
     _sent: Mapping[str, _base.EndpointLoad] = dataclasses.field(
         default_factory=dict
     )
     _sent_at: float = float("-inf")
     _complete_sent_at: float = float("-inf")
-    _tokens: float = 0.0
-    _refilled_at: float = float("-inf")
 
     def is_complete_due(self, now: float, interval_s: float) -> bool:
         """Returns whether all loads have to be reported now.
@@ -58,23 +56,6 @@
             for name in loads.keys() | self._sent.keys()
         )
 
-    def consume(self, datagrams: int, now: float) -> bool:
-        """Returns whether the rate limit allows a report, and counts it.
-
-        This is a token bucket in which each datagram costs one token.
-        """
-        rate = self.max_datagrams_per_s
-        # A group may be larger than one second's worth.
-        size = max(rate, datagrams)
-        self._tokens = min(
-            size, self._tokens + (now - self._refilled_at) * rate
-        )
-        self._refilled_at = now
-        if self._tokens < datagrams:
-            return False
-        self._tokens -= datagrams
-        return True
-
     def select(
         self,
         loads: Mapping[str, _base.EndpointLoad],
