--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -20,7 +20,7 @@
 # Rate limits of the datagrams to the gateways of this zone, to those of other
 # zones, and of records passed on.
 _MAX_NEAR_DATAGRAMS_PER_S = 400.0
-_MAX_FAR_DATAGRAMS_PER_S = 120.0
+_MAX_FAR_DATAGRAMS_PER_S = 240.0
 _MAX_PAGE_DATAGRAMS_PER_S = 400.0
 # Larger datagrams would be sent in fragments, and lost with any of them.
 _MAX_PAGE_BYTES = 1400
