Test late news with as many gateways as have it now

The tests of holds and of timely reports named 60 and 68 gateways, for which reports to other zones are in time since the rate limit is 240 a second. They use 120 and 160, and check that 68 hear in time.

--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -196,7 +196,12 @@
             self.assertEqual(channels["g1"].list_live(), ["g0"])
 
     def test_news_of_other_zones_is_late_only_among_many(self):
-        for gateways, is_timely in ((5, True), (26, True), (68, False)):
+        for gateways, is_timely in (
+            (5, True),
+            (26, True),
+            (68, True),
+            (160, False),
+        ):
             channel = peers.PeerChannel(
                 reactor=_Clock(),
                 address=peers.PeerAddress(
--- a/sassafrasstile/router/tests/test_holds.py
+++ b/sassafrasstile/router/tests/test_holds.py
@@ -50,7 +50,7 @@
         self.sites = []
 
     async def start_site(
-        self, decodes, prefill=_answer_prefill, other_gateways=60
+        self, decodes, prefill=_answer_prefill, other_gateways=120
     ):
         site = testing.PlatformSite(
             reactor=self.reactor,
