Let a caller that is still sending read its refusal

Cause: the refusal of a body that is too large closed the connection at once, with the rest of the body unread or on its way. The kernel resets such a connection, and a caller whose next write meets the reset gives up before it reads the 413. Whether that happens depends on how much of the body has arrived, so it showed beside load.

Ruled out: the gateway's new start (the front end doesn't use it).

Both servers had the fault. A refused connection parses no further line; before, only the closing transport stopped that.

--- a/sassafrasstile/frontend/_root.py
+++ b/sassafrasstile/frontend/_root.py
@@ -8,6 +8,7 @@
 from sassafrasstile import errors
 from sassafrasstile import settings
 from sassafrasstile import verdicts
+from sassafrasstile import web
 from sassafrasstile.frontend import _answers
 from sassafrasstile.frontend import _base
 from sassafrasstile.frontend import _directory
@@ -108,7 +109,9 @@
             b"Connection: close\r\n"
             b"Content-Length: " + str(len(body)).encode() + b"\r\n\r\n" + body
         )
-        self.channel.transport.loseConnection()
+        web.end_and_linger(
+            self.channel.transport, reactor=self.channel.site.reactor
+        )
 
     def process(self):
         """Handles the request unless it was refused."""
--- a/sassafrasstile/frontend/tests/test_frontend.py
+++ b/sassafrasstile/frontend/tests/test_frontend.py
@@ -82,6 +82,21 @@
         for service in site.services.values():
             self.assertFalse(service.executions)
 
+    @testing.on_reactor
+    async def test_refusal_is_read_by_a_caller_that_is_still_sending(self):
+        site = await self.start_site(gateways=1)
+        port = int(site.list_urls()[0].rpartition(":")[2])
+        size = 2 << 20
+        head = (
+            f"POST {_PATH} HTTP/1.1\r\nHost: localhost\r\n"
+            f"Content-Length: {size}\r\n\r\n"
+        ).encode()
+        caller = await testing.connect(self.reactor, port)
+        await caller.send_blindly([head, b"x" * 30000, b"x" * 30000])
+        answer = await caller.read_all()
+        self.assertEqual(answer.status, 413)
+        self.assertFalse(answer.is_reset)
+
     @testing.on_reactor
     async def test_answer_has_the_request_id_and_the_generated_text(self):
         site = await self.start_site(gateways=1)
--- a/sassafrasstile/router/tests/test_ingress.py
+++ b/sassafrasstile/router/tests/test_ingress.py
@@ -64,6 +64,17 @@
         self.assertEqual(endpoint.requests, [])
         await self.site.close()
 
+    @testing.on_reactor
+    async def test_refusal_is_read_by_a_caller_that_is_still_sending(self):
+        await self.start_site()
+        head = (_HEAD + "Content-Length: 70000\r\n\r\n").encode()
+        caller = await self.site.connect()
+        await caller.send_blindly([head, b"x" * 30000, b"x" * 40000])
+        answer = await caller.read_all()
+        await self.site.close()
+        self.assertEqual(answer.status, 413)
+        self.assertFalse(answer.is_reset)
+
     @testing.on_reactor
     async def test_valid_requests_in_unusual_forms_are_served(self):
         endpoint = await self.start_site()
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -22,6 +22,8 @@
 _PEER_TOPIC = "keyed.gateways"
 # Nothing listens there.
 _DISCARD_PORT = 9
+# Long enough for the other side to react to a piece.
+_PIECE_INTERVAL_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -78,6 +80,15 @@
         """Sends bytes."""
         self.transport.write(data)
 
+    async def send_blindly(self, pieces: list[bytes]) -> None:
+        """Sends pieces one after another and reads nothing meanwhile."""
+        self.transport.pauseProducing()
+        for piece in pieces:
+            self.send(piece)
+            await self._sleep(_PIECE_INTERVAL_S)
+        if self.is_open:
+            self.transport.resumeProducing()
+
     def disconnect(self) -> None:
         """Aborts the connection."""
         self.transport.abortConnection()
@@ -94,6 +105,11 @@
         """Reads until the connection ends."""
         return await self.read_until(b"\0never\0")
 
+    def _sleep(self, seconds: float) -> defer.Deferred:
+        deferred: defer.Deferred = defer.Deferred()
+        self.transport.reactor.callLater(seconds, deferred.callback, None)
+        return deferred
+
     def _wake_waiters(self) -> None:
         waiters, self._waiters = self._waiters, []
         for marker, deferred in waiters:
@@ -103,6 +119,12 @@
                 self._waiters.append((marker, deferred))
 
 
+async def connect(reactor, port: int) -> Caller:
+    """Opens a connection to a port of this machine."""
+    target = endpoints.TCP4ClientEndpoint(reactor, "127.0.0.1", port)
+    return await target.connect(protocol.Factory.forProtocol(Caller))
+
+
 def make_request(
     path: str,
     *,
@@ -321,10 +343,7 @@
 
     async def connect(self) -> Caller:
         """Opens a caller's connection."""
-        target = endpoints.TCP4ClientEndpoint(
-            self._reactor, "127.0.0.1", self.daemon.port
-        )
-        return await target.connect(protocol.Factory.forProtocol(Caller))
+        return await connect(self._reactor, self.daemon.port)
 
     async def call(self, path: str, **fields) -> RawAnswer:
         """Sends a request on a new connection and reads until it closes."""
--- a/sassafrasstile/web/__init__.py
+++ b/sassafrasstile/web/__init__.py
@@ -7,6 +7,7 @@
     IngressRequest,
     drop_hop_by_hop_headers,
 )
+from sassafrasstile.web._linger import end_and_linger
 from sassafrasstile.web._pool import ConnectionPool
 from sassafrasstile.web._reply import (
     ExchangeError,
@@ -26,4 +27,5 @@
     "Reply",
     "ResponseHead",
     "drop_hop_by_hop_headers",
+    "end_and_linger",
 ]
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -7,6 +7,7 @@
 
 from sassafrasstile import routes
 from sassafrasstile.web import _connection
+from sassafrasstile.web import _linger
 from sassafrasstile.web import _reply
 
 # Headers that apply to a single connection and aren't forwarded.
@@ -223,7 +224,7 @@
     """
 
     requestFactory = IngressRequest  # noqa: N815
-    # A caller gets this many seconds to read a refusal.
+    # A caller gets this many seconds to read an answer after an idle timeout.
     abortTimeout = 2  # noqa: N815
 
     def __init__(self, *, factory: "IngressFactory"):
@@ -270,6 +271,11 @@
             )
         super().dataReceived(data)
 
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Handles a line, unless the request has been refused."""
+        if not self.is_refused:
+            super().lineReceived(line)
+
     def allHeadersReceived(self) -> None:  # noqa: N802
         """Cancels the header timeout."""
         self._stop_header_timer()
@@ -290,7 +296,7 @@
         self.is_refused = True
         self._stop_header_timer()
         self.transport.write(status_line + _CLOSE_HEADERS)
-        self.loseConnection()
+        _linger.end_and_linger(self.transport, reactor=self.factory.reactor)
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         if self._receivedHeaderSize > self.totalHeadersSize:
