Check leases on both sides; a timeout proves no cancellation

Four points left over from an earlier reading, each with a test that failed first: - The cancellation of engine work was confirmed when the engine couldn't be reached at all; only a refused connection shows that the engine is down. - routing.renew_s wasn't checked against leases.lease_s, and routing.lease_s could differ from it: gateways then renew too late, or take leases to be valid that sidecars have ended. - transfer_token_rate had the bounds of a time, so no link could be faster than 3,600 tokens a second. - A lease whose topic hadn't been read was read and then taken, whoever held it. No caller does that; acquire now refuses it.

--- a/sassafrasstile/engines/_openai.py
+++ b/sassafrasstile/engines/_openai.py
@@ -9,6 +9,7 @@
 import logging
 
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.web import client
 
 from sassafrasstile import errors
@@ -173,8 +174,9 @@
             status, _ = await self._http.request_json(
                 "POST", "/v1/abort", {"request_id": work_id}
             )
-        except httpclient.CONNECT_ERRORS:
-            # An engine that refuses connections is down and holds no work.
+        except error.ConnectionRefusedError:
+            # Nothing listens there, so the engine is down and holds no work.
+            # An engine that can't be reached may still hold it.
             status = _HTTP_OK
         except Exception as failure:
             _LOG.info("engine: cancelling %s failed: %r", work_id, failure)
--- a/sassafrasstile/engines/tests/test_contract.py
+++ b/sassafrasstile/engines/tests/test_contract.py
@@ -1,5 +1,11 @@
 """Tests every registered engine adapter against the engine stand-in."""
 
+from unittest import mock
+
+from twisted.internet import defer
+from twisted.internet import error
+
+from sassafrasstile import httpclient
 from sassafrasstile import messages
 from sassafrasstile import plugins
 from sassafrasstile import standins
@@ -122,3 +128,24 @@
             await self.wait_until(lambda events=listener.events: events)
             self.assertEqual(listener.events, [("cancelled", "w")])
             self.assertEqual(server.model.list_work(), [])
+
+    @testing.on_reactor
+    async def test_cancellation_is_confirmed_only_by_an_engine_that_is_gone(
+        self,
+    ):
+        table = (
+            (error.ConnectionRefusedError(), [("cancelled", "w")]),
+            (error.TimeoutError(), []),
+            (error.NoRouteError(), []),
+        )
+        for name in plugins.list_names(plugins.Kind.ENGINE):
+            for failure, events in table:
+                with self.subTest(name=name, failure=failure):
+                    adapter, listener = self.connect(name, "http://127.0.0.1:1")
+                    with mock.patch.object(
+                        httpclient.HttpClient,
+                        "request_json",
+                        side_effect=lambda *_args, f=failure: defer.fail(f),
+                    ):
+                        adapter.cancel("w")
+                    self.assertEqual(listener.events, events)
--- a/sassafrasstile/gateway/_settings.py
+++ b/sassafrasstile/gateway/_settings.py
@@ -6,6 +6,7 @@
 import annotated_types
 
 Seconds = Annotated[float, annotated_types.Gt(0), annotated_types.Le(3600)]
+TokensPerSecond = Annotated[float, annotated_types.Gt(0)]
 Count = Annotated[int, annotated_types.Gt(0), annotated_types.Le(1_000_000)]
 Share = Annotated[float, annotated_types.Ge(0), annotated_types.Le(1)]
 
@@ -68,7 +69,7 @@
     prefill_limit_s: Seconds = 20.0
     decode_limit_s: Seconds = 5.0
     transfer_base_s: Seconds = 0.5
-    transfer_token_rate: Seconds = 2000.0
+    transfer_token_rate: TokensPerSecond = 2000.0
     resume_wait_s: Seconds = 0.5
     interactive_limit_s: Seconds = 30.0
     deferred_limit_s: Seconds = 120.0
--- a/sassafrasstile/roles/_lease.py
+++ b/sassafrasstile/roles/_lease.py
@@ -60,12 +60,15 @@
             The fencing token.
 
         Raises:
-            stores.StoreError: With CONFLICT when the topic has grown since it
-                was last read or written, so that another gateway may hold
-                the lease; with other codes when the store doesn't answer.
+            stores.StoreError: With CONFLICT when the topic hasn't been read,
+                or has grown since it was last read or written, so that
+                another gateway may hold the lease; with other codes when the
+                store doesn't answer.
         """
         if self._next_offset is None:
-            await self.read()
+            raise stores.StoreError(
+                code=errors.Code.CONFLICT, detail="the lease hasn't been read"
+            )
         try:
             offset = await self._store.put(
                 self._topic,
--- a/sassafrasstile/roles/tests/test_lease.py
+++ b/sassafrasstile/roles/tests/test_lease.py
@@ -131,6 +131,16 @@
         self.assertGreaterEqual(len(self.orders), 4)
         self.check_fencing_tokens()
 
+    def test_lease_that_was_not_read_is_not_acquired(self):
+        holder = roles.LeaderLease(store=self.store, topic="orders", name="a")
+        testing.run(holder.read)
+        testing.run(holder.acquire)
+        other = roles.LeaderLease(store=self.store, topic="orders", name="b")
+        with self.assertRaises(stores.StoreError) as raised:
+            testing.run(other.acquire)
+        self.assertEqual(raised.exception.code, errors.Code.CONFLICT)
+        self.assertEqual(len(self.store.records), 1)
+
     def test_others_read_once_which_gateway_holds_the_lease(self):
         self.live = {name: set("abcdef") - {name} for name in "abcdef"}
         for name in "abcdef":
--- a/sassafrasstile/settings/_load.py
+++ b/sassafrasstile/settings/_load.py
@@ -250,11 +250,28 @@
             f"allowed are {policies}",
             origins,
         )
-    if site.leases.renew_s * 2 > site.leases.lease_s:
+    _check_leases(site, origins)
+
+
+def _check_leases(site: _models.Site, origins: dict[KeyPath, Origin]) -> None:
+    """Checks what the gateways and the sidecars assume of each other."""
+    lease_s = site.leases.lease_s
+    for section, renew_s in (
+        ("leases", site.leases.renew_s),
+        ("routing", site.routing.renew_s),
+    ):
+        if renew_s * 2 > lease_s:
+            raise _make_error(
+                (section, "renew_s"),
+                f"{section}.renew_s is {renew_s}; allowed is at most half of "
+                f"leases.lease_s, {lease_s / 2}",
+                origins,
+            )
+    if site.routing.lease_s != lease_s:
         raise _make_error(
-            ("leases", "renew_s"),
-            f"leases.renew_s is {site.leases.renew_s}; allowed is at most "
-            f"half of leases.lease_s, {site.leases.lease_s / 2}",
+            ("routing", "lease_s"),
+            f"routing.lease_s is {site.routing.lease_s}; allowed is only "
+            f"leases.lease_s, {lease_s}",
             origins,
         )
 
--- a/sassafrasstile/settings/tests/test_load.py
+++ b/sassafrasstile/settings/tests/test_load.py
@@ -76,6 +76,8 @@
             ("routing:\n  trys: 3\n", 2, "not a setting", None),
             ("log:\n  url: ''\n", 2, "claimed", None),
             ("leases:\n  renew_s: 2\n", 2, "half", None),
+            ("routing:\n  renew_s: 2\n", 2, "half", None),
+            ("routing:\n  lease_s: 9\n", 2, "leases.lease_s", None),
             (_ENDPOINT.replace("writer", "poet"), 4, "'poet'", None),
             (_ENDPOINT.replace("role: decode", "role: dec"), 3, "'dec'", None),
             (_ENDPOINT.replace("127.0.0.1:7001", "host:1"), 5, "host", None),
@@ -92,6 +94,12 @@
                 self.assertEqual((error.file, error.line), (overlay, line))
                 self.assertIn(words, error.detail)
 
+    def test_rate_of_a_link_has_no_limit_in_seconds(self):
+        base = self.write("base.yaml", _BASE)
+        text = "routing:\n  transfer_token_rate: 50000\n"
+        site = settings.load_site([base, self.write("site.yaml", text)])
+        self.assertEqual(site.routing.transfer_token_rate, 50000)
+
     def test_missing_file_has_its_own_code(self):
         with self.assertRaises(errors.ConfigurationError) as raised:
             settings.load_site([str(self.folder / "none.yaml")])
