--- a/sassafrasstile/router/tests/test_byte_positions.py
+++ b/sassafrasstile/router/tests/test_byte_positions.py
@@ -42,24 +42,20 @@
         return len(self.build(request))
 
 
-class BytePositionTest(testing.ReactorTestCase):
+class BytePositionTest(testing.PlatformTestCase):
     """Callers' statuses match what the received bytes prove."""
 
     async def start_site(self, script, service, **fields):
-        site = testing.PlatformSite(
-            reactor=self.reactor,
-            routes=[
+        site = self.make_site(
+            [
                 testing.make_platform_route("/once/", "desk", "unsafe"),
                 testing.make_platform_route(
                     "/gen/", "writer", "streaming", targetGapMs=300
                 ),
-            ],
+            ]
         )
-        site.start()
-        site.configure()
         site.add_endpoint("e0", script, service=service, **fields)
-        await self.wait_until(site.daemon.is_ready)
-        await self.sleep(0.3)
+        await self.wait_until_ready(site)
         return site
 
     def count_runs(self, site, path):
@@ -94,7 +90,7 @@
             else:
                 self.assertEqual(answer.status, _MAY_HAVE_RUN)
                 self.assertNotIn(b"stamp", answer.data)
-        await site.close()
+        await self.close_sites()
 
     @testing.on_reactor
     async def test_refusal_proves_nothing_before_its_head_is_complete(self):
@@ -107,7 +103,7 @@
             self.assertEqual(answer.status, expected)
             # Only a complete refusal allows another attempt.
             self.assertEqual(runs > 1, is_complete)
-        await site.close()
+        await self.close_sites()
 
     @testing.on_reactor
     async def test_stream(self):
@@ -124,4 +120,4 @@
             events = answer.data.count(b"data: token")
             self.assertEqual(answer.data.count(b"\n\n"), events)
             self.assertLessEqual(events, 3)
-        await site.close()
+        await self.close_sites()
--- a/sassafrasstile/router/tests/test_calls.py
+++ b/sassafrasstile/router/tests/test_calls.py
@@ -51,35 +51,23 @@
     return standins.make_answer(request, status=503, body=b"")
 
 
-class CallTest(testing.ReactorTestCase):
+class CallTest(testing.PlatformTestCase):
     """Calls to plain services over the platform's protocol."""
 
     async def start_site(self, *scripts):
-        site = testing.PlatformSite(
-            reactor=self.reactor,
-            routes=[
+        site = self.make_site(
+            [
                 testing.make_platform_route("/once/", "desk", "unsafe"),
                 testing.make_platform_route(
                     "/again/", "desk", "safe", maxAttempts=2
                 ),
-            ],
+            ]
         )
-        site.start()
-        self.sites.append(site)
-        site.configure()
         for number, script in enumerate(scripts):
             site.add_endpoint(f"e{number}", script)
-        await self.wait_until(site.daemon.is_ready)
-        await self.sleep(0.4)
+        await self.wait_until_ready(site)
         return site
 
-    def setUp(self):
-        self.sites = []
-
-    async def close_sites(self):
-        for site in self.sites:
-            await site.close()
-
     def count_runs(self, site):
         return sum(len(item.requests) for item in site.endpoints.values())
 
--- a/sassafrasstile/router/tests/test_generations.py
+++ b/sassafrasstile/router/tests/test_generations.py
@@ -4,24 +4,14 @@
 _COUNT = ("X-Token-Count: 100,50",)
 
 
-class GenerationTest(testing.ReactorTestCase):
+class GenerationTest(testing.PlatformTestCase):
     """Generations over prefill and decode engines."""
 
-    def setUp(self):
-        self.sites = []
-
     async def start_site(self, *, decode, prefill=None, **route):
-        site = testing.PlatformSite(
-            reactor=self.reactor,
-            routes=[
-                testing.make_platform_route(
-                    "/gen/", "writer", "streaming", targetGapMs=300, **route
-                )
-            ],
+        route = testing.make_platform_route(
+            "/gen/", "writer", "streaming", targetGapMs=300, **route
         )
-        site.start()
-        self.sites.append(site)
-        site.configure()
+        site = self.make_site([route])
         for number, script in enumerate(decode):
             site.add_endpoint(
                 f"d{number}", script, service="writer", stage="decode"
@@ -30,14 +20,9 @@
             site.add_endpoint(
                 f"p{number}", script, service="writer", stage="prefill"
             )
-        await self.wait_until(site.daemon.is_ready)
-        await self.sleep(0.4)
+        await self.wait_until_ready(site)
         return site
 
-    async def close_sites(self):
-        for site in self.sites:
-            await site.close()
-
     @testing.on_reactor
     async def test_handle_of_the_prefill_is_passed_to_the_decode_engine(self):
         site = await self.start_site(
--- a/sassafrasstile/router/tests/test_holds.py
+++ b/sassafrasstile/router/tests/test_holds.py
@@ -43,40 +43,24 @@
     ]
 
 
-class HoldTest(testing.ReactorTestCase):
+class HoldTest(testing.PlatformTestCase):
     """Memory set aside at decode engines of other zones."""
 
-    def setUp(self):
-        self.sites = []
-
     async def start_site(
         self, decodes, prefill=_answer_prefill, other_gateways=120
     ):
-        site = testing.PlatformSite(
-            reactor=self.reactor,
-            routes=[
-                testing.make_platform_route(
-                    "/gen/", "writer", "streaming", targetGapMs=300
-                )
-            ],
-            other_gateways=other_gateways,
+        route = testing.make_platform_route(
+            "/gen/", "writer", "streaming", targetGapMs=300
         )
-        site.start()
-        self.sites.append(site)
-        site.configure()
+        site = self.make_site([route], other_gateways=other_gateways)
         for name, (script, zone) in decodes.items():
             site.add_endpoint(
                 name, script, service="writer", stage="decode", zone=zone
             )
         site.add_endpoint("p0", prefill, service="writer", stage="prefill")
-        await self.wait_until(site.daemon.is_ready)
-        await self.sleep(0.4)
+        await self.wait_until_ready(site)
         return site
 
-    async def close_sites(self):
-        for site in self.sites:
-            await site.close()
-
     @testing.on_reactor
     async def test_engine_of_another_zone_is_asked_first(self):
         site = await self.start_site({"d0": (_answer_engine, "b")})
--- a/sassafrasstile/router/tests/test_replaced_endpoints.py
+++ b/sassafrasstile/router/tests/test_replaced_endpoints.py
@@ -18,35 +18,23 @@
     return sum(request.method == "POST" for request in endpoint.requests)
 
 
-class ReplacedEndpointTest(testing.ReactorTestCase):
+class ReplacedEndpointTest(testing.PlatformTestCase):
     """Records outlive instances, so many gateways may call a replaced one."""
 
-    def setUp(self):
-        self.sites = []
-
     async def start_site(self, endpoints):
-        site = testing.PlatformSite(
-            reactor=self.reactor,
-            routes=[
+        site = self.make_site(
+            [
                 testing.make_platform_route("/once/", "desk", "unsafe"),
                 testing.make_platform_route(
                     "/gen/", "writer", "streaming", targetGapMs=300
                 ),
-            ],
+            ]
         )
-        site.start()
-        self.sites.append(site)
-        site.configure()
         for name, (script, service, stage) in endpoints.items():
             site.add_endpoint(name, script, service=service, stage=stage)
-        await self.wait_until(site.daemon.is_ready)
-        await self.sleep(0.4)
+        await self.wait_until_ready(site)
         return site
 
-    async def close_sites(self):
-        for site in self.sites:
-            await site.close()
-
     @testing.on_reactor
     async def test_replaced_engine_gets_no_more_requests(self):
         site = await self.start_site(
--- a/sassafrasstile/router/tests/test_store_records.py
+++ b/sassafrasstile/router/tests/test_store_records.py
@@ -2,19 +2,15 @@
 from sassafrasstile import testing
 
 
-class StoreRecordsTest(testing.ReactorTestCase):
+class StoreRecordsTest(testing.PlatformTestCase):
     """Configuration and membership changes, and outages of the store."""
 
     async def start_site(self):
-        site = testing.PlatformSite(
-            reactor=self.reactor,
-            routes=[testing.make_platform_route("/a/", "desk", "unsafe")],
+        site = self.make_site(
+            [testing.make_platform_route("/a/", "desk", "unsafe")]
         )
-        site.start()
-        site.configure()
         site.add_endpoint("e0", standins.make_answer)
-        await self.wait_until(site.daemon.is_ready)
-        await self.sleep(0.4)
+        await self.wait_until_ready(site)
         return site
 
     async def wait_for_status(self, site, path, status):
@@ -32,7 +28,7 @@
         site.configure()
         await self.wait_for_status(site, "/b/", 200)
         self.assertEqual((await site.call("/a/")).status, 404)
-        await site.close()
+        await self.close_sites()
 
     @testing.on_reactor
     async def test_older_version_is_ignored(self):
@@ -42,7 +38,7 @@
         site.configure()
         await self.sleep(0.5)
         self.assertEqual((await site.call("/a/")).status, 200)
-        await site.close()
+        await self.close_sites()
 
     @testing.on_reactor
     async def test_invalid_records_leave_the_last_valid_ones_in_use(self):
@@ -55,7 +51,7 @@
         )
         await self.sleep(0.5)
         self.assertEqual((await site.call("/a/")).status, 200)
-        await site.close()
+        await self.close_sites()
 
     @testing.on_reactor
     async def test_draining_endpoint_gets_no_new_work(self):
@@ -68,7 +64,7 @@
             await site.call("/a/", request_id=f"q{number}")
         self.assertEqual(len(site.endpoints["e0"].requests), before)
         self.assertEqual(len(other.requests), 5)
-        await site.close()
+        await self.close_sites()
 
     @testing.on_reactor
     async def test_store_outage_leaves_routes_and_endpoints_in_use(self):
@@ -81,7 +77,7 @@
         site.routes = [testing.make_platform_route("/b/", "desk", "unsafe")]
         site.configure()
         await self.wait_for_status(site, "/b/", 200)
-        await site.close()
+        await self.close_sites()
 
     @testing.on_reactor
     async def test_topic_is_reloaded_after_its_history_was_deleted(self):
@@ -91,7 +87,7 @@
         site.store.compact("keyed.op")
         site.store.compact("keyed.servers")
         await self.wait_for_status(site, "/b/", 200)
-        await site.close()
+        await self.close_sites()
 
     @testing.on_reactor
     async def test_restarted_endpoint_replaces_its_previous_incarnation(self):
@@ -103,4 +99,4 @@
         before = len(old.requests)
         self.assertEqual((await site.call("/a/")).status, 200)
         self.assertEqual(len(old.requests), before)
-        await site.close()
+        await self.close_sites()
--- a/sassafrasstile/testing/__init__.py
+++ b/sassafrasstile/testing/__init__.py
@@ -1,6 +1,7 @@
 """Helpers for tests: the reactor, sample records and test sites."""
 
 from sassafrasstile.testing._messages import make_samples
+from sassafrasstile.testing._platform_case import PlatformTestCase
 from sassafrasstile.testing._platform_site import (
     Caller,
     PlatformSite,
@@ -29,6 +30,7 @@
 __all__ = [
     "Caller",
     "PlatformSite",
+    "PlatformTestCase",
     "RawAnswer",
     "ChildProcess",
     "ProcessSite",
