Ask engines that others may be filling unnoticed for room first

Ruled out: engines that changed their role or restarted (the refusals are spread over all engines); output lengths (the table follows them).

A gateway now knows when its own reports are held back, and takes the others' to be as late. While they are, an engine with room for fewer than two more generations is asked to set memory aside first, as engines of which news is always late are.

The model now lets reservations grow with the output, as gateways do.

--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -44,8 +44,9 @@
 # Number of engines compared among those of which this gateway has late news. If
 # all gateways compared many, they would choose the same ones.
 _DELAYED_SAMPLE = 2
-# Gateways compete for an engine above this share of its KV cache.
-_CONTESTED_SHARE = 0.85
+# Gateways compete for an engine that has room for fewer than this many further
+# generations: others may have reserved that much and not reported it yet.
+_CONTESTED_GENERATIONS = 2
 # Gateways that reserve capacity within this time of each other haven't
 # received each other's reports.
 _CONCURRENT_S = 0.02
@@ -75,7 +76,8 @@
         generator: The source of random numbers.
         name: This gateway's name.
         is_timely: Returns whether this gateway hears at once of reservations
-            that the gateways of a zone make.
+            that the gateways of a zone make, in general.
+        is_lagging: Returns whether it hears late of reservations just now.
     """
 
     def __init__(
@@ -86,9 +88,11 @@
         generator: random.Random,
         name: str = "",
         is_timely: Callable[[str], bool] = lambda _zone: True,
+        is_lagging: Callable[[], bool] = lambda: False,
     ):
         self._name = name
         self._is_timely = is_timely
+        self._is_lagging = is_lagging
         self._endpoints = endpoints
         self._zone = zone
         self._generator = generator
@@ -184,10 +188,28 @@
             service: The required service.
         """
         decode = grant.decode
-        capacity = _get_capacity(service)
-        is_full = decode.total_reserved_tokens > _CONTESTED_SHARE * capacity
+        free = _get_capacity(service) - decode.total_reserved_tokens
+        is_full = free < _CONTESTED_GENERATIONS * grant.size.memory_tokens
         return is_full and bool(decode.peer_loads)
 
+    def needs_hold(
+        self, grant: _grants.Grant, *, service: routes.Service
+    ) -> bool:
+        """Returns whether the decode engine has to set memory aside first.
+
+        It has to where other gateways may be filling it unnoticed; a prompt
+        that was prefilled for an engine without room may be lost.
+
+        Args:
+            grant: The capacity that was just reserved.
+            service: The required service.
+        """
+        if service.engine is None or not service.engine.hold_s:
+            return False
+        if not self.is_load_timely(grant.decode):
+            return True
+        return self._is_lagging() and self.is_contested(grant, service=service)
+
     def must_yield(
         self,
         grant: _grants.Grant,
--- a/sassafrasstile/dispatch/tests/test_placement.py
+++ b/sassafrasstile/dispatch/tests/test_placement.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 import unittest
 
@@ -10,7 +11,11 @@
 _SERVICE = routes.Service(
     name="engine",
     engine=routes.EngineProfile(
-        slots=8, capacity_tokens=10_000, tokens_per_event=1, handle_ttl_s=0.5
+        slots=8,
+        capacity_tokens=10_000,
+        tokens_per_event=1,
+        handle_ttl_s=0.5,
+        hold_s=2.0,
     ),
 )
 _SIZE = dispatch.WorkSize(prompt_tokens=4000, output_tokens=500)
@@ -182,3 +187,46 @@
         late = self.count_same_choice(is_timely=False)
         self.assertLessEqual(late, 3 * capacity)
         self.assertGreater(self.count_same_choice(is_timely=True), late)
+
+
+class HoldTest(unittest.TestCase):
+    """Engines that several gateways fill in a burst.
+
+    The pattern: the rate limit holds the gateways' reports back, just when most
+    engines have room for one or two generations more.
+    """
+
+    def needs_hold(self, *, is_lagging, peer_tokens, service=_SERVICE):
+        table = dispatch.EndpointTable(silence_timeout_s=1.0)
+        record = testing.make_endpoint_record("d1", role=membership.Role.DECODE)
+        table.update_record("d1", record)
+        load = peers.EndpointLoad(in_flight=1, reserved_tokens=peer_tokens)
+        table.update_peer_loads("other", {"d1": load}, 0.0)
+        placement = dispatch.Placement(
+            endpoints=table,
+            zone="a",
+            generator=random.Random(1),
+            is_lagging=lambda: is_lagging,
+        )
+        size = dispatch.WorkSize(prompt_tokens=1500, output_tokens=500)
+        grant = placement.choose_for_generation(
+            service=service, size=size, now=0.0, needs_prefill=False
+        )
+        grant.reserve()
+        return placement.needs_hold(grant, service=service)
+
+    def test_engine_that_others_may_fill_unnoticed_is_asked(self):
+        self.assertTrue(self.needs_hold(is_lagging=True, peer_tokens=7000))
+
+    def test_engine_with_more_room_is_not_asked(self):
+        self.assertFalse(self.needs_hold(is_lagging=True, peer_tokens=3000))
+
+    def test_no_engine_is_asked_while_reports_are_timely(self):
+        self.assertFalse(self.needs_hold(is_lagging=False, peer_tokens=7000))
+
+    def test_engine_that_sets_nothing_aside_is_not_asked(self):
+        engine = dataclasses.replace(_SERVICE.engine, hold_s=0.0)
+        service = dataclasses.replace(_SERVICE, engine=engine)
+        self.assertFalse(
+            self.needs_hold(is_lagging=True, peer_tokens=7000, service=service)
+        )
--- a/sassafrasstile/forwarding/_holds.py
+++ b/sassafrasstile/forwarding/_holds.py
@@ -40,8 +40,7 @@
 class HoldTaker:
     """Asks decode engines to set memory aside.
 
-    Where there are many gateways, one hears late of the reservations that those
-    of other availability zones make, so only the engine knows whether it has
+    While several gateways fill an engine, only the engine knows whether it has
     room. Asking it costs a few milliseconds; a prompt that was prefilled for
     an engine without room may be lost.
 
@@ -54,11 +53,7 @@
 
     def is_needed(self, task: _task.RequestTask, grant: dispatch.Grant) -> bool:
         """Returns whether a grant has to be confirmed by its decode engine."""
-        engine = task.service.engine
-        supports_holds = engine is not None and engine.hold_s > 0
-        return supports_holds and not self._context.placement.is_load_timely(
-            grant.decode
-        )
+        return self._context.placement.needs_hold(grant, service=task.service)
 
     async def take(
         self, task: _task.RequestTask, grant: dispatch.Grant
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -27,6 +27,8 @@
 # A gateway reports about this often when it has work. Gateways of other zones
 # hear of each change in time if the rate limit allows that many reports.
 _TIMELY_REPORTS_PER_S = 4.0
+# Reports count as late for this long after the rate limit held one back.
+_LAG_MEMORY_S = 1.0
 # Interval of the complete reports, sent also when nothing has changed. They
 # make up for lost datagrams.
 _COMPLETE_INTERVAL_S = 0.5
@@ -134,6 +136,15 @@
         """
         return zone == self._address.zone or self._is_far_timely()
 
+    def is_lagging(self) -> bool:
+        """Returns whether reports have been arriving late just now.
+
+        Gateways are under about the same load, so if the rate limit holds this
+        one's reports back, it does so with theirs.
+        """
+        held_back_at = max(self._near.held_back_at, self._far.held_back_at)
+        return self._reactor.seconds() - held_back_at < _LAG_MEMORY_S
+
     def _is_far_timely(self) -> bool:
         wanted_per_s = _TIMELY_REPORTS_PER_S * len(self._far_peers)
         return wanted_per_s <= _MAX_FAR_DATAGRAMS_PER_S
@@ -261,7 +272,7 @@
         # next complete report.
         if schedule is self._near or self._is_far_timely():
             is_due = is_due or schedule.is_change_due(loads, now)
-        if not is_due or not schedule.bucket.take(len(group), now):
+        if not is_due or not schedule.take_tokens(len(group), now):
             return
         reported = schedule.select(loads, now, is_complete=is_complete)
         self._send(reported, group, is_complete=is_complete)
--- a/sassafrasstile/peers/_schedule.py
+++ b/sassafrasstile/peers/_schedule.py
@@ -18,10 +18,13 @@
     Attributes:
         bucket: The rate limit on the datagrams to the group.
         has_news: True when a report is due for a reason beside the loads.
+        held_back_at: When the rate limit last held a due report back, in
+            seconds.
     """
 
     bucket: _limits.TokenBucket
     has_news: bool = False
+    held_back_at: float = float("-inf")
     _sent: Mapping[str, _base.EndpointLoad] = dataclasses.field(
         default_factory=dict
     )
@@ -56,6 +59,21 @@
             for name in loads.keys() | self._sent.keys()
         )
 
+    def take_tokens(self, count: int, now: float) -> bool:
+        """Takes what a due report to a number of gateways costs.
+
+        Args:
+            count: The number of gateways.
+            now: The time in seconds.
+
+        Returns:
+            False when the rate limit holds the report back.
+        """
+        is_allowed = self.bucket.take(count, now)
+        if not is_allowed:
+            self.held_back_at = now
+        return is_allowed
+
     def select(
         self,
         loads: Mapping[str, _base.EndpointLoad],
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -129,19 +129,20 @@
     capacity twice a second.
     """
 
-    def count_datagrams(self, gateways, seconds=4.0):
-        """Returns the datagrams a second that one gateway sends."""
-        clock = _Clock()
-        network = _Network()
-        loads = {}
+    def setUp(self):
+        self.clock = _Clock()
+        self.network = _Network()
+        self.loads = {}
+
+    def make_channel(self, gateways):
         channel = peers.PeerChannel(
-            reactor=clock,
+            reactor=self.clock,
             address=peers.PeerAddress(name="a", host="h", port=1, zone="z0"),
             incarnation="1",
-            read_loads=lambda: loads,
+            read_loads=lambda: self.loads,
             on_report=lambda *_: None,
         )
-        channel.transport = network
+        channel.transport = self.network
         channel.start()
         for number in range(1, gateways):
             channel.add_peer(
@@ -152,12 +153,22 @@
                     zone=f"z{number % 5}",
                 )
             )
-        for step in range(round(seconds / 0.05)):
-            if step % 10 == 0:
-                loads = {"e": peers.EndpointLoad(reserved_tokens=step + 1)}
-                channel.announce_loads()
-            clock.advance(0.05)
-        return len(network.sent) / seconds
+        return channel
+
+    def reserve(self, channel, *, per_s, seconds):
+        """Reserves capacity at a rate."""
+        for step in range(round(seconds * per_s)):
+            self.loads = {"e": peers.EndpointLoad(reserved_tokens=step + 1)}
+            channel.announce_loads()
+            self.clock.pump([0.05] * round(20 / per_s))
+
+    def count_datagrams(self, gateways, seconds=4.0):
+        """Returns the datagrams a second that one gateway sends."""
+        self.network.sent.clear()
+        channel = self.make_channel(gateways)
+        self.reserve(channel, per_s=2, seconds=seconds)
+        channel.close()
+        return len(self.network.sent) / seconds
 
     def test_rate_grows_less_than_the_number_of_gateways(self):
         small = self.count_datagrams(30)
@@ -195,6 +206,22 @@
             self.assertEqual(channels["g0"].list_live(), ["g1"])
             self.assertEqual(channels["g1"].list_live(), ["g0"])
 
+    def test_news_lags_while_the_rate_limit_holds_reports_back(self):
+        channel = self.make_channel(68)
+        self.reserve(channel, per_s=2, seconds=3)
+        self.assertFalse(channel.is_lagging())
+        # A burst.
+        self.reserve(channel, per_s=10, seconds=3)
+        self.assertTrue(channel.is_lagging())
+        self.loads = {}
+        self.clock.pump([0.05] * 60)
+        self.assertFalse(channel.is_lagging())
+
+    def test_news_among_few_gateways_never_lags(self):
+        channel = self.make_channel(5)
+        self.reserve(channel, per_s=10, seconds=3)
+        self.assertFalse(channel.is_lagging())
+
     def test_news_of_other_zones_is_late_only_among_many(self):
         for gateways, is_timely in (
             (5, True),
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -129,6 +129,7 @@
             generator=self._generator,
             name=self.settings.name,
             is_timely=lambda zone: self._channel.is_timely(zone),
+            is_lagging=lambda: self._channel.is_lagging(),
         )
         return forwarding.ForwardingContext(
             reactor=self._reactor,
--- a/sassafrasstile/simulation/_dispatchers.py
+++ b/sassafrasstile/simulation/_dispatchers.py
@@ -37,6 +37,10 @@
     def can_prefill_locally(self, grant: dispatch.Grant) -> bool:
         """Returns whether the decode engine may prefill the prompt."""
 
+    @abc.abstractmethod
+    def needs_hold(self, grant: dispatch.Grant) -> bool:
+        """Returns whether the decode engine has to set memory aside first."""
+
     @abc.abstractmethod
     def release_prefill(self, grant: dispatch.Grant) -> None:
         """Releases the reservation of the prefill engine."""
@@ -51,10 +55,17 @@
 
     Args:
         context: The context that the gateway's forwarding code shares.
+        service: The service to which the requests go.
     """
 
-    def __init__(self, *, context: forwarding.ForwardingContext):
+    def __init__(
+        self,
+        *,
+        context: forwarding.ForwardingContext,
+        service: routes.Service,
+    ):
         self._context = context
+        self._service = service
         self._admission = forwarding.AdmissionController(context=context)
 
     async def acquire(self, task, handle):
@@ -71,6 +82,10 @@
             grant.decode, grant.size
         )
 
+    def needs_hold(self, grant):
+        """Returns the decision of the placement."""
+        return self._context.placement.needs_hold(grant, service=self._service)
+
     def release_prefill(self, grant):
         """Releases the reservation of the prefill engine."""
         self._admission.release_prefill(grant)
@@ -152,6 +167,10 @@
         """Always allows the decode engine to prefill."""
         return True
 
+    def needs_hold(self, grant):
+        """Never asks the decode engine."""
+        return False
+
     def release_prefill(self, grant):
         """Releases the reservation of the prefill engine."""
         grant.release_prefill()
--- a/sassafrasstile/simulation/_engines.py
+++ b/sassafrasstile/simulation/_engines.py
@@ -29,6 +29,17 @@
     expires_at: float
 
 
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Hold:
+    """KV cache that a decode engine has set aside for one generation.
+
+    Attributes:
+        tokens: The KV cache in tokens.
+    """
+
+    tokens: int
+
+
 class PrefillEngine:
     """Prefills one prompt after the other.
 
@@ -113,6 +124,7 @@
         self._profile = profile
         self._running: list[Sequence] = []
         self._preempted: list[Sequence] = []
+        self._holds: list[Hold] = []
         self._is_stepping = False
         self._link_free_at = 0.0
         self.link_factor = 1.0
@@ -121,25 +133,59 @@
 
     @property
     def used_tokens(self) -> int:
-        """Tokens of KV cache in use."""
-        return sum(item.memory_tokens for item in self._running)
+        """Tokens of KV cache in use or set aside."""
+        running = sum(item.memory_tokens for item in self._running)
+        return running + sum(item.tokens for item in self._holds)
 
-    def run(self, sequence: Sequence, handle: Handle | None) -> None:
+    def take_hold(self, tokens: int, ttl_s: float) -> Hold:
+        """Sets KV cache aside for one generation.
+
+        Args:
+            tokens: The KV cache in tokens.
+            ttl_s: Seconds until it is freed if no generation uses it.
+
+        Raises:
+            NoCapacityError: The engine has no capacity.
+        """
+        self._check_capacity(tokens)
+        hold = Hold(tokens=tokens)
+        self._holds.append(hold)
+        self._reactor.callLater(ttl_s, self.drop_hold, hold)
+        return hold
+
+    def drop_hold(self, hold: Hold) -> None:
+        """Frees KV cache that was set aside and not used."""
+        if hold in self._holds:
+            self._holds.remove(hold)
+
+    def _check_capacity(self, tokens: int) -> None:
+        held = len(self._running) + len(self._preempted) + len(self._holds)
+        used = self.used_tokens + tokens
+        if held >= self._profile.slots or used > self._profile.memory_tokens:
+            raise NoCapacityError
+
+    def run(
+        self,
+        sequence: Sequence,
+        handle: Handle | None,
+        hold: Hold | None = None,
+    ) -> None:
         """Starts a generation.
 
         Args:
             sequence: The generation.
             handle: The handle of a remote prefill, or None to prefill locally.
+            hold: KV cache that was set aside for it, or None.
 
         Raises:
             NoCapacityError: The engine has no capacity.
             HandleExpiredError: The handle has expired or was already used.
         """
         now = self._reactor.seconds()
-        held = len(self._running) + len(self._preempted)
-        used = self.used_tokens + sequence.prompt_tokens
-        if held >= self._profile.slots or used > self._profile.memory_tokens:
-            raise NoCapacityError
+        if hold in self._holds:
+            self._holds.remove(hold)
+        else:
+            self._check_capacity(sequence.prompt_tokens)
         if handle is None:
             sequence.pending_prefill_tokens = sequence.prompt_tokens
             self._start(sequence)
@@ -227,7 +273,7 @@
 
     def _preempt(self) -> None:
         """Preempts the newest while memory is short; restarts the oldest."""
-        while self.used_tokens > self._profile.memory_tokens:
+        while self._running and self.used_tokens > self._profile.memory_tokens:
             newest = self._running.pop()
             newest.pending_prefill_tokens = newest.memory_tokens
             self.recomputed_tokens += newest.memory_tokens
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -5,6 +5,7 @@
 import random
 
 from twisted.internet import defer
+from twisted.internet import task as tasks
 
 from sassafrasstile import dispatch
 from sassafrasstile import forwarding
@@ -24,6 +25,9 @@
 _PROBE_INTERVAL_S = 0.5
 _ADMIT_INTERVAL_S = 0.25
 _PEER_PORT = 7000
+_MAX_HOLD_ATTEMPTS = 6
+# The way to an engine and back.
+_HOLD_CALL_S = 0.002
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -40,6 +44,7 @@
         first_event_at: Time of the first event, or None.
         last_event_at: Time of the last event, or None.
         longest_gap_s: The longest time between two events.
+        events: The number of events.
     """
 
     request_id: str
@@ -51,9 +56,11 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_gap_s: float = 0.0
+    events: int = 0
 
     def record_event(self, now: float) -> None:
         """Records an event that has reached the caller."""
+        self.events += 1
         if self.first_event_at is None:
             self.first_event_at = now
         else:
@@ -87,6 +94,8 @@
         profile: The site.
         pools: The engines.
         policy: `queue`, or the name of a registered policy.
+        is_lagging: True if it asks engines to set memory aside, since it hears
+            late of other gateways' reservations.
         generator: The random generator.
     """
 
@@ -99,6 +108,7 @@
         profile: _profiles.SiteProfile,
         pools: Pools,
         policy: str,
+        is_lagging: bool,
         generator: random.Random,
     ):
         self.name = name
@@ -110,6 +120,7 @@
         self._profile = profile
         self._pools = pools
         self._service = _make_service(profile)
+        self._is_lagging = is_lagging
         self._context = self._make_context(generator)
         self._dispatcher = self._make_dispatcher(policy, generator)
         self.address = peers.PeerAddress(
@@ -138,6 +149,9 @@
                 generator=generator,
                 name=self.name,
                 is_timely=lambda zone: self.channel.is_timely(zone),
+                is_lagging=lambda: (
+                    self._is_lagging or self.channel.is_lagging()
+                ),
             ),
             settings=dispatch.DispatchSettings(
                 retry_slack=self._profile.retry_slack
@@ -149,7 +163,9 @@
 
     def _make_dispatcher(self, policy, generator) -> _dispatchers.Dispatcher:
         if policy == "queue":
-            return _dispatchers.QueueDispatcher(context=self._context)
+            return _dispatchers.QueueDispatcher(
+                context=self._context, service=self._service
+            )
         return _dispatchers.PolicyDispatcher(
             endpoints=self.endpoints,
             policy=policy,
@@ -206,14 +222,20 @@
         task = self._make_task(attempt)
         self._context.get_budget(SERVICE).record_request(attempt.arrived_at)
         handle: forwarding.KvHandle | None = None
-        while task.sends < _MAX_SENDS and task.prefill_attempts < _MAX_SENDS:
+        while self._may_try_again(task):
             grant = await self._dispatcher.acquire(task, handle)
             if grant is None:
                 return False
             try:
+                hold = await self._take_hold(task, grant)
                 if grant.prefill is not None:
-                    handle = await self._prefill(task, grant)
-                served, handle = await self._run(task, grant, handle, attempt)
+                    handle = await self._prefill(task, grant, hold)
+                served, handle = await self._run(
+                    task, grant, handle, hold, attempt
+                )
+            except _engines.NoCapacityError:
+                # The engine was only asked, which no budget limits.
+                continue
             finally:
                 self._dispatcher.release(grant)
             if served:
@@ -223,6 +245,36 @@
                 return False
         return False
 
+    @staticmethod
+    def _may_try_again(task: forwarding.RequestTask) -> bool:
+        return (
+            task.sends < _MAX_SENDS
+            and task.prefill_attempts < _MAX_SENDS
+            and task.hold_attempts < _MAX_HOLD_ATTEMPTS
+        )
+
+    async def _take_hold(
+        self, task: forwarding.RequestTask, grant: dispatch.Grant
+    ) -> _engines.Hold | None:
+        """Asks the decode engine to set memory aside, if it has to.
+
+        Raises:
+            _engines.NoCapacityError: The engine has no capacity.
+        """
+        if not self._dispatcher.needs_hold(grant):
+            return None
+        task.hold_attempts += 1
+        await tasks.deferLater(self._reactor, _HOLD_CALL_S)
+        engine = self._pools.decodes[grant.decode.name]
+        try:
+            return engine.take_hold(
+                grant.size.prompt_tokens,
+                min(self._profile.engine.hold_s, self._profile.target_s),
+            )
+        except _engines.NoCapacityError:
+            grant.decode.record_refusal(self._reactor.seconds())
+            raise
+
     def _make_task(self, attempt: RequestAttempt) -> forwarding.RequestTask:
         output_tokens = self._context.lengths.estimate(
             SERVICE, declared_tokens=attempt.declared_tokens
@@ -253,7 +305,10 @@
         )
 
     async def _prefill(
-        self, task: forwarding.RequestTask, grant: dispatch.Grant
+        self,
+        task: forwarding.RequestTask,
+        grant: dispatch.Grant,
+        hold: _engines.Hold | None,
     ) -> forwarding.KvHandle | None:
         """Prefills the prompt at the granted prefill engine, if it has one.
 
@@ -280,7 +335,8 @@
             engine.health.remove_pending(task.request_id)
             self._dispatcher.release_prefill(grant)
         engine.health.record_activity(self._reactor.seconds())
-        self._dispatcher.confirm(task, grant)
+        if hold is None:
+            self._dispatcher.confirm(task, grant)
         return forwarding.KvHandle(
             endpoint=engine, token=prefilled, expires_at=prefilled.expires_at
         )
@@ -290,6 +346,7 @@
         task: forwarding.RequestTask,
         grant: dispatch.Grant,
         handle: forwarding.KvHandle | None,
+        hold: _engines.Hold | None,
         attempt: RequestAttempt,
     ) -> tuple[bool, forwarding.KvHandle | None]:
         """Generates the output at the granted decode engine.
@@ -306,10 +363,10 @@
         sequence = _engines.Sequence(
             prompt_tokens=attempt.prompt_tokens,
             output_tokens=attempt.output_tokens,
-            on_event=lambda: attempt.record_event(self._reactor.seconds()),
+            on_event=lambda: self._record_event(attempt, grant),
         )
         try:
-            engine.run(sequence, handle and handle.token)
+            engine.run(sequence, handle and handle.token, hold)
         except _engines.NoCapacityError:
             grant.decode.record_refusal(now)
             return False, handle
@@ -327,6 +384,13 @@
         )
         return True, None
 
+    def _record_event(
+        self, attempt: RequestAttempt, grant: dispatch.Grant
+    ) -> None:
+        attempt.record_event(self._reactor.seconds())
+        per_event = self._profile.engine.tokens_per_event
+        grant.update_output_tokens(attempt.events * per_event)
+
 
 def _make_service(profile: _profiles.SiteProfile) -> routes.Service:
     engine = profile.engine
@@ -337,6 +401,7 @@
             capacity_tokens=engine.memory_tokens,
             tokens_per_event=engine.tokens_per_event,
             handle_ttl_s=engine.handle_ttl_s,
+            hold_s=engine.hold_s,
         ),
     )
 
--- a/sassafrasstile/simulation/_profiles.py
+++ b/sassafrasstile/simulation/_profiles.py
@@ -22,6 +22,7 @@
         link_tokens_per_s: Transfer speed of KV cache.
         handle_ttl_s: Seconds until the handle of a finished prefill expires.
         tokens_per_event: Tokens in one event of a stream.
+        hold_s: Seconds for which a decode engine sets memory aside at most.
     """
 
     slots: int = 64
@@ -34,6 +35,7 @@
     link_tokens_per_s: float = 1_350_000.0
     handle_ttl_s: float = 0.5
     tokens_per_event: int = 7
+    hold_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/simulation/_run.py
+++ b/sassafrasstile/simulation/_run.py
@@ -16,11 +16,13 @@
 
 # `queue` is the dispatch of real gateways. In `queue_own`, gateways don't
 # exchange load reports; in `queue_reports`, they receive each other's load
-# only every `_REPORT_INTERVAL_S`. The others are plain policies.
+# only every `_REPORT_INTERVAL_S`; in `queue_unconfirmed` too, but they never
+# ask engines to set memory aside. The others are plain policies.
 POLICIES = (
     "queue",
     "queue_own",
     "queue_reports",
+    "queue_unconfirmed",
     "random",
     "round_robin",
     "least_loaded",
@@ -126,6 +128,7 @@
             profile=self._profile,
             pools=self._pools,
             policy="queue" if policy.startswith("queue") else policy,
+            is_lagging=policy == "queue_reports",
             generator=self._generator,
         )
 
@@ -136,7 +139,7 @@
             gateway.start()
             if plan.policy == "queue":
                 gateway.connect_peers(self._gateways)
-        if plan.policy == "queue_reports":
+        if plan.policy in ("queue_reports", "queue_unconfirmed"):
             self._report()
         for at_s in (plan.pattern.start_s, self._find_pattern_end()):
             self._reactor.callLater(at_s, self._apply_pattern)
--- a/sassafrasstile/simulation/tests/test_patterns.py
+++ b/sassafrasstile/simulation/tests/test_patterns.py
@@ -60,6 +60,13 @@
     def test_slow_links(self):
         self.check_better_than_baseline("slow_links", 0.9)
 
+    def test_reports_that_lag_in_an_overload(self):
+        ours = _simulate("queue_reports", "steady", 1.2)
+        unconfirmed = _simulate("queue_unconfirmed", "steady", 1.2)
+        self.assertLess(ours.wasted_prefill, 0.75 * unconfirmed.wasted_prefill)
+        self.assertLess(ours.refused, unconfirmed.refused)
+        self.assertGreater(ours.goodput, unconfirmed.goodput)
+
     def test_half_load_wastes_little_prefill(self):
         ours = _simulate("queue", "steady", 0.5)
         self.assertGreaterEqual(ours.goodput, 0.99)
