Probe a vanished endpoint by its health check, which names the instance

An engine's report, which the probe reads, doesn't name the instance.

An endpoint to which no connection could be opened is now probed by its health check, which names the instance; the report is used otherwise, since it takes no slot. The test fails without it (one run sent to the other instance).

--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -170,9 +170,20 @@
 
     @abc.abstractmethod
     def encode_probe(
-        self, *, record: membership.EndpointRecord, service: routes.Service
+        self,
+        *,
+        record: membership.EndpointRecord,
+        service: routes.Service,
+        must_name_instance: bool,
     ) -> OutgoingRequest:
-        """Returns a health-check request for an endpoint."""
+        """Returns a health-check request for an endpoint.
+
+        Args:
+            record: The endpoint.
+            service: Its service.
+            must_name_instance: True if the answer has to name the instance,
+                which may cost the endpoint more.
+        """
 
     @abc.abstractmethod
     def encode_order(
@@ -208,9 +219,20 @@
     def is_from_other_instance(
         self, head: web.ResponseHead, *, endpoint_id: str
     ) -> bool:
-        """Returns whether another instance has taken an endpoint's address.
+        """Returns whether another instance has refused a request.
+
+        It has taken the endpoint's address, and the request was not run.
 
-        Such an answer also proves that the request was not run.
+        Args:
+            head: Status and headers of the answer.
+            endpoint_id: The endpoint that the request was meant for.
+        """
+
+    @abc.abstractmethod
+    def names_other_instance(
+        self, head: web.ResponseHead, *, endpoint_id: str
+    ) -> bool:
+        """Returns whether an answer names another instance as its sender.
 
         Args:
             head: Status and headers of the answer.
--- a/sassafrasstile/forwarding/_probes.py
+++ b/sassafrasstile/forwarding/_probes.py
@@ -5,6 +5,8 @@
 from twisted.internet import task
 
 from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile import web
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _control_calls
 
@@ -22,6 +24,9 @@
     def __init__(self, *, context: _context.ForwardingContext):
         self._context = context
         self._running: set[dispatch.Endpoint] = set()
+        # Endpoints to which no connection could be opened. What answers at
+        # their address next may be another instance.
+        self._vanished: set[dispatch.Endpoint] = set()
         self._loop = task.LoopingCall(self._probe_all)
         self._loop.clock = context.reactor
 
@@ -36,6 +41,9 @@
 
     def _probe_all(self) -> None:
         now = self._context.now()
+        self._vanished = {
+            item for item in self._vanished if not item.is_removed
+        }
         for endpoint in self._context.endpoints.list_to_probe(now):
             if endpoint.health.is_silent(now):
                 endpoint.health.mark_unreachable(now)
@@ -50,7 +58,9 @@
         if not service:
             return
         outgoing = self._context.codec.encode_probe(
-            record=endpoint.record, service=service
+            record=endpoint.record,
+            service=service,
+            must_name_instance=endpoint in self._vanished,
         )
         self._running.add(endpoint)
         self._context.metrics.probes.inc()
@@ -63,7 +73,8 @@
         )
 
         def record_answer(answer: _control_calls.ControlAnswer) -> str:
-            if self._context.codec.is_from_other_instance(
+            self._vanished.discard(endpoint)
+            if self._context.codec.names_other_instance(
                 answer.head, endpoint_id=endpoint.name
             ):
                 endpoint.health.mark_replaced(self._context.now())
@@ -71,6 +82,8 @@
             return f"answered {answer.head.status}"
 
         def record_failure(reason) -> str:
+            if _is_connection_failure(reason.value):
+                self._vanished.add(endpoint)
             endpoint.health.mark_unreachable(self._context.now())
             return f"no answer ({reason.getErrorMessage()})"
 
@@ -85,3 +98,11 @@
 
         probing.addCallbacks(record_answer, record_failure)
         probing.addCallback(finish)
+
+
+def _is_connection_failure(failure: Exception) -> bool:
+    """Returns whether no connection to the endpoint could be opened."""
+    return (
+        isinstance(failure, web.ExchangeError)
+        and failure.code is errors.Code.ENDPOINT_UNREACHABLE
+    )
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -179,12 +179,18 @@
         )
 
     def encode_probe(
-        self, *, record: membership.EndpointRecord, service: routes.Service
+        self,
+        *,
+        record: membership.EndpointRecord,
+        service: routes.Service,
+        must_name_instance: bool,
     ) -> forwarding.OutgoingRequest:
         """Returns a request that shows whether an endpoint is alive."""
+        is_engine = record.role is not membership.Role.PLAIN
         target = service.health_path.encode()
-        if record.role is not membership.Role.PLAIN:
-            # The report takes no slot of the engine; the health check does.
+        if is_engine and not (must_name_instance and target):
+            # The report takes no slot of the engine, but only the health check
+            # names the instance.
             target = _names.REPORT_PATH
         return forwarding.OutgoingRequest(
             method=b"GET", target=target, headers=self._encode_address(record)
@@ -251,12 +257,20 @@
     def is_from_other_instance(
         self, head: web.ResponseHead, *, endpoint_id: str
     ) -> bool:
-        """Returns whether another instance has taken an endpoint's address."""
+        """Returns whether another instance has refused a request."""
+        # Without another id, the endpoint only refuses this kind of work.
+        return head.status == _MISDIRECTED and self.names_other_instance(
+            head, endpoint_id=endpoint_id
+        )
+
+    def names_other_instance(
+        self, head: web.ResponseHead, *, endpoint_id: str
+    ) -> bool:
+        """Returns whether an answer names another instance as its sender."""
         instance = head.get(_names.INSTANCE_ID.lower())
-        if head.status != _MISDIRECTED or instance is None:
-            # Without another id, the endpoint only refuses this kind of work.
-            return False
-        return instance.decode("latin-1") != endpoint_id
+        return (
+            instance is not None and instance.decode("latin-1") != endpoint_id
+        )
 
     def encode_retry_after(self, seconds: float) -> web.Headers:
         """Returns the headers that tell a caller when to retry."""
--- a/sassafrasstile/router/tests/test_replaced_endpoints.py
+++ b/sassafrasstile/router/tests/test_replaced_endpoints.py
@@ -14,6 +14,18 @@
     return standins.make_misdirected(request, instance="newer")
 
 
+def _answer_as_other_instance(request):
+    """Answers like an engine that has started again with another id."""
+    match request.method, request.target:
+        case "GET", "/healthz":
+            return standins.make_health(request, instance="newer")
+        case "GET", _:
+            # The report doesn't name the instance.
+            return standins.make_answer(request, body=b"{}")
+        case _:
+            return _misdirect(request)
+
+
 def _count_runs(endpoint):
     return sum(request.method == "POST" for request in endpoint.requests)
 
@@ -55,6 +67,35 @@
         for name in ("d0", "d1"):
             self.assertLessEqual(_count_runs(site.endpoints[name]), 1)
 
+    @testing.on_reactor
+    async def test_engine_that_comes_back_as_another_instance_gets_nothing(
+        self,
+    ):
+        site = await self.start_site(
+            {
+                "d0": (standins.make_stream, "writer", "decode"),
+                "d1": (standins.make_stream, "writer", "decode"),
+            }
+        )
+        engine = site.endpoints["d0"]
+        await engine.close()
+        # Long enough for calls and probes that are refused.
+        for number in range(8):
+            await site.call("/gen/", headers=_COUNT, request_id=f"q{number}")
+            await self.sleep(0.1)
+        engine.requests.clear()
+        engine.script = _answer_as_other_instance
+        engine.start(port=engine.port)
+        for number in range(12):
+            answer = await site.call(
+                "/gen/", headers=_COUNT, request_id=f"r{number}"
+            )
+            self.assertTrue(answer.is_complete_stream)
+            await self.sleep(0.1)
+        await self.close_sites()
+        self.assertTrue(engine.requests)
+        self.assertEqual(_count_runs(engine), 0)
+
     @testing.on_reactor
     async def test_wrong_role_does_not_count_as_replaced(self):
         def refuse_role(request):
--- a/sassafrasstile/standins/_platform_endpoint.py
+++ b/sassafrasstile/standins/_platform_endpoint.py
@@ -116,6 +116,13 @@
     )
 
 
+def make_health(request: EndpointRequest, *, instance: str) -> EndpointAnswer:
+    """Returns the answer of an instance to a health check."""
+    return make_answer(
+        request, headers=[(_INSTANCE_ID_HEADER, instance)], signed=False
+    )
+
+
 def make_handle(request: EndpointRequest, token: str) -> EndpointAnswer:
     """Returns the answer to a prefill."""
     body = json.dumps({"kvHandle": token, "tokens": 1, "version": 1}).encode()
