Compare few engines while reports lag, so that gateways spread

A third of all engines is compared, so gateways that see the same loads, late, choose the same engine.

While reports are held back, two engines of the own zone and two of the others are compared, as is done where news is always late. The test fails without it (24 of 60 gateways choose one engine, at most 6 allowed).

--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -41,8 +41,8 @@
 _PREFILL_TOKENS_PER_S = 50_000.0
 # One in this many of the decode engines with capacity is compared.
 _SAMPLE_DIVISOR = 3
-# Number of engines compared among those of which this gateway has late news. If
-# all gateways compared many, they would choose the same ones.
+# Number of engines compared in each group while news is late. If all gateways
+# compared many, they would choose the same ones.
 _DELAYED_SAMPLE = 2
 # Gateways compete for an engine that has room for fewer than this many further
 # generations: others may have reserved that much and not reported it yet.
@@ -313,18 +313,28 @@
     ) -> list[_endpoints.Endpoint]:
         """Returns a random sample of the engines.
 
-        Gateways that see the same loads must not all choose the same engine.
+        Gateways that see the same loads must not all choose the same engine,
+        least of all while they see each other's choices late.
         """
+        if self._is_lagging():
+            near = [item for item in engines if item.record.zone == self._zone]
+            far = [item for item in engines if item.record.zone != self._zone]
+            return [
+                *self._draw(near, _DELAYED_SAMPLE),
+                *self._draw(far, _DELAYED_SAMPLE),
+            ]
         timely = [item for item in engines if self.is_load_timely(item)]
         delayed = [item for item in engines if not self.is_load_timely(item)]
-        count = max(2, len(timely) // _SAMPLE_DIVISOR)
         return [
-            *self._generator.sample(timely, min(count, len(timely))),
-            *self._generator.sample(
-                delayed, min(_DELAYED_SAMPLE, len(delayed))
-            ),
+            *self._draw(timely, max(2, len(timely) // _SAMPLE_DIVISOR)),
+            *self._draw(delayed, _DELAYED_SAMPLE),
         ]
 
+    def _draw(
+        self, engines: list[_endpoints.Endpoint], count: int
+    ) -> list[_endpoints.Endpoint]:
+        return self._generator.sample(engines, min(count, len(engines)))
+
     def _choose_for_prefill(self, service, now, zone, limit_s):
         """Chooses the prefill engine expected to finish the prompt first."""
 
--- a/sassafrasstile/dispatch/tests/test_placement.py
+++ b/sassafrasstile/dispatch/tests/test_placement.py
@@ -153,7 +153,7 @@
     _ENGINES = 48
     _GATEWAYS = 60
 
-    def choose(self, seed, *, is_timely):
+    def choose(self, seed, *, is_timely=True, is_lagging=False):
         table = dispatch.EndpointTable(silence_timeout_s=1.0)
         for number in range(self._ENGINES):
             name = f"d{number}"
@@ -169,24 +169,28 @@
             zone="other",
             generator=random.Random(seed),
             is_timely=lambda _zone: is_timely,
+            is_lagging=lambda: is_lagging,
         )
         grant = placement.choose_for_generation(
             service=_SERVICE, size=_SIZE, now=0.0, needs_prefill=False
         )
         return grant.decode.name
 
-    def count_same_choice(self, *, is_timely):
-        chosen = [
-            self.choose(seed, is_timely=is_timely)
-            for seed in range(self._GATEWAYS)
-        ]
+    def count_same_choice(self, **news):
+        chosen = [self.choose(seed, **news) for seed in range(self._GATEWAYS)]
         return chosen.count("d0")
 
-    def test_few_gateways_choose_the_same_engine(self):
+    def check_few_choose_the_same(self, **news):
         capacity = _SERVICE.engine.capacity_tokens // _SIZE.memory_tokens
-        late = self.count_same_choice(is_timely=False)
+        late = self.count_same_choice(**news)
         self.assertLessEqual(late, 3 * capacity)
-        self.assertGreater(self.count_same_choice(is_timely=True), late)
+        self.assertGreater(self.count_same_choice(), late)
+
+    def test_few_gateways_choose_the_same_engine(self):
+        self.check_few_choose_the_same(is_timely=False)
+
+    def test_few_choose_the_same_while_reports_are_held_back(self):
+        self.check_few_choose_the_same(is_lagging=True)
 
 
 class HoldTest(unittest.TestCase):
