Fall back to an engine's report when its health check times out

Read in the diff: a gateway that was cut off finds no connection to any engine, so it would probe all by their health checks, which wait for a slot. A full engine would then stay out of use for that gateway. After a health check that times out the report is read again. The test fails without it.

--- a/sassafrasstile/forwarding/_probes.py
+++ b/sassafrasstile/forwarding/_probes.py
@@ -84,6 +84,9 @@
         def record_failure(reason) -> str:
             if _is_connection_failure(reason.value):
                 self._vanished.add(endpoint)
+            else:
+                # A full engine leaves health checks waiting.
+                self._vanished.discard(endpoint)
             endpoint.health.mark_unreachable(self._context.now())
             return f"no answer ({reason.getErrorMessage()})"
 
--- a/sassafrasstile/router/tests/test_replaced_endpoints.py
+++ b/sassafrasstile/router/tests/test_replaced_endpoints.py
@@ -8,6 +8,7 @@
 # `testing.PlatformSite` are limited to.
 _RETRY_RATIO = 0.2
 _RETRY_SLACK = 20
+_REPORT_PATH = "/sassafrasstile/report"
 
 
 def _misdirect(request):
@@ -96,6 +97,35 @@
         self.assertTrue(engine.requests)
         self.assertEqual(_count_runs(engine), 0)
 
+    @testing.on_reactor
+    async def test_engine_without_a_slot_for_health_checks_is_used_again(self):
+        def answer(request):
+            if request.target == "/healthz":
+                return standins.SILENCE
+            return standins.make_stream(request)
+
+        site = await self.start_site(
+            {"d0": (standins.make_stream, "writer", "decode")}
+        )
+        engine = site.endpoints["d0"]
+        await engine.close()
+        await site.call("/gen/", headers=_COUNT, request_id="q0")
+        await self.sleep(0.8)
+        engine.script = answer
+        engine.start(port=engine.port)
+        # Two probes: the health check times out, the report is answered.
+        await self.sleep(2.0)
+        answer = await site.call("/gen/", headers=_COUNT, request_id="q1")
+        await self.close_sites()
+        self.assertTrue(
+            any(item.target == "/healthz" for item in engine.requests)
+        )
+        reports = [
+            item for item in engine.requests if item.target == _REPORT_PATH
+        ]
+        self.assertTrue(reports)
+        self.assertTrue(answer.is_complete_stream)
+
     @testing.on_reactor
     async def test_wrong_role_does_not_count_as_replaced(self):
         def refuse_role(request):
