--- a/sassafrasstile/peers/_limits.py
+++ b/sassafrasstile/limits/_token_bucket.py
@@ -1,16 +1,16 @@
-"""A rate limit on datagrams."""
+"""A rate limit that allows bursts."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(kw_only=True)
 class TokenBucket:
-    """Limits datagrams to a rate; each costs one token.
+    """Limits messages to a rate; each costs one token.
 
     The burst size is one second's worth, or the largest number wanted at once.
 
     Attributes:
-        rate_per_s: Datagrams allowed per second.
+        rate_per_s: Messages allowed per second.
 
     >>> bucket = TokenBucket(rate_per_s=10.0)
     >>> bucket.take(8, 0.0), bucket.take(8, 0.1), bucket.take(8, 1.0)
@@ -22,7 +22,11 @@
     _refilled_at: float = float("-inf")
 
     def take(self, count: int, now: float) -> bool:
-        """Takes tokens for datagrams that are sent together.
+        """Takes tokens for messages that are sent together.
+
+        Args:
+            count: The number of messages.
+            now: The time in seconds.
 
         Returns:
             False when the rate doesn't allow them; then nothing is taken.
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -9,9 +9,9 @@
 from twisted.internet import task
 
 from sassafrasstile import errors
+from sassafrasstile import limits
 from sassafrasstile.peers import _base
 from sassafrasstile.peers import _codec
-from sassafrasstile.peers import _limits
 from sassafrasstile.peers import _schedule
 
 _LOG = logging.getLogger("sassafrasstile.peers")
@@ -106,12 +106,12 @@
         self._loop.clock = reactor
         self._sequence = 0
         self._near = _schedule.ReportSchedule(
-            bucket=_limits.TokenBucket(rate_per_s=_MAX_NEAR_DATAGRAMS_PER_S)
+            bucket=limits.TokenBucket(rate_per_s=_MAX_NEAR_DATAGRAMS_PER_S)
         )
         self._far = _schedule.ReportSchedule(
-            bucket=_limits.TokenBucket(rate_per_s=_MAX_FAR_DATAGRAMS_PER_S)
+            bucket=limits.TokenBucket(rate_per_s=_MAX_FAR_DATAGRAMS_PER_S)
         )
-        self._page_bucket = _limits.TokenBucket(
+        self._page_bucket = limits.TokenBucket(
             rate_per_s=_MAX_PAGE_DATAGRAMS_PER_S
         )
         self._near_peers: list[_Peer] = []
--- a/sassafrasstile/peers/_schedule.py
+++ b/sassafrasstile/peers/_schedule.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 import dataclasses
 
+from sassafrasstile import limits
 from sassafrasstile.peers import _base
-from sassafrasstile.peers import _limits
 
 # Changes that only release capacity may be reported this much later.
 _RELEASE_DELAY_S = 0.1
@@ -22,7 +22,7 @@
             seconds.
     """
 
-    bucket: _limits.TokenBucket
+    bucket: limits.TokenBucket
     has_news: bool = False
     held_back_at: float = float("-inf")
     _sent: Mapping[str, _base.EndpointLoad] = dataclasses.field(
--- a/sassafrasstile/telemetry/_logs.py
+++ b/sassafrasstile/telemetry/_logs.py
@@ -9,6 +9,8 @@
 from pythonjsonlogger import json as json_logs
 from twisted.python import log as twisted_log
 
+from sassafrasstile import limits
+
 # A gateway writes about four lines per request.
 _MAX_LINES_PER_S = 500.0
 _TEXT_FORMAT = "%(asctime)s %(levelname)s %(message)s"
@@ -63,15 +65,13 @@
         super().__init__()
         self._descriptor = descriptor
         self._dropped = dropped
-        self._lines_per_s = lines_per_s
-        self._tokens = lines_per_s
-        self._refilled_at = time.monotonic()
+        self._bucket = limits.TokenBucket(rate_per_s=lines_per_s)
         self._unwritten = b""
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a record as one line, or drops it."""
-        if not self._take_token(record):
+        if not self._may_write(record):
             self._dropped.inc()
             return
         if not self._write(self._unwritten):
@@ -80,15 +80,10 @@
         self._unwritten = b""
         self._write(self.format(record).encode() + b"\n")
 
-    def _take_token(self, record: logging.LogRecord) -> bool:
-        now = time.monotonic()
-        refill = (now - self._refilled_at) * self._lines_per_s
-        self._tokens = min(self._lines_per_s, self._tokens + refill)
-        self._refilled_at = now
-        if self._tokens < 1 and record.levelno < logging.WARNING:
-            return False
-        self._tokens -= 1
-        return True
+    def _may_write(self, record: logging.LogRecord) -> bool:
+        """Returns whether the rate allows a line, or it is a warning."""
+        is_allowed = self._bucket.take(1, time.monotonic())
+        return is_allowed or record.levelno >= logging.WARNING
 
     def _write(self, data: bytes) -> bool:
         """Writes as much as possible and keeps the rest for the next call.
