Let repeated requests keep their age

A gateway remembers the prompts that it has refused, tells the others in its load reports for 1.5 s, and a repeated request keeps the arrival of its first attempt: it is admitted like others that are late, after those that can be on time, and may wait for three targets in place of two, since its caller may not return once more. Considered and dropped: to recognise it by its timeout, since callers' timeouts spread by 15%.

--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -11,6 +11,7 @@
 from sassafrasstile.dispatch._lengths import OutputLengthEstimator
 from sassafrasstile.dispatch._placement import Placement, Shortage
 from sassafrasstile.dispatch._queue import GenerationQueue, Waiter
+from sassafrasstile.dispatch._refusals import RefusalMemory
 
 __all__ = [
     "DispatchSettings",
@@ -21,6 +22,7 @@
     "Health",
     "OutputLengthEstimator",
     "Placement",
+    "RefusalMemory",
     "Shortage",
     "Waiter",
     "WindowedRetryBudget",
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -14,6 +14,9 @@
 # A generation is refused after waiting for this many first-token targets,
 # while its caller still has time to retry.
 _MAX_WAIT_TARGETS = 2.0
+# One that was refused before waits longer. It is late already, and its caller
+# may not return once more.
+_MAX_RETURN_WAIT_TARGETS = 3.0
 # A generation that is sent again may wait at least this long each time.
 _MIN_WAIT_S = 0.4
 # Reservations of the same capacity by other gateways are received within
@@ -107,16 +110,19 @@
             return None
         target_s = task.route.target_s
         received_at = task.request.received_at
+        wait_targets = _MAX_WAIT_TARGETS
+        if task.arrived_at < received_at:
+            wait_targets = _MAX_RETURN_WAIT_TARGETS
         waiter = self._queue.add(
             service=task.service,
             size=task.size,
-            target_at=received_at + target_s,
+            target_at=task.arrived_at + target_s,
             wait_deadline=max(
-                received_at + _MAX_WAIT_TARGETS * target_s,
+                received_at + wait_targets * target_s,
                 self._context.now()
                 + (_MIN_RESUMED_WAIT_S if is_resumed else _MIN_WAIT_S),
             ),
-            arrived_at=received_at,
+            arrived_at=task.arrived_at,
             priority=task.route.priority,
             prefilled_until=handle.expires_at if handle else None,
             is_resumed=is_resumed,
@@ -198,6 +204,7 @@
             "output_tokens": task.size.output_tokens,
             "queued": len(self._queue),
             "waited_ms": round(waited_s * 1000),
+            "age_ms": round((now - task.arrived_at) * 1000),
         }
         if grant is None:
             _LOG.info(
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -24,6 +24,8 @@
             accepts.
         last_event_id: The id of the last event that the caller received
             from an earlier attempt, or None.
+        prompt_id: Identifies a generation's prompt, also when the request is
+            repeated; empty if the caller names none.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     prompt_tokens: int
     output_tokens: int
     last_event_id: str | None
+    prompt_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -29,6 +29,7 @@
         count_gateways: Returns the number of gateways, this one included, or
             None while it isn't known.
         lengths: Estimates the output lengths of generations.
+        refusals: Remembers refused prompts.
         generator: The random number generator.
     """
 
@@ -45,6 +46,9 @@
     lengths: dispatch.OutputLengthEstimator = dataclasses.field(
         default_factory=dispatch.OutputLengthEstimator
     )
+    refusals: dispatch.RefusalMemory = dataclasses.field(
+        default_factory=dispatch.RefusalMemory
+    )
 
     def __post_init__(self):
         self._pools: dict[dispatch.Endpoint, web.ConnectionPool] = {}
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -51,6 +51,12 @@
             final = task.decide_verdict(
                 verdict.code, retry_after_s=_NO_ENDPOINT_RETRY_AFTER_S
             )
+            if isinstance(final, verdicts.NotRun):
+                self._context.refusals.record(
+                    task.details.prompt_id,
+                    arrived_at=task.arrived_at,
+                    now=self._context.now(),
+                )
             _answers.fail_task(self._context, task, final)
 
     async def _run_until_answered(
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -22,6 +22,8 @@
         size: The number of prompt and output tokens of a generation.
         exchange: The connection to the caller, to answer on.
         deadline: The time by which it must be answered, in seconds.
+        arrived_at: When the caller's first attempt arrived at any gateway, in
+            seconds; its targets count from then.
         sends: How often it was sent to an endpoint to be run.
         hold_attempts: How often an engine was asked to set memory aside.
         prefill_attempts: How often it was sent to a prefill engine.
@@ -41,6 +43,7 @@
     size: dispatch.WorkSize
     exchange: web.IngressRequest
     deadline: float
+    arrived_at: float
     sends: int = 0
     prefill_attempts: int = 0
     hold_attempts: int = 0
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -63,9 +63,22 @@
     age_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PromptRefusal:
+    """A generation that a gateway has refused.
+
+    Attributes:
+        prompt_id: Identifies the prompt; a repeated request has the same.
+        age_s: Seconds since the first attempt arrived.
+    """
+
+    prompt_id: str
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LoadReport:
-    """One gateway's load on all endpoints and the ends of topics it has seen.
+    """What one gateway tells the others about its work.
 
     Attributes:
         sender: The address of the gateway that sends the report.
@@ -76,6 +89,7 @@
         loads: The load by endpoint id.
         topics: The ends of topics, as the gateway's own calls to the store
             showed them.
+        refusals: The generations that it has refused lately.
     """
 
     sender: PeerAddress
@@ -86,6 +100,7 @@
     topics: Mapping[str, TopicEndReport] = dataclasses.field(
         default_factory=dict
     )
+    refusals: tuple[PromptRefusal, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -71,6 +71,9 @@
             to the store showed.
         on_topics: Called with the ends of topics that a peer reports.
         on_page: Called with each page of records that a peer passes on.
+        read_refusals: Returns the generations that this gateway has refused
+            lately.
+        on_refusals: Called with those that a peer has refused.
     """
 
     noisy = False
@@ -90,6 +93,10 @@
             [Mapping[str, _base.TopicEndReport]], None
         ] = lambda _topics: None,
         on_page: Callable[[_base.TopicPage], None] = lambda _page: None,
+        read_refusals: Callable[[], tuple[_base.PromptRefusal, ...]] = tuple,
+        on_refusals: Callable[
+            [tuple[_base.PromptRefusal, ...]], None
+        ] = lambda _refusals: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -99,6 +106,8 @@
         self._read_topics = read_topics
         self._on_topics = on_topics
         self._on_page = on_page
+        self._read_refusals = read_refusals
+        self._on_refusals = on_refusals
         self._peers: dict[str, _Peer] = {}
         self._gateway_count = 1
         self._port: interfaces.IListeningPort | None = None
@@ -232,6 +241,7 @@
         peer.is_live = True
         self._on_report(peer.address.name, report.loads, report.is_complete)
         self._on_topics(report.topics)
+        self._on_refusals(report.refusals)
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
@@ -293,6 +303,7 @@
                 is_complete=is_complete,
                 loads=loads,
                 topics=self._read_topics(),
+                refusals=self._read_refusals(),
             )
         )
         for peer in group:
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -74,6 +74,10 @@
             [name, end.next_offset, round(end.age_s * _MS_PER_S)]
             for name, end in report.topics.items()
         ],
+        [
+            [item.prompt_id, round(item.age_s * _MS_PER_S)]
+            for item in report.refusals
+        ],
     ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
@@ -85,9 +89,15 @@
         errors.Error: With BAD_VALUE when it is malformed.
     """
     try:
-        sender, incarnation, sequence, is_complete, rows, ends = json.loads(
-            data
-        )
+        (
+            sender,
+            incarnation,
+            sequence,
+            is_complete,
+            rows,
+            ends,
+            refusals,
+        ) = json.loads(data)
         topics = {
             str(topic): _base.TopicEndReport(
                 next_offset=int(next_offset), age_s=int(age_ms) / _MS_PER_S
@@ -118,6 +128,12 @@
             is_complete=bool(is_complete),
             loads=loads,
             topics=topics,
+            refusals=tuple(
+                _base.PromptRefusal(
+                    prompt_id=str(prompt_id), age_s=int(age_ms) / _MS_PER_S
+                )
+                for prompt_id, age_ms in refusals
+            ),
         )
     except (ValueError, TypeError) as reason:
         raise errors.Error(
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -35,6 +35,8 @@
         self.network = _Network()
         self.loads = {"a": {}, "b": {}}
         self.received = {"a": {}, "b": {}}
+        self.refusals = {"a": (), "b": ()}
+        self.received_refusals = {"a": [], "b": []}
         self.topics = {"a": {}, "b": {}}
         self.received_topics = {"a": {}, "b": {}}
         self.channels = {
@@ -56,6 +58,8 @@
             ),
             read_topics=lambda: self.topics[name],
             on_topics=self.received_topics[name].update,
+            read_refusals=lambda: self.refusals[name],
+            on_refusals=self.received_refusals[name].extend,
         )
         channel.transport = self.network
         self.network.channels[("h", port)] = channel
@@ -101,6 +105,12 @@
         self.assertEqual(self.received["b"]["a"], {})
         self.assertEqual(self.channels["b"].list_live(), [])
 
+    def test_refusals_are_reported(self):
+        refusal = peers.PromptRefusal(prompt_id="p1", age_s=1.5)
+        self.refusals["a"] = (refusal,)
+        self.advance(1.0)
+        self.assertIn(refusal, self.received_refusals["b"])
+
     def test_topic_end_is_reported_immediately(self):
         self.advance(0.1)
         self.topics["a"] = {
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -32,6 +32,12 @@
         ) from reason
 
 
+def _read_prompt_id(parts: bytes | None) -> str:
+    """Returns the id of the last part of a prompt, which is its own."""
+    last = (parts or b"").rpartition(b",")[2]
+    return last.partition(b":")[0].strip().decode("latin-1")
+
+
 def _read_name(body: bytes, field: str) -> str:
     """Returns the name that an engine gave to what it keeps.
 
@@ -79,6 +85,7 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             last_event_id=last_event_id and last_event_id.decode("latin-1"),
+            prompt_id=_read_prompt_id(request.get(_names.PROMPT_PARTS.lower())),
         )
 
     def encode_run(
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -7,6 +7,8 @@
 # remaining time and, when a stream is resumed, the last event id.
 REQUEST_ID = b"X-Attempt-Id"
 TOKEN_COUNT = b"X-Token-Count"
+# The parts of the prompt as ID:TOKENS, separated by commas.
+PROMPT_PARTS = b"X-Prompt-Prefix"
 LAST_EVENT_ID = b"Last-Event-Id"
 DEADLINE_MS = b"X-Deadline-Ms"
 
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -196,6 +196,12 @@
             read_topics=self._topic_sharing.read_ages,
             on_topics=self._topic_sharing.update,
             on_page=self._topic_sharing.apply_page,
+            read_refusals=lambda: self._context.refusals.list_recent(
+                self._now()
+            ),
+            on_refusals=lambda refusals: self._context.refusals.apply(
+                refusals, self._now()
+            ),
         )
 
     def _make_directory(self, record_decoder, address) -> peers.PeerDirectory:
--- a/sassafrasstile/router/tests/test_generations.py
+++ b/sassafrasstile/router/tests/test_generations.py
@@ -169,3 +169,24 @@
         await self.close_sites()
         self.assertEqual(answer.status, 503)
         self.assertIn(b"Retry-After", answer.data)
+
+    @testing.on_reactor
+    async def test_repeated_request_keeps_its_age(self):
+        site = await self.start_site(decode=[standins.make_refusal])
+        headers = (*_COUNT, "X-Prompt-Prefix: ab12:50,p7:50")
+        with self.assertLogs("sassafrasstile.forwarding") as logs:
+            answer = await site.call("/gen/", headers=headers)
+            self.assertEqual(answer.status, 503)
+            await self.sleep(0.2)
+            await site.call("/gen/", headers=headers, request_id="r2")
+            fresh = (*_COUNT, "X-Prompt-Prefix: ab12:50,p8:50")
+            await site.call("/gen/", headers=fresh, request_id="r3")
+        await self.close_sites()
+        delays_ms = {
+            record.request: record.age_ms - record.waited_ms
+            for record in logs.records
+            if hasattr(record, "age_ms")
+        }
+        self.assertEqual(delays_ms["r1"], 0)
+        self.assertGreaterEqual(delays_ms["r2"], 200)
+        self.assertEqual(delays_ms["r3"], 0)
--- a/sassafrasstile/simulation/_callers.py
+++ b/sassafrasstile/simulation/_callers.py
@@ -25,6 +25,7 @@
 
     Attributes:
         arrived_at: Time of the first attempt, in seconds.
+        prompt_id: Identifies the prompt.
         prompt_tokens: Length of the prompt.
         output_tokens: Length that the output will have.
         attempts: Number of attempts.
@@ -35,6 +36,7 @@
     """
 
     arrived_at: float
+    prompt_id: str
     prompt_tokens: int
     output_tokens: int
     attempts: int = 0
@@ -97,6 +99,7 @@
         now = self._reactor.seconds()
         outcome = RequestOutcome(
             arrived_at=now,
+            prompt_id=f"p{len(self.outcomes)}",
             prompt_tokens=self._sample_prompt(now),
             output_tokens=self._sample_output(),
         )
@@ -114,6 +117,7 @@
             outcome.attempts += 1
             attempt = _gateways.RequestAttempt(
                 request_id=f"r{len(self.outcomes)}.{outcome.attempts}",
+                prompt_id=outcome.prompt_id,
                 prompt_tokens=outcome.prompt_tokens,
                 output_tokens=outcome.output_tokens,
                 declared_tokens=profile.max_output_tokens,
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -36,6 +36,7 @@
 
     Attributes:
         request_id: The id of the attempt.
+        prompt_id: Identifies the prompt, the same in each attempt.
         prompt_tokens: Length of the prompt.
         output_tokens: Length that the output will have.
         declared_tokens: Maximum output length that the caller declares.
@@ -48,6 +49,7 @@
     """
 
     request_id: str
+    prompt_id: str
     prompt_tokens: int
     output_tokens: int
     declared_tokens: int
@@ -135,6 +137,12 @@
             incarnation="1",
             read_loads=self._read_loads,
             on_report=self._update_peer_loads,
+            read_refusals=lambda: self._context.refusals.list_recent(
+                reactor.seconds()
+            ),
+            on_refusals=lambda refusals: self._context.refusals.apply(
+                refusals, reactor.seconds()
+            ),
         )
 
     def _make_context(self, generator) -> forwarding.ForwardingContext:
@@ -220,6 +228,18 @@
             False if the request was refused.
         """
         task = self._make_task(attempt)
+        served = await self._serve_task(task, attempt)
+        if not served:
+            self._context.refusals.record(
+                attempt.prompt_id,
+                arrived_at=task.arrived_at,
+                now=self._reactor.seconds(),
+            )
+        return served
+
+    async def _serve_task(
+        self, task: forwarding.RequestTask, attempt: RequestAttempt
+    ) -> bool:
         self._context.get_budget(SERVICE).record_request(attempt.arrived_at)
         handle: forwarding.KvHandle | None = None
         while self._may_try_again(task):
@@ -294,6 +314,7 @@
                 prompt_tokens=attempt.prompt_tokens,
                 output_tokens=attempt.declared_tokens,
                 last_event_id=None,
+                prompt_id=attempt.prompt_id,
             ),
             route=_make_route(self._profile),
             service=self._service,
@@ -302,7 +323,14 @@
             ),
             exchange=None,
             deadline=attempt.deadline,
+            arrived_at=self._find_arrival(attempt),
+        )
+
+    def _find_arrival(self, attempt: RequestAttempt) -> float:
+        known = self._context.refusals.find_arrival(
+            attempt.prompt_id, attempt.arrived_at
         )
+        return attempt.arrived_at if known is None else known
 
     async def _prefill(
         self,
--- a/sassafrasstile/simulation/tests/test_patterns.py
+++ b/sassafrasstile/simulation/tests/test_patterns.py
@@ -6,7 +6,9 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
+from sassafrasstile import dispatch
 from sassafrasstile import simulation
 
 _BASELINE = "two_choices"
@@ -67,6 +69,16 @@
         self.assertLess(ours.refused, unconfirmed.refused)
         self.assertGreater(ours.goodput, unconfirmed.goodput)
 
+    def test_refused_callers_that_return_in_an_overload(self):
+        ours = _simulate("queue", "steady", 1.2)
+        with mock.patch.object(
+            dispatch.RefusalMemory, "find_arrival", return_value=None
+        ):
+            forgetful = _simulate("queue", "steady", 1.2)
+        self.assertGreater(ours.on_time, forgetful.on_time)
+        self.assertLess(ours.late, 0.75 * forgetful.late)
+        self.assertGreater(ours.goodput, forgetful.goodput)
+
     def test_half_load_wastes_little_prefill(self):
         ours = _simulate("queue", "steady", 0.5)
         self.assertGreaterEqual(ours.goodput, 0.99)
