Remember no prompt by a long id

Read in the diff: callers choose the ids, so twenty long ones would make a load report too large for a datagram, and none would be sent. The test fails without the bound.

--- a/sassafrasstile/dispatch/_refusals.py
+++ b/sassafrasstile/dispatch/_refusals.py
@@ -9,6 +9,9 @@
 # Longer than callers wait for an answer.
 _LIFETIME_S = 30.0
 _MAX_PROMPTS = 10_000
+# Longer ids are ignored. Callers choose them, and a report has to fit into a
+# datagram.
+_MAX_ID_CHARS = 64
 # Other gateways are told of a refusal for this long, in several reports, since
 # any of them may be lost.
 _TELL_S = 1.5
@@ -50,11 +53,12 @@
         """Records a refusal by this gateway.
 
         Args:
-            prompt_id: Identifies the prompt; nothing is recorded if empty.
+            prompt_id: Identifies the prompt; nothing is recorded if it is empty
+                or too long.
             arrived_at: When the first attempt arrived, in seconds.
             now: The time in seconds.
         """
-        if not prompt_id:
+        if not prompt_id or len(prompt_id) > _MAX_ID_CHARS:
             return
         self._add(prompt_id, arrived_at, now)
         self._own.append(
--- a/sassafrasstile/dispatch/tests/test_refusals.py
+++ b/sassafrasstile/dispatch/tests/test_refusals.py
@@ -26,6 +26,12 @@
         self.assertIsNone(self.refusals.find_arrival("", now=3.0))
         self.assertEqual(self.refusals.list_recent(now=3.0), ())
 
+    def test_long_ids_of_callers_do_not_fill_reports(self):
+        for number in range(20):
+            name = f"p{number}" + "x" * 4000
+            self.refusals.record(name, arrived_at=1.0, now=3.0)
+        self.assertEqual(self.refusals.list_recent(now=3.0), ())
+
     def test_old_refusals_are_neither_found_nor_told(self):
         self.refusals.record("p1", arrived_at=1.0, now=3.0)
         self.assertEqual(self.refusals.list_recent(now=5.0), ())
