--- a/sassafrasstile/simulation/_callers.py
+++ b/sassafrasstile/simulation/_callers.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import defer
 
+from sassafrasstile.simulation import _base
 from sassafrasstile.simulation import _gateways
 from sassafrasstile.simulation import _patterns
 from sassafrasstile.simulation import _profiles
@@ -115,7 +116,7 @@
         deadline = outcome.arrived_at + profile.deadline_s
         while outcome.attempts < attempts:
             outcome.attempts += 1
-            attempt = _gateways.RequestAttempt(
+            attempt = _base.RequestAttempt(
                 request_id=f"r{len(self.outcomes)}.{outcome.attempts}",
                 prompt_id=outcome.prompt_id,
                 prompt_tokens=outcome.prompt_tokens,
@@ -138,7 +139,7 @@
     async def _send(
         self,
         outcome: RequestOutcome,
-        attempt: _gateways.RequestAttempt,
+        attempt: _base.RequestAttempt,
         deadline: float,
     ) -> bool:
         """Sends one attempt.
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -1,7 +1,5 @@
 """Simulated gateways, which use the production dispatch code."""
 
-from collections.abc import Mapping
-import dataclasses
 import random
 
 from twisted.internet import defer
@@ -9,16 +7,15 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import forwarding
-from sassafrasstile import membership
 from sassafrasstile import peers
 from sassafrasstile import routes
 from sassafrasstile import web
+from sassafrasstile.simulation import _base
 from sassafrasstile.simulation import _dispatchers
 from sassafrasstile.simulation import _engines
 from sassafrasstile.simulation import _network
 from sassafrasstile.simulation import _profiles
 
-SERVICE = "engine"
 _MAX_SENDS = 3
 # A prefill's timeout, as a share of the target for the first token.
 _PREFILL_TIMEOUT_SHARE = 0.7
@@ -30,62 +27,6 @@
 _HOLD_CALL_S = 0.002
 
 
-@dataclasses.dataclass(kw_only=True, eq=False)
-class RequestAttempt:
-    """One attempt of a caller's request.
-
-    Attributes:
-        request_id: The id of the attempt.
-        prompt_id: Identifies the prompt, the same in each attempt.
-        prompt_tokens: Length of the prompt.
-        output_tokens: Length that the output will have.
-        declared_tokens: Maximum output length that the caller declares.
-        arrived_at: Arrival time, in seconds.
-        deadline: Time at which the caller disconnects, in seconds.
-        first_event_at: Time of the first event, or None.
-        last_event_at: Time of the last event, or None.
-        longest_gap_s: The longest time between two events.
-        events: The number of events.
-    """
-
-    request_id: str
-    prompt_id: str
-    prompt_tokens: int
-    output_tokens: int
-    declared_tokens: int
-    arrived_at: float
-    deadline: float
-    first_event_at: float | None = None
-    last_event_at: float | None = None
-    longest_gap_s: float = 0.0
-    events: int = 0
-
-    def record_event(self, now: float) -> None:
-        """Records an event that has reached the caller."""
-        self.events += 1
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            gap_s = now - self.last_event_at
-            self.longest_gap_s = max(self.longest_gap_s, gap_s)
-        self.last_event_at = now
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Pools:
-    """The engines of a site.
-
-    Attributes:
-        prefills: The prefill engines by name.
-        decodes: The decode engines by name.
-        records: The engines' endpoint records.
-    """
-
-    prefills: Mapping[str, _engines.PrefillEngine]
-    decodes: Mapping[str, _engines.DecodeEngine]
-    records: tuple[membership.EndpointRecord, ...]
-
-
 class Gateway:
     """A gateway that serves generations from simulated engines.
 
@@ -108,7 +49,7 @@
         name: str,
         number: int,
         profile: _profiles.SiteProfile,
-        pools: Pools,
+        pools: _base.Pools,
         policy: str,
         is_lagging: bool,
         generator: random.Random,
@@ -221,7 +162,7 @@
 
     # Requests.
 
-    async def serve(self, attempt: RequestAttempt) -> bool:
+    async def serve(self, attempt: _base.RequestAttempt) -> bool:
         """Serves a request.
 
         Returns:
@@ -238,9 +179,11 @@
         return served
 
     async def _serve_task(
-        self, task: forwarding.RequestTask, attempt: RequestAttempt
+        self, task: forwarding.RequestTask, attempt: _base.RequestAttempt
     ) -> bool:
-        self._context.get_budget(SERVICE).record_request(attempt.arrived_at)
+        self._context.get_budget(_base.SERVICE).record_request(
+            attempt.arrived_at
+        )
         handle: forwarding.KvHandle | None = None
         while self._may_try_again(task):
             grant = await self._dispatcher.acquire(task, handle)
@@ -261,7 +204,7 @@
             if served:
                 return True
             now = self._reactor.seconds()
-            if not self._context.get_budget(SERVICE).spend(now):
+            if not self._context.get_budget(_base.SERVICE).spend(now):
                 return False
         return False
 
@@ -295,9 +238,11 @@
             grant.decode.record_refusal(self._reactor.seconds())
             raise
 
-    def _make_task(self, attempt: RequestAttempt) -> forwarding.RequestTask:
+    def _make_task(
+        self, attempt: _base.RequestAttempt
+    ) -> forwarding.RequestTask:
         output_tokens = self._context.lengths.estimate(
-            SERVICE, declared_tokens=attempt.declared_tokens
+            _base.SERVICE, declared_tokens=attempt.declared_tokens
         )
         return forwarding.RequestTask(
             request=web.CallerRequest(
@@ -326,7 +271,7 @@
             arrived_at=self._find_arrival(attempt),
         )
 
-    def _find_arrival(self, attempt: RequestAttempt) -> float:
+    def _find_arrival(self, attempt: _base.RequestAttempt) -> float:
         known = self._context.refusals.find_arrival(
             attempt.prompt_id, attempt.arrived_at
         )
@@ -375,7 +320,7 @@
         grant: dispatch.Grant,
         handle: forwarding.KvHandle | None,
         hold: _engines.Hold | None,
-        attempt: RequestAttempt,
+        attempt: _base.RequestAttempt,
     ) -> tuple[bool, forwarding.KvHandle | None]:
         """Generates the output at the granted decode engine.
 
@@ -406,14 +351,14 @@
         finally:
             engine.cancel(sequence)
         self._context.lengths.record(
-            SERVICE,
+            _base.SERVICE,
             tokens=attempt.output_tokens,
             declared_tokens=attempt.declared_tokens,
         )
         return True, None
 
     def _record_event(
-        self, attempt: RequestAttempt, grant: dispatch.Grant
+        self, attempt: _base.RequestAttempt, grant: dispatch.Grant
     ) -> None:
         attempt.record_event(self._reactor.seconds())
         per_event = self._profile.engine.tokens_per_event
@@ -423,7 +368,7 @@
 def _make_service(profile: _profiles.SiteProfile) -> routes.Service:
     engine = profile.engine
     return routes.Service(
-        name=SERVICE,
+        name=_base.SERVICE,
         engine=routes.EngineProfile(
             slots=engine.slots,
             capacity_tokens=engine.memory_tokens,
@@ -440,7 +385,7 @@
         host="",
         prefix="/",
         kind=routes.RouteKind.GENERATION,
-        services=(routes.WeightedService(service=SERVICE),),
+        services=(routes.WeightedService(service=_base.SERVICE),),
         timeout_s=profile.deadline_s,
         target_s=profile.target_s,
         target_gap_s=profile.gap_s,
--- a/sassafrasstile/simulation/_run.py
+++ b/sassafrasstile/simulation/_run.py
@@ -6,6 +6,7 @@
 import statistics
 
 from sassafrasstile import membership
+from sassafrasstile.simulation import _base
 from sassafrasstile.simulation import _callers
 from sassafrasstile.simulation import _engines
 from sassafrasstile.simulation import _gateways
@@ -79,7 +80,7 @@
             behaviour=random.Random(f"manners {plan.seed}"),
         )
 
-    def _make_pools(self) -> _gateways.Pools:
+    def _make_pools(self) -> _base.Pools:
         engine = self._profile.engine
         prefills = {
             f"prefill-{number}": _engines.PrefillEngine(
@@ -101,16 +102,14 @@
             )
             for number, name in enumerate(names)
         )
-        return _gateways.Pools(
-            prefills=prefills, decodes=decodes, records=records
-        )
+        return _base.Pools(prefills=prefills, decodes=decodes, records=records)
 
     def _make_record(self, name, number, role) -> membership.EndpointRecord:
         zones = self._profile.zones
         return membership.EndpointRecord(
             endpoint_id=name,
             started_ms=1,
-            service=_gateways.SERVICE,
+            service=_base.SERVICE,
             host=name,
             port=1,
             zone=zones[number % len(zones)],
