--- a/sassafrasstile/dispatch/_refusals.py
+++ b/sassafrasstile/dispatch/_refusals.py
@@ -35,10 +35,10 @@
 
     >>> refusals = RefusalMemory()
     >>> refusals.record("p1", arrived_at=1.0, now=3.0)
-    >>> refusals.find_arrival("p1", now=4.0)
+    >>> refusals.find_first_arrival("p1", arrived_at=4.0)
     1.0
-    >>> refusals.find_arrival("p2", now=4.0) is None
-    True
+    >>> refusals.find_first_arrival("p2", arrived_at=4.0)
+    4.0
     """
 
     def __init__(self):
@@ -60,7 +60,7 @@
         """
         if not prompt_id or len(prompt_id) > _MAX_ID_CHARS:
             return
-        self._add(prompt_id, arrived_at, now)
+        self._add(prompt_id, arrived_at)
         self._own.append(
             _OwnRefusal(
                 prompt_id=prompt_id, arrived_at=arrived_at, refused_at=now
@@ -72,7 +72,7 @@
     ) -> None:
         """Records refusals by another gateway."""
         for refusal in refusals:
-            self._add(refusal.prompt_id, now - refusal.age_s, now)
+            self._add(refusal.prompt_id, now - refusal.age_s)
 
     def list_recent(self, now: float) -> tuple[peers.PromptRefusal, ...]:
         """Returns this gateway's latest refusals, to tell the others."""
@@ -84,21 +84,23 @@
             if now - item.refused_at < _TELL_S
         )
 
-    def find_arrival(self, prompt_id: str, now: float) -> float | None:
-        """Returns when the first attempt at a refused request arrived.
+    def find_first_arrival(self, prompt_id: str, *, arrived_at: float) -> float:
+        """Returns when the first attempt at a request arrived, in seconds.
 
-        Returns:
-            The time in seconds, or None if no refusal is known.
+        Args:
+            prompt_id: Identifies the prompt.
+            arrived_at: When this attempt arrived, in seconds. It is the first
+                one if no refusal is known.
         """
-        arrived_at = self._arrivals.get(prompt_id)
-        if arrived_at is None or now - arrived_at > _LIFETIME_S:
-            return None
-        return arrived_at
-
-    def _add(self, prompt_id: str, arrived_at: float, now: float) -> None:
         known = self._arrivals.get(prompt_id)
-        if known is not None and now - known <= _LIFETIME_S:
-            arrived_at = min(known, arrived_at)
-        self._arrivals[prompt_id] = arrived_at
+        if known is None or arrived_at - known > _LIFETIME_S:
+            return arrived_at
+        return known
+
+    def _add(self, prompt_id: str, arrived_at: float) -> None:
+        self._arrivals[prompt_id] = min(
+            arrived_at,
+            self.find_first_arrival(prompt_id, arrived_at=arrived_at),
+        )
         while len(self._arrivals) > _MAX_PROMPTS:
             self._arrivals.popitem(last=False)
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -11,7 +11,6 @@
 from sassafrasstile import verdicts
 from sassafrasstile import web
 from sassafrasstile.forwarding import _answers
-from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _calls
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _generations
@@ -114,17 +113,10 @@
             ),
             exchange=exchange,
             deadline=request.received_at + timeout_s,
-            arrived_at=self._find_arrival(request, details),
-        )
-
-    def _find_arrival(
-        self, request: web.CallerRequest, details: _base.RequestDetails
-    ) -> float:
-        """Returns when the caller's first attempt arrived, as far as known."""
-        known = self._context.refusals.find_arrival(
-            details.prompt_id, request.received_at
+            arrived_at=context.refusals.find_first_arrival(
+                details.prompt_id, arrived_at=request.received_at
+            ),
         )
-        return request.received_at if known is None else known
 
     def _can_finish_in_time(self, task: _task.RequestTask) -> bool:
         """Returns whether a request can finish before the process ends."""
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -268,14 +268,10 @@
             ),
             exchange=None,
             deadline=attempt.deadline,
-            arrived_at=self._find_arrival(attempt),
-        )
-
-    def _find_arrival(self, attempt: _base.RequestAttempt) -> float:
-        known = self._context.refusals.find_arrival(
-            attempt.prompt_id, attempt.arrived_at
+            arrived_at=self._context.refusals.find_first_arrival(
+                attempt.prompt_id, arrived_at=attempt.arrived_at
+            ),
         )
-        return attempt.arrived_at if known is None else known
 
     async def _prefill(
         self,
--- a/sassafrasstile/simulation/tests/test_patterns.py
+++ b/sassafrasstile/simulation/tests/test_patterns.py
@@ -71,9 +71,7 @@
 
     def test_refused_callers_that_return_in_an_overload(self):
         ours = _simulate("queue", "steady", 1.2)
-        with mock.patch.object(
-            dispatch.RefusalMemory, "find_arrival", return_value=None
-        ):
+        with mock.patch.object(dispatch.RefusalMemory, "record"):
             forgetful = _simulate("queue", "steady", 1.2)
         self.assertGreater(ours.on_time, forgetful.on_time)
         self.assertLess(ours.late, 0.75 * forgetful.late)
