Tell a repeated request from the next one of a session

Read as a stranger: a prompt's last part may belong to a session, so the next request of a session that had been refused once would have counted as late for up to 30 s. The tests of the memory and of the gateway fail without it.

--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -55,6 +55,7 @@
                 self._context.refusals.record(
                     task.details.prompt_id,
                     arrived_at=task.arrived_at,
+                    deadline=task.caller_deadline,
                     now=self._context.now(),
                 )
             _answers.fail_task(self._context, task, final)
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -95,9 +95,11 @@
                 detail=f"no route for host {details.host!r}",
                 status=404,
             )
-        timeout_s = route.timeout_s
-        if details.timeout_s is not None:
-            timeout_s = min(timeout_s, details.timeout_s)
+        caller_timeout_s = details.timeout_s
+        if caller_timeout_s is None:
+            caller_timeout_s = route.timeout_s
+        timeout_s = min(route.timeout_s, caller_timeout_s)
+        caller_deadline = request.received_at + caller_timeout_s
         service = self._choose_service(route)
         output_tokens = context.lengths.estimate(
             service.name, declared_tokens=details.output_tokens
@@ -113,8 +115,11 @@
             ),
             exchange=exchange,
             deadline=request.received_at + timeout_s,
+            caller_deadline=caller_deadline,
             arrived_at=context.refusals.find_first_arrival(
-                details.prompt_id, arrived_at=request.received_at
+                details.prompt_id,
+                arrived_at=request.received_at,
+                deadline=caller_deadline,
             ),
         )
 
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -22,6 +22,8 @@
         size: The number of prompt and output tokens of a generation.
         exchange: The connection to the caller, to answer on.
         deadline: The time by which it must be answered, in seconds.
+        caller_deadline: When the caller gives up, in seconds, as far as it has
+            said so. Each attempt at a request has the same.
         arrived_at: When the caller's first attempt arrived at any gateway, in
             seconds; its targets count from then.
         sends: How often it was sent to an endpoint to be run.
@@ -43,6 +45,7 @@
     size: dispatch.WorkSize
     exchange: web.IngressRequest
     deadline: float
+    caller_deadline: float
     arrived_at: float
     sends: int = 0
     prefill_attempts: int = 0
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -70,10 +70,12 @@
     Attributes:
         prompt_id: Identifies the prompt; a repeated request has the same.
         age_s: Seconds since the first attempt arrived.
+        remaining_s: Seconds until the caller gives up.
     """
 
     prompt_id: str
     age_s: float
+    remaining_s: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -75,7 +75,11 @@
             for name, end in report.topics.items()
         ],
         [
-            [item.prompt_id, round(item.age_s * _MS_PER_S)]
+            [
+                item.prompt_id,
+                round(item.age_s * _MS_PER_S),
+                round(item.remaining_s * _MS_PER_S),
+            ]
             for item in report.refusals
         ],
     ]
@@ -130,9 +134,11 @@
             topics=topics,
             refusals=tuple(
                 _base.PromptRefusal(
-                    prompt_id=str(prompt_id), age_s=int(age_ms) / _MS_PER_S
+                    prompt_id=str(prompt_id),
+                    age_s=int(age_ms) / _MS_PER_S,
+                    remaining_s=int(remaining_ms) / _MS_PER_S,
                 )
-                for prompt_id, age_ms in refusals
+                for prompt_id, age_ms, remaining_ms in refusals
             ),
         )
     except (ValueError, TypeError) as reason:
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -106,7 +106,9 @@
         self.assertEqual(self.channels["b"].list_live(), [])
 
     def test_refusals_are_reported(self):
-        refusal = peers.PromptRefusal(prompt_id="p1", age_s=1.5)
+        refusal = peers.PromptRefusal(
+            prompt_id="p1", age_s=1.5, remaining_s=12.0
+        )
         self.refusals["a"] = (refusal,)
         self.advance(1.0)
         self.assertIn(refusal, self.received_refusals["b"])
--- a/sassafrasstile/router/tests/test_generations.py
+++ b/sassafrasstile/router/tests/test_generations.py
@@ -178,7 +178,13 @@
             answer = await site.call("/gen/", headers=headers)
             self.assertEqual(answer.status, 503)
             await self.sleep(0.2)
-            await site.call("/gen/", headers=headers, request_id="r2")
+            await site.call(
+                "/gen/", headers=headers, request_id="r2", deadline_ms=3000
+            )
+            # The next request of a session has the same prompt id.
+            await site.call(
+                "/gen/", headers=headers, request_id="next", deadline_ms=9000
+            )
             fresh = (*_COUNT, "X-Prompt-Prefix: ab12:50,p8:50")
             await site.call("/gen/", headers=fresh, request_id="r3")
         await self.close_sites()
@@ -189,4 +195,5 @@
         }
         self.assertEqual(delays_ms["r1"], 0)
         self.assertGreaterEqual(delays_ms["r2"], 200)
+        self.assertEqual(delays_ms["next"], 0)
         self.assertEqual(delays_ms["r3"], 0)
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -174,6 +174,7 @@
             self._context.refusals.record(
                 attempt.prompt_id,
                 arrived_at=task.arrived_at,
+                deadline=attempt.deadline,
                 now=self._reactor.seconds(),
             )
         return served
@@ -268,8 +269,11 @@
             ),
             exchange=None,
             deadline=attempt.deadline,
+            caller_deadline=attempt.deadline,
             arrived_at=self._context.refusals.find_first_arrival(
-                attempt.prompt_id, arrived_at=attempt.arrived_at
+                attempt.prompt_id,
+                arrived_at=attempt.arrived_at,
+                deadline=attempt.deadline,
             ),
         )
 
