Log why a failed send was the last one

A stream that ends cut shows in the log that its engine was silent or lost, but not why it wasn't sent elsewhere: the retry budget, the number of sends, the deadline and the route end it with the same lines. No decision changes.

--- a/sassafrasstile/dispatch/_budget.py
+++ b/sassafrasstile/dispatch/_budget.py
@@ -72,13 +72,17 @@
         Returns:
             False when the budget is exhausted; then nothing is taken.
         """
-        self._drop_expired(now)
-        allowed = self.ratio * len(self._requests) + self._read_slack()
-        if len(self._retries) + 1 > allowed:
+        if not self.can_spend(now):
             return False
         self._retries.append(now)
         return True
 
+    def can_spend(self, now: float) -> bool:
+        """Returns whether the budget allows a retry, and takes none."""
+        self._drop_expired(now)
+        allowed = self.ratio * len(self._requests) + self._read_slack()
+        return len(self._retries) + 1 <= allowed
+
     def charge(self, now: float) -> None:
         """Takes one retry that has already happened, even beyond the budget."""
         self._retries.append(now)
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -1,10 +1,14 @@
 """Decides whether a request may be retried."""
 
+import enum
+import logging
+
 from sassafrasstile import errors
 from sassafrasstile import verdicts
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _task
 
+_LOG = logging.getLogger("sassafrasstile.forwarding")
 # Maximum number of sends of a request, including refused ones.
 MAX_SENDS = 3
 # Maximum number of engines that are asked to set memory aside for a request.
@@ -22,6 +26,18 @@
 )
 
 
+class Obstacle(enum.Enum):
+    """A reason why a request isn't sent again."""
+
+    DEADLINE = "its deadline is too close"
+    SENDS = "it was sent as often as allowed"
+    PREFILLS = "its prompt was prefilled as often as allowed"
+    HANDLE = "its prefill has expired and may not be repeated"
+    HOLDS = "engines were asked for memory as often as allowed"
+    MAY_HAVE_RUN = "it may have run, and no other endpoint may run it"
+    BUDGET = "the retry budget is spent"
+
+
 def is_last_send(task: _task.RequestTask) -> bool:
     """Returns whether the next send would be the last one allowed.
 
@@ -51,15 +67,15 @@
     return not (is_proved and verdict.code in _NOT_DELIVERED_CODES)
 
 
-def may_send_again(
+def find_obstacle(
     context: _context.ForwardingContext,
     task: _task.RequestTask,
     verdict: verdicts.Verdict,
-) -> bool:
-    """Returns whether another send is allowed, and spends the retry budget.
+) -> Obstacle | None:
+    """Returns what stands against another send, or None if it is allowed.
 
     Unless the verdict is that nothing ran, the request has to be idempotent
-    and its route has to allow another endpoint. The budget isn't spent if the
+    and its route has to allow another endpoint. The budget isn't needed if the
     verdict's code shows that no endpoint received the request.
 
     Args:
@@ -69,36 +85,68 @@
     """
     now = context.now()
     if task.deadline - now < MIN_REMAINING_S:
-        return False
-    if task.sends >= MAX_SENDS or task.prefill_attempts >= MAX_SENDS:
-        return False
+        return Obstacle.DEADLINE
+    if task.sends >= MAX_SENDS:
+        return Obstacle.SENDS
+    if task.prefill_attempts >= MAX_SENDS:
+        return Obstacle.PREFILLS
     if task.hold_attempts >= _MAX_HOLD_ATTEMPTS:
-        return False
+        return Obstacle.HOLDS
     if verdict.code == errors.Code.HANDLE_EXPIRED:
-        # The budget has already denied another prefill.
-        return False
+        return Obstacle.HANDLE
     is_proved = isinstance(verdict, verdicts.NotRun)
     if not is_proved and not may_run_elsewhere(task):
-        return False
-    return not counts_against_budget(verdict) or _spend_budget(context, task)
+        return Obstacle.MAY_HAVE_RUN
+    budget = context.get_budget(task.service.name)
+    if counts_against_budget(verdict) and not budget.can_spend(now):
+        return Obstacle.BUDGET
+    return None
 
 
-def may_prefill_again(
-    context: _context.ForwardingContext, task: _task.RequestTask
+def may_send_again(
+    context: _context.ForwardingContext,
+    task: _task.RequestTask,
+    verdict: verdicts.Verdict,
 ) -> bool:
-    """Returns whether a lost prefill may be repeated; spends the budget.
+    """Returns whether another send is allowed, and spends the retry budget.
 
     Args:
         context: State shared by the parts of the router.
         task: The request.
+        verdict: The verdict on the last send.
     """
-    return task.prefill_attempts < MAX_SENDS and _spend_budget(context, task)
+    obstacle = find_obstacle(context, task, verdict)
+    if obstacle is None:
+        if counts_against_budget(verdict):
+            context.get_budget(task.service.name).spend(context.now())
+        return True
+    if obstacle is Obstacle.BUDGET:
+        context.metrics.retries_denied.inc()
+    _LOG.info(
+        "retry: request %s isn't sent again. Reason: %s.",
+        task.request_id,
+        obstacle.value,
+        extra={
+            "request": task.request_id,
+            "verdict": verdicts.name_verdict(verdict),
+            "code": verdict.code,
+            "sends": task.sends,
+        },
+    )
+    return False
 
 
-def _spend_budget(
+def may_prefill_again(
     context: _context.ForwardingContext, task: _task.RequestTask
 ) -> bool:
-    """Takes one retry from the service's budget, if it allows one."""
+    """Returns whether a lost prefill may be repeated; spends the budget.
+
+    Args:
+        context: State shared by the parts of the router.
+        task: The request.
+    """
+    if task.prefill_attempts >= MAX_SENDS:
+        return False
     allowed = context.get_budget(task.service.name).spend(context.now())
     if not allowed:
         context.metrics.retries_denied.inc()
