--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -232,6 +232,8 @@
         listener: The socket on which callers wait for the gateway, or None.
         other_gateways: The number of other gateways, which never report. They
             are in another availability zone than the gateway.
+        retry_slack: Retries that the budget allows beyond its share of the
+            requests.
     """
 
     def __init__(
@@ -242,7 +244,9 @@
         grace_s: float = 8.0,
         listener: socket.socket | None = None,
         other_gateways: int = 0,
+        retry_slack: float = 20.0,
     ):
+        self._retry_slack = retry_slack
         self._other_gateways = other_gateways
         self._reactor = reactor
         self._listener = listener
@@ -302,7 +306,7 @@
             grace_s=self._grace_s,
             propagation_limit_s=2.0,
             lease_s=3.0,
-            dispatch=dispatch.DispatchSettings(retry_slack=20.0),
+            dispatch=dispatch.DispatchSettings(retry_slack=self._retry_slack),
         )
 
     def add_endpoint(
