End an overdue attempt only if the request may be sent again

The test (an answer after 1 s of 1.8 s, budget spent) got 502 before.

An overdue attempt is checked every 0.1 s now and ends as soon as the request may be sent again to an endpoint that is reachable, at the latest at the deadline.

--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -83,6 +83,10 @@
             self._context.announce()
         return grant
 
+    def has_capacity(self, task: _task.RequestTask) -> bool:
+        """Returns whether an engine that hasn't run a request has capacity."""
+        return self._choose_other(task) is not None
+
     def _choose_other(self, task: _task.RequestTask) -> dispatch.Grant | None:
         """Chooses a reachable decode engine that hasn't run a request."""
         now = self._context.now()
--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -15,6 +15,8 @@
 from sassafrasstile.forwarding import _context
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
+# Interval at which an attempt that is overdue is checked again.
+_CHECK_INTERVAL_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -46,38 +48,38 @@
     return deferred
 
 
-async def wait_while_alive(
+async def wait_patiently(
     work: defer.Deferred,
     reactor,
     *,
     timeout_s: float,
     max_timeout_s: float,
-    is_alive: Callable[[], bool],
+    should_wait: Callable[[], bool],
 ):
-    """Waits for a result, and longer if its source is still responsive.
+    """Waits for a result, and longer while that is the best to be done.
 
     Args:
         work: The Deferred to wait for; it is cancelled on a timeout.
         reactor: The reactor.
-        timeout_s: Seconds until the timeout.
-        max_timeout_s: Seconds until the timeout if the source is responsive.
-        is_alive: Called after `timeout_s`; returns whether the source is
-            responsive.
+        timeout_s: Seconds until the first check.
+        max_timeout_s: Seconds until the timeout, whatever the checks say.
+        should_wait: Called after `timeout_s` and then at short intervals;
+            returns whether to wait on.
 
     Raises:
         defer.TimeoutError: There was no result in time.
     """
+    gives_up_at = reactor.seconds() + max_timeout_s
     timed_out = []
 
-    def abandon():
-        timed_out.append(True)
-        work.cancel()
-
     def check():
-        if is_alive() and max_timeout_s > timeout_s:
-            timers[0] = reactor.callLater(max_timeout_s - timeout_s, abandon)
+        remaining_s = gives_up_at - reactor.seconds()
+        if remaining_s > 0 and should_wait():
+            delay_s = min(remaining_s, _CHECK_INTERVAL_S)
+            timers[0] = reactor.callLater(delay_s, check)
         else:
-            abandon()
+            timed_out.append(True)
+            work.cancel()
 
     timers = [reactor.callLater(max(0.0, min(timeout_s, max_timeout_s)), check)]
     try:
@@ -124,14 +126,18 @@
         *,
         timeout_s: float,
         max_timeout_s: float | None = None,
+        should_wait: Callable[[], bool] | None = None,
     ) -> AttemptResult:
         """Sends the request and waits for the answer's head.
 
         Args:
             outgoing: The request.
             timeout_s: Seconds to wait for the head.
-            max_timeout_s: Seconds to wait if the endpoint still sends data
-                for other requests; `timeout_s` by default.
+            max_timeout_s: Seconds to wait while `should_wait` returns True;
+                `timeout_s` by default.
+            should_wait: Returns whether to wait on when the attempt is overdue.
+                By default, whether the endpoint still sends data for other
+                requests.
 
         Returns:
             The beginning of the answer, or the verdict when there is none.
@@ -140,12 +146,12 @@
         context.metrics.attempts.inc()
         result: AttemptResult
         try:
-            head = await wait_while_alive(
+            head = await wait_patiently(
                 defer.ensureDeferred(self._exchange(outgoing)),
                 context.reactor,
                 timeout_s=timeout_s,
                 max_timeout_s=max_timeout_s or timeout_s,
-                is_alive=self._is_alive,
+                should_wait=should_wait or self._is_alive,
             )
             result = self._classify(head)
         except web.ExchangeError as reason:
--- a/sassafrasstile/forwarding/_calls.py
+++ b/sassafrasstile/forwarding/_calls.py
@@ -94,7 +94,12 @@
         )
         try:
             with _attempts.hold_slot(endpoint):
-                result = await attempt.start(outgoing, timeout_s=timeout_s)
+                result = await attempt.start(
+                    outgoing,
+                    timeout_s=timeout_s,
+                    max_timeout_s=remaining_s,
+                    should_wait=lambda: not self._can_run_elsewhere(task),
+                )
                 if isinstance(result, _attempts.Answered):
                     return await self._read(task, attempt, result)
         finally:
@@ -103,6 +108,20 @@
             task.record_not_run(endpoint)
         return result
 
+    def _can_run_elsewhere(self, task: _task.RequestTask) -> bool:
+        """Returns whether it is better to send an overdue call again.
+
+        Without another endpoint it is sent to the same one, since its
+        connection may be dead.
+        """
+        verdict = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
+        if _retries.find_obstacle(self._context, task, verdict) is not None:
+            return False
+        endpoint = self._choose(task)
+        if endpoint is None or endpoint in task.tried:
+            return True
+        return endpoint.health.is_reachable(self._context.now())
+
     def _choose_timeout(
         self,
         task: _task.RequestTask,
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -183,7 +183,12 @@
             number=task.sends,
         )
         try:
-            result = await attempt.start(outgoing, timeout_s=timeout_s)
+            result = await attempt.start(
+                outgoing,
+                timeout_s=timeout_s,
+                max_timeout_s=remaining_s,
+                should_wait=lambda: not self._can_run_elsewhere(task),
+            )
             if isinstance(result, _attempts.Answered):
                 # The engine has consumed the handle and the hold.
                 progress.handle = None
@@ -202,6 +207,12 @@
             self._handle_refusal(task, engine, progress)
         return result
 
+    def _can_run_elsewhere(self, task: _task.RequestTask) -> bool:
+        """Returns whether another engine could run an overdue request now."""
+        verdict = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
+        obstacle = _retries.find_obstacle(self._context, task, verdict)
+        return obstacle is None and self.admission.has_capacity(task)
+
     def _may_prefill_locally(self, grant: dispatch.Grant) -> bool:
         """Returns whether the decode engine may prefill locally."""
         return self._context.placement.can_prefill_locally(
