Answer a request that fails in routing

What callers would see: neither an answer nor a refusal, a closed connection, beside a change of the configuration. Cause: an unexpected error while a request is routed went up into the HTTP server, which drops the connection. A split route whose weights are all zero does that: ValueError of the random choice.

Nothing was sent, so 503 is true.

--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -58,6 +58,11 @@
         except errors.RequestError as reason:
             self._refuse(exchange, reason.status, reason.code)
             return
+        except Exception:
+            # The HTTP server would close the connection without an answer.
+            _LOG.exception("request: not routed: internal error.")
+            self._refuse(exchange, 503, errors.Code.INVARIANT_VIOLATED)
+            return
         if not self._can_finish_in_time(task):
             self._refuse(exchange, 503, errors.Code.STOPPING)
             return
