Read what has arrived before an endpoint counts as silent

What callers saw: after a standstill of the gateway itself an attempt was ended although its answer lay in the socket: timers fire before sockets are read. An attempt that is cancelled when it is overdue counts as a failure of its endpoint, so that one that swallows calls is found out.

--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -13,10 +13,9 @@
 from sassafrasstile import web
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _timers
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
-# Interval at which an attempt that is overdue is checked again.
-_CHECK_INTERVAL_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -48,40 +47,42 @@
     return deferred
 
 
-async def wait_patiently(
+async def wait_while_alive(
     work: defer.Deferred,
     reactor,
     *,
     timeout_s: float,
     max_timeout_s: float,
-    should_wait: Callable[[], bool],
+    is_alive: Callable[[], bool],
 ):
-    """Waits for a result, and longer while that is the best to be done.
+    """Waits for a result, and longer if its source is still responsive.
 
     Args:
         work: The Deferred to wait for; it is cancelled on a timeout.
         reactor: The reactor.
-        timeout_s: Seconds until the first check.
-        max_timeout_s: Seconds until the timeout, whatever the checks say.
-        should_wait: Called after `timeout_s` and then at short intervals;
-            returns whether to wait on.
+        timeout_s: Seconds until the timeout.
+        max_timeout_s: Seconds until the timeout if the source is responsive.
+        is_alive: Called after `timeout_s`; returns whether the source is
+            responsive.
 
     Raises:
         defer.TimeoutError: There was no result in time.
     """
-    gives_up_at = reactor.seconds() + max_timeout_s
     timed_out = []
 
+    def abandon():
+        timed_out.append(True)
+        work.cancel()
+
     def check():
-        remaining_s = gives_up_at - reactor.seconds()
-        if remaining_s > 0 and should_wait():
-            delay_s = min(remaining_s, _CHECK_INTERVAL_S)
-            timers[0] = reactor.callLater(delay_s, check)
+        if is_alive() and max_timeout_s > timeout_s:
+            limit.start(max_timeout_s - timeout_s)
         else:
-            timed_out.append(True)
-            work.cancel()
+            abandon()
 
-    timers = [reactor.callLater(max(0.0, min(timeout_s, max_timeout_s)), check)]
+    limit = _timers.SilenceTimer(reactor=reactor, on_silence=abandon)
+    timer = _timers.SilenceTimer(reactor=reactor, on_silence=check)
+    timer.start(min(timeout_s, max_timeout_s))
     try:
         return await work
     except defer.CancelledError:
@@ -89,8 +90,8 @@
             raise defer.TimeoutError from None
         raise
     finally:
-        if timers[0].active():
-            timers[0].cancel()
+        timer.close()
+        limit.close()
 
 
 class Attempt:
@@ -126,18 +127,17 @@
         *,
         timeout_s: float,
         max_timeout_s: float | None = None,
-        should_wait: Callable[[], bool] | None = None,
+        overdue_s: float | None = None,
     ) -> AttemptResult:
         """Sends the request and waits for the answer's head.
 
         Args:
             outgoing: The request.
             timeout_s: Seconds to wait for the head.
-            max_timeout_s: Seconds to wait while `should_wait` returns True;
-                `timeout_s` by default.
-            should_wait: Returns whether to wait on when the attempt is overdue.
-                By default, whether the endpoint still sends data for other
-                requests.
+            max_timeout_s: Seconds to wait if the endpoint still sends data
+                for other requests; `timeout_s` by default.
+            overdue_s: Seconds after which an attempt that is cancelled counts
+                as a failure of the endpoint; by default it never does.
 
         Returns:
             The beginning of the answer, or the verdict when there is none.
@@ -146,12 +146,12 @@
         context.metrics.attempts.inc()
         result: AttemptResult
         try:
-            head = await wait_patiently(
+            head = await wait_while_alive(
                 defer.ensureDeferred(self._exchange(outgoing)),
                 context.reactor,
                 timeout_s=timeout_s,
                 max_timeout_s=max_timeout_s or timeout_s,
-                should_wait=should_wait or self._is_alive,
+                is_alive=self._is_alive,
             )
             result = self._classify(head)
         except web.ExchangeError as reason:
@@ -159,7 +159,7 @@
         except defer.TimeoutError:
             result = self._handle_timeout()
         except defer.CancelledError:
-            self._log(verdicts.MayHaveRun(code=errors.Code.CANCELLED))
+            self._handle_cancellation(overdue_s)
             raise
         finally:
             self.endpoint.health.remove_pending(self._key)
@@ -241,6 +241,17 @@
         self.record_failure()
         return verdicts.MayHaveRun(code=reason.code)
 
+    def _handle_cancellation(self, overdue_s: float | None) -> None:
+        """Records an attempt that has ended without a result."""
+        now = self._context.now()
+        self._log(verdicts.MayHaveRun(code=errors.Code.CANCELLED))
+        if overdue_s is None or now - self.began_at < overdue_s:
+            return
+        if self.endpoint.health.is_silent(now):
+            self.endpoint.health.mark_unreachable(now)
+        if self.was_sent:
+            self.record_failure()
+
     def _handle_timeout(self) -> AttemptResult:
         now = self._context.now()
         is_silent = self.endpoint.health.is_silent(now)
