Try another endpoint beside an overdue call, not instead of it

What callers saw: 502 or 504 to an idempotent call whose answer was on its way. Cause: its attempt was ended at 45% of its time; the endpoint tried next was full, silent or the same one, or the retry budget was spent. A plain service can't confirm that it has room, so only an answer secures the successor: the first attempt stays open, and the first success counts. No second attempt begins without another reachable endpoint, or when less time is left than it usually takes. A complete error of an endpoint is kept for the caller if the retry brings nothing before the deadline.

--- a/sassafrasstile/forwarding/_calls.py
+++ b/sassafrasstile/forwarding/_calls.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+from twisted.internet import defer
+from twisted.python import failure
+
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import verdicts
@@ -10,14 +13,17 @@
 from sassafrasstile.forwarding import _attempts
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _hedging
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _task
 
-# An attempt of an idempotent call times out after this many times the
-# endpoint's average latency, so that another endpoint can be tried.
-_TIMEOUT_LATENCIES = 5.0
-# The attempt gets at least this share of the time to the call's deadline.
-_MIN_TIMEOUT_SHARE = 0.45
+# An attempt at an idempotent call is overdue after this many times the
+# endpoint's average latency; then another endpoint may be tried beside it.
+_OVERDUE_LATENCIES = 5.0
+# It is overdue no earlier than after this share of the time to the deadline.
+_MIN_OVERDUE_SHARE = 0.45
+# The verdict on an attempt that is overdue.
+_OVERDUE_VERDICT = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
 _NO_ENDPOINT_RETRY_AFTER_S = 0.3
 
 
@@ -28,6 +34,31 @@
     is_success: bool
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Outcome:
+    """What the attempts at a call have shown so far.
+
+    Attributes:
+        failed: The last complete answer that reports a failure, or None. It
+            tells the caller more than a verdict.
+        verdict: The verdict on the last attempt that has ended.
+    """
+
+    failed: _CompleteAnswer | None = None
+    verdict: verdicts.Verdict = verdicts.NotRun(code=errors.Code.NO_ENDPOINT)
+
+    def record(
+        self, result: _CompleteAnswer | verdicts.Verdict
+    ) -> verdicts.Verdict:
+        """Records an attempt without success, and returns its verdict."""
+        if isinstance(result, _CompleteAnswer):
+            self.failed = result
+            code = errors.Code.SERVICE_FAILED
+            result = verdicts.MayHaveRun(code=code)
+        self.verdict = result
+        return result
+
+
 class CallForwarder:
     """Sends a call to an endpoint and retries it where that is allowed.
 
@@ -40,29 +71,82 @@
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Forwards a call and answers its caller."""
-        failed: _CompleteAnswer | None = None
-        while (endpoint := self._choose(task)) is not None:
-            result = await self._send(task, endpoint)
-            match result:
-                case _CompleteAnswer(is_success=True):
-                    self._deliver(task, result)
-                    return
-                case _CompleteAnswer():
-                    failed = result
-                    code = errors.Code.SERVICE_FAILED
-                    verdict = verdicts.MayHaveRun(code=code)
-                case _:
-                    verdict = result
-            if not _retries.may_send_again(self._context, task, verdict):
-                break
+        outcome = _Outcome()
+        group = _hedging.AttemptGroup(
+            reactor=self._context.reactor,
+            may_begin_another=lambda: self._may_begin_another(task),
+        )
+        try:
+            answer = await self._run(task, group, outcome)
+        except defer.CancelledError:
+            if outcome.failed is None or task.exchange.is_disconnected:
+                raise
+            answer = outcome.failed
+        finally:
+            group.close()
+        if answer is not None:
+            self._deliver(task, answer)
         else:
-            code = errors.Code.NO_ENDPOINT
-            verdict = verdicts.NotRun(code=code)
-        if failed is not None:
-            # The service's error tells the caller more than a verdict.
-            self._deliver(task, failed)
-            return
-        self._fail(task, verdict.code)
+            self._fail(task, outcome.verdict.code)
+
+    async def _run(
+        self,
+        task: _task.RequestTask,
+        group: _hedging.AttemptGroup,
+        outcome: _Outcome,
+    ) -> _CompleteAnswer | None:
+        """Makes attempts until one succeeds or none is allowed.
+
+        Returns:
+            The answer for the caller, or None if no endpoint gave one.
+        """
+        endpoint = self._choose(task)
+        while endpoint is not None or not group.is_empty:
+            if endpoint is not None:
+                self._begin(task, group, endpoint)
+            verdict = _OVERDUE_VERDICT
+            match await group.wait():
+                case _CompleteAnswer(is_success=True) as answer:
+                    return answer
+                case failure.Failure() as reason:
+                    reason.raiseException()
+                case _hedging.Overdue.OVERDUE:
+                    pass
+                case result:
+                    verdict = outcome.record(result)
+            endpoint = None
+            is_overdue = verdict is _OVERDUE_VERDICT
+            if (is_overdue or group.is_empty) and _retries.may_send_again(
+                self._context, task, verdict
+            ):
+                endpoint = self._choose(task)
+        return outcome.failed
+
+    def _begin(
+        self,
+        task: _task.RequestTask,
+        group: _hedging.AttemptGroup,
+        endpoint: dispatch.Endpoint,
+    ) -> None:
+        remaining_s = task.deadline - self._context.now()
+        overdue_s = None
+        if not _retries.is_last_send(task):
+            overdue_s = self._choose_overdue_s(endpoint, remaining_s)
+        sending = self._send(task, endpoint, remaining_s, overdue_s)
+        group.add(defer.ensureDeferred(sending), overdue_s=overdue_s)
+
+    def _may_begin_another(self, task: _task.RequestTask) -> bool:
+        """Returns whether another endpoint should be tried for a call now."""
+        now = self._context.now()
+        if _retries.find_obstacle(self._context, task, _OVERDUE_VERDICT):
+            return False
+        endpoint = self._choose(task)
+        if endpoint is None or endpoint in task.tried:
+            return False
+        usual_s = endpoint.health.latency_s or 0.0
+        return (
+            endpoint.health.is_reachable(now) and now + usual_s < task.deadline
+        )
 
     def _choose(self, task: _task.RequestTask) -> dispatch.Endpoint | None:
         now = self._context.now()
@@ -74,17 +158,19 @@
         return endpoint
 
     async def _send(
-        self, task: _task.RequestTask, endpoint: dispatch.Endpoint
+        self,
+        task: _task.RequestTask,
+        endpoint: dispatch.Endpoint,
+        remaining_s: float,
+        overdue_s: float | None,
     ) -> _CompleteAnswer | verdicts.Verdict:
         context = self._context
-        remaining_s = task.deadline - context.now()
         outgoing = context.codec.encode_run(
             task.request,
             record=endpoint.record,
             remaining_s=remaining_s,
             priority=task.route.priority,
         )
-        timeout_s = self._choose_timeout(task, endpoint, remaining_s)
         task.record_send(endpoint)
         attempt = _attempts.Attempt(
             context=context,
@@ -95,10 +181,7 @@
         try:
             with _attempts.hold_slot(endpoint):
                 result = await attempt.start(
-                    outgoing,
-                    timeout_s=timeout_s,
-                    max_timeout_s=remaining_s,
-                    should_wait=lambda: not self._can_run_elsewhere(task),
+                    outgoing, timeout_s=remaining_s, overdue_s=overdue_s
                 )
                 if isinstance(result, _attempts.Answered):
                     return await self._read(task, attempt, result)
@@ -108,30 +191,13 @@
             task.record_not_run(endpoint)
         return result
 
-    def _can_run_elsewhere(self, task: _task.RequestTask) -> bool:
-        """Returns whether it is better to send an overdue call again.
-
-        Without another endpoint it is sent to the same one, since its
-        connection may be dead.
-        """
-        verdict = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
-        if _retries.find_obstacle(self._context, task, verdict) is not None:
-            return False
-        endpoint = self._choose(task)
-        if endpoint is None or endpoint in task.tried:
-            return True
-        return endpoint.health.is_reachable(self._context.now())
-
-    def _choose_timeout(
-        self,
-        task: _task.RequestTask,
-        endpoint: dispatch.Endpoint,
-        remaining_s: float,
+    @staticmethod
+    def _choose_overdue_s(
+        endpoint: dispatch.Endpoint, remaining_s: float
     ) -> float:
-        if _retries.is_last_send(task):
-            return remaining_s
-        usual_s = _TIMEOUT_LATENCIES * (endpoint.health.latency_s or 0.0)
-        return min(remaining_s, max(usual_s, _MIN_TIMEOUT_SHARE * remaining_s))
+        """Returns the time after which another endpoint may be tried."""
+        usual_s = _OVERDUE_LATENCIES * (endpoint.health.latency_s or 0.0)
+        return min(remaining_s, max(usual_s, _MIN_OVERDUE_SHARE * remaining_s))
 
     async def _read(
         self,
