Secure an engine for a late first token as for a silent stream

What callers saw: 502 or 504 to a generation whose first token came late. Cause: the engine was left after 15% of the route's timeout for one that seemed to have room; it was full, silent, or no engine could prefill the prompt again. The search for a standby engine serves both now; before the first event it reserves a prefill engine as well and asks the budget for both sends.

An engine's complete error is kept if the request may not be sent again.

--- a/sassafrasstile/dispatch/_budget.py
+++ b/sassafrasstile/dispatch/_budget.py
@@ -77,11 +77,16 @@
         self._retries.append(now)
         return True
 
-    def can_spend(self, now: float) -> bool:
-        """Returns whether the budget allows a retry, and takes none."""
+    def can_spend(self, now: float, count: int = 1) -> bool:
+        """Returns whether the budget allows retries, and takes none.
+
+        Args:
+            now: The time in seconds.
+            count: The number of retries.
+        """
         self._drop_expired(now)
         allowed = self.ratio * len(self._requests) + self._read_slack()
-        return len(self._retries) + 1 <= allowed
+        return len(self._retries) + count <= allowed
 
     def charge(self, now: float) -> None:
         """Takes one retry that has already happened, even beyond the budget."""
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -66,42 +66,36 @@
             if grant is None or await self._resolve_contention(task, grant):
                 return grant
 
-    def try_acquire(self, task: _task.RequestTask) -> dispatch.Grant | None:
-        """Reserves capacity at another engine for a stream that has begun.
+    def try_acquire(
+        self, task: _task.RequestTask, *, needs_prefill: bool
+    ) -> dispatch.Grant | None:
+        """Reserves capacity at engines that haven't run a request.
 
         It precedes the queue, as each resumed stream does.
 
         Args:
             task: The request.
+            needs_prefill: False if its caller has a part of the answer.
 
         Returns:
             The grant, or None when no other engine has capacity now.
         """
-        grant = self._choose_other(task)
-        if grant is not None:
-            grant.reserve()
-            self._context.announce()
-        return grant
-
-    def has_capacity(self, task: _task.RequestTask) -> bool:
-        """Returns whether an engine that hasn't run a request has capacity."""
-        return self._choose_other(task) is not None
-
-    def _choose_other(self, task: _task.RequestTask) -> dispatch.Grant | None:
-        """Chooses a reachable decode engine that hasn't run a request."""
         now = self._context.now()
         choice = self._context.placement.choose_for_generation(
             service=task.service,
             size=task.size,
             now=now,
-            needs_prefill=False,
+            needs_prefill=needs_prefill,
             excluded=tuple(task.may_have_run),
         )
         if not isinstance(choice, dispatch.Grant):
             return None
         engine = choice.decode
-        is_other = engine not in task.may_have_run
-        return choice if is_other and engine.health.is_reachable(now) else None
+        if engine in task.may_have_run or not engine.health.is_reachable(now):
+            return None
+        choice.reserve()
+        self._context.announce()
+        return choice
 
     async def _resolve_contention(
         self, task: _task.RequestTask, grant: dispatch.Grant
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -2,6 +2,8 @@
 
 import logging
 
+from twisted.internet import defer
+
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import verdicts
@@ -19,9 +21,6 @@
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
-# A resumable generation without a first token is sent to another engine
-# after this share of its route's timeout.
-_FIRST_TOKEN_TIMEOUT_SHARE = 0.15
 _NO_ENDPOINT_RETRY_AFTER_S = 0.5
 # From this reserved share of its memory on, an engine is likely to be full.
 _FULL_SHARE = 0.85
@@ -39,11 +38,11 @@
         self._prefills = _prefills.PrefillRunner(context=context)
         self._holds = _holds.HoldTaker(context=context)
         self.admission = _admission.AdmissionController(context=context)
+        self._standbys = _standby.StandbyFinder(
+            context=context, admission=self.admission, holds=self._holds
+        )
         self._streams = _streams.StreamForwarder(
-            context=context,
-            standbys=_standby.StandbyFinder(
-                context=context, admission=self.admission, holds=self._holds
-            ),
+            context=context, standbys=self._standbys
         )
 
     async def forward(self, task: _task.RequestTask) -> None:
@@ -174,7 +173,7 @@
             hold=self._get_hold_token(progress),
             last_event_id=progress.last_event_id if progress.events else None,
         )
-        timeout_s = self._choose_timeout(task, remaining_s)
+        is_last = _retries.is_last_send(task)
         task.record_send(engine)
         attempt = _attempts.Attempt(
             context=context,
@@ -182,13 +181,20 @@
             request_id=task.request_id,
             number=task.sends,
         )
-        try:
-            result = await attempt.start(
+        starting = defer.ensureDeferred(
+            attempt.start(
                 outgoing,
-                timeout_s=timeout_s,
-                max_timeout_s=remaining_s,
-                should_wait=lambda: not self._can_run_elsewhere(task),
+                timeout_s=remaining_s,
+                overdue_s=_standby.compute_search_delay_s(task.route),
             )
+        )
+        try:
+            if is_last:
+                result = await starting
+            else:
+                result = await self._wait_for_head(
+                    task, engine, starting, progress
+                )
             if isinstance(result, _attempts.Answered):
                 # The engine has consumed the handle and the hold.
                 progress.handle = None
@@ -207,11 +213,29 @@
             self._handle_refusal(task, engine, progress)
         return result
 
-    def _can_run_elsewhere(self, task: _task.RequestTask) -> bool:
-        """Returns whether another engine could run an overdue request now."""
-        verdict = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
-        obstacle = _retries.find_obstacle(self._context, task, verdict)
-        return obstacle is None and self.admission.has_capacity(task)
+    async def _wait_for_head(
+        self,
+        task: _task.RequestTask,
+        engine: dispatch.Endpoint,
+        starting: defer.Deferred,
+        progress: _streams.Progress,
+    ) -> _attempts.AttemptResult:
+        """Waits for an answer, or until another engine can run the request."""
+        watch = self._standbys.watch(
+            task,
+            engine,
+            starting,
+            generated_tokens=self._streams.count_tokens(task, progress),
+        )
+        try:
+            return await starting
+        except defer.CancelledError:
+            if watch.standby is None:
+                raise
+            progress.standby = watch.standby
+            return verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
+        finally:
+            watch.close()
 
     def _may_prefill_locally(self, grant: dispatch.Grant) -> bool:
         """Returns whether the decode engine may prefill locally."""
@@ -257,14 +281,6 @@
         if hold is not None:
             self._holds.release(hold)
 
-    def _choose_timeout(
-        self, task: _task.RequestTask, remaining_s: float
-    ) -> float:
-        if _retries.is_last_send(task):
-            return remaining_s
-        timeout_s = _FIRST_TOKEN_TIMEOUT_SHARE * task.route.timeout_s
-        return min(remaining_s, timeout_s)
-
     async def _forward_failure(
         self,
         task: _task.RequestTask,
@@ -277,8 +293,10 @@
             body = await answered.reply.read_body()
         except web.ExchangeError as reason:
             return verdicts.MayHaveRun(code=reason.code)
-        if _retries.may_run_elsewhere(task) or task.exchange.has_begun:
-            return verdicts.MayHaveRun(code=errors.Code.ENGINE_FAILED)
+        verdict = verdicts.MayHaveRun(code=errors.Code.ENGINE_FAILED)
+        obstacle = _retries.find_obstacle(self._context, task, verdict)
+        if obstacle is None or task.exchange.has_begun:
+            return verdict
         task.outcome = f"answered {answered.head.status}"
         task.exchange.respond(
             status=answered.head.status,
--- a/sassafrasstile/forwarding/_holds.py
+++ b/sassafrasstile/forwarding/_holds.py
@@ -75,8 +75,8 @@
         """
         context = self._context
         endpoint = grant.decode
-        # A hold whose answer is lost, or whose caller leaves meanwhile, stays
-        # until it expires; after its target the request doesn't need it.
+        # A hold whose answer is lost stays until it expires; after its target
+        # the request doesn't need it.
         ttl_s = min(task.service.engine.hold_s, task.route.target_s)
         outgoing = context.codec.encode_hold(
             record=endpoint.record,
@@ -84,11 +84,15 @@
             ttl_s=ttl_s,
         )
         expires_at = context.now() + ttl_s
+        calling = _control_calls.call_endpoint(
+            context, endpoint, outgoing, timeout_s=_TIMEOUT_S
+        )
         try:
-            answer = await _control_calls.call_endpoint(
-                context, endpoint, outgoing, timeout_s=_TIMEOUT_S
-            )
+            answer = await _wait_without_cancelling(calling)
             result = self._decode(endpoint, answer, expires_at)
+        except defer.CancelledError:
+            self._release_when_granted(endpoint, calling, expires_at)
+            raise
         except (web.ExchangeError, defer.TimeoutError) as reason:
             self._log(task, endpoint, f"no answer ({reason})")
             endpoint.health.mark_unreachable(context.now())
@@ -134,6 +138,24 @@
             code=errors.Code.BAD_ANSWER, detail=f"status {status}"
         )
 
+    def _release_when_granted(
+        self,
+        endpoint: dispatch.Endpoint,
+        calling: defer.Deferred,
+        expires_at: float,
+    ) -> None:
+        """Releases a hold that is granted after its request has ended."""
+
+        def release(answer: _control_calls.ControlAnswer) -> None:
+            result = self._decode(endpoint, answer, expires_at)
+            if isinstance(result, KvHold):
+                self.release(result)
+
+        calling.addCallback(release)
+        calling.addErrback(
+            lambda reason: reason.trap(errors.Error, defer.TimeoutError)
+        )
+
     def release(self, hold: KvHold) -> None:
         """Returns memory that no request will use."""
         outgoing = self._context.codec.encode_hold_release(
@@ -171,3 +193,17 @@
                 "outcome": outcome,
             },
         )
+
+
+def _wait_without_cancelling(work: defer.Deferred) -> defer.Deferred:
+    """Returns a Deferred with the same result; cancelling it only ends it."""
+    waiting: defer.Deferred = defer.Deferred()
+
+    def pass_on(result):
+        if not waiting.called:
+            waiting.callback(result)
+            return None
+        return result
+
+    work.addBoth(pass_on)
+    return waiting
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -71,6 +71,8 @@
     context: _context.ForwardingContext,
     task: _task.RequestTask,
     verdict: verdicts.Verdict,
+    *,
+    arrivals: int = 1,
 ) -> Obstacle | None:
     """Returns what stands against another send, or None if it is allowed.
 
@@ -82,6 +84,7 @@
         context: State shared by the parts of the router.
         task: The request.
         verdict: The verdict on the last send.
+        arrivals: How many requests to endpoints the next try takes.
     """
     now = context.now()
     if task.deadline - now < MIN_REMAINING_S:
@@ -98,7 +101,7 @@
     if not is_proved and not may_run_elsewhere(task):
         return Obstacle.MAY_HAVE_RUN
     budget = context.get_budget(task.service.name)
-    if counts_against_budget(verdict) and not budget.can_spend(now):
+    if counts_against_budget(verdict) and not budget.can_spend(now, arrivals):
         return Obstacle.BUDGET
     return None
 
--- a/sassafrasstile/forwarding/_standby.py
+++ b/sassafrasstile/forwarding/_standby.py
@@ -9,7 +9,6 @@
 import logging
 
 from twisted.internet import defer
-from twisted.internet import task as tasks
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
@@ -20,6 +19,7 @@
 from sassafrasstile.forwarding import _holds
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _task
+from sassafrasstile.forwarding import _timers
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
 # A caller gives a stream up after the longest of these times without an event:
@@ -32,15 +32,23 @@
 # Another engine is looked for after this share of the caller's patience. The
 # rest is left to it for the prefill of what the caller has received.
 _SEARCH_SHARE = 0.5
+# The same where engines set no memory aside: such an engine may refuse, so it
+# is tried only when the caller is about to give up.
+_UNSECURED_SEARCH_SHARE = 0.8
 # Interval of the attempts to find one.
 _SEARCH_INTERVAL_S = 0.25
+# The verdict on an attempt that is ended to move.
+_VERDICT = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
 
 
-def compute_search_delay_s(route: routes.Route) -> float:
+def compute_search_delay_s(
+    route: routes.Route, *, has_holds: bool = True
+) -> float:
     """Returns the silence after which another engine is looked for.
 
     Args:
         route: The route of the stream.
+        has_holds: Whether the engines of the service set memory aside.
 
     >>> route = routes.Route(
     ...     name="r", host="h", prefix="/", kind=routes.RouteKind.GENERATION,
@@ -53,7 +61,8 @@
         _PATIENCE_TARGETS * route.target_s,
         _PATIENCE_GAPS * route.target_gap_s,
     )
-    return _SEARCH_SHARE * patience_s
+    share = _SEARCH_SHARE if has_holds else _UNSECURED_SEARCH_SHARE
+    return share * patience_s
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -81,6 +90,11 @@
     reason: str
 
 
+def _has_holds(service: routes.Service) -> bool:
+    """Returns whether the engines of a service set memory aside."""
+    return service.engine is not None and service.engine.hold_s > 0
+
+
 class StandbyFinder:
     """Finds engines for streams whose engines are silent.
 
@@ -107,7 +121,7 @@
         engine: dispatch.Endpoint,
         reading: defer.Deferred,
         *,
-        generated_tokens: int,
+        generated_tokens: int = 0,
     ) -> "StandbyWatch":
         """Starts to wait for the next bytes of an engine.
 
@@ -116,7 +130,8 @@
             engine: The engine that runs it.
             reading: Fires with the next bytes. It is cancelled once another
                 engine is ready.
-            generated_tokens: Tokens that the caller has received.
+            generated_tokens: Tokens that the caller has received. Before the
+                first one the prompt may be prefilled by a prefill engine.
 
         Returns:
             The watch, which has to be closed after `reading` has fired.
@@ -127,52 +142,50 @@
             engine=engine,
             reading=reading,
             secure=lambda: self._secure(task, generated_tokens),
+            pay=lambda: _retries.may_send_again(self._context, task, _VERDICT),
             release=self._release,
         )
-        watch.start(compute_search_delay_s(task.route))
+        delay_s = compute_search_delay_s(
+            task.route, has_holds=_has_holds(task.service)
+        )
+        watch.start(delay_s)
         return watch
 
     async def _secure(
-        self,
-        task: _task.RequestTask,
-        generated_tokens: int,
+        self, task: _task.RequestTask, generated_tokens: int
     ) -> Standby | Unavailable:
         """Reserves capacity and memory for a stream at another engine."""
-        verdict = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
-        obstacle = _retries.find_obstacle(self._context, task, verdict)
+        needs_prefill = not generated_tokens
+        obstacle = _retries.find_obstacle(
+            self._context,
+            task,
+            _VERDICT,
+            # The prompt is prefilled once more as well.
+            arrivals=2 if needs_prefill else 1,
+        )
         if obstacle is not None:
             return Unavailable(reason=obstacle.value)
-        grant = self._admission.try_acquire(task)
+        grant = self._admission.try_acquire(task, needs_prefill=needs_prefill)
         if grant is None:
             return Unavailable(reason="no other engine has capacity")
-        standby = await self._take_hold(task, grant, generated_tokens)
-        if standby is None:
-            return Unavailable(reason=f"{grant.decode.name} has no room")
-        if not _retries.may_send_again(self._context, task, verdict):
-            self._release(standby)
-            return Unavailable(reason=_retries.Obstacle.BUDGET.value)
-        return standby
-
-    async def _take_hold(
-        self,
-        task: _task.RequestTask,
-        grant: dispatch.Grant,
-        generated_tokens: int,
-    ) -> Standby | None:
-        """Lets the engine of a grant confirm it; releases the grant if not."""
-        if not task.service.engine.hold_s:
-            return Standby(grant=grant, hold=None)
         hold = None
         try:
-            hold = await self._holds.take(
-                task, grant, generated_tokens=generated_tokens
-            )
-        finally:
-            if not isinstance(hold, _holds.KvHold):
-                self._admission.release(grant)
-        if not isinstance(hold, _holds.KvHold):
-            return None
-        return Standby(grant=grant, hold=hold)
+            if _has_holds(task.service):
+                hold = await self._holds.take(
+                    task, grant, generated_tokens=generated_tokens
+                )
+        except BaseException:
+            self._admission.release(grant)
+            raise
+        standby = Standby(grant=grant, hold=hold)
+        name = grant.decode.name
+        if _has_holds(task.service) and not isinstance(hold, _holds.KvHold):
+            self._admission.release(grant)
+            return Unavailable(reason=f"{name} has no room")
+        if not grant.decode.accepts_work:
+            self._release(standby)
+            return Unavailable(reason=f"{name} begins to drain")
+        return standby
 
     def _release(self, standby: Standby) -> None:
         self._admission.release(standby.grant)
@@ -189,6 +202,7 @@
         engine: The engine that may fall silent.
         reading: Fires with that engine's next bytes.
         secure: Tries to get a standby engine ready.
+        pay: Takes the retry from the budget; returns False if it is spent.
         release: Gives a standby engine up.
 
     Attributes:
@@ -203,44 +217,60 @@
         engine: dispatch.Endpoint,
         reading: defer.Deferred,
         secure: Callable[[], Awaitable[Standby | Unavailable]],
+        pay: Callable[[], bool],
         release: Callable[[Standby], None],
     ):
-        self._reactor = reactor
         self._request_id = request_id
         self._engine = engine
         self._reading = reading
         self._secure = secure
+        self._pay = pay
         self._release = release
-        self._timer = None
-        self._search: defer.Deferred | None = None
+        self._timer = _timers.SilenceTimer(
+            reactor=reactor, on_silence=self._begin
+        )
+        self._attempt: defer.Deferred | None = None
         self._reason = ""
+        self._is_closed = False
         self.standby: Standby | None = None
 
     def start(self, delay_s: float) -> None:
         """Starts to wait; the search begins after a delay in seconds."""
-        self._timer = self._reactor.callLater(delay_s, self._begin)
+        self._timer.start(delay_s)
 
     def close(self) -> None:
-        """Ends the search."""
-        if self._timer.active():
-            self._timer.cancel()
-        if self._search is not None:
-            self._search.cancel()
+        """Ends the search and releases what it has reserved."""
+        self._is_closed = True
+        self._timer.close()
+        if self._attempt is not None and self.standby is None:
+            self._attempt.cancel()
 
     def _begin(self) -> None:
-        self._search = defer.ensureDeferred(self._search_repeatedly())
-        self._search.addCallbacks(self._move, self._log_failure)
-
-    async def _search_repeatedly(self) -> Standby:
-        while True:
-            match await self._secure():
-                case Standby() as standby:
-                    self._log(f"moves to {standby.grant.decode.name}")
-                    return standby
-                case Unavailable(reason=reason) if reason != self._reason:
-                    self._reason = reason
-                    self._log(f"stays: {reason}")
-            await tasks.deferLater(self._reactor, _SEARCH_INTERVAL_S)
+        self._attempt = defer.ensureDeferred(self._search())
+        self._attempt.addErrback(self._log_failure)
+
+    async def _search(self) -> None:
+        """Makes one attempt, and schedules the next one if it fails."""
+        match await self._secure():
+            case Standby() as standby if self._is_closed:
+                self._release(standby)
+            case Standby() as standby if self._pay():
+                self._log(f"moves to {standby.grant.decode.name}")
+                self.standby = standby
+                self._reading.cancel()
+            case Standby() as standby:
+                self._release(standby)
+                self._wait_on(_retries.Obstacle.BUDGET.value)
+            case Unavailable(reason=reason):
+                self._wait_on(reason)
+
+    def _wait_on(self, reason: str) -> None:
+        if self._is_closed:
+            return
+        if reason != self._reason:
+            self._reason = reason
+            self._log(f"stays: {reason}")
+        self._timer.start(_SEARCH_INTERVAL_S)
 
     def _log(self, outcome: str) -> None:
         _LOG.info(
@@ -255,13 +285,6 @@
             },
         )
 
-    def _move(self, standby: Standby) -> None:
-        if self._reading.called:
-            self._release(standby)
-            return
-        self.standby = standby
-        self._reading.cancel()
-
     @staticmethod
     def _log_failure(reason) -> None:
         if not reason.check(defer.CancelledError):
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -95,7 +95,7 @@
                     self._forward_event(
                         task, attempt, answered, event, progress
                     )
-                grant.update_output_tokens(self._count_tokens(task, progress))
+                grant.update_output_tokens(self.count_tokens(task, progress))
             _check_end(splitter, progress)
         except web.ExchangeError as reason:
             return _record_break(task, attempt, progress, reason)
@@ -112,12 +112,12 @@
             return
         self._context.lengths.record(
             task.service.name,
-            tokens=self._count_tokens(task, progress),
+            tokens=self.count_tokens(task, progress),
             declared_tokens=task.details.output_tokens,
         )
 
     @staticmethod
-    def _count_tokens(task: _task.RequestTask, progress: Progress) -> int:
+    def count_tokens(task: _task.RequestTask, progress: Progress) -> int:
         """Returns the number of tokens generated so far."""
         engine = task.service.engine
         per_event = engine.tokens_per_event if engine else 1
@@ -138,7 +138,7 @@
             task,
             attempt.endpoint,
             reading,
-            generated_tokens=self._count_tokens(task, progress),
+            generated_tokens=self.count_tokens(task, progress),
         )
         try:
             return await reading
@@ -150,7 +150,7 @@
             watch.close()
         raise web.ExchangeError(
             code=errors.Code.ENDPOINT_SILENT,
-            detail="silent while another engine is ready",
+            detail="silent, while another engine is ready",
             was_sent=True,
         )
 
