Judge by answered streams whether one can end before a stop

What callers saw: a stream accepted in the last seconds of a planned stop was cut. Cause: the mean duration of generations counted refusals too, which take no time, so after an overload a stopping gateway expected streams to be short (3.0 s fell to 0.42 after 60 refusals); and it left no time for an engine that is silent for a second. Tests: both of test_late_streams, failing before.

--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -24,6 +24,8 @@
 _NEWEST_WEIGHT = 0.05
 # Few generations take longer than this many times the average.
 _LONG_GENERATION_FACTOR = 2.0
+# An engine in good order may be silent for about this long meanwhile.
+_SILENCE_MARGIN_S = 1.0
 
 
 class Router:
@@ -135,7 +137,7 @@
         needed_s = task.deadline - self._context.now()
         if task.route.kind is routes.RouteKind.GENERATION:
             long_s = _LONG_GENERATION_FACTOR * self._mean_generation_s
-            needed_s = min(needed_s, long_s)
+            needed_s = min(needed_s, long_s + _SILENCE_MARGIN_S)
         return self._context.now() + needed_s < self._ends_at
 
     def _choose_service(self, route: routes.Route) -> routes.Service:
@@ -211,7 +213,7 @@
         kind = task.route.kind.value
         context.metrics.requests.labels(kind, task.outcome).inc()
         context.metrics.latency.labels(kind).observe(taken_s)
-        if task.route.kind is routes.RouteKind.GENERATION:
+        if task.first_token_s is not None:
             difference_s = taken_s - self._mean_generation_s
             self._mean_generation_s += _NEWEST_WEIGHT * difference_s
         _LOG.info(
