Decode and log the software version of an endpoint

What two versions of a back end write doesn't fit together, and nothing in the logs could tell which version a stream began at and where it goes on. The version of an endpoint's record is decoded, logged with membership:, attempt: and stream: lines, and part of the incarnation: another version under the same id and start is another instance.

A record without a usable version names no endpoint to use, as other records with fields missing. Its test fails on the former decoder: 200 != 503.

--- a/sassafrasstile/dispatch/tests/test_placement.py
+++ b/sassafrasstile/dispatch/tests/test_placement.py
@@ -56,6 +56,21 @@
         self.assertFalse(self.check(engine, 2000))
 
 
+class IncarnationTest(unittest.TestCase):
+    """Restarts and replacements of an endpoint."""
+
+    # Guards against load and health kept for other software under the same id.
+    def test_changed_software_version_is_another_incarnation(self):
+        table = dispatch.EndpointTable(silence_timeout_s=1.0)
+        record = testing.make_endpoint_record("d1", software_version="v1")
+        table.update_record("d1", record)
+        (former,) = table.list_all()
+        updated = dataclasses.replace(record, software_version="v2")
+        self.assertIs(table.update_record("d1", updated), former)
+        self.assertTrue(former.is_removed)
+        self.assertEqual(former.record.software_version, "v1")
+
+
 class ContentionTest(unittest.TestCase):
     """Two gateways that reserve the same last capacity in a burst."""
 
--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -262,6 +262,7 @@
                 "request": self._request_id,
                 "attempt": self._number,
                 "endpoint": self.endpoint.name,
+                "software_version": self.endpoint.record.software_version,
                 "outcome": outcome,
                 "taken_ms": round((self._context.now() - self.began_at) * 1000),
                 "in_flight": self.endpoint.in_flight,
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -26,6 +26,8 @@
             from an earlier attempt, or None.
         prompt_id: Identifies a generation's prompt, also when the request is
             repeated; empty if the caller names none.
+        origin_id: The id of the attempt that brought the first event of the
+            stream that the caller takes up again, or None.
     """
 
     request_id: str
@@ -35,6 +37,12 @@
     output_tokens: int
     last_event_id: str | None
     prompt_id: str = ""
+    origin_id: str | None = None
+
+    @property
+    def is_resumption(self) -> bool:
+        """True when the caller has a part of the stream already."""
+        return bool(self.last_event_id or self.origin_id)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -210,6 +210,7 @@
         extra={
             "request": task.request_id,
             "endpoint": attempt.endpoint.name,
+            "software_version": attempt.endpoint.record.software_version,
             "code": reason.code,
             "events": progress.events,
             "last_event_id": progress.last_event_id,
--- a/sassafrasstile/membership/_base.py
+++ b/sassafrasstile/membership/_base.py
@@ -34,6 +34,8 @@
         role: The kind of work that it does.
         state: Whether it accepts new work.
         slots: Maximum number of requests that it runs concurrently.
+        software_version: The version of its software. What engines of two
+            versions write doesn't fit together.
     """
 
     endpoint_id: str
@@ -45,8 +47,15 @@
     role: Role
     state: EndpointState
     slots: int
+    software_version: str = ""
 
     @property
-    def incarnation(self) -> tuple[str, int, str, int]:
-        """Identifies this incarnation, its address included."""
-        return (self.endpoint_id, self.started_ms, self.host, self.port)
+    def incarnation(self) -> tuple[str, int, str, int, str]:
+        """Identifies this incarnation, its address and software included."""
+        return (
+            self.endpoint_id,
+            self.started_ms,
+            self.host,
+            self.port,
+            self.software_version,
+        )
--- a/sassafrasstile/membership/_roster.py
+++ b/sassafrasstile/membership/_roster.py
@@ -74,6 +74,7 @@
                 "service": record.service,
                 "role": record.role.value,
                 "zone": record.zone,
+                "software_version": record.software_version,
             },
         )
         self._on_change(record.endpoint_id, record)
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -76,6 +76,7 @@
                 detail=f"deadline is {timeout_ms!r}; expected milliseconds",
             ) from reason
         request_id = request.get(_names.REQUEST_ID.lower()) or b""
+        origin_id = request.get(_names.RESUMES.lower())
         token_count = request.get(_names.TOKEN_COUNT.lower())
         prompt_tokens, output_tokens = _parse_token_count(token_count)
         return forwarding.RequestDetails(
@@ -86,6 +87,7 @@
             output_tokens=output_tokens,
             last_event_id=last_event_id and last_event_id.decode("latin-1"),
             prompt_id=_read_prompt_id(request.get(_names.PROMPT_PARTS.lower())),
+            origin_id=origin_id.decode("latin-1") if origin_id else None,
         )
 
     def encode_run(
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -10,6 +10,8 @@
 # The parts of the prompt as ID:TOKENS, separated by commas.
 PROMPT_PARTS = b"X-Prompt-Prefix"
 LAST_EVENT_ID = b"Last-Event-Id"
+# The id of the attempt that brought the first event of a resumed stream.
+RESUMES = b"Resumes"
 DEADLINE_MS = b"X-Deadline-Ms"
 
 # Headers that only gateways may set on requests to endpoints; callers' values
--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -85,6 +85,9 @@
     slots: int = pydantic.Field(strict=True, gt=0)
     state: Literal["ready", "draining"]
     stage: Literal["prefill", "decode"] | None = None
+    # The version of the endpoint's software. A stream goes on only at the one
+    # that began it, so an endpoint that doesn't state its own can't be used.
+    version: str = pydantic.Field(min_length=1, max_length=64)
     # Start time in Unix milliseconds; the endpoint's counters restart with it.
     born: int = pydantic.Field(strict=True, default=0)
 
@@ -190,4 +193,5 @@
             role=_ROLES[document.stage],
             state=membership.EndpointState(document.state),
             slots=document.slots,
+            software_version=document.version,
         )
--- a/sassafrasstile/router/tests/test_store_records.py
+++ b/sassafrasstile/router/tests/test_store_records.py
@@ -100,3 +100,16 @@
         self.assertEqual((await site.call("/a/")).status, 200)
         self.assertEqual(len(old.requests), before)
         await self.close_sites()
+
+    # Guards against work for an endpoint whose software version isn't known.
+    @testing.on_reactor
+    async def test_record_without_software_version_names_no_endpoint(self):
+        site = await self.start_site()
+        other = site.add_endpoint("e1", standins.make_answer, service="none")
+        for version in (None, "", 7, ["v1"]):
+            site.announce("e1", version=version)
+        site.withdraw("e0")
+        await self.sleep(0.5)
+        self.assertEqual((await site.call("/a/")).status, 503)
+        self.assertEqual(other.requests, [])
+        await self.close_sites()
--- a/sassafrasstile/testing/_records.py
+++ b/sassafrasstile/testing/_records.py
@@ -15,6 +15,7 @@
     role: membership.Role = membership.Role.DECODE,
     state: membership.EndpointState = membership.EndpointState.READY,
     slots: int = 8,
+    software_version: str = "v1",
 ) -> membership.EndpointRecord:
     """Returns an endpoint's record with default values."""
     return membership.EndpointRecord(
@@ -27,6 +28,7 @@
         role=role,
         state=state,
         slots=slots,
+        software_version=software_version,
     )
 
 
