--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -15,6 +15,7 @@
 from sassafrasstile.platform import _codec
 from sassafrasstile.platform import _records
 from sassafrasstile.platform import _store
+from sassafrasstile.testing import _ports
 
 HOST = "a.example"
 _CONFIGURATION_TOPIC = "keyed.op"
@@ -22,6 +23,7 @@
 _PEER_TOPIC = "keyed.gateways"
 # Nothing listens there.
 _DISCARD_PORT = 9
+_FIRST_GATEWAY = "gateway-1"
 # Long enough for the other side to react to a piece.
 _PIECE_INTERVAL_S = 0.1
 
@@ -223,7 +225,7 @@
 
 
 class PlatformSite:
-    """A store, scripted endpoints and a gateway on loopback.
+    """A store, scripted endpoints and one or more gateways on loopback.
 
     Args:
         reactor: The reactor.
@@ -232,6 +234,9 @@
         listener: The socket on which callers wait for the gateway, or None.
         other_gateways: The number of other gateways, which never report. They
             are in another availability zone than the gateway.
+
+    Attributes:
+        daemon: The first gateway.
     """
 
     def __init__(
@@ -254,6 +259,7 @@
         self.store = self.server.store
         self.metrics = telemetry.RouterMetrics()
         self.daemon: router.RouterDaemon | None = None
+        self._gateways: dict[str, router.RouterDaemon] = {}
 
     def start(self) -> None:
         """Starts the store and the gateway."""
@@ -262,41 +268,71 @@
             name = f"other-{number}"
             address = [name, "127.0.0.1", _DISCARD_PORT, "b"]
             self.store.put_json(_PEER_TOPIC, name, address)
-        self.daemon = router.RouterDaemon(
+        self.daemon = self._start_gateway(
+            _FIRST_GATEWAY, "a", metrics=self.metrics, listener=self._listener
+        )
+
+    def add_gateway(self, name: str, *, zone: str) -> router.RouterDaemon:
+        """Starts another gateway, which exchanges reports with the others."""
+        return self._start_gateway(
+            name, zone, metrics=telemetry.RouterMetrics()
+        )
+
+    def get_gateway(self, name: str) -> router.RouterDaemon:
+        """Returns a running gateway."""
+        return self._gateways[name]
+
+    async def stop_gateway(self, name: str) -> None:
+        """Stops a gateway at once, with all that it knows."""
+        await self._gateways.pop(name).close()
+
+    def _start_gateway(
+        self,
+        name: str,
+        zone: str,
+        *,
+        metrics: telemetry.RouterMetrics,
+        listener: socket.socket | None = None,
+    ) -> router.RouterDaemon:
+        settings = self._make_settings(name, zone)
+        daemon = router.RouterDaemon(
             reactor=self._reactor,
-            settings=self._make_settings(),
-            settings_source=_FixedSettings(settings=self._make_settings()),
+            settings=settings,
+            settings_source=_FixedSettings(settings=settings),
             store=_store.PlatformStore(
                 reactor=self._reactor,
                 host=self.server.host,
                 port=self.server.port,
-                metrics=self.metrics,
+                metrics=metrics,
             ),
             record_decoder=_records.PlatformRecordDecoder(),
             codec=_codec.PlatformCodec(),
-            metrics=self.metrics,
+            metrics=metrics,
             generator=random.Random(1),
-            listener=self._listener,
+            listener=listener,
         )
-        self.daemon.start()
+        daemon.start()
+        self._gateways[name] = daemon
+        return daemon
 
     async def close(self) -> None:
         """Stops everything."""
-        await self.daemon.close()
+        for name in list(self._gateways):
+            await self.stop_gateway(name)
         for endpoint in self.endpoints.values():
             await defer.maybeDeferred(endpoint.close)
         await defer.maybeDeferred(self.server.close)
 
-    def _make_settings(self) -> router.RouterSettings:
+    def _make_settings(self, name: str, zone: str) -> router.RouterSettings:
         return router.RouterSettings(
-            name="gateway-1",
-            zone="a",
+            name=name,
+            zone=zone,
             host="127.0.0.1",
             port=0,
             ready_port=0,
             ready_path="/ready",
             metrics_port=0,
-            peer_port=0,
+            peer_port=_ports.pick_udp_port(),
             store_host=self.server.host,
             store_port=self.server.port,
             grace_s=self._grace_s,
@@ -313,6 +349,7 @@
         service: str = "desk",
         stage: str | None = None,
         zone: str = "a",
+        version: str = "v1",
     ) -> standins.PlatformEndpoint:
         """Starts an endpoint and writes its membership document."""
         endpoint = standins.PlatformEndpoint(
@@ -320,7 +357,9 @@
         )
         endpoint.start()
         self.endpoints[name] = endpoint
-        self.announce(name, service=service, stage=stage, zone=zone)
+        self.announce(
+            name, service=service, stage=stage, zone=zone, version=version
+        )
         return endpoint
 
     def announce(self, name: str, **changes) -> None:
@@ -341,12 +380,14 @@
         )
         self.store.put_json(_CONFIGURATION_TOPIC, "config", document)
 
-    async def connect(self) -> Caller:
-        """Opens a caller's connection."""
-        return await connect(self._reactor, self.daemon.port)
+    async def connect(self, gateway: str = _FIRST_GATEWAY) -> Caller:
+        """Opens a caller's connection to a gateway."""
+        return await connect(self._reactor, self._gateways[gateway].port)
 
-    async def call(self, path: str, **fields) -> RawAnswer:
+    async def call(
+        self, path: str, *, gateway: str = _FIRST_GATEWAY, **fields
+    ) -> RawAnswer:
         """Sends a request on a new connection and reads until it closes."""
-        caller = await self.connect()
+        caller = await self.connect(gateway)
         caller.send(make_request(path, **fields))
         return await caller.read_all()
--- a/sassafrasstile/testing/_ports.py
+++ b/sassafrasstile/testing/_ports.py
@@ -20,3 +20,10 @@
         accepted.close()
         client.recv(1)
     return address[1]
+
+
+def pick_udp_port() -> int:
+    """Returns a UDP port that is free now."""
+    with socket.socket(type=socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        return server.getsockname()[1]
