Keep a broken stream at the software version that began it

Callers saw one response with events of two software versions: when an engine was lost midway, the stream went on at whichever engine had room.

Once an event has been passed on, the request carries the version of its engine, and each choice of a decode engine is bound to it: admission, the move after a prefill, retries, and the choice among engines that have failed before. A stream whose version has no room waits without keeping others back, and others leave that version's engines to it; one whose version has left is refused at once.

--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -85,6 +85,10 @@
         is_ready = self.record.state is membership.EndpointState.READY
         return is_ready and not self.is_removed
 
+    def has_version(self, software_version: str | None) -> bool:
+        """Returns whether its software has a version; None stands for any."""
+        return software_version in (None, self.record.software_version)
+
     def has_own_load(self, now: float) -> bool:
         """Returns whether there is anything to report about it."""
         return bool(
@@ -302,6 +306,7 @@
         role: membership.Role,
         now: float,
         excluded: Collection[Endpoint] = (),
+        software_version: str | None = None,
     ) -> list[Endpoint]:
         """Returns the endpoints that may take new work.
 
@@ -313,6 +318,8 @@
             role: The required role.
             now: The time in seconds.
             excluded: Endpoints on which this request has failed.
+            software_version: The version that they must have, or None for
+                any.
         """
         ready = [
             item
@@ -321,6 +328,7 @@
             and item.record.role is role
             and item.record.state is membership.EndpointState.READY
             and item not in excluded
+            and item.has_version(software_version)
         ]
         reachable = [item for item in ready if item.health.is_reachable(now)]
         return reachable or ready
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -123,12 +123,21 @@
 
         return self._choose_cheapest(usable, estimate)
 
-    def has_decode_engine(self, service: str) -> bool:
-        """Returns whether a service has a decode engine that isn't draining."""
+    def has_decode_engine(
+        self, service: str, *, software_version: str | None = None
+    ) -> bool:
+        """Returns whether a service has a decode engine that isn't draining.
+
+        Args:
+            service: The service.
+            software_version: The version that the engine must have, or None
+                for any.
+        """
         return any(
             item.record.service == service
             and item.record.role is membership.Role.DECODE
             and item.record.state is membership.EndpointState.READY
+            and item.has_version(software_version)
             for item in self._endpoints.list_all()
         )
 
@@ -141,6 +150,8 @@
         needs_prefill: bool = True,
         is_late: bool = False,
         excluded: Collection[_endpoints.Endpoint] = (),
+        software_version: str | None = None,
+        avoided_versions: Collection[str] = (),
     ) -> _grants.Grant | Shortage:
         """Chooses a decode engine with capacity and an engine to prefill.
 
@@ -152,11 +163,22 @@
             is_late: True when the first token can't meet its target; some
                 capacity is then left to generations that still can.
             excluded: Engines on which this request has failed.
+            software_version: The version that the decode engine must have, or
+                None for any.
+            avoided_versions: Versions that the decode engine mustn't have.
 
         Returns:
             The chosen engines, or the resource that is exhausted.
         """
-        decode = self._choose_for_decode(service, size, now, is_late, excluded)
+        decode = self._choose_for_decode(
+            service,
+            size,
+            now,
+            is_late=is_late,
+            excluded=excluded,
+            software_version=software_version,
+            avoided_versions=avoided_versions,
+        )
         if decode is None:
             return Shortage.DECODE
         if not needs_prefill:
@@ -244,6 +266,7 @@
         service: routes.Service,
         now: float,
         excluded: Collection[_endpoints.Endpoint] = (),
+        software_version: str | None = None,
     ) -> _endpoints.Endpoint | None:
         """Chooses another decode engine if the granted one may refuse.
 
@@ -256,6 +279,8 @@
             service: The required service.
             now: The time in seconds.
             excluded: Engines on which this request has failed.
+            software_version: The version that the engine must have, or None
+                for any.
 
         Returns:
             An engine with capacity, or None to keep the granted one.
@@ -270,25 +295,50 @@
         ):
             return None
         other = self._choose_for_decode(
-            service, grant.size, now, False, (*excluded, decode)
+            service,
+            grant.size,
+            now,
+            excluded=(*excluded, decode),
+            software_version=software_version,
         )
         return None if other is decode else other
 
-    def _choose_for_decode(self, service, size, now, is_late, excluded):
+    def _choose_for_decode(
+        self,
+        service,
+        size,
+        now,
+        *,
+        excluded,
+        software_version,
+        is_late=False,
+        avoided_versions=(),
+    ):
         usable = self._endpoints.list_usable(
             service=service.name,
             role=membership.Role.DECODE,
             now=now,
             excluded=excluded,
+            software_version=software_version,
         )
         if not usable and excluded:
-            return self._choose_for_decode(service, size, now, is_late, ())
+            return self._choose_for_decode(
+                service,
+                size,
+                now,
+                is_late=is_late,
+                excluded=(),
+                software_version=software_version,
+                avoided_versions=avoided_versions,
+            )
         capacity = _get_capacity(service)
         share = _LATE_MEMORY_SHARE if is_late else 1.0
 
         def has_capacity(item: _endpoints.Endpoint) -> bool:
             if not item.is_available(now):
                 return False
+            if item.record.software_version in avoided_versions:
+                return False
             if not item.total_in_flight:
                 return True
             used = item.total_reserved_tokens + size.memory_tokens
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -1,6 +1,7 @@
 """The queue of generations that wait for capacity on engines."""
 
 import collections
+from collections.abc import Collection
 import dataclasses
 import enum
 import itertools
@@ -49,6 +50,8 @@
             None without one.
         is_resumed: True when the caller already has a part of the output.
         excluded: Engines on which it has failed.
+        software_version: The version that its decode engine must have, or None
+            for any.
         grant: The granted capacity, once it is admitted.
     """
 
@@ -61,6 +64,7 @@
     prefilled_until: float | None = None
     is_resumed: bool = False
     excluded: tuple[_endpoints.Endpoint, ...] = ()
+    software_version: str | None = None
     grant: _grants.Grant | None = None
 
     def needs_prefill(self, now: float) -> bool:
@@ -119,6 +123,7 @@
         prefilled_until: float | None = None,
         is_resumed: bool = False,
         excluded: tuple[_endpoints.Endpoint, ...] = (),
+        software_version: str | None = None,
     ) -> Waiter:
         """Adds a generation; `admit` returns it once it has capacity.
 
@@ -135,6 +140,8 @@
             is_resumed: True when the caller already has a part of the
                 output.
             excluded: Engines on which it has failed.
+            software_version: The version that its decode engine must have, or
+                None for any.
         """
         waiter = Waiter(
             service=service,
@@ -146,6 +153,7 @@
             prefilled_until=prefilled_until,
             is_resumed=is_resumed,
             excluded=excluded,
+            software_version=software_version,
         )
         self._waiters.append(waiter)
         return waiter
@@ -158,8 +166,16 @@
     def admit(self, now: float) -> list[Waiter]:
         """Reserves capacity for generations and returns the admitted ones."""
         admitted = []
+        # Versions of engines that are full, by service.
+        full_versions: dict[str, set[str]] = collections.defaultdict(set)
         for waiter in self._sort(now):
-            match self._choose(waiter, now):
+            full = full_versions[waiter.service.name]
+            match self._choose(waiter, now, full):
+                case _placement.Shortage.DECODE if waiter.software_version:
+                    # Later generations leave the engines of its version to it,
+                    # and needn't wait for those of others.
+                    full.add(waiter.software_version)
+                    continue
                 case _placement.Shortage.DECODE:
                     # Smaller generations must not starve it.
                     break
@@ -177,7 +193,7 @@
         return admitted
 
     def _choose(
-        self, waiter: Waiter, now: float
+        self, waiter: Waiter, now: float, full_versions: Collection[str]
     ) -> _grants.Grant | _placement.Shortage:
         return self._placement.choose_for_generation(
             service=waiter.service,
@@ -186,6 +202,8 @@
             needs_prefill=waiter.needs_prefill(now),
             is_late=waiter.get_urgency(now) is Urgency.LATE,
             excluded=waiter.excluded,
+            software_version=waiter.software_version,
+            avoided_versions=full_versions,
         )
 
     def expire(self, now: float) -> list[Waiter]:
@@ -209,10 +227,14 @@
             self._admitted_at.popleft()
         return max(_MIN_RATE_PER_S, len(self._admitted_at) / _RATE_WINDOW_S)
 
-    @staticmethod
-    def _should_expire(waiter: Waiter, wait_s: float, now: float) -> bool:
+    def _should_expire(self, waiter: Waiter, wait_s: float, now: float) -> bool:
         if now >= waiter.wait_deadline:
             return True
+        if waiter.software_version and not self._placement.has_decode_engine(
+            waiter.service.name, software_version=waiter.software_version
+        ):
+            # Its version has left.
+            return True
         match waiter.get_urgency(now + wait_s):
             case Urgency.LATE:
                 return wait_s > _MAX_LATE_WAIT_S
--- a/sassafrasstile/dispatch/tests/test_placement.py
+++ b/sassafrasstile/dispatch/tests/test_placement.py
@@ -71,6 +71,62 @@
         self.assertEqual(former.record.software_version, "v1")
 
 
+class VersionTest(unittest.TestCase):
+    """Decode engines of two software versions."""
+
+    def setUp(self):
+        self.table = dispatch.EndpointTable(silence_timeout_s=1.0)
+        for name, version in (("d1", "v1"), ("d2", "v2"), ("d3", "v2")):
+            self.table.update_record(
+                name,
+                testing.make_endpoint_record(name, software_version=version),
+            )
+        self.engines = {item.name: item for item in self.table.list_all()}
+        self.placement = dispatch.Placement(
+            endpoints=self.table, zone="a", generator=random.Random(1)
+        )
+
+    def choose(self, **fields):
+        return self.placement.choose_for_generation(
+            service=_SERVICE, size=_SIZE, now=0.0, needs_prefill=False, **fields
+        )
+
+    # Guards against a full or failed engine sending a stream to another
+    # version.
+    def test_no_engine_of_another_version_is_chosen(self):
+        only = self.engines["d1"]
+        for excluded in ((), (only,)):
+            grant = self.choose(software_version="v1", excluded=excluded)
+            self.assertIs(grant.decode, only)
+        only.in_flight = _SERVICE.engine.slots
+        grant = self.choose(software_version="v1")
+        self.assertIs(grant, dispatch.Shortage.DECODE)
+        grant = self.choose(software_version="v3")
+        self.assertIs(grant, dispatch.Shortage.DECODE)
+        self.assertIn(self.choose().decode.name, ("d2", "d3"))
+
+    # Guards against a move to another version after the prefill.
+    def test_alternative_has_the_same_version(self):
+        grant = self.choose(software_version="v2")
+        grant.decode.is_removed = True
+        other = self.placement.choose_alternative(
+            grant, service=_SERVICE, now=0.0, software_version="v2"
+        )
+        self.assertEqual(other.record.software_version, "v2")
+        self.assertIsNot(other, grant.decode)
+        grant = self.choose(software_version="v1")
+        grant.decode.is_removed = True
+        other = self.placement.choose_alternative(
+            grant, service=_SERVICE, now=0.0, software_version="v1"
+        )
+        self.assertIsNone(other)
+
+    def test_decode_engines_are_known_by_version(self):
+        has_decode_engine = self.placement.has_decode_engine
+        self.assertTrue(has_decode_engine("engine", software_version="v1"))
+        self.assertFalse(has_decode_engine("engine", software_version="v3"))
+
+
 class ContentionTest(unittest.TestCase):
     """Two gateways that reserve the same last capacity in a burst."""
 
--- a/sassafrasstile/dispatch/tests/test_queue.py
+++ b/sassafrasstile/dispatch/tests/test_queue.py
@@ -98,6 +98,35 @@
         grants[0].release()
         self.assertEqual(self.queue.admit(0.1), [resumed])
 
+    # Guards against a stream that waits for its version keeping all others
+    # waiting, and against others taking the capacity that it waits for.
+    def test_generation_that_needs_a_full_version_delays_only_that_version(
+        self,
+    ):
+        grants = self.fill()
+        resumed = self.add(is_resumed=True, software_version="v1")
+        other = self.add()
+        self.assertEqual(self.queue.admit(0.1), [])
+        record = testing.make_endpoint_record("d2", software_version="v2")
+        self.table.update_record("d2", record)
+        self.assertEqual(self.queue.admit(0.1), [other])
+        self.assertEqual(other.grant.decode.name, "d2")
+        grants[0].release()
+        grants[1].release()
+        self.assertEqual(self.queue.admit(0.1), [resumed])
+        self.assertEqual(resumed.grant.decode.name, "d1")
+
+    # Guards against callers waiting for a version that has left.
+    def test_generation_expires_when_its_version_has_left(self):
+        self.fill()
+        resumed = self.add(is_resumed=True, software_version="v1")
+        self.assertEqual(self.queue.expire(0.1), [])
+        self.table.update_record("d1", None)
+        record = testing.make_endpoint_record("d2", software_version="v2")
+        self.table.update_record("d2", record)
+        self.assertEqual(self.queue.admit(0.1), [])
+        self.assertEqual(self.queue.expire(0.1), [resumed])
+
     def test_prefilled_generation_precedes_others(self):
         grants = self.fill()
         self.add()
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -106,7 +106,9 @@
         handle: _base.KvHandle | None,
         is_resumed: bool,
     ) -> dispatch.Grant | None:
-        if not self._context.placement.has_decode_engine(task.service.name):
+        if not self._context.placement.has_decode_engine(
+            task.service.name, software_version=task.software_version
+        ):
             return None
         target_s = task.route.target_s
         received_at = task.request.received_at
@@ -127,6 +129,7 @@
             prefilled_until=handle.expires_at if handle else None,
             is_resumed=is_resumed,
             excluded=tuple(task.may_have_run),
+            software_version=task.software_version,
         )
         decision: defer.Deferred = defer.Deferred()
         self._waiting[waiter] = decision
@@ -152,6 +155,7 @@
             service=task.service,
             now=self._context.now(),
             excluded=tuple(task.may_have_run),
+            software_version=task.software_version,
         )
         if engine is None:
             return
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -146,6 +146,7 @@
         if not task.exchange.has_begun:
             context = self._context
             attempt.record_success(context.now() - attempt.began_at)
+            task.software_version = attempt.endpoint.record.software_version
             task.first_token_s = context.now() - task.request.received_at
             context.metrics.first_token.observe(task.first_token_s)
             task.exchange.begin(
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -31,6 +31,9 @@
         prefill_attempts: How often it was sent to a prefill engine.
         tried: Endpoints that it was sent to.
         may_have_run: Endpoints that may have run it, one entry per send.
+        software_version: The version of the engine that began its stream, the
+            only one at which the stream may go on, or None while any may
+            begin it.
         first_token_s: Seconds from its arrival to the first event sent to
             the caller.
         longest_gap_s: The longest time between two events sent to the
@@ -54,6 +57,7 @@
     may_have_run: list[dispatch.Endpoint] = dataclasses.field(
         default_factory=list
     )
+    software_version: str | None = None
     first_token_s: float | None = None
     longest_gap_s: float = 0.0
     outcome: str = ""
