Go on at the version that began a stream when its caller comes back

Callers saw, over two attempts, one stream with events of two software versions: a caller that came back, mostly at another gateway, got whichever engine had room.

The gateway that passes on the first event remembers its service and version and tells three others, which follow from the id of the stream, before the caller can see the event. A gateway that gets a resumption and doesn't know it asks them. Where nobody knows, the request is refused as not run, unless one version alone can have begun it and the store confirms that after the request has arrived. Returned callers are admitted with those whose stream broke off in the response. A route with weights no longer sends a resumed stream to its other service.

--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -49,6 +49,7 @@
         prefilled_until: When its finished prefill expires, in seconds, or
             None without one.
         is_resumed: True when the caller already has a part of the output.
+        may_prefill: False when the decode engine reads the prompt itself.
         excluded: Engines on which it has failed.
         software_version: The version that its decode engine must have, or None
             for any.
@@ -63,6 +64,7 @@
     sequence: int
     prefilled_until: float | None = None
     is_resumed: bool = False
+    may_prefill: bool = True
     excluded: tuple[_endpoints.Endpoint, ...] = ()
     software_version: str | None = None
     grant: _grants.Grant | None = None
@@ -73,7 +75,7 @@
         Args:
             now: The time in seconds.
         """
-        if self.is_resumed:
+        if not self.may_prefill:
             return False
         return self.prefilled_until is None or now >= self.prefilled_until
 
@@ -122,6 +124,7 @@
         priority: int = 0,
         prefilled_until: float | None = None,
         is_resumed: bool = False,
+        may_prefill: bool = True,
         excluded: tuple[_endpoints.Endpoint, ...] = (),
         software_version: str | None = None,
     ) -> Waiter:
@@ -139,6 +142,8 @@
                 or None without one.
             is_resumed: True when the caller already has a part of the
                 output.
+            may_prefill: False when the decode engine reads the prompt itself,
+                beside its other streams.
             excluded: Engines on which it has failed.
             software_version: The version that its decode engine must have, or
                 None for any.
@@ -152,6 +157,7 @@
             sequence=next(self._sequence),
             prefilled_until=prefilled_until,
             is_resumed=is_resumed,
+            may_prefill=may_prefill,
             excluded=excluded,
             software_version=software_version,
         )
--- a/sassafrasstile/dispatch/tests/test_queue.py
+++ b/sassafrasstile/dispatch/tests/test_queue.py
@@ -127,6 +127,15 @@
         self.assertEqual(self.queue.admit(0.1), [])
         self.assertEqual(self.queue.expire(0.1), [resumed])
 
+    # Guards against a returned caller's prompt being read by the decode engine
+    # beside its other streams.
+    def test_resumed_generation_may_be_prefilled_first(self):
+        returned = self.add(is_resumed=True)
+        broken = self.add(is_resumed=True, may_prefill=False)
+        self.assertEqual(self.queue.admit(0.0), [returned, broken])
+        self.assertEqual(returned.grant.prefill.name, "p1")
+        self.assertIsNone(broken.grant.prefill)
+
     def test_prefilled_generation_precedes_others(self):
         grants = self.fill()
         self.add()
--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -52,6 +52,8 @@
 
     NOT_CONFIGURED = "not_configured"
     UNKNOWN_ROUTE = "unknown_route"
+    VERSION_UNKNOWN = "version_unknown"
+    VERSION_GONE = "version_gone"
     PREFILL_FAILED = "prefill_failed"
     HANDLE_EXPIRED = "handle_expired"
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -50,6 +50,7 @@
         *,
         handle: _base.KvHandle | None = None,
         is_resumed: bool = False,
+        may_prefill: bool = True,
     ) -> dispatch.Grant | None:
         """Waits for capacity and reserves it.
 
@@ -57,12 +58,15 @@
             task: The request.
             handle: Its finished prefill, or None.
             is_resumed: True when its caller has part of the answer.
+            may_prefill: False when the decode engine reads the prompt.
 
         Returns:
             The grant, or None when no capacity can be expected in time.
         """
         while True:
-            grant = await self._wait(task, handle, is_resumed)
+            grant = await self._wait(
+                task, handle, is_resumed=is_resumed, may_prefill=may_prefill
+            )
             if grant is None or await self._resolve_contention(task, grant):
                 return grant
 
@@ -104,7 +108,9 @@
         self,
         task: _task.RequestTask,
         handle: _base.KvHandle | None,
+        *,
         is_resumed: bool,
+        may_prefill: bool,
     ) -> dispatch.Grant | None:
         if not self._context.placement.has_decode_engine(
             task.service.name, software_version=task.software_version
@@ -128,6 +134,7 @@
             priority=task.route.priority,
             prefilled_until=handle.expires_at if handle else None,
             is_resumed=is_resumed,
+            may_prefill=may_prefill,
             excluded=tuple(task.may_have_run),
             software_version=task.software_version,
         )
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -1,12 +1,13 @@
 """State shared by the parts of the router."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import dataclasses
 import random
 from typing import Any
 
 from sassafrasstile import dispatch
 from sassafrasstile import routes
+from sassafrasstile import streams
 from sassafrasstile import telemetry
 from sassafrasstile import web
 from sassafrasstile.forwarding import _base
@@ -30,6 +31,11 @@
             None while it isn't known.
         lengths: Estimates the output lengths of generations.
         refusals: Remembers refused prompts.
+        origins: Knows where the streams of all gateways began, or None where
+            no caller takes a stream up again.
+        versions: The software versions that endpoints have had.
+        confirm_endpoints: Returns whether the known endpoints are those that
+            the store lists, as of a time in seconds or later.
         generator: The random number generator.
     """
 
@@ -49,6 +55,11 @@
     refusals: dispatch.RefusalMemory = dataclasses.field(
         default_factory=dispatch.RefusalMemory
     )
+    origins: streams.OriginDirectory | None = None
+    versions: streams.VersionHistory = dataclasses.field(
+        default_factory=streams.VersionHistory
+    )
+    confirm_endpoints: Callable[[float], Awaitable[bool]] | None = None
 
     def __post_init__(self):
         self._pools: dict[dispatch.Endpoint, web.ConnectionPool] = {}
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -13,6 +13,7 @@
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _holds
 from sassafrasstile.forwarding import _prefills
+from sassafrasstile.forwarding import _resumptions
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _streams
 from sassafrasstile.forwarding import _task
@@ -37,11 +38,17 @@
         self._context = context
         self._prefills = _prefills.PrefillRunner(context=context)
         self._holds = _holds.HoldTaker(context=context)
+        self._resumptions = _resumptions.ResumptionResolver(context=context)
         self._streams = _streams.StreamForwarder(context=context)
         self.admission = _admission.AdmissionController(context=context)
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Forwards a generation request and answers its caller."""
+        if task.details.is_resumption:
+            refusal = await self._resumptions.resolve(task)
+            if refusal is not None:
+                _answers.fail_task(self._context, task, refusal)
+                return
         progress = _streams.Progress(last_event_id=task.details.last_event_id)
         try:
             verdict = await self._run_until_answered(task, progress)
@@ -73,7 +80,8 @@
             grant = await self.admission.acquire(
                 task,
                 handle=progress.handle,
-                is_resumed=progress.events > 0,
+                is_resumed=progress.events > 0 or task.details.is_resumption,
+                may_prefill=not progress.events,
             )
             if grant is None:
                 return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -14,6 +14,7 @@
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _events
 from sassafrasstile.forwarding import _holds
+from sassafrasstile.forwarding import _resumptions
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _task
 
@@ -146,7 +147,7 @@
         if not task.exchange.has_begun:
             context = self._context
             attempt.record_success(context.now() - attempt.began_at)
-            task.software_version = attempt.endpoint.record.software_version
+            _resumptions.record_begin(context, task, attempt.endpoint)
             task.first_token_s = context.now() - task.request.received_at
             context.metrics.first_token.observe(task.first_token_s)
             task.exchange.begin(
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -105,6 +105,19 @@
     refusals: tuple[PromptRefusal, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerMessage:
+    """A message of one gateway to another.
+
+    Attributes:
+        sender: The address of the gateway that sends it.
+        payload: The message; its format is up to those who exchange it.
+    """
+
+    sender: PeerAddress
+    payload: bytes
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TopicRecord:
     """A record of a topic that a gateway passes on.
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -74,6 +74,8 @@
         read_refusals: Returns the generations that this gateway has refused
             lately.
         on_refusals: Called with those that a peer has refused.
+        on_message: Called with the sender's name and the payload of each
+            message to this gateway alone.
     """
 
     noisy = False
@@ -97,6 +99,7 @@
         on_refusals: Callable[
             [tuple[_base.PromptRefusal, ...]], None
         ] = lambda _refusals: None,
+        on_message: Callable[[str, bytes], None] = lambda _name, _data: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -108,6 +111,7 @@
         self._on_page = on_page
         self._read_refusals = read_refusals
         self._on_refusals = on_refusals
+        self._on_message = on_message
         self._peers: dict[str, _Peer] = {}
         self._gateway_count = 1
         self._port: interfaces.IListeningPort | None = None
@@ -130,6 +134,23 @@
         """Returns the names of the peers from which reports arrive."""
         return [name for name, peer in self._peers.items() if peer.is_live]
 
+    def list_zones(self) -> dict[str, str]:
+        """Returns the availability zones of the known peers by name."""
+        return {name: peer.address.zone for name, peer in self._peers.items()}
+
+    def send(self, name: str, payload: bytes) -> None:
+        """Sends a message to a peer alone, if it is known.
+
+        Args:
+            name: The peer's name.
+            payload: The message.
+        """
+        peer = self._peers.get(name)
+        if peer is None:
+            return
+        message = _base.PeerMessage(sender=self._address, payload=payload)
+        self._write(_codec.encode_message(message), peer.address)
+
     def count_gateways(self) -> int:
         """Returns the largest number of gateways known at once, with this one.
 
@@ -221,12 +242,20 @@
             if _codec.is_page(data):
                 self._on_page(_codec.decode_page(data))
                 return
+            if _codec.is_message(data):
+                self._receive_message(_codec.decode_message(data))
+                return
             report = _codec.decode_report(data)
         except errors.Error as reason:
             _LOG.warning("peers: datagram ignored: %s", reason)
             return
         self._receive_report(report)
 
+    def _receive_message(self, message: _base.PeerMessage) -> None:
+        # The sender may have started just now; it wants an answer.
+        self.add_peer(message.sender)
+        self._on_message(message.sender.name, message.payload)
+
     def _receive_report(self, report: _base.LoadReport) -> None:
         self.add_peer(report.sender)
         peer = self._peers.get(report.sender.name)
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -202,3 +202,43 @@
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"page: {reason}"
         ) from reason
+
+
+# The first field of a datagram that holds a message; its payload follows the
+# first line.
+_MESSAGE_TAG = "message"
+
+
+def is_message(data: bytes) -> bool:
+    """Returns whether a datagram holds a message to this gateway alone."""
+    return data.startswith(b'["' + _MESSAGE_TAG.encode() + b'"')
+
+
+def encode_message(message: _base.PeerMessage) -> bytes:
+    """Encodes a message as a datagram.
+
+    >>> sender = _base.PeerAddress(name="a", host="127.0.0.1", port=1)
+    >>> message = _base.PeerMessage(sender=sender, payload=b"x")
+    >>> data = encode_message(message)
+    >>> is_message(data), decode_message(data) == message
+    (True, True)
+    """
+    fields = [_MESSAGE_TAG, *_list_fields(message.sender)]
+    head = json.dumps(fields, separators=(",", ":"))
+    return head.encode() + b"\n" + message.payload
+
+
+def decode_message(data: bytes) -> _base.PeerMessage:
+    """Decodes a message.
+
+    Raises:
+        errors.Error: With BAD_VALUE when it is malformed.
+    """
+    head, _, payload = data.partition(b"\n")
+    try:
+        _, *sender = json.loads(head)
+        return _base.PeerMessage(sender=_read_fields(sender), payload=payload)
+    except (ValueError, TypeError) as reason:
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE, detail=f"message: {reason}"
+        ) from reason
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -33,6 +33,7 @@
     def setUp(self):
         self.clock = _Clock()
         self.network = _Network()
+        self.messages = []
         self.loads = {"a": {}, "b": {}}
         self.received = {"a": {}, "b": {}}
         self.refusals = {"a": (), "b": ()}
@@ -60,6 +61,9 @@
             on_topics=self.received_topics[name].update,
             read_refusals=lambda: self.refusals[name],
             on_refusals=self.received_refusals[name].extend,
+            on_message=lambda sender, payload: self.messages.append(
+                (name, sender, payload)
+            ),
         )
         channel.transport = self.network
         self.network.channels[("h", port)] = channel
@@ -77,6 +81,17 @@
     def reserve(self, tokens):
         self.loads["a"] = {"e": peers.EndpointLoad(reserved_tokens=tokens)}
 
+    # Guards against an answer that is lost since the asker isn't known yet.
+    def test_message_makes_its_sender_known(self):
+        self.channels["a"].send("b", b"question")
+        self.channels["b"].send("a", b"answer")
+        self.assertEqual(
+            self.messages, [("b", "a", b"question"), ("a", "b", b"answer")]
+        )
+        self.assertEqual(self.channels["b"].list_zones(), {"a": ""})
+        self.channels["a"].send("unknown", b"question")
+        self.assertEqual(len(self.messages), 2)
+
     def test_reservation_is_reported_immediately(self):
         self.advance(0.1)
         self.reserve(100)
--- /dev/null
+++ b/sassafrasstile/router/_confirmation.py
@@ -0,0 +1,85 @@
+"""Confirms that a topic has no records that this gateway hasn't seen."""
+
+from twisted.internet import defer
+
+from sassafrasstile import stores
+
+_TIMEOUT_S = 0.2
+
+
+class TopicConfirmation:
+    """Asks the store whether a topic still ends where it was read.
+
+    Requests that ask at the same time share a call to the store.
+
+    Args:
+        reactor: The reactor.
+        store: The store.
+        topic: The topic.
+        follower: Follows the topic.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        store: stores.Store,
+        topic: str,
+        follower: stores.Follower,
+    ):
+        self._reactor = reactor
+        self._store = store
+        self._topic = topic
+        self._follower = follower
+        self._waiting: list[defer.Deferred] = []
+        self._is_calling = False
+        self._called_at = float("-inf")
+
+    async def confirm(self, since: float) -> bool:
+        """Returns whether all records up to a time have been seen.
+
+        Args:
+            since: The time in seconds. The topic is confirmed by a call to the
+                store that began then or later.
+        """
+        while True:
+            if not self._is_calling:
+                self._begin()
+            is_recent = self._called_at >= since
+            waiting: defer.Deferred = defer.Deferred()
+            self._waiting.append(waiting)
+            is_confirmed = await waiting
+            if is_recent:
+                return is_confirmed
+
+    def _begin(self) -> None:
+        self._is_calling = True
+        self._called_at = self._reactor.seconds()
+        # The answer is passed on in a later turn, when its first waiter waits.
+        self._reactor.callLater(
+            0, lambda: defer.ensureDeferred(self._call()).addBoth(self._end)
+        )
+
+    def _end(self, result) -> None:
+        self._is_calling = False
+        waiting, self._waiting = self._waiting, []
+        for waiter in waiting:
+            if not waiter.called:
+                waiter.callback(result is True)
+
+    async def _call(self) -> bool:
+        end = self._follower.end
+        if end is None:
+            return False
+        reading = defer.maybeDeferred(
+            self._store.follow,
+            self._topic,
+            offset=end.next_offset,
+            wait_s=0.0,
+        )
+        reading.addTimeout(_TIMEOUT_S, self._reactor)
+        page = await reading
+        if page.changes or page.next_offset != end.next_offset:
+            self._follower.mark_stale()
+            return False
+        return True
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -20,9 +20,11 @@
 from sassafrasstile import roles
 from sassafrasstile import routes
 from sassafrasstile import stores
+from sassafrasstile import streams
 from sassafrasstile import telemetry
 from sassafrasstile import web
 from sassafrasstile.router import _caller_port
+from sassafrasstile.router import _confirmation
 from sassafrasstile.router import _record_decoder
 from sassafrasstile.router import _settings
 from sassafrasstile.router import _topics
@@ -85,6 +87,8 @@
         self._endpoints = dispatch.EndpointTable(
             silence_timeout_s=settings.dispatch.silence_timeout_s
         )
+        self._origins = streams.OriginDirectory(reactor=reactor)
+        self._versions = streams.VersionHistory()
         self._context = self._make_context(codec)
         self._router = forwarding.Router(context=self._context)
         self._prober = forwarding.Prober(context=self._context)
@@ -95,6 +99,13 @@
             reactor=reactor, name=settings.name
         )
         self._followers = self._make_followers(record_decoder)
+        confirmation = _confirmation.TopicConfirmation(
+            reactor=reactor,
+            store=store,
+            topic=record_decoder.membership_topic,
+            follower=self._followers[record_decoder.membership_topic],
+        )
+        self._context.confirm_endpoints = confirmation.confirm
         address = peers.PeerAddress(
             name=settings.name,
             host=settings.host,
@@ -102,6 +113,7 @@
             zone=settings.zone,
         )
         self._channel = self._make_channel(address)
+        self._origins.transport = self._channel
         self._topic_sharing.connect(
             channel=self._channel, followers=self._followers
         )
@@ -140,6 +152,8 @@
             settings=self.settings.dispatch,
             metrics=self._metrics,
             generator=self._generator,
+            origins=self._origins,
+            versions=self._versions,
         )
 
     def _make_followers(self, record_decoder) -> dict[str, stores.Follower]:
@@ -180,6 +194,7 @@
 
     def _mark_endpoints_loaded(self) -> None:
         self._roster.mark_loaded()
+        self._versions.restart(now=self._now())
         self._accept_callers_if_ready()
 
     def _record_membership_contact(self) -> None:
@@ -202,6 +217,7 @@
             on_refusals=lambda refusals: self._context.refusals.apply(
                 refusals, self._now()
             ),
+            on_message=self._origins.receive,
         )
 
     def _make_directory(self, record_decoder, address) -> peers.PeerDirectory:
@@ -248,6 +264,7 @@
         return [
             *self._followers.values(),
             self._channel,
+            self._origins,
             self._directory,
             self._prober,
             self._roles,
@@ -410,6 +427,7 @@
     def _update_endpoint(
         self, endpoint_id: str, record: membership.EndpointRecord | None
     ) -> None:
+        self._versions.update(endpoint_id, record, now=self._now())
         former = self._endpoints.update_record(endpoint_id, record)
         if former is not None:
             self._context.drop_endpoint(former)
--- /dev/null
+++ b/sassafrasstile/streams/__init__.py
@@ -0,0 +1,24 @@
+"""Where streams began: the software version that each one has to go on at."""
+
+from sassafrasstile.streams._base import (
+    Lookup,
+    Source,
+    StreamOrigin,
+)
+from sassafrasstile.streams._directory import OriginDirectory
+from sassafrasstile.streams._holders import rank_holders
+from sassafrasstile.streams._registry import OriginRegistry
+from sassafrasstile.streams._transport import NoTransport, Transport
+from sassafrasstile.streams._versions import VersionHistory
+
+__all__ = [
+    "Lookup",
+    "NoTransport",
+    "OriginDirectory",
+    "OriginRegistry",
+    "Source",
+    "StreamOrigin",
+    "Transport",
+    "VersionHistory",
+    "rank_holders",
+]
--- /dev/null
+++ b/sassafrasstile/streams/_codec.py
@@ -0,0 +1,92 @@
+"""Encodes messages about stream origins, and the keys of streams."""
+
+import hashlib
+import json
+
+from sassafrasstile import errors
+from sassafrasstile.streams import _base
+
+_MS_PER_S = 1000
+_KEY_BYTES = 12
+_NOTICE = "began"
+_QUERY = "which"
+_ANSWER = "is"
+
+
+def make_key(request_id: str) -> str:
+    """Returns the key of the stream that an attempt of a caller began.
+
+    Callers choose the ids; a key has a fixed length.
+    """
+    data = request_id.encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(data, digest_size=_KEY_BYTES).hexdigest()
+
+
+def encode_message(message: _base.Message) -> bytes:
+    """Encodes a message.
+
+    >>> origin = _base.StreamOrigin(service="s", software_version="v1")
+    >>> for message in (
+    ...     _base.Notice(key="k", origin=origin, lifetime_s=2.5),
+    ...     _base.Query(key="k"),
+    ...     _base.Answer(key="k", origin=origin),
+    ...     _base.Answer(key="k", origin=None),
+    ... ):
+    ...     assert decode_message(encode_message(message)) == message
+    """
+    match message:
+        case _base.Notice(key=key, origin=origin, lifetime_s=lifetime_s):
+            lifetime_ms = round(lifetime_s * _MS_PER_S)
+            fields = [_NOTICE, key, *_list_fields(origin), lifetime_ms]
+        case _base.Query(key=key):
+            fields = [_QUERY, key]
+        case _base.Answer(key=key, origin=origin):
+            fields = [_ANSWER, key, *_list_fields(origin)]
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def _list_fields(origin: _base.StreamOrigin | None) -> list[str]:
+    return [] if origin is None else [origin.service, origin.software_version]
+
+
+def decode_message(data: bytes) -> _base.Message:
+    """Decodes a message.
+
+    Raises:
+        errors.Error: With BAD_VALUE when it is malformed.
+    """
+    try:
+        match json.loads(data):
+            case [
+                str(tag),
+                str(key),
+                str(service),
+                str(version),
+                int(lifetime_ms),
+            ] if tag == _NOTICE:
+                return _base.Notice(
+                    key=key,
+                    origin=_base.StreamOrigin(
+                        service=service, software_version=version
+                    ),
+                    lifetime_s=lifetime_ms / _MS_PER_S,
+                )
+            case [str(tag), str(key)] if tag == _QUERY:
+                return _base.Query(key=key)
+            case [str(tag), str(key)] if tag == _ANSWER:
+                return _base.Answer(key=key, origin=None)
+            case [str(tag), str(key), str(service), str(version)] if (
+                tag == _ANSWER
+            ):
+                return _base.Answer(
+                    key=key,
+                    origin=_base.StreamOrigin(
+                        service=service, software_version=version
+                    ),
+                )
+            case fields:
+                raise ValueError(f"unexpected fields {fields!r:.100}")
+    except ValueError as reason:
+        raise errors.Error(
+            code=errors.Code.BAD_VALUE, detail=f"stream message: {reason}"
+        ) from reason
--- /dev/null
+++ b/sassafrasstile/streams/_versions.py
@@ -0,0 +1,97 @@
+"""The software versions that a service's endpoints have had."""
+
+from collections.abc import Collection
+import dataclasses
+
+from sassafrasstile import membership
+from sassafrasstile.streams import _base
+
+# Endpoints may serve on for about this long after their records are gone.
+_RUN_ON_S = 30.0
+# A caller may come back until its own deadline, which may be later than the
+# timeout of one attempt.
+_LIFETIME_TIMEOUTS = 2.0
+# Departures are forgotten after this time.
+_MEMORY_S = 1200.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Departure:
+    origin: _base.StreamOrigin
+    left_at: float
+
+
+class VersionHistory:
+    """Tells whether only one version can have begun a stream.
+
+    >>> history = VersionHistory()
+    >>> history.restart(now=0.0)
+    >>> history.find_only({"s"}, timeout_s=10.0, now=100.0) is None
+    True
+    """
+
+    def __init__(self):
+        self._present: dict[str, _base.StreamOrigin] = {}
+        self._departures: list[_Departure] = []
+        self._complete_since: float | None = None
+
+    def restart(self, *, now: float) -> None:
+        """Records that the list was read anew; what was before isn't known."""
+        self._complete_since = now
+
+    def update(
+        self,
+        endpoint_id: str,
+        record: membership.EndpointRecord | None,
+        *,
+        now: float,
+    ) -> None:
+        """Records that an endpoint appears, changes or leaves.
+
+        Args:
+            endpoint_id: The endpoint's id.
+            record: Its record, or None when it has left.
+            now: The time in seconds.
+        """
+        former = self._present.pop(endpoint_id, None)
+        if record is not None:
+            self._present[endpoint_id] = _base.StreamOrigin(
+                service=record.service,
+                software_version=record.software_version,
+            )
+        if former is not None and former != self._present.get(endpoint_id):
+            self._record_departure(former, now)
+
+    def _record_departure(self, origin: _base.StreamOrigin, now: float) -> None:
+        """Keeps the latest departure of each version."""
+        self._departures = [
+            item
+            for item in self._departures
+            if item.origin != origin and now - item.left_at < _MEMORY_S
+        ]
+        self._departures.append(_Departure(origin=origin, left_at=now))
+
+    def find_only(
+        self, services: Collection[str], *, timeout_s: float, now: float
+    ) -> _base.StreamOrigin | None:
+        """Returns the only origin that a stream can have, if there is one.
+
+        Args:
+            services: The services that may have begun it.
+            timeout_s: The longest timeout of a stream in seconds.
+            now: The time in seconds.
+        """
+        lifetime_s = _LIFETIME_TIMEOUTS * timeout_s + _RUN_ON_S
+        since = self._complete_since
+        if since is None or now - since < lifetime_s:
+            return None
+        candidates = {
+            item for item in self._present.values() if item.service in services
+        }
+        candidates.update(
+            item.origin
+            for item in self._departures
+            if item.origin.service in services
+            and now - item.left_at < lifetime_s
+        )
+        return candidates.pop() if len(candidates) == 1 else None
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -101,6 +101,11 @@
         self.store_calls = self._make_counter(
             "store_calls", "Calls to the store by outcome.", ("outcome",)
         )
+        self.resumptions = self._make_counter(
+            "resumptions",
+            "Streams that callers take up again, by outcome.",
+            ("outcome",),
+        )
         self.log_lines_dropped = self._make_counter(
             "log_lines_dropped", "Log lines dropped to stay within bounds."
         )
