--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -15,6 +15,7 @@
 from sassafrasstile.forwarding import _prefills
 from sassafrasstile.forwarding import _resumptions
 from sassafrasstile.forwarding import _retries
+from sassafrasstile.forwarding import _standby
 from sassafrasstile.forwarding import _streams
 from sassafrasstile.forwarding import _task
 
@@ -39,8 +40,13 @@
         self._prefills = _prefills.PrefillRunner(context=context)
         self._holds = _holds.HoldTaker(context=context)
         self._resumptions = _resumptions.ResumptionResolver(context=context)
-        self._streams = _streams.StreamForwarder(context=context)
         self.admission = _admission.AdmissionController(context=context)
+        self._streams = _streams.StreamForwarder(
+            context=context,
+            standbys=_standby.StandbyFinder(
+                context=context, admission=self.admission, holds=self._holds
+            ),
+        )
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Forwards a generation request and answers its caller."""
@@ -77,12 +83,7 @@
             on the last send, or NO_CAPACITY when no engine was granted.
         """
         while True:
-            grant = await self.admission.acquire(
-                task,
-                handle=progress.handle,
-                is_resumed=progress.events > 0 or task.details.is_resumption,
-                may_prefill=not progress.events,
-            )
+            grant = await self._acquire(task, progress)
             if grant is None:
                 return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
             try:
@@ -91,9 +92,27 @@
                 self.admission.release(grant)
             if verdict is None:
                 return None
-            if not _retries.may_send_again(self._context, task, verdict):
+            # The retry budget has already paid for a standby engine.
+            if progress.standby is None and not _retries.may_send_again(
+                self._context, task, verdict
+            ):
                 return verdict
 
+    async def _acquire(
+        self, task: _task.RequestTask, progress: _streams.Progress
+    ) -> dispatch.Grant | None:
+        """Returns the capacity of the standby engine, or waits for some."""
+        standby, progress.standby = progress.standby, None
+        if standby is not None:
+            progress.hold = standby.hold
+            return standby.grant
+        return await self.admission.acquire(
+            task,
+            handle=progress.handle,
+            is_resumed=progress.events > 0 or task.details.is_resumption,
+            may_prefill=not progress.events,
+        )
+
     async def _run_on_grant(
         self,
         task: _task.RequestTask,
@@ -101,7 +120,8 @@
         progress: _streams.Progress,
     ) -> verdicts.Verdict | None:
         """Runs a request on the engines that it was granted."""
-        if self._holds.is_needed(task, grant):
+        if progress.hold is None and self._holds.is_needed(task, grant):
+            task.hold_attempts += 1
             hold = await self._holds.take(task, grant)
             if isinstance(hold, verdicts.NotRun):
                 return hold
@@ -173,7 +193,12 @@
             number=task.sends,
         )
         try:
-            result = await attempt.start(outgoing, timeout_s=timeout_s)
+            result = await attempt.start(
+                outgoing,
+                timeout_s=timeout_s,
+                max_timeout_s=remaining_s,
+                should_wait=lambda: not self._can_run_elsewhere(task),
+            )
             if isinstance(result, _attempts.Answered):
                 # The engine has consumed the handle and the hold.
                 progress.handle = None
@@ -192,6 +217,12 @@
             self._handle_refusal(task, engine, progress)
         return result
 
+    def _can_run_elsewhere(self, task: _task.RequestTask) -> bool:
+        """Returns whether another engine could run an overdue request now."""
+        verdict = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
+        obstacle = _retries.find_obstacle(self._context, task, verdict)
+        return obstacle is None and self.admission.has_capacity(task)
+
     def _may_prefill_locally(self, grant: dispatch.Grant) -> bool:
         """Returns whether the decode engine may prefill locally."""
         return self._context.placement.can_prefill_locally(
