Bind the engine that takes over from a silent one to the version as well

The choice of a standby engine came with the merge and named no version: a stream whose engine was silent for half of its caller's patience would have moved to any engine with room. test_stream_of_a_silent_engine_stays_with_its_version fails without the binding (1 != 0, runs at the engine of the other version).

--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -100,6 +100,7 @@
             now=now,
             needs_prefill=False,
             excluded=tuple(task.may_have_run),
+            software_version=task.software_version,
         )
         if not isinstance(choice, dispatch.Grant):
             return None
--- a/sassafrasstile/router/tests/test_stream_versions.py
+++ b/sassafrasstile/router/tests/test_stream_versions.py
@@ -5,6 +5,7 @@
 
 _COUNT = ("X-Token-Count: 100,50",)
 _ROUNDS = 6
+_HOLD_TARGET = "/sassafrasstile/hold-take"
 _THIRD_EVENT = b"data: token 3\n"
 
 
@@ -13,6 +14,8 @@
 
     The connection of the endless stream stays open without further events.
     """
+    if request.target == _HOLD_TARGET:
+        return standins.make_hold(request, "m1")
     after = request.headers.get("last-event-id")
     if after is not None:
         return standins.make_stream(request, first=int(after) + 1)
@@ -31,7 +34,10 @@
 
 
 def _count_runs(endpoint):
-    return sum(request.method == "POST" for request in endpoint.requests)
+    return sum(
+        request.method == "POST" and request.target != _HOLD_TARGET
+        for request in endpoint.requests
+    )
 
 
 class StreamVersionTest(testing.PlatformTestCase):
@@ -47,7 +53,16 @@
                     targetGapMs=2000,
                     resumable=True,
                     maxAttempts=3,
-                )
+                ),
+                testing.make_platform_route(
+                    "/brisk/",
+                    "writer",
+                    "streaming",
+                    targetGapMs=100,
+                    targetLatencyMs=300,
+                    resumable=True,
+                    maxAttempts=3,
+                ),
             ]
         )
         for number, name in enumerate(gateways):
@@ -141,6 +156,24 @@
         self.assertEqual(_count_runs(other), 0)
         self.assertEqual(_count_runs(same), _ROUNDS)
 
+    # Guards against a silent engine's stream moving to another version.
+    @testing.on_reactor
+    async def test_stream_of_a_silent_engine_stays_with_its_version(self):
+        site = await self.start_site()
+        caller = await site.connect()
+        caller.send(testing.make_request("/brisk/", headers=_COUNT))
+        await caller.read_until(_THIRD_EVENT)
+        other = self.add_engine(site, "d1", "v2")
+        # Longer than half of the caller's patience, after which another engine
+        # is looked for.
+        await self.sleep(2.0)
+        self.assertEqual(_count_runs(other), 0)
+        same = self.add_engine(site, "d2", "v1")
+        await self.wait_until(lambda: _count_runs(same), timeout_s=2)
+        caller.disconnect()
+        await self.close_sites()
+        self.assertEqual(_count_runs(other), 0)
+
     # Guards against a returned caller's stream going on at any free engine.
     @testing.on_reactor
     async def test_returned_caller_goes_on_at_the_version_that_began(self):
