Prefill a prompt at the software version that decodes it

What callers could get: a stream decoded from a KV cache that another software version wrote; engines don't check whose cache they fetch.

The prefill engine has the decode engine's version. Without one, short prompts are prefilled by the decode engine, as today; long ones go to a version with both kinds of engine, and shorter ones leave its capacity to them.

The choice of prefill engines has its own module now.

--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -9,7 +9,11 @@
 from sassafrasstile.dispatch._grants import Grant
 from sassafrasstile.dispatch._health import Health
 from sassafrasstile.dispatch._lengths import OutputLengthEstimator
-from sassafrasstile.dispatch._placement import Placement, Shortage
+from sassafrasstile.dispatch._placement import (
+    Placement,
+    Shortage,
+    VersionShortage,
+)
 from sassafrasstile.dispatch._queue import GenerationQueue, Waiter
 from sassafrasstile.dispatch._refusals import RefusalMemory
 
@@ -24,6 +28,7 @@
     "Placement",
     "RefusalMemory",
     "Shortage",
+    "VersionShortage",
     "Waiter",
     "WindowedRetryBudget",
     "WorkSize",
--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -306,7 +306,7 @@
         role: membership.Role,
         now: float,
         excluded: Collection[Endpoint] = (),
-        software_version: str | None = None,
+        versions: Collection[str] | None = None,
     ) -> list[Endpoint]:
         """Returns the endpoints that may take new work.
 
@@ -318,7 +318,7 @@
             role: The required role.
             now: The time in seconds.
             excluded: Endpoints on which this request has failed.
-            software_version: The version that they must have, or None for
+            versions: The software versions that they may have, or None for
                 any.
         """
         ready = [
@@ -328,7 +328,7 @@
             and item.record.role is role
             and item.record.state is membership.EndpointState.READY
             and item not in excluded
-            and item.has_version(software_version)
+            and (versions is None or item.record.software_version in versions)
         ]
         reachable = [item for item in ready if item.health.is_reachable(now)]
         return reachable or ready
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -1,44 +1,31 @@
 """Chooses endpoints for calls, prefills and decodes by cost."""
 
 from collections.abc import Callable, Collection, Sequence
+import dataclasses
 import enum
 import random
 
 from sassafrasstile import membership
 from sassafrasstile import routes
 from sassafrasstile.dispatch import _base
+from sassafrasstile.dispatch import _costs
 from sassafrasstile.dispatch import _endpoints
 from sassafrasstile.dispatch import _grants
+from sassafrasstile.dispatch import _prefills
 
 # Latency assumed for an endpoint without measurements.
 _DEFAULT_LATENCY_S = 0.1
-# Cost of a failure, in seconds of latency.
-_FAILURE_COST_S = 1.0
 # Cost of a call to another availability zone, in seconds of latency: traffic
 # between zones is billed.
 _CALL_ZONE_COST_S = 0.02
-# Cost of a prefill in another zone than the decode, in seconds of backlog.
-_PREFILL_ZONE_COST_S = 0.05
 # Cost of a decode in another zone, as a share of an engine's KV cache.
 _DECODE_ZONE_COST = 0.1
 # The same where this gateway hears of other gateways' reservations late.
 _DELAYED_DECODE_ZONE_COST = 0.25
 # Cost of a failed decode, as a share of an engine's KV cache.
 _DECODE_FAILURE_COST = 1.0
-# Maximum backlog at which a prefill engine gets another prompt.
-_MAX_BACKLOG_S = 0.3
-# Maximum backlog at which it gets the prompt of a late generation.
-_MAX_LATE_BACKLOG_S = 0.1
 # The share of a decode engine's KV cache that late generations may fill.
 _LATE_MEMORY_SHARE = 0.75
-# Longest prompt that a decode engine prefills beside other streams. It
-# prefills 1,024 tokens in 40 ms between two tokens of each stream, and an
-# event has seven tokens, so longer prompts delay the events of the others.
-_MAX_LOCAL_PREFILL_TOKENS = 6000
-# With at most this many streams, it prefills prompts of any length.
-_FEW_STREAMS = 1
-# Assumed prefill rate, which turns tokens into a backlog in seconds.
-_PREFILL_TOKENS_PER_S = 50_000.0
 # One in this many of the decode engines with capacity is compared.
 _SAMPLE_DIVISOR = 3
 # Number of engines compared in each group while news is late. If all gateways
@@ -50,9 +37,6 @@
 # Gateways that reserve capacity within this time of each other haven't
 # received each other's reports.
 _CONCURRENT_S = 0.02
-# Random addition to each cost, so that gateways that see equal loads choose
-# different endpoints.
-_JITTER = 0.02
 
 
 def _get_capacity(service: routes.Service) -> int:
@@ -67,6 +51,17 @@
     PREFILL = "a prefill engine without a long backlog"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class VersionShortage:
+    """Only engines of some versions may run a generation, and they are full.
+
+    Attributes:
+        versions: These versions.
+    """
+
+    versions: frozenset[str]
+
+
 class Placement:
     """Chooses the endpoint of lowest cost by load, health and zone.
 
@@ -96,6 +91,9 @@
         self._endpoints = endpoints
         self._zone = zone
         self._generator = generator
+        self._prefills = _prefills.PrefillChooser(
+            endpoints=endpoints, generator=generator
+        )
 
     def choose_for_call(
         self,
@@ -116,7 +114,9 @@
             latency_s = item.health.latency_s or _DEFAULT_LATENCY_S
             load = (item.total_in_flight + 1) / max(1, item.record.slots)
             cost = latency_s * (max(1.0, 2 * load) + load)
-            cost += _FAILURE_COST_S * item.health.compute_failure_rate(now)
+            cost += _costs.FAILURE_COST_S * item.health.compute_failure_rate(
+                now
+            )
             if item.record.zone != self._zone:
                 cost += _CALL_ZONE_COST_S
             return cost
@@ -152,9 +152,12 @@
         excluded: Collection[_endpoints.Endpoint] = (),
         software_version: str | None = None,
         avoided_versions: Collection[str] = (),
-    ) -> _grants.Grant | Shortage:
+    ) -> _grants.Grant | Shortage | VersionShortage:
         """Chooses a decode engine with capacity and an engine to prefill.
 
+        Both have the same software version: what engines of two versions write
+        doesn't fit together.
+
         Args:
             service: The required service.
             size: The size of the generation.
@@ -170,28 +173,38 @@
         Returns:
             The chosen engines, or the resource that is exhausted.
         """
-        decode = self._choose_for_decode(
-            service,
-            size,
-            now,
-            is_late=is_late,
-            excluded=excluded,
-            software_version=software_version,
-            avoided_versions=avoided_versions,
-        )
-        if decode is None:
-            return Shortage.DECODE
-        if not needs_prefill:
-            return _grants.Grant(decode=decode, size=size)
-        limit_s = _MAX_LATE_BACKLOG_S if is_late else _MAX_BACKLOG_S
-        prefill = self._choose_for_prefill(
-            service.name, now, decode.record.zone, limit_s
-        )
-        if prefill is not None:
-            return _grants.Grant(decode=decode, size=size, prefill=prefill)
-        if self.can_prefill_locally(decode, size):
-            return _grants.Grant(decode=decode, size=size, prefill=decode)
-        return Shortage.PREFILL
+        is_bound = software_version is not None
+        versions = frozenset((software_version,)) if is_bound else None
+        if needs_prefill and not is_bound:
+            versions = self._prefills.list_versions(service, size, now)
+        avoided = set(avoided_versions)
+        lacks_prefill = False
+        while True:
+            decode = self._choose_for_decode(
+                service,
+                size,
+                now,
+                is_late=is_late,
+                excluded=excluded,
+                versions=versions,
+                avoided_versions=avoided,
+            )
+            if decode is None:
+                break
+            if not needs_prefill:
+                return _grants.Grant(decode=decode, size=size)
+            prefill = self._prefills.choose(
+                decode, service, size, now, is_late=is_late, is_bound=is_bound
+            )
+            if prefill is not None:
+                return _grants.Grant(decode=decode, size=size, prefill=prefill)
+            lacks_prefill = True
+            avoided.add(decode.record.software_version)
+        if lacks_prefill:
+            return Shortage.PREFILL
+        if versions is not None:
+            return VersionShortage(versions=versions)
+        return Shortage.DECODE
 
     def is_load_timely(self, endpoint: _endpoints.Endpoint) -> bool:
         """Returns whether its load is known without delay.
@@ -266,7 +279,6 @@
         service: routes.Service,
         now: float,
         excluded: Collection[_endpoints.Endpoint] = (),
-        software_version: str | None = None,
     ) -> _endpoints.Endpoint | None:
         """Chooses another decode engine if the granted one may refuse.
 
@@ -279,11 +291,10 @@
             service: The required service.
             now: The time in seconds.
             excluded: Engines on which this request has failed.
-            software_version: The version that the engine must have, or None
-                for any.
 
         Returns:
-            An engine with capacity, or None to keep the granted one.
+            An engine of the same software version with capacity, or None to
+            keep the granted one.
         """
         decode = grant.decode
         capacity = _get_capacity(service)
@@ -299,7 +310,7 @@
             grant.size,
             now,
             excluded=(*excluded, decode),
-            software_version=software_version,
+            versions=(decode.record.software_version,),
         )
         return None if other is decode else other
 
@@ -310,7 +321,7 @@
         now,
         *,
         excluded,
-        software_version,
+        versions,
         is_late=False,
         avoided_versions=(),
     ):
@@ -319,7 +330,7 @@
             role=membership.Role.DECODE,
             now=now,
             excluded=excluded,
-            software_version=software_version,
+            versions=versions,
         )
         if not usable and excluded:
             return self._choose_for_decode(
@@ -328,7 +339,7 @@
                 now,
                 is_late=is_late,
                 excluded=(),
-                software_version=software_version,
+                versions=versions,
                 avoided_versions=avoided_versions,
             )
         capacity = _get_capacity(service)
@@ -385,63 +396,23 @@
     ) -> list[_endpoints.Endpoint]:
         return self._generator.sample(engines, min(count, len(engines)))
 
-    def _choose_for_prefill(self, service, now, zone, limit_s):
-        """Chooses the prefill engine expected to finish the prompt first."""
-
-        def estimate_backlog(item: _endpoints.Endpoint) -> float:
-            return item.total_prefill_tokens / _PREFILL_TOKENS_PER_S
-
-        def estimate(item: _endpoints.Endpoint) -> float:
-            cost = estimate_backlog(item)
-            cost += _FAILURE_COST_S * item.health.compute_failure_rate(now)
-            if item.record.zone != zone:
-                cost += _PREFILL_ZONE_COST_S
-            return cost
-
-        usable = [
-            item
-            for item in self._list_prefill(service, now)
-            if item.is_available(now) and estimate_backlog(item) <= limit_s
-        ]
-        return self._choose_cheapest(usable, estimate)
-
-    def _list_prefill(self, service: str, now: float):
-        return [
-            item
-            for item in self._endpoints.list_usable(
-                service=service, role=membership.Role.PREFILL, now=now
-            )
-            if item.health.is_reachable(now)
-        ]
-
     @staticmethod
     def can_prefill_locally(
         decode: _endpoints.Endpoint, size: _base.WorkSize
     ) -> bool:
         """Returns whether a decode engine may prefill a prompt itself.
 
-        The prefill runs between the decode steps of the engine's other
-        streams and delays them.
-
         Args:
             decode: The decode engine.
             size: The size of the generation.
         """
-        if decode.total_prefill_tokens:
-            return False
-        is_short = size.prompt_tokens <= _MAX_LOCAL_PREFILL_TOKENS
-        return is_short or decode.total_in_flight <= _FEW_STREAMS
+        return _prefills.can_prefill_locally(decode, size)
 
     def _choose_cheapest(
         self,
         usable: Sequence[_endpoints.Endpoint],
         estimate: Callable[[_endpoints.Endpoint], float],
     ) -> _endpoints.Endpoint | None:
-        if not usable:
-            return None
-        return min(
-            usable,
-            key=lambda item: (
-                estimate(item) + _JITTER * self._generator.random()
-            ),
+        return _costs.choose_cheapest(
+            usable, estimate, generator=self._generator
         )
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -53,6 +53,8 @@
         excluded: Engines on which it has failed.
         software_version: The version that its decode engine must have, or None
             for any.
+        prefilled_version: The version that its finished prefill needs while it
+            hasn't expired.
         grant: The granted capacity, once it is admitted.
     """
 
@@ -67,6 +69,7 @@
     may_prefill: bool = True
     excluded: tuple[_endpoints.Endpoint, ...] = ()
     software_version: str | None = None
+    prefilled_version: str | None = None
     grant: _grants.Grant | None = None
 
     def needs_prefill(self, now: float) -> bool:
@@ -127,6 +130,7 @@
         may_prefill: bool = True,
         excluded: tuple[_endpoints.Endpoint, ...] = (),
         software_version: str | None = None,
+        prefilled_version: str | None = None,
     ) -> Waiter:
         """Adds a generation; `admit` returns it once it has capacity.
 
@@ -147,6 +151,8 @@
             excluded: Engines on which it has failed.
             software_version: The version that its decode engine must have, or
                 None for any.
+            prefilled_version: The version of the engine that has prefilled it,
+                or None without a finished prefill.
         """
         waiter = Waiter(
             service=service,
@@ -160,6 +166,7 @@
             may_prefill=may_prefill,
             excluded=excluded,
             software_version=software_version,
+            prefilled_version=prefilled_version,
         )
         self._waiters.append(waiter)
         return waiter
@@ -177,10 +184,10 @@
         for waiter in self._sort(now):
             full = full_versions[waiter.service.name]
             match self._choose(waiter, now, full):
-                case _placement.Shortage.DECODE if waiter.software_version:
-                    # Later generations leave the engines of its version to it,
-                    # and needn't wait for those of others.
-                    full.add(waiter.software_version)
+                case _placement.VersionShortage(versions=versions):
+                    # Later generations leave the engines of these versions to
+                    # it, and needn't wait for those of others.
+                    full.update(versions)
                     continue
                 case _placement.Shortage.DECODE:
                     # Smaller generations must not starve it.
@@ -200,15 +207,19 @@
 
     def _choose(
         self, waiter: Waiter, now: float, full_versions: Collection[str]
-    ) -> _grants.Grant | _placement.Shortage:
+    ) -> _grants.Grant | _placement.Shortage | _placement.VersionShortage:
+        needs_prefill = waiter.needs_prefill(now)
+        version = waiter.software_version
+        if version is None and not needs_prefill:
+            version = waiter.prefilled_version
         return self._placement.choose_for_generation(
             service=waiter.service,
             size=waiter.size,
             now=now,
-            needs_prefill=waiter.needs_prefill(now),
+            needs_prefill=needs_prefill,
             is_late=waiter.get_urgency(now) is Urgency.LATE,
             excluded=waiter.excluded,
-            software_version=waiter.software_version,
+            software_version=version,
             avoided_versions=full_versions,
         )
 
--- a/sassafrasstile/dispatch/tests/test_placement.py
+++ b/sassafrasstile/dispatch/tests/test_placement.py
@@ -99,10 +99,12 @@
             grant = self.choose(software_version="v1", excluded=excluded)
             self.assertIs(grant.decode, only)
         only.in_flight = _SERVICE.engine.slots
-        grant = self.choose(software_version="v1")
-        self.assertIs(grant, dispatch.Shortage.DECODE)
-        grant = self.choose(software_version="v3")
-        self.assertIs(grant, dispatch.Shortage.DECODE)
+        for version in ("v1", "v3"):
+            shortage = self.choose(software_version=version)
+            self.assertEqual(
+                shortage,
+                dispatch.VersionShortage(versions=frozenset((version,))),
+            )
         self.assertIn(self.choose().decode.name, ("d2", "d3"))
 
     # Guards against a move to another version after the prefill.
@@ -110,14 +112,14 @@
         grant = self.choose(software_version="v2")
         grant.decode.is_removed = True
         other = self.placement.choose_alternative(
-            grant, service=_SERVICE, now=0.0, software_version="v2"
+            grant, service=_SERVICE, now=0.0
         )
         self.assertEqual(other.record.software_version, "v2")
         self.assertIsNot(other, grant.decode)
         grant = self.choose(software_version="v1")
         grant.decode.is_removed = True
         other = self.placement.choose_alternative(
-            grant, service=_SERVICE, now=0.0, software_version="v1"
+            grant, service=_SERVICE, now=0.0
         )
         self.assertIsNone(other)
 
@@ -127,6 +129,123 @@
         self.assertFalse(has_decode_engine("engine", software_version="v3"))
 
 
+class PrefillVersionTest(unittest.TestCase):
+    """Prefill and decode engines of two software versions.
+
+    As during a rollout: the engines of the new version are few at first, and
+    none of them prefills.
+    """
+
+    _LONG = dispatch.WorkSize(prompt_tokens=7000, output_tokens=100)
+
+    def setUp(self):
+        self.table = dispatch.EndpointTable(silence_timeout_s=1.0)
+        for name, version, role in (
+            ("p1", "v1", membership.Role.PREFILL),
+            ("d1", "v1", membership.Role.DECODE),
+            ("d2", "v2", membership.Role.DECODE),
+        ):
+            self.add(name, version, role)
+        self.placement = dispatch.Placement(
+            endpoints=self.table, zone="a", generator=random.Random(1)
+        )
+
+    def add(self, name, version, role):
+        record = testing.make_endpoint_record(
+            name, software_version=version, role=role
+        )
+        self.table.update_record(name, record)
+
+    def find(self, name):
+        return next(item for item in self.table.list_all() if item.name == name)
+
+    def choose(self, size=_SIZE, **fields):
+        return self.placement.choose_for_generation(
+            service=_SERVICE, size=size, now=0.0, **fields
+        )
+
+    # Guards against a KV cache of one version taken over by another.
+    def test_prompt_is_prefilled_by_the_version_that_decodes(self):
+        for _ in range(20):
+            grant = self.choose()
+            version = grant.decode.record.software_version
+            self.assertEqual(grant.prefill.record.software_version, version)
+        self.add("p2", "v2", membership.Role.PREFILL)
+        grant = self.choose(software_version="v2")
+        self.assertEqual(grant.prefill.name, "p2")
+
+    # Guards against long prompts at a version that can't prefill them.
+    def test_long_prompt_runs_at_a_version_with_a_prefill_engine(self):
+        self.find("d1").in_flight = 2
+        self.find("d2").in_flight = 2
+        for _ in range(20):
+            grant = self.choose(self._LONG)
+            self.assertEqual(grant.decode.name, "d1")
+            self.assertEqual(grant.prefill.name, "p1")
+
+    # Guards against short prompts taking the last capacity that a long one
+    # can use.
+    def test_long_prompt_is_not_starved_by_short_ones(self):
+        for name in ("d1", "d2"):
+            self.find(name).in_flight = 2
+        self.find("d1").reserved_tokens = 9000
+        queue = dispatch.GenerationQueue(placement=self.placement)
+
+        def add(size):
+            return queue.add(
+                service=_SERVICE, size=size, target_at=1.0, wait_deadline=5.0
+            )
+
+        long = add(self._LONG)
+        short = add(dispatch.WorkSize(prompt_tokens=200, output_tokens=100))
+        self.assertEqual(queue.admit(0.0), [short])
+        self.assertEqual(short.grant.decode.name, "d2")
+        self.find("d1").reserved_tokens = 0
+        self.assertEqual(queue.admit(0.1), [long])
+
+    # Guards against a stream that waits for a prefill engine which its version
+    # doesn't have.
+    def test_stream_bound_to_a_version_is_prefilled_by_its_decode_engine(self):
+        self.find("d2").in_flight = 3
+        grant = self.choose(self._LONG, software_version="v2")
+        self.assertEqual(grant.decode.name, "d2")
+        self.assertIs(grant.prefill, grant.decode)
+        # Its version has one, which is busy.
+        self.find("d1").in_flight = 3
+        self.find("p1").prefill_tokens = 100_000
+        shortage = self.choose(self._LONG, software_version="v1")
+        self.assertIs(shortage, dispatch.Shortage.PREFILL)
+
+    # Guards against waiting for one version's prefill engines while another's
+    # are free.
+    def test_busy_prefill_engine_sends_a_prompt_to_another_version(self):
+        self.add("p2", "v2", membership.Role.PREFILL)
+        for name in ("d1", "d2"):
+            self.find(name).in_flight = 2
+        self.find("p1").prefill_tokens = 100_000
+        for _ in range(20):
+            self.assertEqual(self.choose(self._LONG).prefill.name, "p2")
+
+    # Guards against a prefill that is sent to an engine of another version
+    # after its own has refused it.
+    def test_finished_prefill_waits_for_its_version_until_it_expires(self):
+        self.find("d1").reserved_tokens = 9000
+        self.find("d1").in_flight = 2
+        queue = dispatch.GenerationQueue(placement=self.placement)
+        waiter = queue.add(
+            service=_SERVICE,
+            size=_SIZE,
+            target_at=1.0,
+            wait_deadline=5.0,
+            prefilled_until=0.5,
+            prefilled_version="v1",
+        )
+        self.assertEqual(queue.admit(0.0), [])
+        self.assertEqual(queue.admit(0.6), [waiter])
+        self.assertEqual(waiter.grant.decode.name, "d2")
+        self.assertIsNotNone(waiter.grant.prefill)
+
+
 class ContentionTest(unittest.TestCase):
     """Two gateways that reserve the same last capacity in a burst."""
 
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -171,6 +171,9 @@
             arrived_at=task.arrived_at,
             priority=task.route.priority,
             prefilled_until=handle.expires_at if handle else None,
+            prefilled_version=(
+                handle.endpoint.record.software_version if handle else None
+            ),
             is_resumed=is_resumed,
             may_prefill=may_prefill,
             excluded=tuple(task.may_have_run),
@@ -200,7 +203,6 @@
             service=task.service,
             now=self._context.now(),
             excluded=tuple(task.may_have_run),
-            software_version=task.software_version,
         )
         if engine is None:
             return
@@ -264,6 +266,7 @@
             return
         engine = grant.decode
         fields["endpoint"] = engine.name
+        fields["software_version"] = engine.record.software_version
         fields["reserved_tokens"] = engine.total_reserved_tokens
         fields["in_flight"] = engine.total_in_flight
         if grant.prefill is not None:
