Log no holders that weren't told of a stream

The line that says where a stream begins named its holders also where the rate limit held the datagrams back, which would mislead whoever traces a resumption that was refused. The rate limit has a test.

--- a/sassafrasstile/streams/_directory.py
+++ b/sassafrasstile/streams/_directory.py
@@ -96,7 +96,8 @@
                 back.
 
         Returns:
-            The names of the other gateways that are told.
+            The names of the other gateways that are told; none where the rate
+            limit is exceeded.
         """
         now = self._now()
         key = _codec.make_key(stream_id)
@@ -104,8 +105,7 @@
         self._registry.record(key, origin, now=now, lifetime_s=lifetime_s)
         holders = self._choose_holders(key)
         notice = _base.Notice(key=key, origin=origin, lifetime_s=lifetime_s)
-        self._send_twice(holders, notice)
-        return holders
+        return holders if self._send_twice(holders, notice) else []
 
     async def find(self, stream_id: str) -> _base.Lookup:
         """Finds where a stream began."""
@@ -191,8 +191,13 @@
         names: list[str],
         message: _base.Message,
         inquiry: _Inquiry | None = None,
-    ) -> None:
-        self._send(names, message)
+    ) -> bool:
+        """Sends a message now and once more, if it isn't answered by then.
+
+        Returns:
+            False when the rate limit held the first one back.
+        """
+        is_sent = self._send(names, message)
 
         def repeat():
             self._calls.discard(call)
@@ -203,10 +208,12 @@
 
         call = self._reactor.callLater(_REPEAT_S, repeat)
         self._calls.add(call)
+        return is_sent
 
-    def _send(self, names: list[str], message: _base.Message) -> None:
+    def _send(self, names: list[str], message: _base.Message) -> bool:
         if not self._bucket.take(len(names), self._now()):
-            return
+            return False
         payload = _codec.encode_message(message)
         for name in names:
             self.transport.send(name, payload)
+        return True
--- a/sassafrasstile/streams/tests/test_directory.py
+++ b/sassafrasstile/streams/tests/test_directory.py
@@ -176,6 +176,15 @@
             costs.append(self.network.sent)
         self.assertLessEqual(max(costs), 6 + 12 + 6)
 
+    # Guards against a burst of streams that fills the links, and against a log
+    # that names holders which weren't told.
+    def test_rate_of_datagrams_is_bounded(self):
+        self.add_gateways(40)
+        told = [self.record("g0", f"r{number}") for number in range(1000)]
+        self.assertLessEqual(self.network.sent, 400)
+        self.assertEqual(told[-1], [])
+        self.assertEqual(self.find("g0", "r999")[0].origin, _V1)
+
     def test_malformed_messages_are_ignored(self):
         directory = self.network.add("g0", "a")
         for payload in (b"", b"\xff", b"[]", b'["is",1]', b'["began","k"]'):
