Change roles of engines with regard to their software version

Callers could have seen: all streams of a version refused since its last decode engine was ordered to prefill, while two of its engines serve.

Two decode engines of each version are kept; the version with the smallest share of prefill engines gets the next one; a surplus one is taken from the version with the largest share. With one version nothing changes but the lower bound of two, which the bound of four covers. The three new tests fail on the former code ('v1' != 'v2', 'v2' != 'v1'); the six others pass on both.

--- a/sassafrasstile/roles/_plan.py
+++ b/sassafrasstile/roles/_plan.py
@@ -1,5 +1,6 @@
 """Chooses the engine that should change its role next."""
 
+import collections
 from collections.abc import Mapping, Sequence
 import math
 
@@ -11,6 +12,9 @@
 # engines than this: the change takes it out of service for many seconds, and
 # decode engines can prefill prompts locally meanwhile.
 _MIN_DECODE_ENGINES = 4
+# The same for the decode engines of one software version, since a stream goes
+# on only at the version that began it.
+_MIN_DECODE_ENGINES_OF_VERSION = 2
 
 
 def choose_order(
@@ -22,7 +26,9 @@
     """Returns the order that brings the roles closer to the wanted share.
 
     An engine finishes its work before it changes its role and is out of
-    service for seconds, so an engine with little work is chosen.
+    service for seconds, so an engine with little work is chosen. Engines work
+    together with those of their own software version, so each version should
+    have both kinds.
 
     Args:
         engines: The engines of one service that accept work.
@@ -47,11 +53,47 @@
     else:
         return None
     candidates = [item for item in candidates if item not in pending_roles]
+    candidates = _select_version(candidates, role, prefills, decodes)
     if not candidates:
         return None
     return _base.RoleOrder(engine=_choose_least_loaded(candidates), role=role)
 
 
+def _select_version(
+    candidates: Sequence[dispatch.Endpoint],
+    role: membership.Role,
+    prefills: Sequence[dispatch.Endpoint],
+    decodes: Sequence[dispatch.Endpoint],
+) -> list[dispatch.Endpoint]:
+    """Returns the candidates of the version that needs the new role most."""
+    prefill_counts = _count_versions(prefills)
+    decode_counts = _count_versions(decodes)
+
+    def get_prefill_share(item: dispatch.Endpoint) -> float:
+        version = item.record.software_version
+        total = prefill_counts[version] + decode_counts[version]
+        return prefill_counts[version] / total
+
+    if role is membership.Role.PREFILL:
+        candidates = [
+            item
+            for item in candidates
+            if decode_counts[item.record.software_version]
+            > _MIN_DECODE_ENGINES_OF_VERSION
+        ]
+    if not candidates:
+        return []
+    shares = [get_prefill_share(item) for item in candidates]
+    best = min(shares) if role is membership.Role.PREFILL else max(shares)
+    return [item for item in candidates if get_prefill_share(item) == best]
+
+
+def _count_versions(
+    engines: Sequence[dispatch.Endpoint],
+) -> collections.Counter[str]:
+    return collections.Counter(item.record.software_version for item in engines)
+
+
 def _choose_least_loaded(
     engines: Sequence[dispatch.Endpoint],
 ) -> dispatch.Endpoint:
--- a/sassafrasstile/roles/tests/test_plan.py
+++ b/sassafrasstile/roles/tests/test_plan.py
@@ -58,3 +58,55 @@
 
     def test_only_engine_keeps_its_role(self):
         self.assertIsNone(self.choose(_make_engines(0, 1)))
+
+    def make_versions(self, *groups):
+        """Returns engines of (version, role, count)."""
+        table = dispatch.EndpointTable(silence_timeout_s=1.0)
+        for version, role, count in groups:
+            for number in range(count):
+                name = f"{version}-{role.value}{number}"
+                record = testing.make_endpoint_record(
+                    name, role=role, software_version=version
+                )
+                table.update_record(name, record)
+        return table.list_all()
+
+    # Guards against a role change that leaves the streams of a version without
+    # an engine to go on at.
+    def test_version_keeps_its_last_decode_engines(self):
+        decode = membership.Role.DECODE
+        engines = self.make_versions(("v1", decode, 2), ("v2", decode, 4))
+        for engine in engines:
+            if engine.record.software_version == "v2":
+                engine.reserved_tokens = 5000
+        order = self.choose(engines)
+        self.assertEqual(order.engine.record.software_version, "v2")
+        few = self.make_versions(
+            ("v1", decode, 2), ("v2", decode, 2), ("v3", decode, 2)
+        )
+        self.assertIsNone(self.choose(few))
+
+    # Guards against a version whose prompts no engine may prefill.
+    def test_version_without_a_prefill_engine_gets_one_first(self):
+        decode, prefill = membership.Role.DECODE, membership.Role.PREFILL
+        engines = self.make_versions(
+            ("v1", prefill, 1), ("v1", decode, 4), ("v2", decode, 5)
+        )
+        for engine in engines:
+            if engine.record.software_version == "v2":
+                engine.reserved_tokens = 5000
+        order = self.choose(engines)
+        self.assertEqual(order.engine.record.software_version, "v2")
+
+    # Guards against prefill engines that no decode engine can use.
+    def test_surplus_is_taken_from_the_version_with_fewest_decode_engines(self):
+        decode, prefill = membership.Role.DECODE, membership.Role.PREFILL
+        engines = self.make_versions(
+            ("v1", prefill, 2), ("v2", prefill, 1), ("v2", decode, 5)
+        )
+        for engine in engines:
+            if engine.record.software_version == "v1":
+                engine.prefill_tokens = 5000
+        order = self.choose(engines)
+        self.assertIs(order.role, decode)
+        self.assertEqual(order.engine.record.software_version, "v1")
