Soak streams that callers take up again before two software versions

Callers leave and come back at any of the gateways, with engines of two versions, while gateways are killed, stopped and suspended and the store fails. Each event names its version; all events of a stream, over all attempts, must have one.

The faults of a seed are drawn as before; these callers draw from a generator of their own.

--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -16,6 +16,7 @@
 from sassafrasstile.faultsoak import _endpoints
 from sassafrasstile.faultsoak import _gateways
 from sassafrasstile.faultsoak import _proxy
+from sassafrasstile.faultsoak import _versions
 
 _STARTUP_WAIT_S = 3.0
 _SETTLE_WAIT_S = 8.0
@@ -35,6 +36,8 @@
         whole: The number of requests with a complete answer.
         statuses: The number of answers by HTTP status; zero means no answer.
         faults: The number of injected faults by name.
+        streams: How often streams began, went on in another attempt of their
+            caller, and were refused.
         violations: The violated guarantees, one sentence each.
     """
 
@@ -43,6 +46,7 @@
     whole: int
     statuses: dict[int, int]
     faults: dict[str, int]
+    streams: dict[str, int]
     violations: list[str]
 
 
@@ -77,6 +81,9 @@
         self.endpoints: dict[str, _endpoints.ScriptedEndpoint] = {}
         self._proxies: dict[str, _proxy.FaultProxy] = {}
         self.gateways: list[_gateways.GatewayProcess] = []
+        self._returning = _versions.ReturningCallers(
+            reactor=reactor, gateways=self.gateways, seed=seed
+        )
         self._fault_counts: collections.Counter[str] = collections.Counter()
         self._running_faults: list[defer.Deferred] = []
 
@@ -98,11 +105,13 @@
         await self._sleep(_STARTUP_WAIT_S)
         callers.stop_sending_at = self._reactor.seconds() + self._seconds
         sending = testing.spawn(callers.run())
+        returning = testing.spawn(self._returning.run(callers.stop_sending_at))
         while self._reactor.seconds() < callers.stop_sending_at:
             await self._sleep(0.2 + self._generator.random())
             if self._has_faults:
                 self._inject_fault()
         await sending
+        await returning
         await defer.gatherResults(self._running_faults, consumeErrors=False)
         await self._sleep(_SETTLE_WAIT_S)
         callers.check_executions(self._execution_log.counts)
@@ -118,7 +127,8 @@
             ),
             statuses=dict(callers.statuses),
             faults=dict(self._fault_counts),
-            violations=callers.violations,
+            streams=dict(self._returning.counts),
+            violations=[*callers.violations, *self._returning.violations],
         )
 
     async def _check_shutdown(self, callers: _callers.Callers) -> None:
@@ -152,6 +162,7 @@
         for kind, stage in stages.items():
             for number in range(2):
                 self._add_endpoint(f"{kind}{number}", stage)
+        self._returning.start(self._store_server)
         self._configure(1)
         for number in range(self._gateway_count):
             proxy = self._make_proxy(
@@ -205,16 +216,27 @@
             testing.make_platform_route(
                 "/gen/", "writer", "streaming", targetGapMs=300
             ),
+            testing.make_platform_route(
+                _versions.PATH,
+                _versions.SERVICE,
+                "streaming",
+                targetGapMs=300,
+                resumable=True,
+                maxAttempts=3,
+            ),
             *(
                 testing.make_platform_route(path, "desk", "unsafe")
                 for path in extra_paths
             ),
         ]
-        self._store_server.store.put_json(
-            "keyed.op",
-            "config",
-            testing.make_configuration_document(version=version, routes=routes),
+        document = testing.make_configuration_document(
+            version=version, routes=routes
+        )
+        (writer,) = (
+            item for item in document["services"] if item["name"] == "writer"
         )
+        document["services"].append({**writer, "name": _versions.SERVICE})
+        self._store_server.store.put_json("keyed.op", "config", document)
 
     async def close(self) -> None:
         """Stops every process and server."""
@@ -224,6 +246,7 @@
             await defer.maybeDeferred(proxy.close)
         for endpoint in self.endpoints.values():
             await defer.maybeDeferred(endpoint.server.close)
+        await self._returning.close()
         await defer.maybeDeferred(self._store_server.close)
 
     # Faults.
--- a/sassafrasstile/standins/_platform_endpoint.py
+++ b/sassafrasstile/standins/_platform_endpoint.py
@@ -142,6 +142,7 @@
     count: int = 3,
     gap_s: float = 0.0,
     end: str = "whole",
+    text: str = "token",
 ) -> EndpointAnswer:
     """Returns a stream of events.
 
@@ -152,6 +153,7 @@
         gap_s: Seconds between events.
         end: `whole` for a complete stream; `close` or `reset` ends the
             connection in the middle of the next event.
+        text: The text before the number of each event.
     """
     head = (
         "HTTP/1.1 200 OK\r\n"
@@ -162,7 +164,7 @@
     )
     segments = [Segment(data=head.encode())]
     for number in range(first, first + count):
-        event = f"id: {number}\ndata: token {number}\n\n".encode()
+        event = f"id: {number}\ndata: {text} {number}\n\n".encode()
         segments.append(Segment(data=_encode_chunk(event), after_s=gap_s))
     if end == "whole":
         segments.append(Segment(data=b"0\r\n\r\n"))
