--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -15,6 +15,7 @@
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _holds
 from sassafrasstile.forwarding import _prefills
+from sassafrasstile.forwarding import _resumptions
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _standby
 from sassafrasstile.forwarding import _streams
@@ -37,6 +38,7 @@
         self._context = context
         self._prefills = _prefills.PrefillRunner(context=context)
         self._holds = _holds.HoldTaker(context=context)
+        self._resumptions = _resumptions.ResumptionResolver(context=context)
         self.admission = _admission.AdmissionController(context=context)
         self._standbys = _standby.StandbyFinder(
             context=context, admission=self.admission, holds=self._holds
@@ -47,6 +49,11 @@
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Forwards a generation request and answers its caller."""
+        if task.details.is_resumption:
+            refusal = await self._resumptions.resolve(task)
+            if refusal is not None:
+                _answers.fail_task(self._context, task, refusal)
+                return
         progress = _streams.Progress(last_event_id=task.details.last_event_id)
         try:
             verdict = await self._run_until_answered(task, progress)
@@ -99,7 +106,10 @@
             progress.hold = standby.hold
             return standby.grant
         return await self.admission.acquire(
-            task, handle=progress.handle, is_resumed=progress.events > 0
+            task,
+            handle=progress.handle,
+            is_resumed=progress.events > 0 or task.details.is_resumption,
+            may_prefill=not progress.events,
         )
 
     async def _run_on_grant(
