Close no connection with an unread request in a shutdown

Cause, all three in the gateway: - While requests were in flight, close_idle ran every 50 ms and took a connection that was accepted, but of which nothing had been read yet, for an idle one. - It did the same to a kept connection with a request in its receive buffer. - When the port closed, the connections in the accept queue were reset (the port accepts as few at a time as came last), and close_idle followed at once.

Evidence: the old test with the loop held up at random by up to 60 ms, up to 40 calls one after another in place of one, each step traced: 5.585 accepted 44412 5.586 close_idle closes 44412 read before: 0 5.619 answer 0 test_ingress.py, line 238: AssertionError: 0 != 200 Ruled out: the stream ended too early (it was still in flight, the port closed after it).

Now an idle connection closes only if it has carried a request and no bytes wait on it; the port accepts its queue before it closes and refuses callers from that moment; the end waits for requests that are being read and half a second for new connections, within the grace time.

Tests, against the old code: test_new_connection_stays_open_until_its_first_request: 0 != 200 test_request_that_waits_unread_is_answered: b' 200 ' not found in b'' test_requests_that_wait_when_the_port_closes_are_answered: ConnectionResetError: Connection reset by peer test_connection_without_a_request_yet_stays_open and test_connection_that_sends_nothing_is_not_waited_for use a new method. test_calls_are_accepted_throughout_shutdown counted on a stream of about six seconds outlasting its pauses. Its stream now starts before the shutdown by a condition and ends when the test ends it; what it asserts is unchanged.

--- a/sassafrasstile/router/_caller_port.py
+++ b/sassafrasstile/router/_caller_port.py
@@ -1,5 +1,6 @@
 """The port that accepts callers."""
 
+import contextlib
 import socket
 
 from twisted.internet import defer
@@ -73,8 +74,27 @@
         listener.close()
 
     def close(self) -> defer.Deferred:
-        """Stops listening; further calls do nothing."""
+        """Accepts the callers that wait, and stops listening.
+
+        Further calls do nothing.
+        """
         if self._delayed_call is not None and self._delayed_call.active():
             self._delayed_call.cancel()
         self.accept()
+        self._accept_backlog()
         return defer.maybeDeferred(self._open_port.stopListening)
+
+    def _accept_backlog(self) -> None:
+        """Accepts the connections that the operating system has queued.
+
+        Closing the socket would reset them, although their callers may have
+        sent requests.
+        """
+        if not self._open_port.connected or self._open_port.disconnecting:
+            return
+        # The port accepts up to this many connections at a time.
+        self._open_port.numberAccepts = _BACKLOG + 1
+        self._open_port.doRead()
+        # The reactor closes the socket later. Callers are refused from now on.
+        with contextlib.suppress(OSError):
+            self._open_port.socket.shutdown(socket.SHUT_RD)
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -332,9 +332,9 @@
         # While no gateway is ready, the load balancer may send callers to any
         # of them, so the port accepts connections until now.
         await self._caller_port.close()
-        self._ingress.close_idle()
-        while self._router.in_flight and self._now() < deadline:
+        while self._has_open_requests() and self._now() < deadline:
             await self._sleep(_IDLE_POLL_S)
+        self._ingress.close_idle()
         cut = self._router.in_flight
         self._router.abort_all()
         # Lets the last responses be sent.
@@ -344,6 +344,10 @@
             "router: gateway %s stops.", self.settings.name, extra={"cut": cut}
         )
 
+    def _has_open_requests(self) -> bool:
+        """Returns whether callers wait for answers or are sending requests."""
+        return self._router.in_flight > 0 or self._ingress.expects_requests()
+
     async def close(self) -> None:
         """Closes everything immediately, without draining."""
         if self._loop.running:
--- a/sassafrasstile/router/tests/test_ingress.py
+++ b/sassafrasstile/router/tests/test_ingress.py
@@ -1,3 +1,6 @@
+import socket
+import time
+
 from sassafrasstile import standins
 from sassafrasstile import testing
 
@@ -32,15 +35,21 @@
         400,
     ),
 }
+# No request is refused for want of time before the process ends.
+_LONG_GRACE_S = 40.0
 
 
 class IngressTest(testing.ReactorTestCase):
     """Validation of callers' requests, and graceful shutdown."""
 
     def setUp(self):
-        self.site = testing.PlatformSite(
+        self.site = self.make_site()
+
+    def make_site(self, **options):
+        return testing.PlatformSite(
             reactor=self.reactor,
             routes=[testing.make_platform_route("/once/", "desk", "unsafe")],
+            **options,
         )
 
     async def start_site(self, script=standins.make_answer):
@@ -211,31 +220,86 @@
         await stopping
         await self.site.close()
 
-    @testing.on_reactor
-    async def test_calls_are_accepted_throughout_shutdown(self):
+    async def start_endless_stream(self):
+        """Starts a generation that ends when the returned function is called.
+
+        Returns:
+            The caller's connection and the function.
+        """
+        self.site = self.make_site(grace_s=_LONG_GRACE_S)
         self.site.routes.append(
-            testing.make_platform_route("/gen/", "writer", "streaming")
+            testing.make_platform_route(
+                "/gen/", "writer", "streaming", timeoutMs=30000
+            )
         )
-        for route in self.site.routes:
-            route["timeoutMs"] = 1000 if route["name"] == "/once/" else 9000
         await self.start_site()
-        self.site.add_endpoint(
+        engine = self.site.add_endpoint(
             "d0",
-            lambda request: standins.make_stream(request, gap_s=2.0),
+            lambda request: standins.make_stream(request, gap_s=0.5, count=99),
             service="writer",
             stage="decode",
         )
         await self.sleep(0.4)
         caller = await self.site.connect()
         caller.send(
-            testing.make_request("/gen/", close=False, deadline_ms=9000)
+            testing.make_request("/gen/", close=False, deadline_ms=30000)
         )
-        await self.sleep(0.1)
+        await caller.read_until(b"token 1")
+
+        def end():
+            for connection in engine.connections:
+                connection.transport.write(b"0\r\n\r\n")
+
+        return caller, end
+
+    @testing.on_reactor
+    async def test_calls_are_accepted_throughout_shutdown(self):
+        streaming, end_stream = await self.start_endless_stream()
         stopping = testing.spawn(self.site.daemon.drain())
         # The load balancer may send callers here while no gateway is ready.
         await self.sleep(4.0)
         answer = await self.site.call("/once/")
         self.assertEqual(answer.status, 200)
-        self.assertTrue((await caller.read_all()).is_complete_stream)
+        end_stream()
+        self.assertTrue((await streaming.read_all()).is_complete_stream)
+        await stopping
+        await self.site.close()
+
+    # A connection of which the gateway has not read a request yet was closed.
+    @testing.on_reactor
+    async def test_new_connection_stays_open_until_its_first_request(self):
+        streaming, end_stream = await self.start_endless_stream()
+        stopping = testing.spawn(self.site.daemon.drain())
+        await self.sleep(4.0)
+        caller = await self.site.connect()
+        await self.sleep(0.3)
+        caller.send(testing.make_request("/once/"))
+        answer = await caller.read_all()
+        self.assertEqual(answer.status, 200)
+        end_stream()
+        self.assertTrue((await streaming.read_all()).is_complete_stream)
+        await stopping
+        await self.site.close()
+
+    # Connections in the accept queue were reset when the port closed.
+    @testing.on_reactor
+    async def test_requests_that_wait_when_the_port_closes_are_answered(self):
+        self.site = self.make_site(grace_s=_LONG_GRACE_S)
+        await self.start_site()
+        address = ("127.0.0.1", self.site.daemon.port)
+        stopping = testing.spawn(self.site.daemon.drain())
+        callers = []
+        for number in range(5):
+            caller = socket.create_connection(address)
+            caller.sendall(
+                testing.make_request("/once/", request_id=f"q{number}")
+            )
+            callers.append(caller)
+        # Holds the process up until the port is due to be closed.
+        time.sleep(3.5)
         await stopping
+        for caller in callers:
+            with caller:
+                caller.settimeout(0.0)
+                self.assertIn(b" 200 ", caller.recv(4096))
         await self.site.close()
--- a/sassafrasstile/web/_connection.py
+++ b/sassafrasstile/web/_connection.py
@@ -46,6 +46,17 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def has_unread_bytes(transport) -> bool:
+    """Returns whether bytes have arrived that the reactor hasn't read yet."""
+    if not interfaces.ITCPTransport.providedBy(transport):
+        return False
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    try:
+        return bool(transport.getHandle().recv(1, flags))
+    except OSError:
+        return False
+
+
 class HttpConnection(protocol.Protocol):
     """A connection that can be reused for one request after another.
 
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -29,6 +29,8 @@
 # The connection of an aborted response stays open for this long, so that the
 # caller can read what was sent.
 _ABORT_LINGER_S = 2.0
+# A caller sends its first request within this time after it has connected.
+_FIRST_REQUEST_WAIT_S = 0.5
 _PAYLOAD_TOO_LARGE = b"HTTP/1.1 413 Payload Too Large\r\n"
 _BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n"
 _HEADERS_TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -232,6 +234,8 @@
         self.factory = factory
         self.is_refused = False
         self._header_timer = None
+        self._accepted_at = 0.0
+        self._is_unused = True
 
     @property
     def totalHeadersSize(self) -> int:  # noqa: N802
@@ -248,11 +252,31 @@
         """True when no request is being read or answered."""
         return not self.requests and self._header_timer is None
 
+    @property
+    def can_close(self) -> bool:
+        """True when the caller's last request is answered, with none behind."""
+        return (
+            self.is_idle
+            and not self._is_unused
+            and not _connection.has_unread_bytes(self.transport)
+        )
+
+    @property
+    def expects_request(self) -> bool:
+        """True when a request is being read, or has probably been sent."""
+        if self.is_refused or self.transport.disconnecting:
+            return False
+        if self._is_unused:
+            age_s = self.factory.reactor.seconds() - self._accepted_at
+            return age_s < _FIRST_REQUEST_WAIT_S
+        return not self.requests and not self.can_close
+
     def connectionMade(self) -> None:  # noqa: N802
         """Handles the start of the connection."""
         self.timeOut = self.factory.limits.idle_timeout_s
         super().connectionMade()
         _connection.tune_socket(self.transport)
+        self._accepted_at = self.factory.reactor.seconds()
         self.factory.channels.add(self)
 
     def connectionLost(self, reason) -> None:  # noqa: N802
@@ -263,6 +287,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Starts the header timeout with the first byte of a request."""
+        self._is_unused = False
         if self.is_refused:
             return
         if self.is_idle:
@@ -353,7 +378,15 @@
         """Writes no access log; the handler logs each request."""
 
     def close_idle(self) -> None:
-        """Closes the connections without a request in progress."""
+        """Closes the connections on which all requests are answered.
+
+        A connection that hasn't carried a request stays open, since its first
+        request may be on its way.
+        """
         for channel in list(self.channels):
-            if channel.is_idle:
+            if channel.can_close:
                 channel.loseConnection()
+
+    def expects_requests(self) -> bool:
+        """Returns whether callers have probably sent requests to be read."""
+        return any(channel.expects_request for channel in self.channels)
--- /dev/null
+++ b/sassafrasstile/web/tests/test_ingress.py
@@ -0,0 +1,82 @@
+import socket
+
+from twisted.internet import defer
+
+from sassafrasstile import testing
+from sassafrasstile import web
+
+_REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+
+
+class CloseIdleTest(testing.ReactorTestCase):
+    """Idle connections close, and no request is lost by that."""
+
+    def setUp(self):
+        self.factory = web.IngressFactory(
+            reactor=self.reactor,
+            handler=lambda _request, exchange: exchange.respond(status=200),
+        )
+        self.port = self.reactor.listenTCP(
+            0, self.factory, interface="127.0.0.1"
+        )
+        self.caller = socket.create_connection(
+            ("127.0.0.1", self.port.getHost().port)
+        )
+        self.caller.settimeout(0.0)
+
+    def tearDown(self):
+        self.caller.close()
+
+    async def call(self):
+        self.caller.sendall(_REQUEST)
+        await self.read()
+
+    async def read(self):
+        received = []
+
+        def has_read():
+            try:
+                received.append(self.caller.recv(4096))
+            except BlockingIOError:
+                return False
+            return True
+
+        await self.wait_until(has_read)
+        return received[0]
+
+    async def close(self):
+        self.caller.close()
+        await self.wait_until(lambda: not self.factory.channels)
+        await defer.maybeDeferred(self.port.stopListening)
+
+    @testing.on_reactor
+    async def test_answered_connection_closes(self):
+        await self.call()
+        self.factory.close_idle()
+        self.assertEqual(await self.read(), b"")
+        await self.close()
+
+    # A connection was closed with a request in its receive buffer.
+    @testing.on_reactor
+    async def test_request_that_waits_unread_is_answered(self):
+        await self.call()
+        self.caller.sendall(_REQUEST)
+        self.factory.close_idle()
+        self.assertIn(b" 200 ", await self.read())
+        await self.close()
+
+    # A connection was closed before its caller had sent the first request.
+    @testing.on_reactor
+    async def test_connection_without_a_request_yet_stays_open(self):
+        await self.wait_until(lambda: self.factory.channels)
+        self.factory.close_idle()
+        self.assertTrue(self.factory.expects_requests())
+        await self.call()
+        self.assertFalse(self.factory.expects_requests())
+        await self.close()
+
+    @testing.on_reactor
+    async def test_connection_that_sends_nothing_is_not_waited_for(self):
+        await self.wait_until(lambda: self.factory.channels)
+        await self.wait_until(lambda: not self.factory.expects_requests())
+        await self.close()
