Look at an idle connection before it carries another request

Callers got 502 for a request that a gateway sent on a kept connection which the endpoint had already reset, closed or written to: the process was held up and hadn't noticed. Sent on a new connection, the request would have been answered.

The pool peeks at an idle connection: any byte, end or error that waits on it takes it out of use. A reset that comes after the request was sent still gets 502, since the request may have run.

Test, against the old pool, all three subtests (close, reset, second answer): AssertionError: the condition did not hold before the timeout (the request went out on the dead connection, no second one was opened).

--- a/sassafrasstile/web/_connection.py
+++ b/sassafrasstile/web/_connection.py
@@ -46,13 +46,38 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def _peek(transport) -> bytes | None:
+    """Returns the first unread byte, or None while there is nothing to read.
+
+    Returns:
+        The byte, which stays unread, or no bytes if the peer has closed.
+
+    Raises:
+        OSError: The connection is lost.
+    """
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    try:
+        return transport.getHandle().recv(1, flags)
+    except BlockingIOError:
+        return None
+
+
 def has_unread_bytes(transport) -> bool:
     """Returns whether bytes have arrived that the reactor hasn't read yet."""
     if not interfaces.ITCPTransport.providedBy(transport):
         return False
-    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
     try:
-        return bool(transport.getHandle().recv(1, flags))
+        return bool(_peek(transport))
+    except OSError:
+        return False
+
+
+def _is_quiet(transport) -> bool:
+    """Returns whether neither bytes nor an end of the connection wait."""
+    if not interfaces.ITCPTransport.providedBy(transport):
+        return True
+    try:
+        return _peek(transport) is None
     except OSError:
         return False
 
@@ -98,6 +123,14 @@
         self.is_open = True
         tune_socket(self.transport)
 
+    def is_reusable(self) -> bool:
+        """Returns whether the idle connection is open and nothing waits on it.
+
+        While the process is held up, the server may close the connection or
+        send bytes that answer no request, and the reactor hasn't noticed yet.
+        """
+        return self.is_open and _is_quiet(self.transport)
+
     def send(
         self,
         *,
--- a/sassafrasstile/web/_pool.py
+++ b/sassafrasstile/web/_pool.py
@@ -99,7 +99,8 @@
             connection = self._idle.pop()
             if not connection.is_open:
                 continue
-            if now - connection.idle_since < connection.keep_alive_s:
+            is_fresh = now - connection.idle_since < connection.keep_alive_s
+            if is_fresh and connection.is_reusable():
                 return connection
             connection.abort()
         return None
--- /dev/null
+++ b/sassafrasstile/web/tests/test_pool.py
@@ -0,0 +1,110 @@
+import socket
+import struct
+
+from sassafrasstile import testing
+from sassafrasstile import web
+
+_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def _close(connection):
+    connection.close()
+
+
+def _reset(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    connection.close()
+
+
+def _answer_again(connection):
+    connection.sendall(_ANSWER.replace(b"ok", b"no"))
+
+
+class PoolTest(testing.ReactorTestCase):
+    """Connections are reused only while nothing has happened on them.
+
+    The server is a plain socket, so that it acts while the reactor, and with
+    it the pool, is held up.
+    """
+
+    def setUp(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(0.0)
+        self.connections = []
+        self.pool = self.make_pool()
+
+    def tearDown(self):
+        self.reset()
+        self.listener.close()
+
+    def make_pool(self):
+        return web.ConnectionPool(
+            reactor=self.reactor,
+            host="127.0.0.1",
+            port=self.listener.getsockname()[1],
+            connect_timeout_s=30.0,
+        )
+
+    def reset(self):
+        self.pool.abort()
+        for connection in self.connections:
+            connection.close()
+        self.connections.clear()
+
+    def has_accepted(self):
+        try:
+            connection, _ = self.listener.accept()
+        except BlockingIOError:
+            return False
+        connection.setblocking(False)
+        self.connections.append(connection)
+        return True
+
+    async def answer(self, number):
+        connection = self.connections[number]
+
+        def has_read():
+            try:
+                return bool(connection.recv(4096))
+            except BlockingIOError:
+                return False
+
+        await self.wait_until(has_read)
+        connection.sendall(_ANSWER)
+
+    async def send(self):
+        return await self.pool.send(
+            method=b"POST", target=b"/", headers=[(b"Host", b"a")]
+        )
+
+    async def make_idle_connection(self):
+        reply = await self.send()
+        await self.wait_until(self.has_accepted)
+        await self.answer(0)
+        await reply.read_body()
+        # The connection becomes idle after the reply has ended.
+        await self.sleep(0)
+
+    # A request was sent on a connection that the server had reset, closed or
+    # written to while the process was held up.
+    @testing.on_reactor
+    async def test_connection_with_an_unnoticed_event_is_not_reused(self):
+        for act in (_close, _reset, _answer_again):
+            self.reset()
+            self.pool = self.make_pool()
+            with self.subTest(act=act.__name__):
+                await self.make_idle_connection()
+                act(self.connections[0])
+                reply = await self.send()
+                await self.wait_until(self.has_accepted)
+                await self.answer(1)
+                self.assertEqual(await reply.read_body(), b"ok")
+
+    @testing.on_reactor
+    async def test_idle_connection_is_reused(self):
+        await self.make_idle_connection()
+        reply = await self.send()
+        await self.answer(0)
+        self.assertEqual(await reply.read_body(), b"ok")
+        self.assertEqual(self.pool.opened_count, 1)
