Answer 504 whichever timeout fires first at the deadline

A caller whose call nobody answered could get 502 (endpoint_silent) instead of 504 at its deadline.

Cause: the timeouts of the last attempt and of the request are due at the same time, each from a clock reading of its own. A process held up between the reading and the start of the request's timer lets the attempt's fire first.

Evidence: the timers of requests started 50 ms late on purpose, old code: test_timeout_of_the_last_attempt_is_the_deadline: AssertionError: 502 != 504

The test now leaves a kept connection, on which the call goes out at once, and also checks that the endpoint got it.

--- a/sassafrasstile/forwarding/_answers.py
+++ b/sassafrasstile/forwarding/_answers.py
@@ -37,6 +37,21 @@
             return _STATUS_MAY_HAVE_RUN
 
 
+def _name_timeout(
+    verdict: verdicts.Verdict, *, is_late: bool
+) -> verdicts.Verdict:
+    """Returns the verdict, with the deadline as its reason if it has passed.
+
+    The timeout of the last attempt and that of the request are due at the same
+    time, and either may fire first.
+    """
+    match verdict:
+        case verdicts.MayHaveRun() if is_late:
+            return verdicts.MayHaveRun(code=errors.Code.DEADLINE_EXCEEDED)
+        case _:
+            return verdict
+
+
 def fail_task(
     context: _context.ForwardingContext,
     task: _task.RequestTask,
@@ -46,6 +61,7 @@
 
     If part of an answer was sent already, closes the connection instead.
     """
+    verdict = _name_timeout(verdict, is_late=context.now() >= task.deadline)
     name = verdicts.name_verdict(verdict)
     task.outcome = f"{name} {verdict.code}"
     if task.exchange.has_begun:
--- a/sassafrasstile/router/tests/test_calls.py
+++ b/sassafrasstile/router/tests/test_calls.py
@@ -1,3 +1,5 @@
+import unittest.mock
+
 from twisted.internet import defer
 
 from sassafrasstile import standins
@@ -47,6 +49,24 @@
     return standins.EndpointAnswer(segments=segments)
 
 
+def _answer_on_kept_connection(request):
+    headers = [("Keep-Alive", "timeout=600")]
+    return standins.make_answer(request, headers=headers)
+
+
+def _delay_timeouts(delay_s):
+    """Returns a patch that starts the timeouts of requests late.
+
+    The process is held up between taking the time and starting a timer.
+    """
+    add_timeout = defer.Deferred.addTimeout
+
+    def add_late(deferred, timeout_s, clock):
+        return add_timeout(deferred, timeout_s + delay_s, clock)
+
+    return unittest.mock.patch.object(defer.Deferred, "addTimeout", add_late)
+
+
 def _unmarked(request):
     return standins.make_answer(request, status=503, body=b"")
 
@@ -152,25 +172,70 @@
 
     @testing.on_reactor
     async def test_call_to_unresponsive_endpoint_gets_504_at_the_deadline(self):
-        site = await self.start_site(lambda _request: standins.SILENCE)
+        site = await self.start_site(
+            _script(
+                _answer_on_kept_connection, lambda _request: standins.SILENCE
+            )
+        )
+        # Leaves a connection on which the next call is sent at once, however
+        # long the process is held up: a call that isn't sent gets 503.
+        answer = await site.call("/once/")
+        self.assertEqual(answer.status, 200)
         answer = await site.call("/once/", deadline_ms=300)
+        runs = self.count_runs(site)
         await self.close_sites()
         self.assertEqual(answer.status, 504)
+        self.assertEqual(runs, 2)
 
+    # The timeout of the attempt fired before that of the call: 502.
     @testing.on_reactor
-    async def test_extra_answer_never_answers_the_next_request(self):
-        def answer_twice(request):
-            one = standins.make_answer(request).segments[0]
-            late = standins.make_answer(request, body=b"late").segments[0]
-            later = standins.Segment(data=late.data, after_s=0.05)
-            return standins.EndpointAnswer(segments=[one, later])
+    async def test_timeout_of_the_last_attempt_is_the_deadline(self):
+        site = await self.start_site(lambda _request: standins.SILENCE)
+        with _delay_timeouts(0.05):
+            answer = await site.call("/once/", deadline_ms=1000)
+        await self.close_sites()
+        self.assertEqual(answer.status, 504)
 
-        site = await self.start_site(answer_twice)
+    @testing.on_reactor
+    async def test_extra_answer_never_answers_the_next_request(self):
+        site = await self.start_site(_answer_on_kept_connection)
+        endpoint = site.endpoints["e0"]
         for number in range(3):
             answer = await site.call("/once/", request_id=f"q{number}")
             self.assertEqual(answer.body, b"ok")
-            await self.sleep(0.03 * number)
+            late = standins.make_answer(endpoint.requests[-1], body=b"late")
+            for connection in endpoint.connections:
+                connection.write_now(late.segments[0].data)
+        await self.close_sites()
+
+    @testing.on_reactor
+    async def test_extra_answer_during_the_next_request_fails_only_that(self):
+        def answer_late(request):
+            first = endpoint.requests[0]
+            late = standins.make_answer(first, body=b"late").segments
+            own = standins.make_answer(request).segments
+            return standins.EndpointAnswer(segments=[*late, *own])
+
+        site = await self.start_site(
+            _script(
+                _answer_on_kept_connection,
+                answer_late,
+                _answer_on_kept_connection,
+            )
+        )
+        endpoint = site.endpoints["e0"]
+        answers = [
+            await site.call("/once/", request_id=f"q{number}")
+            for number in range(3)
+        ]
+        runs = self.count_runs(site)
         await self.close_sites()
+        self.assertEqual(runs, 3)
+        self.assertEqual(answers[0].body, b"ok")
+        # The call was sent before the extra answer came, so it may have run.
+        self.assertEqual(answers[1].status, _MAY_HAVE_RUN)
+        self.assertNotIn(b"late", answers[1].data)
+        self.assertEqual(answers[2].body, b"ok")
 
     @testing.on_reactor
     async def test_attempt_is_aborted_when_the_caller_disconnects(self):
