--- a/sassafrasstile/router/tests/test_byte_positions.py
+++ b/sassafrasstile/router/tests/test_byte_positions.py
@@ -63,8 +63,16 @@
         requests = site.endpoints["e0"].requests
         return sum(1 for item in requests if item.target == path)
 
-    async def try_positions(self, site, script, path):
-        """Yields if the answer is complete, what the caller got, and runs."""
+    async def try_positions(self, site, script, path, check):
+        """Ends the answer at each position and checks the caller's answer.
+
+        Args:
+            site: The site.
+            script: The script of its endpoint.
+            path: The path to call.
+            check: Called with whether the endpoint's answer is complete, the
+                caller's answer, and how often the endpoint got the request.
+        """
         length = script.measure_length()
         for end in _ENDS:
             for position in range(length + 1):
@@ -73,7 +81,7 @@
                 answer = await site.call(path, headers=("X-Token-Count: 9,9",))
                 runs = self.count_runs(site, path) - before
                 with self.subTest(end=end, position=position):
-                    yield position == length, answer, runs
+                    check(position == length, answer, runs)
 
     @testing.on_reactor
     async def test_answer_to_non_idempotent_call(self):
@@ -81,43 +89,46 @@
             make=lambda request: standins.make_answer(request, body=b"0123")
         )
         site = await self.start_site(script, "desk")
-        async for is_complete, answer, runs in self.try_positions(
-            site, script, "/once/"
-        ):
+
+        def check(is_complete, answer, runs):
             self.assertEqual(runs, 1)
             if is_complete:
                 self.assertEqual((answer.status, answer.body), (200, b"0123"))
             else:
                 self.assertEqual(answer.status, _MAY_HAVE_RUN)
                 self.assertNotIn(b"stamp", answer.data)
+
+        await self.try_positions(site, script, "/once/", check)
         await self.close_sites()
 
     @testing.on_reactor
     async def test_refusal_proves_nothing_before_its_head_is_complete(self):
         script = _TruncatingScript(make=standins.make_refusal)
         site = await self.start_site(script, "desk")
-        async for is_complete, answer, runs in self.try_positions(
-            site, script, "/once/"
-        ):
+
+        def check(is_complete, answer, runs):
             expected = _NOT_RUN if is_complete else _MAY_HAVE_RUN
             self.assertEqual(answer.status, expected)
             # Only a complete refusal allows another attempt.
             self.assertEqual(runs > 1, is_complete)
+
+        await self.try_positions(site, script, "/once/", check)
         await self.close_sites()
 
     @testing.on_reactor
     async def test_stream(self):
         script = _TruncatingScript(make=standins.make_stream)
         site = await self.start_site(script, "writer", stage="decode")
-        async for is_complete, answer, runs in self.try_positions(
-            site, script, "/gen/"
-        ):
+
+        def check(is_complete, answer, runs):
             self.assertEqual(runs, 1)
             if answer.status != 200:
                 self.assertEqual(answer.status, _MAY_HAVE_RUN)
-                continue
+                return
             self.assertEqual(answer.is_complete_stream, is_complete)
             events = answer.data.count(b"data: token")
             self.assertEqual(answer.data.count(b"\n\n"), events)
             self.assertLessEqual(events, 3)
+
+        await self.try_positions(site, script, "/gen/", check)
         await self.close_sites()
--- a/sassafrasstile/standins/_platform_endpoint.py
+++ b/sassafrasstile/standins/_platform_endpoint.py
@@ -9,8 +9,10 @@
 import json
 
 import h11
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
+from twisted.python import failure
 
 _ATTEMPT_ID_HEADER = "X-Attempt-Id"
 _SERVER_STAMP_HEADER = "X-Server-Stamp"
@@ -239,7 +241,25 @@
         if answer.end == "close":
             self._call_later(at_s, self.transport.loseConnection)
         elif answer.end == "reset":
-            self._call_later(at_s + 0.01, self.transport.abortConnection)
+            self._call_later(at_s, self.reset)
+
+    def write_now(self, data: bytes) -> None:
+        """Sends bytes before the reactor runs anything else."""
+        self.transport.write(data)
+        self.transport.doWrite()
+
+    def reset(self) -> None:
+        """Sends what was written and resets the connection at once.
+
+        Nothing else runs in between, so the peer can't send another request
+        before the reset.
+        """
+        if not self.is_open:
+            return
+        self.transport.doWrite()
+        self.transport.connectionLost(
+            failure.Failure(error.ConnectionAborted())
+        )
 
     def _call_later(self, delay_s: float, call, *arguments) -> None:
         if delay_s:
