Let the stand-in of the store come back from a copy

Every answer of the stand-in states its era, errors included. A copy can be restored: offsets fall back, are given out again, and a read from one that doesn't exist gets 410. The era sent can be misstated, for tests of clients.

--- a/sassafrasstile/standins/__init__.py
+++ b/sassafrasstile/standins/__init__.py
@@ -36,7 +36,10 @@
     make_refusal,
     make_stream,
 )
-from sassafrasstile.standins._platform_store import PlatformStoreServer
+from sassafrasstile.standins._platform_store import (
+    PlatformStoreServer,
+    StoreCopy,
+)
 from sassafrasstile.standins._service_server import ServiceServer
 from sassafrasstile.standins._vms_server import VmsServer
 
@@ -60,6 +63,7 @@
     "NotAcceptedError",
     "PrefillDone",
     "ServiceServer",
+    "StoreCopy",
     "VmsServer",
     "generate_text",
     "generate_tokens",
--- a/sassafrasstile/standins/_platform_store.py
+++ b/sassafrasstile/standins/_platform_store.py
@@ -1,6 +1,9 @@
 """A store that speaks the platform's protocol, for tests and the demo."""
 
 import base64
+from collections.abc import Mapping
+import copy
+import dataclasses
 import json
 import struct
 
@@ -10,6 +13,7 @@
 
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
+_ERA_HEADER = b"Store-Era"
 
 
 class _Topic:
@@ -28,6 +32,17 @@
         return self.first_offset + len(self.records)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """The records of all topics at some time.
+
+    Attributes:
+        topics: The topics by name.
+    """
+
+    topics: Mapping[str, _Topic]
+
+
 class PlatformStoreResource(_http_base.JsonResource):
     """Serves the store's calls on keyed topics and injects faults.
 
@@ -36,6 +51,9 @@
         outage: `busy` answers 503, `reset` resets connections, `silent`
             doesn't answer; empty when the store is available.
         loses_answers: True when the answers to appends are lost.
+        era: The number sent with each answer, which rises with each restore.
+        stated_era: Sent in place of the era when it isn't None; when it is
+            empty, no era is sent.
     """
 
     routes = {
@@ -51,10 +69,13 @@
         self.calls = 0
         self.outage = ""
         self.loses_answers = False
+        self.era = 1
+        self.stated_era: str | None = None
 
     def render(self, request):
         """Handles a request, or fails it during an injected outage."""
         self.calls += 1
+        self._state_era(request)
         match self.outage:
             case "busy":
                 return _http_base.answer_json(request, 503, {})
@@ -91,6 +112,58 @@
         topic.first_offset = topic.end_offset
         topic.records = []
 
+    def make_copy(self) -> StoreCopy:
+        """Returns a copy of all records, for `restore`."""
+        return StoreCopy(
+            topics={
+                name: self._copy_topic(topic)
+                for name, topic in self._topics.items()
+            }
+        )
+
+    def restore(self, former: StoreCopy) -> dict[str, list[tuple[str, bytes]]]:
+        """Restores the records of a copy, which raises the era.
+
+        Offsets after the copy's are given out again. Connections on which a
+        read waits are reset.
+
+        Args:
+            former: The copy.
+
+        Returns:
+            The keys and values of the records that are lost, by topic.
+        """
+        lost = {}
+        for name, topic in self._topics.items():
+            start = self._get_end(former, name) - topic.first_offset
+            lost[name] = topic.records[max(0, start) :]
+            for request, _ in topic.pending_reads:
+                request.transport.abortConnection()
+        self._topics = {
+            name: self._copy_topic(topic)
+            for name, topic in former.topics.items()
+        }
+        self.era += 1
+        return lost
+
+    @staticmethod
+    def _copy_topic(topic: _Topic) -> _Topic:
+        copied = copy.copy(topic)
+        copied.records = list(topic.records)
+        copied.compacted_records = dict(topic.compacted_records)
+        copied.pending_reads = []
+        return copied
+
+    @staticmethod
+    def _get_end(former: StoreCopy, name: str) -> int:
+        topic = former.topics.get(name)
+        return 0 if topic is None else topic.end_offset
+
+    def _state_era(self, request) -> None:
+        era = str(self.era) if self.stated_era is None else self.stated_era
+        if era:
+            request.setHeader(_ERA_HEADER, era.encode())
+
     def append(self, request):
         """Handles an append of one record."""
         topic_name = self._get_argument(request, "topic")
@@ -115,7 +188,7 @@
         """Handles a read, which may wait for a record."""
         topic = self.get_topic(self._get_argument(request, "topic"))
         start = int(self._get_argument(request, "from"))
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= topic.end_offset:
             return _http_base.answer_json(
                 request, 410, {"firstOffset": topic.first_offset}
             )
