Read the store's epoch from every answer

The client of the store translates the header into a field of each result and each error. A missing or malformed header is an unknown epoch; malformed ones are logged at most every five seconds. Nothing is decided there.

An append now results in `AppendedRecord`, so the store in memory of the lease's tests returns one. The new tests failed before, with "'int' object has no attribute 'epoch'" and "'StoreError' object has no attribute 'epoch'".

--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -49,6 +49,9 @@
 REPORT_PATH = b"/sassafrasstile/report"
 PREFILL_STAGE = b"prefill"
 
+# The header of the store's answers that rises when it is restored from a copy.
+STORE_ERA = b"Store-Era"
+
 # Paths that gateways serve.
 READY_PATH = "/sassafrasstile/readyz"
 
--- a/sassafrasstile/platform/_store.py
+++ b/sassafrasstile/platform/_store.py
@@ -1,24 +1,55 @@
 """The client of the platform's store."""
 
 import base64
+import dataclasses
 import json
+import logging
 import struct
 from urllib import parse
 
 from twisted.internet import defer
 
 from sassafrasstile import errors
+from sassafrasstile import limits
 from sassafrasstile import stores
 from sassafrasstile import telemetry
 from sassafrasstile import web
 from sassafrasstile.platform import _names
 
+_LOG = logging.getLogger("sassafrasstile.stores")
 _CONNECT_TIMEOUT_S = 0.5
 _CALL_TIMEOUT_S = 0.8
 _HEADER = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 _GONE = 410
 _CONFLICT = 412
+# The epoch rises by one at each restore, so that longer numbers are malformed.
+_MAX_EPOCH_DIGITS = 6
+_MAX_WARNINGS_PER_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Answer:
+    """A successful answer of the store.
+
+    Attributes:
+        body: The body.
+        epoch: The store's epoch, or None when the answer didn't state it.
+    """
+
+    body: bytes
+    epoch: int | None
+
+
+def _decode_epoch(text: bytes) -> int:
+    if not text.isdigit() or len(text) > _MAX_EPOCH_DIGITS:
+        raise ValueError(f"malformed epoch {text[:16]!r}")
+    return int(text)
+
+
+def _find_lowest(epochs: list[int | None]) -> int | None:
+    """Returns the lowest epoch that is known, or None."""
+    return min((item for item in epochs if item is not None), default=None)
 
 
 def _decode_records(body: bytes, *, offset: int) -> list[stores.Change]:
@@ -66,6 +97,7 @@
             port=port,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
         )
+        self._warnings = limits.TokenBucket(rate_per_s=_MAX_WARNINGS_PER_S)
 
     def load(self, topic: str) -> defer.Deferred:
         """Reads the newest record of each key."""
@@ -90,11 +122,13 @@
     async def _load(self, topic: str) -> stores.Snapshot:
         entries: list[stores.Change] = []
         next_offset: int | None = None
+        epochs: list[int | None] = []
         query = {"topic": topic, "part": 0}
         while True:
-            body = await self._get(_names.NEWEST_PATH, query, _CALL_TIMEOUT_S)
+            answer = await self._get(_names.NEWEST_PATH, query, _CALL_TIMEOUT_S)
+            epochs.append(answer.epoch)
             try:
-                page = json.loads(body)
+                page = json.loads(answer.body)
                 entries.extend(map(self._decode_item, page["items"]))
                 if next_offset is None:
                     # Later pages may include newer records. Following from the
@@ -105,9 +139,15 @@
                 query["after"] = page["items"][-1]["key"]
             except (ValueError, KeyError, TypeError) as reason:
                 raise self._make_error(
-                    f"malformed response: {reason}"
+                    f"malformed response: {reason}", epoch=answer.epoch
                 ) from reason
-        return stores.Snapshot(entries=tuple(entries), next_offset=next_offset)
+        # If the store was restored between two pages, the entries are as old as
+        # the first of them.
+        return stores.Snapshot(
+            entries=tuple(entries),
+            next_offset=next_offset,
+            epoch=_find_lowest(epochs),
+        )
 
     @staticmethod
     def _decode_item(item: dict) -> stores.Change:
@@ -126,71 +166,93 @@
             "from": offset,
             "waitMs": int(wait_s * 1000),
         }
-        body = await self._get(
+        answer = await self._get(
             _names.READ_PATH, query, wait_s + _CALL_TIMEOUT_S
         )
         try:
-            _HEADER.unpack_from(body)
-            changes = _decode_records(body, offset=offset)
+            _HEADER.unpack_from(answer.body)
+            changes = _decode_records(answer.body, offset=offset)
         except (ValueError, struct.error) as reason:
-            raise self._make_error(f"malformed response: {reason}") from reason
+            raise self._make_error(
+                f"malformed response: {reason}", epoch=answer.epoch
+            ) from reason
         return stores.ChangePage(
-            changes=tuple(changes), next_offset=offset + len(changes)
+            changes=tuple(changes),
+            next_offset=offset + len(changes),
+            epoch=answer.epoch,
         )
 
     async def _put(
         self, topic: str, key: str, value: bytes, at: int | None
-    ) -> int:
+    ) -> stores.AppendedRecord:
         fields = {"topic": topic, "part": 0}
         if at is not None:
             fields["at"] = at
         query = parse.urlencode(fields).encode()
         encoded_key = key.encode()
         record = bytes((len(encoded_key),)) + encoded_key + value
-        body = await self._call(
+        answer = await self._call(
             b"POST",
             _names.APPEND_PATH + b"?" + query,
             timeout_s=_CALL_TIMEOUT_S,
             body=_LENGTH.pack(len(record)) + record,
         )
         try:
-            return int(json.loads(body)["offset"])
+            offset = int(json.loads(answer.body)["offset"])
         except (ValueError, KeyError, TypeError) as reason:
-            raise self._make_error(f"malformed response: {reason}") from reason
+            raise self._make_error(
+                f"malformed response: {reason}", epoch=answer.epoch
+            ) from reason
+        return stores.AppendedRecord(offset=offset, epoch=answer.epoch)
 
-    async def _get(self, path: bytes, query: dict, timeout_s: float) -> bytes:
+    async def _get(self, path: bytes, query: dict, timeout_s: float) -> _Answer:
         target = path + b"?" + parse.urlencode(query).encode()
         return await self._call(b"GET", target, timeout_s=timeout_s)
 
     async def _call(
         self, method: bytes, target: bytes, *, timeout_s: float, body=b""
-    ) -> bytes:
+    ) -> _Answer:
         calling = defer.ensureDeferred(self._exchange(method, target, body))
         calling.addTimeout(timeout_s, self._reactor)
         try:
-            status, answer = await calling
+            head, content = await calling
         except web.ExchangeError as reason:
             raise self._make_error(reason.detail) from reason
         except defer.TimeoutError as reason:
             raise self._make_error("no response before the timeout") from reason
-        if status == _GONE:
+        epoch = self._read_epoch(head)
+        if head.status == _GONE:
             raise self._make_error(
-                "the records at this offset were deleted",
+                "the store doesn't have the records at this offset",
                 code=errors.Code.HISTORY_GONE,
+                epoch=epoch,
             )
-        if status == _CONFLICT:
+        if head.status == _CONFLICT:
             raise self._make_error(
                 "the topic doesn't end at the expected offset",
                 code=errors.Code.CONFLICT,
+                epoch=epoch,
             )
-        if status != 200:
-            raise self._make_error(f"status {status}")
+        if head.status != 200:
+            raise self._make_error(f"status {head.status}", epoch=epoch)
         self._metrics.store_calls.labels("ok").inc()
-        return answer
+        return _Answer(body=content, epoch=epoch)
+
+    def _read_epoch(self, head: web.ResponseHead) -> int | None:
+        """Returns the store's epoch, or None if it is missing or malformed."""
+        text = head.get(_names.STORE_ERA.lower())
+        if text is None:
+            return None
+        try:
+            return _decode_epoch(text)
+        except ValueError as reason:
+            if self._warnings.take(1, self._reactor.seconds()):
+                _LOG.warning("store: header ignored: %s", reason)
+            return None
 
     async def _exchange(
         self, method: bytes, target: bytes, body: bytes
-    ) -> tuple[int, bytes]:
+    ) -> tuple[web.ResponseHead, bytes]:
         reply = await self._pool.send(
             method=method,
             target=target,
@@ -199,12 +261,16 @@
         )
         try:
             head = await reply.read_head()
-            return head.status, await reply.read_body()
+            return head, await reply.read_body()
         finally:
             reply.close()
 
     def _make_error(
-        self, detail: str, *, code=errors.Code.STORE_UNAVAILABLE
+        self,
+        detail: str,
+        *,
+        code=errors.Code.STORE_UNAVAILABLE,
+        epoch: int | None = None,
     ) -> stores.StoreError:
         self._metrics.store_calls.labels(code).inc()
-        return stores.StoreError(code=code, detail=detail)
+        return stores.StoreError(code=code, detail=detail, epoch=epoch)
--- a/sassafrasstile/roles/_lease.py
+++ b/sassafrasstile/roles/_lease.py
@@ -70,7 +70,7 @@
                 code=errors.Code.CONFLICT, detail="the lease hasn't been read"
             )
         try:
-            offset = await self._store.put(
+            appended = await self._store.put(
                 self._topic,
                 key=_KEY,
                 value=json.dumps(self._name).encode(),
@@ -82,9 +82,9 @@
             self._next_offset = None
             self.holder = None
             raise
-        self._next_offset = offset + 1
+        self._next_offset = appended.offset + 1
         self.holder = self._name
-        return offset + 1
+        return appended.offset + 1
 
     @staticmethod
     def _decode(value: bytes) -> str | None:
--- a/sassafrasstile/roles/tests/test_lease.py
+++ b/sassafrasstile/roles/tests/test_lease.py
@@ -53,7 +53,9 @@
                     code=errors.Code.STORE_UNAVAILABLE, detail="no answer"
                 )
             )
-        return defer.succeed(len(self.records) - 1)
+        return defer.succeed(
+            stores.AppendedRecord(offset=len(self.records) - 1)
+        )
 
     def close(self):
         pass
--- a/sassafrasstile/stores/__init__.py
+++ b/sassafrasstile/stores/__init__.py
@@ -1,6 +1,7 @@
 """Interface of the platform's store, and a follower of its topics."""
 
 from sassafrasstile.stores._base import (
+    AppendedRecord,
     Change,
     ChangePage,
     Snapshot,
@@ -12,6 +13,7 @@
 from sassafrasstile.stores._view import KeyedView
 
 __all__ = [
+    "AppendedRecord",
     "Change",
     "ChangePage",
     "Follower",
--- a/sassafrasstile/stores/_base.py
+++ b/sassafrasstile/stores/_base.py
@@ -30,10 +30,12 @@
     Attributes:
         entries: The records.
         next_offset: Every record before this offset is reflected.
+        epoch: The store's epoch, or None when the answer didn't state it.
     """
 
     entries: tuple[Change, ...]
     next_offset: int
+    epoch: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -43,10 +45,25 @@
     Attributes:
         changes: The records in the order of their offsets.
         next_offset: The offset at which the next page starts.
+        epoch: The store's epoch, or None when the answer didn't state it.
     """
 
     changes: tuple[Change, ...]
     next_offset: int
+    epoch: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AppendedRecord:
+    """The position of a record that was appended.
+
+    Attributes:
+        offset: The record's offset.
+        epoch: The store's epoch, or None when the answer didn't state it.
+    """
+
+    offset: int
+    epoch: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -56,21 +73,38 @@
     Attributes:
         next_offset: The offset that the next record would have got.
         known_at: The time at which the topic ended there, in seconds.
+        epoch: The store's epoch at that time, or None when it isn't known.
+            Offsets of different epochs can't be compared.
     """
 
     next_offset: int
     known_at: float
+    epoch: int | None = None
 
 
 class StoreError(errors.Error):
     """A call to the store failed.
 
     The store was unreachable, refused the call or no longer has the records.
+
+    Attributes:
+        epoch: The store's epoch, or None when there was no answer or it didn't
+            state the epoch.
     """
 
+    def __init__(
+        self, *, code: errors.Code, detail: str, epoch: int | None = None
+    ):
+        super().__init__(code=code, detail=detail)
+        self.epoch = epoch
+
 
 class Store(abc.ABC):
-    """Reads and writes keyed topics."""
+    """Reads and writes keyed topics.
+
+    The store may be restored from a copy that lacks the newest records. This
+    raises its epoch, and the offsets of lost records are used again.
+    """
 
     @abc.abstractmethod
     def load(self, topic: str) -> defer.Deferred:
@@ -112,7 +146,7 @@
                 call fails with CONFLICT when the topic ends elsewhere.
 
         Returns:
-            A Deferred with the record's offset. It fails with `StoreError`;
+            A Deferred with an `AppendedRecord`. It fails with `StoreError`;
             the record may have been appended nevertheless.
         """
 
