Keep endpoints that left away when the store was restored

Callers' requests would have reached endpoints that had announced their leaving or were removed: the restored copy holds them as they were before, and the gateway's view of the topic no longer compares offsets with those of before.

A restore counts as an outage of the list, so endpoints that the copy lacks are kept for two seconds, also when no call has failed. For five seconds, records that say that an instance is ready which drains or was removed before are withheld; by then entries of endpoints that aren't alive have expired, and an instance that the list still holds is alive. At most 1,000 departures are remembered.

Ruled out: comparing start times alone. The copy holds the same instance. What protected callers before was the offset of the removal, which compares nothing across a restore, and the probe, which an endpoint answers while it drains.

--- a/sassafrasstile/membership/_roster.py
+++ b/sassafrasstile/membership/_roster.py
@@ -5,6 +5,7 @@
 import logging
 
 from sassafrasstile.membership import _base
+from sassafrasstile.membership import _departures
 
 _LOG = logging.getLogger("sassafrasstile.membership")
 
@@ -27,7 +28,8 @@
 
     The list may be unreachable for a long time, and its entries may expire
     meanwhile. The known endpoints stay in use; those that are still missing
-    some time after the list is back are dropped.
+    some time after the list is back are dropped. The same holds when the list
+    was restored from a copy that lacks some of them.
 
     Args:
         on_change: Called with an endpoint's id, and with its record when it
@@ -41,6 +43,7 @@
     ):
         self._on_change = on_change
         self._entries: dict[str, _Entry] = {}
+        self._departures = _departures.DepartureLog()
         self._outage_ended_at: float | None = None
         self._in_outage = False
         self.is_loaded = False
@@ -56,9 +59,16 @@
     def apply(self, record: _base.EndpointRecord) -> None:
         """Updates an endpoint's record unless a newer one is known."""
         entry = self._entries.get(record.endpoint_id)
+        is_older = (
+            entry is not None and record.started_ms < entry.record.started_ms
+        )
+        if is_older or self._departures.withhold(record):
+            return
+        if record.state is _base.EndpointState.DRAINING:
+            self._departures.add(record)
+        else:
+            self._departures.forget(record.endpoint_id)
         if entry is not None:
-            if record.started_ms < entry.record.started_ms:
-                return
             entry.missing_until = None
             if entry.record == record:
                 return
@@ -85,6 +95,7 @@
             endpoint_id: The endpoint's id.
             now: The time in seconds.
         """
+        self._departures.drop_withheld(endpoint_id)
         entry = self._entries.get(endpoint_id)
         if entry is None:
             return
@@ -102,6 +113,15 @@
         """Records that the list is unreachable."""
         self._in_outage = True
 
+    def record_restore(self, now: float) -> None:
+        """Records that the list was restored from a copy.
+
+        Endpoints that the copy lacks are kept as after an outage. Those that
+        had left don't come back with the copy.
+        """
+        self.record_outage()
+        self._departures.start_restore(now)
+
     def record_contact(self, now: float) -> None:
         """Records that the list responds, which ends an outage."""
         if self._in_outage:
@@ -113,6 +133,8 @@
 
     def tick(self, now: float) -> None:
         """Drops endpoints that are still missing after the grace period."""
+        for record in self._departures.tick(now):
+            self.apply(record)
         if self._in_outage:
             return
         for endpoint_id, entry in list(self._entries.items()):
@@ -129,7 +151,8 @@
         return ended_at is not None and now - ended_at <= EXPIRY_WINDOW_S
 
     def _drop(self, endpoint_id: str, *, reason: str) -> None:
-        del self._entries[endpoint_id]
+        entry = self._entries.pop(endpoint_id)
+        self._departures.add(entry.record)
         _LOG.info(
             "membership: endpoint %s was dropped. Reason: %s.",
             endpoint_id,
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -169,6 +169,7 @@
             on_loaded=self._mark_endpoints_loaded,
             on_outage=self._roster.record_outage,
             on_contact=self._record_membership_contact,
+            on_restore=self._record_membership_restore,
             generator=self._generator,
             is_watcher=self._topic_sharing.is_watcher,
             on_page=functools.partial(
@@ -190,6 +191,9 @@
         self._roster.record_contact(self._now())
         self._topic_sharing.announce()
 
+    def _record_membership_restore(self) -> None:
+        self._roster.record_restore(self._now())
+
     def _make_channel(self, address) -> peers.PeerChannel:
         return peers.PeerChannel(
             reactor=self._reactor,
--- a/sassafrasstile/router/tests/test_store_restore.py
+++ b/sassafrasstile/router/tests/test_store_restore.py
@@ -108,6 +108,32 @@
         await self.wait_for_status(site, "/a/", 503)
         await self.close_sites()
 
+    # The copy holds an endpoint as it was before it was removed.
+    @testing.on_reactor
+    async def test_removed_endpoint_in_the_copy_gets_no_work(self):
+        site = await self.start_site()
+        former = site.store.make_copy()
+        site.withdraw("e0")
+        await self.wait_for_status(site, "/a/", 503)
+        site.store.restore(former)
+        for _ in range(20):
+            self.assertEqual(await self.call_route(site, "/a/"), 503)
+            await self.sleep(0.1)
+        await self.close_sites()
+
+    # The copy says that an endpoint is ready which has announced its leaving.
+    @testing.on_reactor
+    async def test_draining_endpoint_in_the_copy_gets_no_work(self):
+        site = await self.start_site()
+        former = site.store.make_copy()
+        site.announce("e0", state="draining")
+        await self.wait_for_status(site, "/a/", 503)
+        site.store.restore(former)
+        for _ in range(20):
+            self.assertEqual(await self.call_route(site, "/a/"), 503)
+            await self.sleep(0.1)
+        await self.close_sites()
+
     # An error of the new epoch tells as much as a read.
     @testing.on_reactor
     async def test_restore_seen_in_an_error_is_counted_once(self):
