Send the store's epoch with topic ends and records

Gateways compared offsets that others reported with their own, also when the store had been restored for one of the two. An old report could so replace the call by which a restore is seen, and a relayed record of the old epoch could be applied after the new ones. The followers already ignore positions of another epoch and ask the store once when a later one is named; now they get it.

Failed before: test_topic_end_is_reported_with_its_epoch, "TopicEndReport .__init__() got an unexpected keyword argument 'epoch'", and test_epoch_goes_with_ends_and_records. Gateways of this version and the one before don't understand each other's topic ends.

--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -57,10 +57,12 @@
     Attributes:
         next_offset: The offset that the next record would have got.
         age_s: Seconds since the gateway saw the topic end there.
+        epoch: The store's epoch at that time, or None when it isn't known.
     """
 
     next_offset: int
     age_s: float
+    epoch: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -129,9 +131,12 @@
         offset: The offset of the first record.
         next_offset: The offset at which the next page starts.
         records: The records.
+        epoch: The store's epoch in which they were read, or None when it isn't
+            known.
     """
 
     topic: str
     offset: int
     next_offset: int
     records: tuple[TopicRecord, ...]
+    epoch: int | None = None
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -28,6 +28,10 @@
     )
 
 
+def _read_epoch(value: object) -> int | None:
+    return None if value is None else int(value)
+
+
 def decode_address(data: bytes) -> _base.PeerAddress:
     """Decodes an address.
 
@@ -71,7 +75,7 @@
         int(report.is_complete),
         rows,
         [
-            [name, end.next_offset, round(end.age_s * _MS_PER_S)]
+            [name, end.next_offset, round(end.age_s * _MS_PER_S), end.epoch]
             for name, end in report.topics.items()
         ],
         [
@@ -104,9 +108,11 @@
         ) = json.loads(data)
         topics = {
             str(topic): _base.TopicEndReport(
-                next_offset=int(next_offset), age_s=int(age_ms) / _MS_PER_S
+                next_offset=int(next_offset),
+                age_s=int(age_ms) / _MS_PER_S,
+                epoch=_read_epoch(epoch),
             )
-            for topic, next_offset, age_ms in ends
+            for topic, next_offset, age_ms, epoch in ends
         }
         loads = {
             str(endpoint): _base.EndpointLoad(
@@ -161,7 +167,7 @@
 
     >>> record = _base.TopicRecord(key="e", value=b"x", offset=4)
     >>> page = _base.TopicPage(
-    ...     topic="t", offset=4, next_offset=5, records=(record,))
+    ...     topic="t", offset=4, next_offset=5, records=(record,), epoch=2)
     >>> is_page(encode_page(page)), decode_page(encode_page(page)) == page
     (True, True)
     """
@@ -173,7 +179,14 @@
         ]
         for record in page.records
     ]
-    fields = [_PAGE_TAG, page.topic, page.offset, page.next_offset, rows]
+    fields = [
+        _PAGE_TAG,
+        page.topic,
+        page.offset,
+        page.next_offset,
+        rows,
+        page.epoch,
+    ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -184,7 +197,7 @@
         errors.Error: With BAD_VALUE when it is malformed.
     """
     try:
-        _, topic, offset, next_offset, rows = json.loads(data)
+        _, topic, offset, next_offset, rows, epoch = json.loads(data)
         return _base.TopicPage(
             topic=str(topic),
             offset=int(offset),
@@ -197,6 +210,7 @@
                 )
                 for key, value, at in rows
             ),
+            epoch=_read_epoch(epoch),
         )
     except (ValueError, TypeError, AttributeError) as reason:
         raise errors.Error(
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -121,6 +121,16 @@
         self.channels["a"].announce_topics()
         self.assertEqual(self.received_topics["b"], self.topics["a"])
 
+    # The receiver must not compare offsets of different epochs.
+    def test_topic_end_is_reported_with_its_epoch(self):
+        self.advance(0.1)
+        self.topics["a"] = {
+            "t": peers.TopicEndReport(next_offset=7, age_s=0.25, epoch=3),
+            "u": peers.TopicEndReport(next_offset=7, age_s=0.25),
+        }
+        self.channels["a"].announce_topics()
+        self.assertEqual(self.received_topics["b"], self.topics["a"])
+
     def test_datagrams_stay_within_the_rate_limit(self):
         for number in range(200):
             self.reserve(number)
--- a/sassafrasstile/router/_topics.py
+++ b/sassafrasstile/router/_topics.py
@@ -57,6 +57,7 @@
             topic: peers.TopicEndReport(
                 next_offset=follower.end.next_offset,
                 age_s=max(0.0, now - follower.end.known_at),
+                epoch=follower.end.epoch,
             )
             for topic, follower in self._followers.items()
             if follower.end is not None
@@ -99,6 +100,7 @@
                             offset=change.offset,
                         ),
                     ),
+                    epoch=page.epoch,
                 )
             )
             offset = change.offset + 1
@@ -116,7 +118,11 @@
         )
         follower.apply_relayed_page(
             page.offset,
-            stores.ChangePage(changes=changes, next_offset=page.next_offset),
+            stores.ChangePage(
+                changes=changes,
+                next_offset=page.next_offset,
+                epoch=page.epoch,
+            ),
         )
 
     def update(self, topics: Mapping[str, peers.TopicEndReport]) -> None:
@@ -128,6 +134,7 @@
                 end = stores.TopicEnd(
                     next_offset=age.next_offset,
                     known_at=now - age.age_s - _MAX_TRANSIT_S,
+                    epoch=age.epoch,
                 )
                 follower.record_reported_end(end)
 
--- a/sassafrasstile/router/tests/test_topics.py
+++ b/sassafrasstile/router/tests/test_topics.py
@@ -122,3 +122,21 @@
         self.assertEqual((first_offset, first.next_offset), (3, 5))
         self.assertEqual((second_offset, second.next_offset), (5, 7))
         self.assertEqual((*first.changes, *second.changes), page.changes)
+
+    # Without the epoch, positions of before a restore would be compared.
+    def test_epoch_goes_with_ends_and_records(self):
+        self.follower.end = stores.TopicEnd(
+            next_offset=7, known_at=99.5, epoch=3
+        )
+        ends = self.sharing.read_ages()
+        self.assertEqual(ends["t"].epoch, 3)
+        self.sharing.update(ends)
+        self.assertEqual(self.follower.ends[0].epoch, 3)
+        change = stores.Change(key="k", value=b"v", offset=4)
+        self.sharing.relay(
+            "t",
+            4,
+            stores.ChangePage(changes=(change,), next_offset=5, epoch=3),
+        )
+        self.sharing.apply_page(self.channel.pages[0])
+        self.assertEqual(self.follower.pages[0][1].epoch, 3)
