Let fencing tokens rise and leases end at a restore of the store

Engines would have refused the orders of a new holder, or carried out those of two: the token was the offset of the lease's record, which falls back when the store is restored, and a gateway renewed a lease at an offset that had been given out again. A successor that found no record sent its first order at once, though the former holder's record was only lost.

A token is now the store's epoch times 2^24 plus the offset; with at most six digits of epoch it stays below 2^44. A rise of the epoch ends a lease. An append that is acknowledged in another epoch than the topic was read in is none. Who acquires the lease after a restore waits as after a known holder.

Ruled out: keeping the number in the record (it is lost with the record, and needs another format), and the highest number that engines or peers have seen (an engine's restart clears it, and not all are in reach).

--- a/sassafrasstile/roles/_lease.py
+++ b/sassafrasstile/roles/_lease.py
@@ -8,6 +8,12 @@
 
 _LOG = logging.getLogger("sassafrasstile.roles")
 _KEY = "holder"
+# A fencing token has the store's epoch above these bits and the record's offset
+# below them, so tokens rise across a restore, where offsets fall back. An order
+# a second takes half a year to fill these bits.
+_OFFSET_BITS = 24
+# A lower epoch proves that no lease was lost: the first one is zero or one.
+_FIRST_RESTORED_EPOCH = 2
 
 
 class LeaderLease:
@@ -15,8 +21,12 @@
 
     Each acquisition and renewal is a record that the store appends only if
     the topic still ends where this gateway last saw it end. The fencing token
-    is derived from the record's offset, so a former holder can't get a higher
-    token without noticing the new holder's record.
+    is derived from the store's epoch and the record's offset, so a former
+    holder can't get a higher token without noticing the new holder's record.
+
+    A restore of the store may lose acknowledged records. So a lease ends with
+    the epoch in which it was acquired, and who acquires the next one can't know
+    whether there was a holder.
 
     Args:
         store: The store.
@@ -26,6 +36,8 @@
     Attributes:
         holder: The name of the gateway that holds the lease, or None when
             this isn't known or no gateway has held it yet.
+        may_have_been_lost: True when the record of another holder may have
+            been lost in a restore of the store.
     """
 
     def __init__(self, *, store: stores.Store, topic: str, name: str):
@@ -33,7 +45,31 @@
         self._topic = topic
         self._name = name
         self._next_offset: int | None = None
+        self._epoch: int | None = None
+        self._last_token = 0
         self.holder: str | None = None
+        self.may_have_been_lost = False
+
+    def start_epoch(self, epoch: int) -> None:
+        """Gives up the lease, since the store was restored from a copy.
+
+        Args:
+            epoch: The store's new epoch.
+        """
+        if self.is_held:
+            _LOG.info(
+                "roles: gateway %s has given up the lease.",
+                self._name,
+                extra={"epoch_before": self._epoch, "epoch": epoch},
+            )
+        self._epoch = epoch
+        self.may_have_been_lost = True
+        self._forget()
+
+    def _forget(self) -> None:
+        """Forgets the holder, so that the topic is read again first."""
+        self._next_offset = None
+        self.holder = None
 
     @property
     def is_held(self) -> bool:
@@ -44,9 +80,14 @@
         """Reads from the store which gateway holds the lease.
 
         Raises:
-            stores.StoreError: The store doesn't answer.
+            stores.StoreError: The store doesn't answer, or was restored
+                meanwhile.
         """
+        epoch = self._epoch
         snapshot = await self._store.load(self._topic)
+        if snapshot.epoch is None and epoch != self._epoch:
+            raise _make_restored_error(self._epoch)
+        self._record_epoch(snapshot.epoch)
         self._next_offset = snapshot.next_offset
         self.holder = None
         for change in snapshot.entries:
@@ -79,12 +120,31 @@
         except stores.StoreError:
             # The record may have been appended nevertheless, so the topic is
             # read again before the next attempt.
-            self._next_offset = None
-            self.holder = None
+            self._forget()
             raise
+        is_same_epoch = appended.epoch in (None, self._epoch)
+        if self._next_offset is None or not is_same_epoch:
+            # The store was restored after the topic was read, so the record
+            # proves nothing about what it follows.
+            self._record_epoch(appended.epoch)
+            self._forget()
+            raise _make_restored_error(appended.epoch)
         self._next_offset = appended.offset + 1
         self.holder = self._name
-        return appended.offset + 1
+        return self._make_token(appended.offset)
+
+    def _record_epoch(self, epoch: int | None) -> None:
+        if epoch is None:
+            return
+        self._epoch = epoch
+        if epoch >= _FIRST_RESTORED_EPOCH:
+            self.may_have_been_lost = True
+
+    def _make_token(self, offset: int) -> int:
+        """Returns a token above all earlier ones of this gateway."""
+        token = ((self._epoch or 0) << _OFFSET_BITS) + offset + 1
+        self._last_token = max(token, self._last_token + 1)
+        return self._last_token
 
     @staticmethod
     def _decode(value: bytes) -> str | None:
@@ -95,6 +155,14 @@
             return None
 
 
+def _make_restored_error(epoch: int | None) -> stores.StoreError:
+    return stores.StoreError(
+        code=errors.Code.CONFLICT,
+        detail="the store was restored from a copy",
+        epoch=epoch,
+    )
+
+
 def is_conflict(reason: stores.StoreError) -> bool:
     """Returns whether the topic has grown since it was last read."""
     return reason.code == errors.Code.CONFLICT
--- a/sassafrasstile/roles/_manager.py
+++ b/sassafrasstile/roles/_manager.py
@@ -217,7 +217,9 @@
                 self._holder_seen_at = now
                 return
             raise
-        wait_s = 0.0 if holder is None else self._lease_s + _TAKEOVER_MARGIN_S
+        wait_s = 0.0
+        if holder is not None or self._lease.may_have_been_lost:
+            wait_s = self._lease_s + _TAKEOVER_MARGIN_S
         self._orders_allowed_at = now + wait_s
         _LOG.info(
             "roles: gateway %s has acquired the lease.",
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -223,14 +223,16 @@
         )
 
     def _make_roles(self, record_decoder) -> roles.RoleManager:
+        lease = roles.LeaderLease(
+            store=self._store,
+            topic=record_decoder.lease_topic,
+            name=self.settings.name,
+        )
+        self._epochs.subscribe(lease.start_epoch)
         return roles.RoleManager(
             reactor=self._reactor,
             name=self.settings.name,
-            lease=roles.LeaderLease(
-                store=self._store,
-                topic=record_decoder.lease_topic,
-                name=self.settings.name,
-            ),
+            lease=lease,
             lease_s=self.settings.lease_s,
             endpoints=self._endpoints,
             active_configuration=self._active_configuration,
