Publish a gateway's address again when the store has lost it

After a restore of the store, gateways that started later wouldn't have found those whose addresses were lost, until these happened to send them a report. A gateway now reads the topic within four seconds of a restore, at a time of its own, and writes its address if it is missing there; so it does after any read.

--- a/sassafrasstile/peers/_directory.py
+++ b/sassafrasstile/peers/_directory.py
@@ -4,7 +4,7 @@
 import random
 
 from twisted.internet import defer
-from twisted.internet import task
+from twisted.internet import interfaces
 
 from sassafrasstile import errors
 from sassafrasstile import stores
@@ -17,6 +17,9 @@
 # report has arrived.
 _REFRESH_S = 20.0
 _RETRY_S = 1.0
+# After a restore of the store, the gateways read the addresses within this time
+# and write again what is missing. They know each other meanwhile.
+_RESTORE_DELAY_S = 4.0
 
 
 class PeerDirectory:
@@ -24,7 +27,8 @@
 
     A gateway that has just started sends reports to every gateway in the
     topic; these learn its address from its first report, so the store needs
-    to be read only rarely.
+    to be read only rarely. An address that the topic has lost is published
+    again.
 
     Args:
         reactor: The reactor.
@@ -55,6 +59,7 @@
         self._channel = channel
         self._generator = generator
         self.is_loaded = False
+        self._timer: interfaces.IDelayedCall | None = None
         self._running: defer.Deferred | None = None
 
     def start(self) -> None:
@@ -68,20 +73,35 @@
         if running is not None:
             running.cancel()
 
+    def start_epoch(self, _epoch: int) -> None:
+        """Reads the topic soon, since the store was restored from a copy."""
+        if self._timer is not None and self._timer.active():
+            self._timer.reset(_RESTORE_DELAY_S * self._generator.random())
+
     async def _run(self) -> None:
-        written = False
+        is_written = False
         while True:
-            interval_s = _REFRESH_S
+            interval_s = _RETRY_S
             try:
-                if not written:
+                if not is_written:
                     await self._write()
-                    written = True
-                await self._read()
+                    is_written = True
+                is_written = await self._read()
+                if is_written:
+                    interval_s = _REFRESH_S
             except stores.StoreError as reason:
                 _LOG.info("peers: addresses not exchanged: %s", reason)
-                interval_s = _RETRY_S
             jitter = 0.75 + 0.5 * self._generator.random()
-            await task.deferLater(self._reactor, interval_s * jitter)
+            await self._sleep(interval_s * jitter)
+
+    async def _sleep(self, seconds: float) -> None:
+        waiting: defer.Deferred = defer.Deferred()
+        self._timer = self._reactor.callLater(seconds, waiting.callback, None)
+        try:
+            await waiting
+        finally:
+            if self._timer.active():
+                self._timer.cancel()
 
     async def _write(self) -> None:
         await self._store.put(
@@ -90,14 +110,30 @@
             value=_codec.encode_address(self._address),
         )
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
+        """Adds the peers.
+
+        Returns:
+            False when the topic lacks this gateway's address.
+        """
         snapshot = await self._store.load(self._topic)
+        is_listed = False
         for change in snapshot.entries:
             try:
-                self._channel.add_peer(_codec.decode_address(change.value))
+                address = _codec.decode_address(change.value)
             except errors.Error as reason:
                 _LOG.warning("peers: record ignored: %s", reason)
+                continue
+            is_listed = is_listed or address == self._address
+            self._channel.add_peer(address)
         self.is_loaded = True
+        if not is_listed:
+            _LOG.info(
+                "peers: address of gateway %s is missing from the store.",
+                self._address.name,
+                extra={"offset": snapshot.next_offset, "epoch": snapshot.epoch},
+            )
+        return is_listed
 
     def _log_failure(self, reason) -> None:
         if not reason.check(defer.CancelledError):
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -213,7 +213,7 @@
         )
 
     def _make_directory(self, record_decoder, address) -> peers.PeerDirectory:
-        return peers.PeerDirectory(
+        directory = peers.PeerDirectory(
             reactor=self._reactor,
             store=self._store,
             topic=record_decoder.peer_topic,
@@ -221,6 +221,8 @@
             channel=self._channel,
             generator=self._generator,
         )
+        self._epochs.subscribe(directory.start_epoch)
+        return directory
 
     def _make_roles(self, record_decoder) -> roles.RoleManager:
         lease = roles.LeaderLease(
--- a/sassafrasstile/router/tests/test_store_restore.py
+++ b/sassafrasstile/router/tests/test_store_restore.py
@@ -154,6 +154,17 @@
             "sassafrasstile_store_epochs_total"
         )
 
+    # The topic of the addresses is read rarely otherwise.
+    @testing.on_reactor
+    async def test_lost_address_of_a_gateway_is_written_again(self):
+        site = await self.start_site()
+        site.store.restore(standins.StoreCopy(topics={}))
+        topic = "keyed.gateways"
+        await self.wait_until(
+            lambda: site.store.get_topic(topic).end_offset > 0, timeout_s=8.0
+        )
+        await self.close_sites()
+
     # A header that can't be read is no news.
     @testing.on_reactor
     async def test_malformed_epoch_changes_nothing(self):
