Hold a starting gateway back while its peers have a newer configuration

A gateway that started while the restored store held an old configuration would have served callers by it, though the others had a newer one in force. Load reports now name the version in force. Before the first restore, and for the only gateway, nothing is waited for.

Ruled out: passing the configuration itself on between gateways. It doesn't fit in a datagram, and the operator writes it again within seconds. Gateways of this version and the one before don't understand each other's reports.

--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -94,6 +94,8 @@
         topics: The ends of topics, as the gateway's own calls to the store
             showed them.
         refusals: The generations that it has refused lately.
+        version: The version of the configuration in force there, or None
+            before it has one.
     """
 
     sender: PeerAddress
@@ -105,6 +107,7 @@
         default_factory=dict
     )
     refusals: tuple[PromptRefusal, ...] = ()
+    version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -74,6 +74,9 @@
         read_refusals: Returns the generations that this gateway has refused
             lately.
         on_refusals: Called with those that a peer has refused.
+        read_version: Returns the version of the configuration in force here,
+            or None before there is one.
+        on_version: Called with the version that a peer has in force, or None.
     """
 
     noisy = False
@@ -97,6 +100,8 @@
         on_refusals: Callable[
             [tuple[_base.PromptRefusal, ...]], None
         ] = lambda _refusals: None,
+        read_version: Callable[[], int | None] = lambda: None,
+        on_version: Callable[[int | None], None] = lambda _version: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -108,6 +113,8 @@
         self._on_page = on_page
         self._read_refusals = read_refusals
         self._on_refusals = on_refusals
+        self._read_version = read_version
+        self._on_version = on_version
         self._peers: dict[str, _Peer] = {}
         self._gateway_count = 1
         self._port: interfaces.IListeningPort | None = None
@@ -242,6 +249,7 @@
         self._on_report(peer.address.name, report.loads, report.is_complete)
         self._on_topics(report.topics)
         self._on_refusals(report.refusals)
+        self._on_version(report.version)
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
@@ -304,6 +312,7 @@
                 loads=loads,
                 topics=self._read_topics(),
                 refusals=self._read_refusals(),
+                version=self._read_version(),
             )
         )
         for peer in group:
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -28,7 +28,7 @@
     )
 
 
-def _read_epoch(value: object) -> int | None:
+def _read_number(value: object) -> int | None:
     return None if value is None else int(value)
 
 
@@ -86,6 +86,7 @@
             ]
             for item in report.refusals
         ],
+        report.version,
     ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
@@ -105,12 +106,13 @@
             rows,
             ends,
             refusals,
+            version,
         ) = json.loads(data)
         topics = {
             str(topic): _base.TopicEndReport(
                 next_offset=int(next_offset),
                 age_s=int(age_ms) / _MS_PER_S,
-                epoch=_read_epoch(epoch),
+                epoch=_read_number(epoch),
             )
             for topic, next_offset, age_ms, epoch in ends
         }
@@ -146,6 +148,7 @@
                 )
                 for prompt_id, age_ms, remaining_ms in refusals
             ),
+            version=_read_number(version),
         )
     except (ValueError, TypeError) as reason:
         raise errors.Error(
@@ -210,7 +213,7 @@
                 )
                 for key, value, at in rows
             ),
-            epoch=_read_epoch(epoch),
+            epoch=_read_number(epoch),
         )
     except (ValueError, TypeError, AttributeError) as reason:
         raise errors.Error(
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -37,6 +37,8 @@
         self.received = {"a": {}, "b": {}}
         self.refusals = {"a": (), "b": ()}
         self.received_refusals = {"a": [], "b": []}
+        self.versions = {"a": None, "b": None}
+        self.received_versions = {"a": [], "b": []}
         self.topics = {"a": {}, "b": {}}
         self.received_topics = {"a": {}, "b": {}}
         self.channels = {
@@ -60,6 +62,8 @@
             on_topics=self.received_topics[name].update,
             read_refusals=lambda: self.refusals[name],
             on_refusals=self.received_refusals[name].extend,
+            read_version=lambda: self.versions[name],
+            on_version=self.received_versions[name].append,
         )
         channel.transport = self.network
         self.network.channels[("h", port)] = channel
@@ -113,6 +117,14 @@
         self.advance(1.0)
         self.assertIn(refusal, self.received_refusals["b"])
 
+    # A gateway that starts compares it with what the store holds.
+    def test_configuration_version_is_reported(self):
+        self.advance(1.0)
+        self.assertEqual({*self.received_versions["b"]}, {None})
+        self.versions["a"] = 7
+        self.advance(1.0)
+        self.assertEqual(self.received_versions["b"][-1], 7)
+
     def test_topic_end_is_reported_immediately(self):
         self.advance(0.1)
         self.topics["a"] = {
--- a/sassafrasstile/roles/_lease.py
+++ b/sassafrasstile/roles/_lease.py
@@ -12,8 +12,6 @@
 # below them, so tokens rise across a restore, where offsets fall back. An order
 # a second takes half a year to fill these bits.
 _OFFSET_BITS = 24
-# A lower epoch proves that no lease was lost: the first one is zero or one.
-_FIRST_RESTORED_EPOCH = 2
 
 
 class LeaderLease:
@@ -137,7 +135,7 @@
         if epoch is None:
             return
         self._epoch = epoch
-        if epoch >= _FIRST_RESTORED_EPOCH:
+        if stores.may_be_restored(epoch):
             self.may_have_been_lost = True
 
     def _make_token(self, offset: int) -> int:
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -25,6 +25,7 @@
 from sassafrasstile.router import _caller_port
 from sassafrasstile.router import _record_decoder
 from sassafrasstile.router import _settings
+from sassafrasstile.router import _start_gate
 from sassafrasstile.router import _topics
 
 _LOG = logging.getLogger("sassafrasstile.router")
@@ -103,6 +104,12 @@
             port=settings.peer_port,
             zone=settings.zone,
         )
+        self._start_gate = _start_gate.StartGate(
+            reactor=reactor,
+            epochs=self._epochs,
+            read_version=self._read_version,
+            count_gateways=self._count_gateways,
+        )
         self._channel = self._make_channel(address)
         self._topic_sharing.connect(
             channel=self._channel, followers=self._followers
@@ -210,6 +217,8 @@
             on_refusals=lambda refusals: self._context.refusals.apply(
                 refusals, self._now()
             ),
+            read_version=self._read_version,
+            on_version=self._start_gate.record_peer_version,
         )
 
     def _make_directory(self, record_decoder, address) -> peers.PeerDirectory:
@@ -322,8 +331,12 @@
             not self.is_draining
             and self._active_configuration.current is not None
             and self._roster.is_loaded
+            and self._start_gate.is_open()
         )
 
+    def _read_version(self) -> int | None:
+        return self._active_configuration.version
+
     async def drain(self) -> None:
         """Shuts down gracefully: finishes requests in flight, then closes."""
         started_at = self._now()
@@ -468,6 +481,7 @@
         if self._settings_source.has_changed():
             self.reload()
         self._roster.tick(self._now())
+        self._accept_callers_if_ready()
         self._router.admit_waiting()
 
     def _describe(self) -> dict:
--- a/sassafrasstile/router/tests/test_store_restore.py
+++ b/sassafrasstile/router/tests/test_store_restore.py
@@ -5,9 +5,9 @@
 class StoreRestoreTest(testing.PlatformTestCase):
     """The store comes back from a copy that is some seconds old."""
 
-    async def start_site(self):
+    async def start_site(self, **options):
         site = self.make_site(
-            [testing.make_platform_route("/a/", "desk", "unsafe")]
+            [testing.make_platform_route("/a/", "desk", "unsafe")], **options
         )
         site.add_endpoint("e0", standins.make_answer)
         await self.wait_until_ready(site)
@@ -78,6 +78,28 @@
         self.assertEqual(await self.call_route(site), 200)
         await self.close_sites()
 
+    # Its peers have a newer version in force than the copy holds.
+    @testing.on_reactor
+    async def test_starting_gateway_is_not_ready_with_an_old_version(self):
+        first = await self.start_site(peer_port=testing.pick_port())
+        former = first.store.make_copy()
+        self.add_route(first)
+        await self.wait_for_status(first, "/b/", 200)
+        first.store.restore(former)
+        second = first.make_gateway("gateway-2", peer_port=testing.pick_port())
+        second.start()
+        for _ in range(20):
+            await self.sleep(0.1)
+            self.assertFalse(second.is_ready())
+        first.version -= 1
+        first.configure()
+        await self.wait_until(second.is_ready, timeout_s=3.0)
+        caller = await testing.connect(self.reactor, second.port)
+        caller.send(testing.make_request("/b/"))
+        self.assertEqual((await caller.read_all()).status, 200)
+        await second.close()
+        await self.close_sites()
+
     # The copy lacks an endpoint that registered after it was made.
     @testing.on_reactor
     async def test_endpoint_that_the_copy_lacks_stays_in_use(self):
--- a/sassafrasstile/stores/__init__.py
+++ b/sassafrasstile/stores/__init__.py
@@ -9,7 +9,11 @@
     StoreError,
     TopicEnd,
 )
-from sassafrasstile.stores._epochs import EpochCheckedStore, EpochMonitor
+from sassafrasstile.stores._epochs import (
+    EpochCheckedStore,
+    EpochMonitor,
+    may_be_restored,
+)
 from sassafrasstile.stores._follower import Follower
 from sassafrasstile.stores._view import KeyedView
 
@@ -25,4 +29,5 @@
     "Store",
     "StoreError",
     "TopicEnd",
+    "may_be_restored",
 ]
--- a/sassafrasstile/stores/_epochs.py
+++ b/sassafrasstile/stores/_epochs.py
@@ -16,6 +16,14 @@
 # After as many in succession, a lower epoch is the current one: the higher one
 # was wrong, and following it would mean never to read again.
 _MAX_LOWER_ANSWERS = 20
+# A lower epoch proves that the store was never restored: the first one is zero
+# or one.
+_FIRST_RESTORED_EPOCH = 2
+
+
+def may_be_restored(epoch: int | None) -> bool:
+    """Returns whether the store may have been restored before an epoch."""
+    return epoch is not None and epoch >= _FIRST_RESTORED_EPOCH
 
 
 class EpochMonitor:
@@ -26,6 +34,7 @@
 
     Attributes:
         current: The current epoch, or None while no answer has stated one.
+        may_be_restored: False while nothing shows that the store was restored.
 
     >>> from twisted.internet import task
     >>> monitor = EpochMonitor(reactor=task.Clock())
@@ -45,6 +54,7 @@
         self._lower_answers = 0
         self._warnings = limits.TokenBucket(rate_per_s=_MAX_WARNINGS_PER_S)
         self.current: int | None = None
+        self.may_be_restored = False
 
     def subscribe(self, listener: Callable[[int], None]) -> None:
         """Adds a function to be called with each new epoch but the first."""
@@ -63,6 +73,7 @@
             return True
         if self.current is None:
             self.current = epoch
+            self.may_be_restored = may_be_restored(epoch)
         elif epoch > self.current:
             self._change(epoch)
         elif epoch < self.current:
@@ -85,6 +96,7 @@
 
     def _change(self, epoch: int) -> None:
         before, self.current = self.current, epoch
+        self.may_be_restored = True
         _LOG.warning(
             "store: restored from a copy: epoch %s.",
             epoch,
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -232,6 +232,8 @@
         listener: The socket on which callers wait for the gateway, or None.
         other_gateways: The number of other gateways, which never report. They
             are in another availability zone than the gateway.
+        peer_port: The UDP port for the reports of other gateways, or zero for
+            any. Then no other gateway finds this one.
     """
 
     def __init__(
@@ -242,8 +244,10 @@
         grace_s: float = 8.0,
         listener: socket.socket | None = None,
         other_gateways: int = 0,
+        peer_port: int = 0,
     ):
         self._other_gateways = other_gateways
+        self._peer_port = peer_port
         self._reactor = reactor
         self._listener = listener
         self._grace_s = grace_s
@@ -262,23 +266,48 @@
             name = f"other-{number}"
             address = [name, "127.0.0.1", _DISCARD_PORT, "b"]
             self.store.put_json(_PEER_TOPIC, name, address)
-        self.daemon = router.RouterDaemon(
+        self.daemon = self.make_gateway(
+            "gateway-1",
+            peer_port=self._peer_port,
+            metrics=self.metrics,
+            listener=self._listener,
+        )
+        self.daemon.start()
+
+    def make_gateway(
+        self,
+        name: str,
+        *,
+        peer_port: int,
+        metrics: telemetry.RouterMetrics | None = None,
+        listener: socket.socket | None = None,
+    ) -> router.RouterDaemon:
+        """Makes a gateway, which the caller starts and closes.
+
+        Args:
+            name: The gateway's name.
+            peer_port: The UDP port for the reports of other gateways.
+            metrics: Its metrics, or None for new ones.
+            listener: The socket on which callers wait for it, or None.
+        """
+        metrics = metrics or telemetry.RouterMetrics()
+        settings = self._make_settings(name, peer_port)
+        return router.RouterDaemon(
             reactor=self._reactor,
-            settings=self._make_settings(),
-            settings_source=_FixedSettings(settings=self._make_settings()),
+            settings=settings,
+            settings_source=_FixedSettings(settings=settings),
             store=_store.PlatformStore(
                 reactor=self._reactor,
                 host=self.server.host,
                 port=self.server.port,
-                metrics=self.metrics,
+                metrics=metrics,
             ),
             record_decoder=_records.PlatformRecordDecoder(),
             codec=_codec.PlatformCodec(),
-            metrics=self.metrics,
+            metrics=metrics,
             generator=random.Random(1),
-            listener=self._listener,
+            listener=listener,
         )
-        self.daemon.start()
 
     async def close(self) -> None:
         """Stops everything."""
@@ -287,16 +316,18 @@
             await defer.maybeDeferred(endpoint.close)
         await defer.maybeDeferred(self.server.close)
 
-    def _make_settings(self) -> router.RouterSettings:
+    def _make_settings(
+        self, name: str, peer_port: int
+    ) -> router.RouterSettings:
         return router.RouterSettings(
-            name="gateway-1",
+            name=name,
             zone="a",
             host="127.0.0.1",
             port=0,
             ready_port=0,
             ready_path="/ready",
             metrics_port=0,
-            peer_port=0,
+            peer_port=peer_port,
             store_host=self.server.host,
             store_port=self.server.port,
             grace_s=self._grace_s,
