Restore the store from copies in the fault soak

While callers send requests, versions of the configuration are published, the store is restored from a copy that lacks them, and they are written again seconds later. A version that one process of a gateway has shown must stay in force there. At the end a version is published at offsets that held others before, and has to be in force at every gateway within the same 3 s as before.

The random numbers of the other faults are unchanged by the new one.

--- a/sassafrasstile/faultsoak/_gateways.py
+++ b/sassafrasstile/faultsoak/_gateways.py
@@ -1,5 +1,6 @@
 """Gateway processes that can be signalled and restarted."""
 
+from collections.abc import Sequence
 import os
 import pathlib
 import signal
@@ -13,6 +14,7 @@
 # Retries that the gateways of a run may add together to their share of the
 # requests.
 _RETRY_SLACK = 52
+ARGUMENTS = ("-m", "sassafrasstile.platform")
 
 
 class GatewayProcess:
@@ -22,15 +24,24 @@
         name: The name of the gateway.
         folder: The folder for the settings file and the output.
         store_port: The port of the store or of a proxy in front of it.
+        arguments: The interpreter's arguments that start the gateway.
     """
 
-    def __init__(self, *, name: str, folder: pathlib.Path, store_port: int):
+    def __init__(
+        self,
+        *,
+        name: str,
+        folder: pathlib.Path,
+        store_port: int,
+        arguments: Sequence[str] = ARGUMENTS,
+    ):
         self.name = name
         self.port = testing.pick_port()
         self._ready_port = testing.pick_port()
         self._path = folder / f"{name}.yaml"
         self._output = folder / f"{name}.log"
         self._store_port = store_port
+        self._arguments = tuple(arguments)
         self._process: subprocess.Popen | None = None
 
     def start(self) -> None:
@@ -52,7 +63,7 @@
         environment = {**os.environ, "SASSAFRASSTILE_BOOT": str(self._path)}
         with open(self._output, "ab") as output:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "sassafrasstile.platform"],
+                [sys.executable, *self._arguments],
                 env=environment,
                 stdout=output,
                 stderr=output,
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -1,6 +1,7 @@
 """Runs gateway processes and callers, and injects faults from a seed."""
 
 import collections
+from collections.abc import Sequence
 import dataclasses
 import pathlib
 import random
@@ -16,6 +17,7 @@
 from sassafrasstile.faultsoak import _endpoints
 from sassafrasstile.faultsoak import _gateways
 from sassafrasstile.faultsoak import _proxy
+from sassafrasstile.faultsoak import _restores
 
 _STARTUP_WAIT_S = 3.0
 _SETTLE_WAIT_S = 8.0
@@ -55,6 +57,8 @@
         seconds: How long callers send requests.
         gateways: The number of gateways.
         faults: Whether to inject faults.
+        arguments: The interpreter's arguments that start a gateway.
+        states_era: Whether the store's answers show when it was restored.
     """
 
     def __init__(
@@ -65,6 +69,8 @@
         seconds: float,
         gateways: int = 3,
         faults: bool = True,
+        arguments: Sequence[str] = _gateways.ARGUMENTS,
+        states_era: bool = True,
     ):
         self._reactor = reactor
         self._seed = seed
@@ -73,12 +79,22 @@
         self._has_faults = faults
         self._generator = random.Random(seed)
         self._execution_log = _endpoints.ExecutionLog()
+        self._arguments = arguments
         self._store_server = standins.PlatformStoreServer(reactor=reactor)
+        if not states_era:
+            self._store_server.store.stated_era = ""
         self.endpoints: dict[str, _endpoints.ScriptedEndpoint] = {}
         self._proxies: dict[str, _proxy.FaultProxy] = {}
         self.gateways: list[_gateways.GatewayProcess] = []
         self._fault_counts: collections.Counter[str] = collections.Counter()
         self._running_faults: list[defer.Deferred] = []
+        self._restores = _restores.StoreRestores(
+            reactor=reactor,
+            seed=seed,
+            store=self._store_server.store,
+            gateways=self.gateways,
+            publish=self._configure,
+        )
 
     async def run(self) -> SoakReport:
         """Runs the site to the end and returns the report."""
@@ -98,6 +114,8 @@
         await self._sleep(_STARTUP_WAIT_S)
         callers.stop_sending_at = self._reactor.seconds() + self._seconds
         sending = testing.spawn(callers.run())
+        if self._has_faults:
+            self._start_restores(callers.stop_sending_at)
         while self._reactor.seconds() < callers.stop_sending_at:
             await self._sleep(0.2 + self._generator.random())
             if self._has_faults:
@@ -106,10 +124,11 @@
         await defer.gatherResults(self._running_faults, consumeErrors=False)
         await self._sleep(_SETTLE_WAIT_S)
         callers.check_executions(self._execution_log.counts)
-        self._configure(2, "/new/")
+        await self._restores.publish_at_reused_offsets("/new/")
         await self._sleep(_CONFIG_APPLY_WAIT_S)
         await callers.check_route("/new/")
         await self._check_shutdown(callers)
+        self._fault_counts["restore"] = self._restores.restores
         return SoakReport(
             seed=self._seed,
             requests=len(callers.outcomes),
@@ -118,9 +137,13 @@
             ),
             statuses=dict(callers.statuses),
             faults=dict(self._fault_counts),
-            violations=callers.violations,
+            violations=[*callers.violations, *self._restores.violations],
         )
 
+    def _start_restores(self, until: float) -> None:
+        self._running_faults.append(testing.spawn(self._restores.run(until)))
+        self._running_faults.append(testing.spawn(self._restores.watch(until)))
+
     async def _check_shutdown(self, callers: _callers.Callers) -> None:
         """Checks that gateways exit on SIGTERM and close every connection."""
         if callers.in_flight:
@@ -159,7 +182,10 @@
             )
             self._proxies[f"store{number}"] = proxy
             gateway = _gateways.GatewayProcess(
-                name=f"g{number}", folder=folder, store_port=proxy.port
+                name=f"g{number}",
+                folder=folder,
+                store_port=proxy.port,
+                arguments=self._arguments,
             )
             gateway.start()
             self.gateways.append(gateway)
