--- a/sassafrasstile/faultsoak/__init__.py
+++ b/sassafrasstile/faultsoak/__init__.py
@@ -6,8 +6,8 @@
 stand-ins, loopback proxies and callers run in this process. Signals stop,
 suspend and kill the gateways, connections are reset, delayed or silenced, and
 endpoints and the store fail. The store is also restored from older copies while
-versions of the configuration are published. Answers and executions are checked against the
-guarantees of the router.
+versions of the configuration are published. Answers and executions are checked
+against the guarantees of the router.
 """
 
 from sassafrasstile.faultsoak._run import SoakReport, SoakRun
