Withhold departed endpoints for three heartbeats after a restore

The five seconds assumed that endpoints renew their entries every 1.2 s. The interval is in the settings file, so a site with a longer one would have got an endpoint back that had left but not yet expired from the restored list. The window is the expiry of an entry and 1.4 s: five seconds at 1.2 s, as before.

--- a/sassafrasstile/membership/_departures.py
+++ b/sassafrasstile/membership/_departures.py
@@ -6,8 +6,10 @@
 
 _LOG = logging.getLogger("sassafrasstile.membership")
 _MAX_DEPARTURES = 1000
-# By then, entries of endpoints that aren't alive have expired from the list.
-_RESTORE_WINDOW_S = 5.0
+# Entries of endpoints that aren't alive expire after this many heartbeats; the
+# list may be back a little later than its first answer here.
+_EXPIRY_HEARTBEATS = 3
+_EXPIRY_MARGIN_S = 1.4
 
 
 class DepartureLog:
@@ -16,9 +18,14 @@
     An instance that drains or was removed doesn't come back, so a record that
     says otherwise is from the copy. It counts only if the list still holds it
     when the entries of endpoints that aren't alive have expired.
+
+    Args:
+        heartbeat_s: Interval at which endpoints renew their entries, in
+            seconds.
     """
 
-    def __init__(self):
+    def __init__(self, *, heartbeat_s: float):
+        self._window_s = _EXPIRY_HEARTBEATS * heartbeat_s + _EXPIRY_MARGIN_S
         self._departures: dict[str, _base.EndpointRecord] = {}
         self._withheld: dict[str, _base.EndpointRecord] = {}
         self._window_ends_at: float | None = None
@@ -37,7 +44,7 @@
 
     def start_restore(self, now: float) -> None:
         """Records that the list was restored from a copy."""
-        self._window_ends_at = now + _RESTORE_WINDOW_S
+        self._window_ends_at = now + self._window_s
 
     def withhold(self, record: _base.EndpointRecord) -> bool:
         """Withholds a record that may be from the copy.
--- a/sassafrasstile/membership/_roster.py
+++ b/sassafrasstile/membership/_roster.py
@@ -34,16 +34,19 @@
     Args:
         on_change: Called with an endpoint's id, and with its record when it
             appears or changes or None when it is dropped.
+        heartbeat_s: Interval at which endpoints renew their entries, in
+            seconds.
     """
 
     def __init__(
         self,
         *,
         on_change: Callable[[str, _base.EndpointRecord | None], None],
+        heartbeat_s: float,
     ):
         self._on_change = on_change
         self._entries: dict[str, _Entry] = {}
-        self._departures = _departures.DepartureLog()
+        self._departures = _departures.DepartureLog(heartbeat_s=heartbeat_s)
         self._outage_ended_at: float | None = None
         self._in_outage = False
         self.is_loaded = False
--- a/sassafrasstile/membership/tests/test_roster.py
+++ b/sassafrasstile/membership/tests/test_roster.py
@@ -9,7 +9,9 @@
 
     def setUp(self):
         self.records = {}
-        self.roster = membership.Roster(on_change=self.records.__setitem__)
+        self.roster = membership.Roster(
+            on_change=self.records.__setitem__, heartbeat_s=1.2
+        )
 
     def test_removal_takes_effect_immediately(self):
         self.roster.apply(testing.make_endpoint_record("a"))
@@ -65,7 +67,9 @@
 
     def setUp(self):
         self.records = {}
-        self.roster = membership.Roster(on_change=self.records.__setitem__)
+        self.roster = membership.Roster(
+            on_change=self.records.__setitem__, heartbeat_s=1.2
+        )
         self.record = testing.make_endpoint_record("a")
         self.draining = testing.make_endpoint_record(
             "a", state=membership.EndpointState.DRAINING
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -38,6 +38,7 @@
     listen: _Listen
     # First and last port that gateway processes may use.
     internal_ports: tuple[int, int]
+    heartbeat_ms: float = 1200.0
     bounds: _Bounds = _Bounds()
     platform: _Store
 
@@ -108,6 +109,7 @@
             document.bounds.config_apply_ms, document.bounds.drain_ms
         )
         / _models.MS_PER_S,
+        heartbeat_s=document.heartbeat_ms / _models.MS_PER_S,
         lease_s=document.bounds.lease_ms / _models.MS_PER_S,
         dispatch=dispatch.DispatchSettings(
             retry_ratio=document.bounds.retry_budget_ratio,
--- a/sassafrasstile/platform/tests/test_settings.py
+++ b/sassafrasstile/platform/tests/test_settings.py
@@ -13,6 +13,7 @@
 ip: "10.1.0.38"
 listen: {frontend: "10.1.0.38:8149", ready: "10.1.0.38:8141"}
 internalPorts: [7380, 7395]
+heartbeatMs: 900
 bounds: {graceS: 6, retryBudgetRatio: 0.1, retryWindowS: 5, new: 1,
          configApplyMs: 3000, drainMs: 2500}
 platform: {address: "10.200.1.7:8142"}
@@ -43,6 +44,7 @@
         self.assertEqual((settings.host, settings.port), ("10.1.0.38", 8149))
         self.assertEqual(settings.store_port, 8142)
         self.assertEqual(settings.grace_s, 6)
+        self.assertEqual(settings.heartbeat_s, 0.9)
         self.assertEqual(settings.dispatch.retry_ratio, 0.1)
 
     def test_propagation_limit_is_the_smaller_bound(self):
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -84,7 +84,9 @@
         self._metrics = metrics
         self._generator = generator or random.Random()
         self._active_configuration = routes.ActiveConfiguration()
-        self._roster = membership.Roster(on_change=self._update_endpoint)
+        self._roster = membership.Roster(
+            on_change=self._update_endpoint, heartbeat_s=settings.heartbeat_s
+        )
         self._endpoints = dispatch.EndpointTable(
             silence_timeout_s=settings.dispatch.silence_timeout_s
         )
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -24,6 +24,8 @@
         grace_s: Seconds from SIGTERM to SIGKILL.
         propagation_limit_s: Maximum time from the writing of a configuration or
             endpoint change to its effect, in seconds.
+        heartbeat_s: Interval at which endpoints renew their records, in
+            seconds.
         lease_s: Minimum time between role change orders of two different
             gateways, in seconds.
         dispatch: Settings of load balancing, retries and health checks.
@@ -41,6 +43,7 @@
     store_port: int
     grace_s: float
     propagation_limit_s: float
+    heartbeat_s: float
     lease_s: float
     dispatch: dispatch.DispatchSettings
 
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -332,6 +332,7 @@
             store_port=self.server.port,
             grace_s=self._grace_s,
             propagation_limit_s=2.0,
+            heartbeat_s=1.2,
             lease_s=3.0,
             dispatch=dispatch.DispatchSettings(retry_slack=20.0),
         )
