--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -214,6 +214,12 @@
         known = -1 if self._epoch is None else self._epoch
         if epoch is not None and epoch > max(known, self._peer_epoch):
             self._peer_epoch = epoch
+            _LOG.info(
+                "store: topic %s is read, since a peer names epoch %s.",
+                self._topic,
+                epoch,
+                extra={"epoch": self._epoch, "epoch_of_peer": epoch},
+            )
             self.mark_stale()
 
     def mark_stale(self) -> None:
@@ -282,11 +288,8 @@
         started_at = self._reactor.seconds()
         drops = self._drops
         snapshot = await self._store.load(self._topic)
-        is_known = snapshot.epoch is not None and self._epoch is not None
-        if is_known and snapshot.epoch != self._epoch:
-            return False
-        if not is_known and drops != self._drops:
-            return False
+        if not self._is_current(snapshot, drops):
+            return self._drop_answer(snapshot.epoch)
         self._record_epoch(snapshot.epoch)
         # The end of an outage is recorded before the changes made during the
         # outage are applied.
@@ -295,6 +298,26 @@
         self._update_end(started_at)
         return True
 
+    def _is_current(self, snapshot: _base.Snapshot, drops: int) -> bool:
+        """Returns whether a snapshot is of the current epoch.
+
+        Args:
+            snapshot: The snapshot.
+            drops: The number of times that positions had been dropped before
+                the call.
+        """
+        if snapshot.epoch is None or self._epoch is None:
+            return drops == self._drops
+        return snapshot.epoch == self._epoch
+
+    def _drop_answer(self, epoch: int | None) -> bool:
+        _LOG.info(
+            "store: topic %s: an answer is dropped, as the store was restored.",
+            self._topic,
+            extra={"epoch": self._epoch, "epoch_of_answer": epoch},
+        )
+        return False
+
     async def _read_on(self) -> bool:
         started_at = self._reactor.seconds()
         reported_offset = self._reported_offset
@@ -311,7 +334,7 @@
                 raise
             return False
         if drops != self._drops:
-            return False
+            return self._drop_answer(page.epoch)
         self._record_epoch(page.epoch)
         self._record_contact()
         if page.next_offset > self._offset:
