Check in the soak that a departed endpoint stays away after a restore

An endpoint leaves just before the last restore, and the copy names it. For 3 s, while the new version is awaited, each gateway is asked for the service that only this endpoint had.

--- a/sassafrasstile/faultsoak/_restores.py
+++ b/sassafrasstile/faultsoak/_restores.py
@@ -15,6 +15,11 @@
 # What the operator and the endpoints wrote is written again; the rest is lost.
 _REWRITTEN_TOPICS = ("keyed.op", "keyed.servers")
 _CONFIGURATION_TOPIC = "keyed.op"
+_MEMBERSHIP_TOPIC = "keyed.servers"
+# The only endpoint of this service leaves before the last restore.
+SPARE_SERVICE = "spare"
+SPARE_PATH = "/spare/"
+_SPARE_NAME = "spare0"
 _PROBE_INTERVAL_S = 0.2
 _PROBE_TIMEOUT_S = 2.0
 # By then each gateway that isn't disturbed has read a new version.
@@ -44,7 +49,8 @@
     """Restores the store from copies while versions are published.
 
     Each version adds a route, so an answer to it shows whether the version is
-    in force at a gateway. In one process it stays in force.
+    in force at a gateway. In one process it stays in force. An endpoint that
+    leaves gets no requests after a restore of a copy that names it.
 
     Args:
         reactor: The reactor.
@@ -70,12 +76,30 @@
         self._publish = publish
         # Of its own, so that the other faults of a seed stay the same.
         self._generator = random.Random(f"restores {seed}")
+        self._spare = standins.PlatformEndpoint(
+            reactor=reactor, script=standins.make_answer
+        )
         self._seen: dict[str, _Seen] = {}
         self._probes = 0
         self.version = 1
         self.restores = 0
         self.violations: list[str] = []
 
+    def start(self) -> None:
+        """Starts the endpoint that leaves later."""
+        self._spare.start()
+        self._store.put_json(
+            _MEMBERSHIP_TOPIC,
+            _SPARE_NAME,
+            testing.make_endpoint_document(
+                port=self._spare.port, service=SPARE_SERVICE
+            ),
+        )
+
+    def close(self) -> defer.Deferred:
+        """Stops the endpoint."""
+        return defer.maybeDeferred(self._spare.close)
+
     async def run(self, until: float) -> None:
         """Publishes versions and restores the store until a time."""
         while self._reactor.seconds() < until:
@@ -101,10 +125,13 @@
     async def publish_at_reused_offsets(self, *paths: str) -> None:
         """Lets the store lose versions, and publishes one in their place.
 
+        An endpoint leaves before the restore, and the copy still names it.
+
         Args:
             *paths: The paths of the version's additional routes.
         """
         former = self._store.make_copy()
+        self._store.put(_MEMBERSHIP_TOPIC, _SPARE_NAME, b"")
         self._publish_next()
         self._publish_next()
         await self._sleep(_APPLY_WAIT_S)
@@ -116,6 +143,16 @@
             self._store.put(_CONFIGURATION_TOPIC, "other", b"x")
         self._store.outage = ""
 
+    async def check_departure(self, until: float) -> None:
+        """Checks until a time that the endpoint that left gets no requests."""
+        while self._reactor.seconds() < until:
+            for gateway in self._gateways:
+                if await self._call(gateway, SPARE_PATH) == 200:
+                    self.violations.append(
+                        f"{gateway.name}: an endpoint that had left answered"
+                    )
+            await self._sleep(_PROBE_INTERVAL_S)
+
     def _restore(self, former: standins.StoreCopy) -> dict[str, list]:
         self.restores += 1
         return self._store.restore(former)
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -125,7 +125,9 @@
         await self._sleep(_SETTLE_WAIT_S)
         callers.check_executions(self._execution_log.counts)
         await self._restores.publish_at_reused_offsets("/new/")
-        await self._sleep(_CONFIG_APPLY_WAIT_S)
+        await self._restores.check_departure(
+            self._reactor.seconds() + _CONFIG_APPLY_WAIT_S
+        )
         await callers.check_route("/new/")
         await self._check_shutdown(callers)
         self._fault_counts["restore"] = self._restores.restores
@@ -175,6 +177,7 @@
         for kind, stage in stages.items():
             for number in range(2):
                 self._add_endpoint(f"{kind}{number}", stage)
+        self._restores.start()
         self._configure(1)
         for number in range(self._gateway_count):
             proxy = self._make_proxy(
@@ -231,6 +234,9 @@
             testing.make_platform_route(
                 "/gen/", "writer", "streaming", targetGapMs=300
             ),
+            testing.make_platform_route(
+                _restores.SPARE_PATH, _restores.SPARE_SERVICE, "safe"
+            ),
             *(
                 testing.make_platform_route(path, "desk", "unsafe")
                 for path in extra_paths
@@ -250,6 +256,7 @@
             await defer.maybeDeferred(proxy.close)
         for endpoint in self.endpoints.values():
             await defer.maybeDeferred(endpoint.server.close)
+        await self._restores.close()
         await defer.maybeDeferred(self._store_server.close)
 
     # Faults.
--- a/sassafrasstile/faultsoak/tests/test_restores.py
+++ b/sassafrasstile/faultsoak/tests/test_restores.py
@@ -20,6 +20,15 @@
 from sassafrasstile.platform import __main__
 sys.exit(__main__.main())
 """
+# Starts a gateway that forgets which endpoints have left.
+_FORGETFUL_GATEWAY = """
+import sys
+from sassafrasstile.membership import _departures
+
+_departures.DepartureLog.withhold = lambda self, record: False
+from sassafrasstile.platform import __main__
+sys.exit(__main__.main())
+"""
 
 
 class RestoreCheckTest(unittest.TestCase):
@@ -44,3 +53,9 @@
         self.assertTrue(
             any("no longer in force" in item for item in report.violations)
         )
+
+    def test_endpoint_that_comes_back_with_the_copy_is_a_violation(self):
+        report = self.run_soak(arguments=("-c", _FORGETFUL_GATEWAY))
+        self.assertTrue(
+            any("had left answered" in item for item in report.violations)
+        )
