--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -1,6 +1,7 @@
 """Runs gateway processes and callers, and injects faults from a seed."""
 
 import collections
+from collections.abc import Sequence
 import dataclasses
 import pathlib
 import random
@@ -16,6 +17,7 @@
 from sassafrasstile.faultsoak import _endpoints
 from sassafrasstile.faultsoak import _gateways
 from sassafrasstile.faultsoak import _proxy
+from sassafrasstile.faultsoak import _restores
 from sassafrasstile.faultsoak import _versions
 
 _STARTUP_WAIT_S = 3.0
@@ -59,6 +61,8 @@
         seconds: How long callers send requests.
         gateways: The number of gateways.
         faults: Whether to inject faults.
+        arguments: The interpreter's arguments that start a gateway.
+        states_era: Whether the store's answers show when it was restored.
     """
 
     def __init__(
@@ -69,6 +73,8 @@
         seconds: float,
         gateways: int = 3,
         faults: bool = True,
+        arguments: Sequence[str] = _gateways.ARGUMENTS,
+        states_era: bool = True,
     ):
         self._reactor = reactor
         self._seed = seed
@@ -77,7 +83,10 @@
         self._has_faults = faults
         self._generator = random.Random(seed)
         self._execution_log = _endpoints.ExecutionLog()
+        self._arguments = arguments
         self._store_server = standins.PlatformStoreServer(reactor=reactor)
+        if not states_era:
+            self._store_server.store.stated_era = ""
         self.endpoints: dict[str, _endpoints.ScriptedEndpoint] = {}
         self._proxies: dict[str, _proxy.FaultProxy] = {}
         self.gateways: list[_gateways.GatewayProcess] = []
@@ -86,6 +95,13 @@
         )
         self._fault_counts: collections.Counter[str] = collections.Counter()
         self._running_faults: list[defer.Deferred] = []
+        self._restores = _restores.StoreRestores(
+            reactor=reactor,
+            seed=seed,
+            store=self._store_server.store,
+            gateways=self.gateways,
+            publish=self._configure,
+        )
 
     async def run(self) -> SoakReport:
         """Runs the site to the end and returns the report."""
@@ -106,6 +122,8 @@
         callers.stop_sending_at = self._reactor.seconds() + self._seconds
         sending = testing.spawn(callers.run())
         returning = testing.spawn(self._returning.run(callers.stop_sending_at))
+        if self._has_faults:
+            self._start_restores(callers.stop_sending_at)
         while self._reactor.seconds() < callers.stop_sending_at:
             await self._sleep(0.2 + self._generator.random())
             if self._has_faults:
@@ -115,10 +133,13 @@
         await defer.gatherResults(self._running_faults, consumeErrors=False)
         await self._sleep(_SETTLE_WAIT_S)
         callers.check_executions(self._execution_log.counts)
-        self._configure(2, "/new/")
-        await self._sleep(_CONFIG_APPLY_WAIT_S)
+        await self._restores.publish_at_reused_offsets("/new/")
+        await self._restores.check_departure(
+            self._reactor.seconds() + _CONFIG_APPLY_WAIT_S
+        )
         await callers.check_route("/new/")
         await self._check_shutdown(callers)
+        self._fault_counts["restore"] = self._restores.restores
         return SoakReport(
             seed=self._seed,
             requests=len(callers.outcomes),
@@ -128,9 +149,17 @@
             statuses=dict(callers.statuses),
             faults=dict(self._fault_counts),
             streams=dict(self._returning.counts),
-            violations=[*callers.violations, *self._returning.violations],
+            violations=[
+                *callers.violations,
+                *self._returning.violations,
+                *self._restores.violations,
+            ],
         )
 
+    def _start_restores(self, until: float) -> None:
+        self._running_faults.append(testing.spawn(self._restores.run(until)))
+        self._running_faults.append(testing.spawn(self._restores.watch(until)))
+
     async def _check_shutdown(self, callers: _callers.Callers) -> None:
         """Checks that gateways exit on SIGTERM and close every connection."""
         if callers.in_flight:
@@ -163,6 +192,7 @@
             for number in range(2):
                 self._add_endpoint(f"{kind}{number}", stage)
         self._returning.start(self._store_server)
+        self._restores.start()
         self._configure(1)
         for number in range(self._gateway_count):
             proxy = self._make_proxy(
@@ -170,7 +200,10 @@
             )
             self._proxies[f"store{number}"] = proxy
             gateway = _gateways.GatewayProcess(
-                name=f"g{number}", folder=folder, store_port=proxy.port
+                name=f"g{number}",
+                folder=folder,
+                store_port=proxy.port,
+                arguments=self._arguments,
             )
             gateway.start()
             self.gateways.append(gateway)
@@ -224,6 +257,9 @@
                 resumable=True,
                 maxAttempts=3,
             ),
+            testing.make_platform_route(
+                _restores.SPARE_PATH, _restores.SPARE_SERVICE, "safe"
+            ),
             *(
                 testing.make_platform_route(path, "desk", "unsafe")
                 for path in extra_paths
@@ -247,6 +283,7 @@
         for endpoint in self.endpoints.values():
             await defer.maybeDeferred(endpoint.server.close)
         await self._returning.close()
+        await self._restores.close()
         await defer.maybeDeferred(self._store_server.close)
 
     # Faults.
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -57,10 +57,12 @@
     Attributes:
         next_offset: The offset that the next record would have got.
         age_s: Seconds since the gateway saw the topic end there.
+        epoch: The store's epoch at that time, or None when it isn't known.
     """
 
     next_offset: int
     age_s: float
+    epoch: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -92,6 +94,8 @@
         topics: The ends of topics, as the gateway's own calls to the store
             showed them.
         refusals: The generations that it has refused lately.
+        version: The version of the configuration in force there, or None
+            before it has one.
     """
 
     sender: PeerAddress
@@ -103,6 +107,7 @@
         default_factory=dict
     )
     refusals: tuple[PromptRefusal, ...] = ()
+    version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -142,9 +147,12 @@
         offset: The offset of the first record.
         next_offset: The offset at which the next page starts.
         records: The records.
+        epoch: The store's epoch in which they were read, or None when it isn't
+            known.
     """
 
     topic: str
     offset: int
     next_offset: int
     records: tuple[TopicRecord, ...]
+    epoch: int | None = None
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -28,6 +28,10 @@
     )
 
 
+def _read_number(value: object) -> int | None:
+    return None if value is None else int(value)
+
+
 def decode_address(data: bytes) -> _base.PeerAddress:
     """Decodes an address.
 
@@ -71,7 +75,7 @@
         int(report.is_complete),
         rows,
         [
-            [name, end.next_offset, round(end.age_s * _MS_PER_S)]
+            [name, end.next_offset, round(end.age_s * _MS_PER_S), end.epoch]
             for name, end in report.topics.items()
         ],
         [
@@ -82,6 +86,7 @@
             ]
             for item in report.refusals
         ],
+        report.version,
     ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
@@ -101,12 +106,15 @@
             rows,
             ends,
             refusals,
+            version,
         ) = json.loads(data)
         topics = {
             str(topic): _base.TopicEndReport(
-                next_offset=int(next_offset), age_s=int(age_ms) / _MS_PER_S
+                next_offset=int(next_offset),
+                age_s=int(age_ms) / _MS_PER_S,
+                epoch=_read_number(epoch),
             )
-            for topic, next_offset, age_ms in ends
+            for topic, next_offset, age_ms, epoch in ends
         }
         loads = {
             str(endpoint): _base.EndpointLoad(
@@ -140,6 +148,7 @@
                 )
                 for prompt_id, age_ms, remaining_ms in refusals
             ),
+            version=_read_number(version),
         )
     except (ValueError, TypeError) as reason:
         raise errors.Error(
@@ -161,7 +170,7 @@
 
     >>> record = _base.TopicRecord(key="e", value=b"x", offset=4)
     >>> page = _base.TopicPage(
-    ...     topic="t", offset=4, next_offset=5, records=(record,))
+    ...     topic="t", offset=4, next_offset=5, records=(record,), epoch=2)
     >>> is_page(encode_page(page)), decode_page(encode_page(page)) == page
     (True, True)
     """
@@ -173,7 +182,14 @@
         ]
         for record in page.records
     ]
-    fields = [_PAGE_TAG, page.topic, page.offset, page.next_offset, rows]
+    fields = [
+        _PAGE_TAG,
+        page.topic,
+        page.offset,
+        page.next_offset,
+        rows,
+        page.epoch,
+    ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -184,7 +200,7 @@
         errors.Error: With BAD_VALUE when it is malformed.
     """
     try:
-        _, topic, offset, next_offset, rows = json.loads(data)
+        _, topic, offset, next_offset, rows, epoch = json.loads(data)
         return _base.TopicPage(
             topic=str(topic),
             offset=int(offset),
@@ -197,6 +213,7 @@
                 )
                 for key, value, at in rows
             ),
+            epoch=_read_number(epoch),
         )
     except (ValueError, TypeError, AttributeError) as reason:
         raise errors.Error(
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -38,6 +38,8 @@
         self.received = {"a": {}, "b": {}}
         self.refusals = {"a": (), "b": ()}
         self.received_refusals = {"a": [], "b": []}
+        self.versions = {"a": None, "b": None}
+        self.received_versions = {"a": [], "b": []}
         self.topics = {"a": {}, "b": {}}
         self.received_topics = {"a": {}, "b": {}}
         self.channels = {
@@ -64,6 +66,8 @@
             on_message=lambda sender, payload: self.messages.append(
                 (name, sender, payload)
             ),
+            read_version=lambda: self.versions[name],
+            on_version=self.received_versions[name].append,
         )
         channel.transport = self.network
         self.network.channels[("h", port)] = channel
@@ -128,6 +132,14 @@
         self.advance(1.0)
         self.assertIn(refusal, self.received_refusals["b"])
 
+    # A gateway that starts compares it with what the store holds.
+    def test_configuration_version_is_reported(self):
+        self.advance(1.0)
+        self.assertEqual({*self.received_versions["b"]}, {None})
+        self.versions["a"] = 7
+        self.advance(1.0)
+        self.assertEqual(self.received_versions["b"][-1], 7)
+
     def test_topic_end_is_reported_immediately(self):
         self.advance(0.1)
         self.topics["a"] = {
@@ -136,6 +148,16 @@
         self.channels["a"].announce_topics()
         self.assertEqual(self.received_topics["b"], self.topics["a"])
 
+    # The receiver must not compare offsets of different epochs.
+    def test_topic_end_is_reported_with_its_epoch(self):
+        self.advance(0.1)
+        self.topics["a"] = {
+            "t": peers.TopicEndReport(next_offset=7, age_s=0.25, epoch=3),
+            "u": peers.TopicEndReport(next_offset=7, age_s=0.25),
+        }
+        self.channels["a"].announce_topics()
+        self.assertEqual(self.received_topics["b"], self.topics["a"])
+
     def test_datagrams_stay_within_the_rate_limit(self):
         for number in range(200):
             self.reserve(number)
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -27,6 +27,7 @@
 from sassafrasstile.router import _confirmation
 from sassafrasstile.router import _record_decoder
 from sassafrasstile.router import _settings
+from sassafrasstile.router import _start_gate
 from sassafrasstile.router import _topics
 
 _LOG = logging.getLogger("sassafrasstile.router")
@@ -79,11 +80,15 @@
         self.is_draining = False
         self._reactor = reactor
         self._settings_source = settings_source
-        self._store = store
+        self._epochs = stores.EpochMonitor(reactor=reactor)
+        self._epochs.subscribe(lambda _epoch: metrics.store_epochs.inc())
+        self._store = stores.EpochCheckedStore(store=store, epochs=self._epochs)
         self._metrics = metrics
         self._generator = generator or random.Random()
         self._active_configuration = routes.ActiveConfiguration()
-        self._roster = membership.Roster(on_change=self._update_endpoint)
+        self._roster = membership.Roster(
+            on_change=self._update_endpoint, heartbeat_s=settings.heartbeat_s
+        )
         self._endpoints = dispatch.EndpointTable(
             silence_timeout_s=settings.dispatch.silence_timeout_s
         )
@@ -112,6 +117,12 @@
             port=settings.peer_port,
             zone=settings.zone,
         )
+        self._start_gate = _start_gate.StartGate(
+            reactor=reactor,
+            epochs=self._epochs,
+            read_version=self._read_version,
+            count_gateways=self._count_gateways,
+        )
         self._channel = self._make_channel(address)
         self._origins.transport = self._channel
         self._topic_sharing.connect(
@@ -181,12 +192,15 @@
             on_loaded=self._mark_endpoints_loaded,
             on_outage=self._roster.record_outage,
             on_contact=self._record_membership_contact,
+            on_restore=self._record_membership_restore,
             generator=self._generator,
             is_watcher=self._topic_sharing.is_watcher,
             on_page=functools.partial(
                 self._topic_sharing.relay, record_decoder.membership_topic
             ),
         )
+        for follower in (configuration, endpoints):
+            self._epochs.subscribe(follower.start_epoch)
         return {
             record_decoder.configuration_topic: configuration,
             record_decoder.membership_topic: endpoints,
@@ -201,6 +215,9 @@
         self._roster.record_contact(self._now())
         self._topic_sharing.announce()
 
+    def _record_membership_restore(self) -> None:
+        self._roster.record_restore(self._now())
+
     def _make_channel(self, address) -> peers.PeerChannel:
         return peers.PeerChannel(
             reactor=self._reactor,
@@ -218,10 +235,12 @@
                 refusals, self._now()
             ),
             on_message=self._origins.receive,
+            read_version=self._read_version,
+            on_version=self._start_gate.record_peer_version,
         )
 
     def _make_directory(self, record_decoder, address) -> peers.PeerDirectory:
-        return peers.PeerDirectory(
+        directory = peers.PeerDirectory(
             reactor=self._reactor,
             store=self._store,
             topic=record_decoder.peer_topic,
@@ -229,16 +248,20 @@
             channel=self._channel,
             generator=self._generator,
         )
+        self._epochs.subscribe(directory.start_epoch)
+        return directory
 
     def _make_roles(self, record_decoder) -> roles.RoleManager:
+        lease = roles.LeaderLease(
+            store=self._store,
+            topic=record_decoder.lease_topic,
+            name=self.settings.name,
+        )
+        self._epochs.subscribe(lease.start_epoch)
         return roles.RoleManager(
             reactor=self._reactor,
             name=self.settings.name,
-            lease=roles.LeaderLease(
-                store=self._store,
-                topic=record_decoder.lease_topic,
-                name=self.settings.name,
-            ),
+            lease=lease,
             lease_s=self.settings.lease_s,
             endpoints=self._endpoints,
             active_configuration=self._active_configuration,
@@ -327,8 +350,12 @@
             not self.is_draining
             and self._active_configuration.current is not None
             and self._roster.is_loaded
+            and self._start_gate.is_open()
         )
 
+    def _read_version(self) -> int | None:
+        return self._active_configuration.version
+
     async def drain(self) -> None:
         """Shuts down gracefully: finishes requests in flight, then closes."""
         started_at = self._now()
@@ -478,6 +505,7 @@
         if self._settings_source.has_changed():
             self.reload()
         self._roster.tick(self._now())
+        self._accept_callers_if_ready()
         self._router.admit_waiting()
 
     def _describe(self) -> dict:
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -106,6 +106,10 @@
             "Streams that callers take up again, by outcome.",
             ("outcome",),
         )
+        self.store_epochs = self._make_counter(
+            "store_epochs",
+            "Restores of the store from a copy, as its epoch showed them.",
+        )
         self.log_lines_dropped = self._make_counter(
             "log_lines_dropped", "Log lines dropped to stay within bounds."
         )
