--- a/sassafrasstile/standins/_platform_endpoint.py
+++ b/sassafrasstile/standins/_platform_endpoint.py
@@ -16,6 +16,8 @@
 _SERVER_STAMP_HEADER = "X-Server-Stamp"
 _NOT_EXECUTED_HEADER = "X-Not-Executed"
 _INSTANCE_ID_HEADER = "X-Instance-Id"
+_LEAVING_HEADER = "Server-Leaving"
+_RETRY_AFTER_HEADER = "Retry-After"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -92,15 +94,40 @@
     )
 
 
-def make_refusal(request: EndpointRequest) -> EndpointAnswer:
-    """Returns the refusal of a full endpoint, marked as not executed."""
-    return make_answer(
+def make_refusal(
+    request: EndpointRequest, *, retry_after: str | None = None
+) -> EndpointAnswer:
+    """Returns the refusal of a full endpoint, marked as not executed.
+
+    Args:
+        request: The request.
+        retry_after: The back-off that the endpoint asks for, or None.
+    """
+    refusal = make_answer(
         request,
         status=503,
         body=b"",
         headers=[(_NOT_EXECUTED_HEADER, "1")],
         signed=False,
     )
+    if retry_after is None:
+        return refusal
+    return add_header(refusal, _RETRY_AFTER_HEADER, retry_after)
+
+
+def add_header(answer: EndpointAnswer, name: str, value: str) -> EndpointAnswer:
+    """Returns an answer with a further header."""
+    first, *others = answer.segments
+    status_line, _, rest = first.data.partition(b"\r\n")
+    line = f"{name}: {value}\r\n".encode()
+    data = status_line + b"\r\n" + line + rest
+    segments = [dataclasses.replace(first, data=data), *others]
+    return dataclasses.replace(answer, segments=segments)
+
+
+def announce_leaving(answer: EndpointAnswer) -> EndpointAnswer:
+    """Returns an answer with the drain notice of its endpoint."""
+    return add_header(answer, _LEAVING_HEADER, "1")
 
 
 def make_misdirected(
