Send nothing new to an endpoint that announces that it leaves

What callers saw: an endpoint says in its answers that it leaves, its record in the store still says ready, and requests, prompts and resumed streams go on to it until it exits; those that are there then are lost.

Cause: no line read the notice. Which endpoint may be sent to was decided by its record alone, in several places, and never again after a connection was opened.

Restrictions survive a record that is dropped and returns (for up to 1,000 former endpoints); only a newer start or another id begins without them. When every endpoint leaves, new requests are refused at once as not run.

Ruled out: taking the notice for a draining record, since the store's next record of the same incarnation would undo it; counting a denied send as a refusal or an unreachable endpoint, since nothing was sent.

--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -12,10 +12,16 @@
 from sassafrasstile.dispatch._placement import Placement, Shortage
 from sassafrasstile.dispatch._queue import GenerationQueue, Waiter
 from sassafrasstile.dispatch._refusals import RefusalMemory
+from sassafrasstile.dispatch._restrictions import (
+    EndpointNotice,
+    RestrictionChange,
+    SendRestrictions,
+)
 
 __all__ = [
     "DispatchSettings",
     "Endpoint",
+    "EndpointNotice",
     "EndpointTable",
     "GenerationQueue",
     "Grant",
@@ -23,6 +29,8 @@
     "OutputLengthEstimator",
     "Placement",
     "RefusalMemory",
+    "RestrictionChange",
+    "SendRestrictions",
     "Shortage",
     "Waiter",
     "WindowedRetryBudget",
--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -1,5 +1,6 @@
 """The state of all endpoints as seen by one gateway."""
 
+import collections
 from collections.abc import Collection, Mapping
 import dataclasses
 
@@ -7,6 +8,7 @@
 from sassafrasstile import peers
 from sassafrasstile.dispatch import _base
 from sassafrasstile.dispatch import _health
+from sassafrasstile.dispatch import _restrictions
 
 _NO_LOAD = peers.EndpointLoad()
 # Backoff after an endpoint refused work, doubled with each refusal in a row.
@@ -14,6 +16,9 @@
 _MAX_BACKOFF_DOUBLINGS = 4
 # A longer gap between calls means that this process was suspended.
 _SUSPENSION_S = 0.3
+# The restrictions of this many former endpoints are remembered. Their records
+# may return, for example when the store is restored from a copy.
+_MAX_FORMER = 1000
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -37,6 +42,14 @@
         self.changing += sign * load.is_changing
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Former:
+    """What an endpoint had asked before its record was dropped."""
+
+    started_ms: int
+    restrictions: _restrictions.SendRestrictions
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Endpoint:
     """One incarnation of an endpoint, and the load on it.
@@ -44,6 +57,7 @@
     Attributes:
         record: What the endpoint announced.
         health: Its health, as observed from its responses.
+        restrictions: What it has asked of this gateway.
         in_flight: Requests of this gateway that it runs or queues.
         reserved_tokens: KV cache in tokens that these requests occupy when
             they end.
@@ -61,6 +75,9 @@
 
     record: membership.EndpointRecord
     health: _health.Health
+    restrictions: _restrictions.SendRestrictions = dataclasses.field(
+        default_factory=_restrictions.SendRestrictions
+    )
     in_flight: int = 0
     reserved_tokens: int = 0
     prefill_tokens: int = 0
@@ -81,9 +98,10 @@
 
     @property
     def accepts_work(self) -> bool:
-        """True unless the endpoint is draining or removed."""
+        """True unless the endpoint is draining, leaving or removed."""
         is_ready = self.record.state is membership.EndpointState.READY
-        return is_ready and not self.is_removed
+        is_ending = self.is_removed or self.restrictions.is_leaving
+        return is_ready and not is_ending
 
     def has_own_load(self, now: float) -> bool:
         """Returns whether there is anything to report about it."""
@@ -184,6 +202,9 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._peer_loads: dict[str, dict[str, peers.EndpointLoad]] = {}
         self._checked_at = float("inf")
+        self._former: collections.OrderedDict[str, _Former] = (
+            collections.OrderedDict()
+        )
 
     def update_record(
         self, endpoint_id: str, record: membership.EndpointRecord | None
@@ -200,6 +221,7 @@
         former = self._endpoints.get(endpoint_id)
         if record is None:
             self._endpoints.pop(endpoint_id, None)
+            self._remember_restrictions(former)
         elif former and former.record.incarnation == record.incarnation:
             former.record = record
             return None
@@ -209,10 +231,38 @@
             former.is_removed = True
         return former
 
+    def _remember_restrictions(self, former: Endpoint | None) -> None:
+        """Keeps what an endpoint has asked, since its record may return."""
+        if former is None or not former.restrictions.is_leaving:
+            return
+        self._former[former.name] = _Former(
+            started_ms=former.record.started_ms,
+            restrictions=former.restrictions,
+        )
+        self._former.move_to_end(former.name)
+        if len(self._former) > _MAX_FORMER:
+            self._former.popitem(last=False)
+
+    def _find_restrictions(
+        self, record: membership.EndpointRecord
+    ) -> _restrictions.SendRestrictions:
+        """Returns what an instance has asked before, unless it is newer."""
+        former = self._former.pop(record.endpoint_id, None)
+        known = self._endpoints.get(record.endpoint_id)
+        if known is not None:
+            former = _Former(
+                started_ms=known.record.started_ms,
+                restrictions=known.restrictions,
+            )
+        if former is None or record.started_ms > former.started_ms:
+            return _restrictions.SendRestrictions()
+        return former.restrictions
+
     def _make_endpoint(self, record: membership.EndpointRecord) -> Endpoint:
         endpoint = Endpoint(
             record=record,
             health=_health.Health(silence_timeout_s=self._silence_timeout_s),
+            restrictions=self._find_restrictions(record),
         )
         # A gateway's report may arrive before the endpoint's record.
         for peer, loads in self._peer_loads.items():
@@ -306,7 +356,8 @@
         """Returns the endpoints that may take new work.
 
         If none is reachable, the unreachable ones are returned: they may
-        have recovered, and there is no better choice.
+        have recovered, and there is no better choice. Those that leave are
+        never returned.
 
         Args:
             service: The required service.
@@ -319,7 +370,7 @@
             for item in self._endpoints.values()
             if item.record.service == service
             and item.record.role is role
-            and item.record.state is membership.EndpointState.READY
+            and item.accepts_work
             and item not in excluded
         ]
         reachable = [item for item in ready if item.health.is_reachable(now)]
@@ -330,5 +381,11 @@
         return [
             item
             for item in self._endpoints.values()
-            if item.health.needs_probe(now)
+            if item.health.needs_probe(now) and not item.restrictions.is_leaving
         ]
+
+    def count_leaving(self) -> int:
+        """Returns the number of endpoints that have announced to leave."""
+        return sum(
+            item.restrictions.is_leaving for item in self._endpoints.values()
+        )
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -124,11 +124,11 @@
         return self._choose_cheapest(usable, estimate)
 
     def has_decode_engine(self, service: str) -> bool:
-        """Returns whether a service has a decode engine that isn't draining."""
+        """Returns whether a service has a decode engine that isn't leaving."""
         return any(
             item.record.service == service
             and item.record.role is membership.Role.DECODE
-            and item.record.state is membership.EndpointState.READY
+            and item.accepts_work
             for item in self._endpoints.list_all()
         )
 
--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -13,6 +13,7 @@
 from sassafrasstile import web
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _sends
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
 
@@ -181,15 +182,18 @@
     async def _exchange(
         self, outgoing: _base.OutgoingRequest
     ) -> web.ResponseHead:
-        pool = self._context.get_pool(self.endpoint)
-        self._reply = await pool.send(
-            method=outgoing.method,
-            target=outgoing.target,
-            headers=outgoing.headers,
-            body=outgoing.body,
+        self._reply = await _sends.send(
+            self._context,
+            self.endpoint,
+            outgoing,
             on_send=self._record_sent,
         )
-        return await self._reply.read_head()
+        return await _sends.read_head(
+            self._context,
+            self.endpoint,
+            self._reply,
+            request_id=self._request_id,
+        )
 
     def _record_sent(self) -> None:
         self.was_sent = True
@@ -228,6 +232,8 @@
         self, reason: web.ExchangeError
     ) -> AttemptResult:
         now = self._context.now()
+        if isinstance(reason, _sends.SendDeniedError):
+            return verdicts.NotRun(code=reason.code)
         if not reason.was_sent:
             self.endpoint.health.mark_unreachable(now)
             return verdicts.NotRun(code=reason.code)
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -242,6 +242,20 @@
             endpoint_id: The endpoint that the request was meant for.
         """
 
+    @abc.abstractmethod
+    def decode_notice(
+        self, head: web.ResponseHead, *, endpoint_id: str, request_id: str
+    ) -> dispatch.EndpointNotice:
+        """Returns what an answer says about further requests.
+
+        The answer of another instance, or to another request, says nothing.
+
+        Args:
+            head: Status and headers of the answer.
+            endpoint_id: The endpoint that the request was meant for.
+            request_id: The id of the request, empty if it has none.
+        """
+
     @abc.abstractmethod
     def encode_retry_after(self, seconds: float) -> web.Headers:
         """Returns the headers that tell a caller when to retry."""
--- a/sassafrasstile/forwarding/_control_calls.py
+++ b/sassafrasstile/forwarding/_control_calls.py
@@ -11,6 +11,7 @@
 from sassafrasstile.forwarding import _attempts
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _sends
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
 _ORDER_TIMEOUT_S = 1.0
@@ -36,6 +37,7 @@
     outgoing: _base.OutgoingRequest,
     *,
     timeout_s: float,
+    is_release: bool = False,
     fresh: bool = False,
 ) -> defer.Deferred:
     """Sends a request and reads the complete answer.
@@ -45,24 +47,26 @@
         endpoint: The endpoint.
         outgoing: The request.
         timeout_s: Seconds to wait for the complete answer.
+        is_release: True if it only frees memory at the endpoint.
         fresh: True to open a new connection instead of reusing an idle one.
 
     Returns:
         A Deferred with a `ControlAnswer`. It fails with `web.ExchangeError`
-        or `defer.TimeoutError`.
+        or `defer.TimeoutError`; with `SendDeniedError` if the endpoint wants
+        no requests.
     """
 
     async def exchange() -> ControlAnswer:
         reply: web.Reply | None = None
         try:
-            reply = await context.get_pool(endpoint).send(
-                method=outgoing.method,
-                target=outgoing.target,
-                headers=outgoing.headers,
-                body=outgoing.body,
+            reply = await _sends.send(
+                context,
+                endpoint,
+                outgoing,
+                is_release=is_release,
                 fresh=fresh,
             )
-            head = await reply.read_head()
+            head = await _sends.read_head(context, endpoint, reply)
             body = await reply.read_body()
         finally:
             if reply is not None:
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -14,6 +14,7 @@
 from sassafrasstile.forwarding import _holds
 from sassafrasstile.forwarding import _prefills
 from sassafrasstile.forwarding import _retries
+from sassafrasstile.forwarding import _sends
 from sassafrasstile.forwarding import _streams
 from sassafrasstile.forwarding import _task
 
@@ -49,7 +50,8 @@
             self._release_handle(progress)
         if verdict is not None:
             final = task.decide_verdict(
-                verdict.code, retry_after_s=_NO_ENDPOINT_RETRY_AFTER_S
+                verdict.code,
+                retry_after_s=_NO_ENDPOINT_RETRY_AFTER_S,
             )
             if isinstance(final, verdicts.NotRun):
                 self._context.refusals.record(
@@ -93,6 +95,9 @@
         progress: _streams.Progress,
     ) -> verdicts.Verdict | None:
         """Runs a request on the engines that it was granted."""
+        denial = self._find_denial(grant.decode)
+        if denial is not None:
+            return denial
         if self._holds.is_needed(task, grant):
             hold = await self._holds.take(task, grant)
             if isinstance(hold, verdicts.NotRun):
@@ -118,12 +123,16 @@
             None when the request can be sent to the decode engine, else the
             verdict.
         """
-        if grant.prefill is not None and progress.handle is not None:
-            # The handle expired while the request waited for capacity.
+        if self._is_handle_lost(grant, progress):
             self._release_handle(progress)
             if not _retries.may_prefill_again(self._context, task):
                 return verdicts.NotRun(code=errors.Code.HANDLE_EXPIRED)
+            if grant.prefill is None:
+                return verdicts.NotRun(code=errors.Code.LEAVING)
         if grant.has_remote_prefill and not progress.events:
+            denial = self._find_denial(grant.prefill)
+            if denial is not None:
+                return denial
             progress.handle = await self._prefills.run(task, grant.prefill)
             self.admission.release_prefill(grant)
             if progress.handle is not None and progress.hold is None:
@@ -132,10 +141,27 @@
                 grant
             ):
                 return verdicts.NotRun(code=errors.Code.PREFILL_FAILED)
-        if not grant.decode.accepts_work:
-            # The engine began to drain during the prefill; nothing was sent.
-            return verdicts.NotRun(code=errors.Code.LEAVING)
-        return None
+        # The engine may have begun to drain during the prefill.
+        return self._find_denial(grant.decode)
+
+    def _find_denial(self, engine: dispatch.Endpoint) -> verdicts.NotRun | None:
+        """Returns a verdict if a granted engine takes nothing new by now."""
+        if engine.accepts_work:
+            return None
+        return verdicts.NotRun(code=errors.Code.LEAVING)
+
+    @staticmethod
+    def _is_handle_lost(
+        grant: dispatch.Grant, progress: _streams.Progress
+    ) -> bool:
+        """Returns whether the prefill of an earlier send can't be used."""
+        handle = progress.handle
+        if handle is None:
+            return False
+        # It expired while the request waited for capacity, or its engine
+        # leaves, and a handle there is used at once or not at all.
+        has_expired = grant.prefill is not None
+        return has_expired or handle.endpoint.restrictions.is_leaving
 
     async def _send(
         self,
@@ -181,7 +207,8 @@
             attempt.close()
         if isinstance(result, verdicts.NotRun):
             task.record_not_run(engine)
-            self._handle_refusal(task, engine, progress)
+            if not _sends.is_denial(result):
+                self._handle_refusal(task, engine, progress)
         return result
 
     def _may_prefill_locally(self, grant: dispatch.Grant) -> bool:
--- a/sassafrasstile/forwarding/_holds.py
+++ b/sassafrasstile/forwarding/_holds.py
@@ -11,6 +11,7 @@
 from sassafrasstile import web
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _control_calls
+from sassafrasstile.forwarding import _sends
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
@@ -83,6 +84,8 @@
                 context, endpoint, outgoing, timeout_s=_TIMEOUT_S
             )
             result = self._decode(endpoint, answer, expires_at)
+        except _sends.SendDeniedError as reason:
+            return verdicts.NotRun(code=reason.code)
         except (web.ExchangeError, defer.TimeoutError) as reason:
             self._log(task, endpoint, f"no answer ({reason})")
             endpoint.health.mark_unreachable(context.now())
@@ -143,7 +146,11 @@
             )
 
         releasing = _control_calls.call_endpoint(
-            self._context, hold.endpoint, outgoing, timeout_s=_TIMEOUT_S
+            self._context,
+            hold.endpoint,
+            outgoing,
+            timeout_s=_TIMEOUT_S,
+            is_release=True,
         )
         releasing.addErrback(log_failure)
 
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -10,6 +10,7 @@
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _control_calls
 from sassafrasstile.forwarding import _retries
+from sassafrasstile.forwarding import _sends
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
@@ -97,6 +98,8 @@
     ) -> None:
         """Records that an engine is full, changes its role or is gone."""
         context = self._context
+        if _sends.is_denial(verdict):
+            return
         engine.record_refusal(context.now())
         if _retries.counts_against_budget(verdict):
             context.get_budget(task.service.name).charge(context.now())
@@ -158,6 +161,10 @@
 
         context.metrics.handles_released.inc()
         releasing = _control_calls.call_endpoint(
-            context, handle.endpoint, outgoing, timeout_s=_RELEASE_TIMEOUT_S
+            context,
+            handle.endpoint,
+            outgoing,
+            timeout_s=_RELEASE_TIMEOUT_S,
+            is_release=True,
         )
         releasing.addErrback(log_failure)
--- /dev/null
+++ b/sassafrasstile/forwarding/tests/test_sends.py
@@ -0,0 +1,82 @@
+import random
+import types
+import unittest
+
+from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile import forwarding
+from sassafrasstile import telemetry
+from sassafrasstile import testing
+from sassafrasstile.forwarding import _sends
+
+_REQUEST = forwarding.OutgoingRequest(method=b"POST", target=b"/")
+_LEAVING = dispatch.EndpointNotice(is_leaving=True)
+
+
+class _Pool:
+    """A pool whose connection is ready after something has happened."""
+
+    def __init__(self, happen=lambda: None):
+        self.happen = happen
+        self.sends = 0
+
+    async def send(self, *, on_send, **_fields):
+        self.happen()
+        on_send()
+        self.sends += 1
+
+
+class SendTest(unittest.TestCase):
+    """Every request to an endpoint asks for permission."""
+
+    def setUp(self):
+        table = dispatch.EndpointTable(silence_timeout_s=1.0)
+        table.update_record("e0", testing.make_endpoint_record("e0"))
+        (self.endpoint,) = table.list_all()
+        self.pool = _Pool()
+        self.metrics = telemetry.RouterMetrics()
+        self.context = types.SimpleNamespace(
+            now=lambda: 0.0,
+            metrics=self.metrics,
+            get_pool=lambda _endpoint: self.pool,
+            generator=random.Random(1),
+        )
+
+    def restrict(self, notice):
+        self.endpoint.restrictions.apply(notice)
+
+    def send(self, **fields):
+        testing.run(
+            lambda: _sends.send(self.context, self.endpoint, _REQUEST, **fields)
+        )
+
+    def check_denied(self, code, **fields):
+        with self.assertRaises(_sends.SendDeniedError) as raised:
+            self.send(**fields)
+        self.assertEqual(raised.exception.code, code)
+        self.assertFalse(raised.exception.was_sent)
+        self.assertEqual(self.pool.sends, 0)
+
+    def test_restricted_endpoint_is_sent_nothing(self):
+        self.restrict(_LEAVING)
+        self.check_denied(errors.Code.LEAVING)
+
+    def test_leaving_endpoint_may_be_told_to_free_memory(self):
+        self.restrict(_LEAVING)
+        self.send(is_release=True)
+        self.assertEqual(self.pool.sends, 1)
+
+    # The permission was looked at only before the connection was opened.
+    def test_notice_that_comes_while_the_connection_is_opened_counts(self):
+        self.pool.happen = lambda: self.restrict(_LEAVING)
+        sent = []
+        self.check_denied(
+            errors.Code.LEAVING, on_send=lambda: sent.append(True)
+        )
+        self.assertEqual(sent, [])
+
+    def test_denied_sends_are_counted(self):
+        self.restrict(_LEAVING)
+        self.check_denied(errors.Code.LEAVING)
+        counter = self.metrics.sends_denied.labels(errors.Code.LEAVING)
+        self.assertEqual(counter._value.get(), 1)
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -2,6 +2,7 @@
 
 import json
 
+from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import forwarding
 from sassafrasstile import membership
@@ -11,6 +12,7 @@
 from sassafrasstile.platform import _names
 
 _MISDIRECTED = 421
+_IS_LEAVING = b"1"
 # Priority of the least urgent requests that engines accept; 0 is the most
 # urgent.
 _LOWEST_PRIORITY = 9
@@ -279,6 +281,21 @@
             instance is not None and instance.decode("latin-1") != endpoint_id
         )
 
+    def decode_notice(
+        self, head: web.ResponseHead, *, endpoint_id: str, request_id: str
+    ) -> dispatch.EndpointNotice:
+        """Returns what an answer says about further requests."""
+        echoed = head.get(_names.REQUEST_ID.lower())
+        is_foreign = echoed is not None and (
+            echoed.decode("latin-1") != request_id
+        )
+        if is_foreign or self.names_other_instance(
+            head, endpoint_id=endpoint_id
+        ):
+            return dispatch.EndpointNotice()
+        is_leaving = _IS_LEAVING in head.list_values(_names.LEAVING.lower())
+        return dispatch.EndpointNotice(is_leaving=is_leaving)
+
     def encode_retry_after(self, seconds: float) -> web.Headers:
         """Returns the headers that tell a caller when to retry."""
         return [(_names.RETRY_AFTER, f"{seconds:.3f}".encode())]
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -40,6 +40,7 @@
 NOT_EXECUTED = b"X-Not-Executed"
 INSTANCE_ID = b"X-Instance-Id"
 RETRY_AFTER = b"Retry-After"
+LEAVING = b"Server-Leaving"
 
 # Paths and values in calls to endpoints.
 HANDLE_PATH = b"/sassafrasstile/kv-handle/"
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -121,6 +121,7 @@
         self._admission_call: interfaces.IDelayedCall | None = None
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
+        metrics.endpoints_leaving.set_function(self._endpoints.count_leaving)
 
     def _make_context(self, codec) -> forwarding.ForwardingContext:
         placement = dispatch.Placement(
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -98,6 +98,17 @@
         self.probes = self._make_counter(
             "probes", "Probes of unreachable endpoints."
         )
+        self.drain_notices = self._make_counter(
+            "drain_notices", "Endpoints that announced that they leave."
+        )
+        self.sends_denied = self._make_counter(
+            "sends_denied",
+            "Requests not sent, since the endpoint wants none, by reason.",
+            ("reason",),
+        )
+        self.endpoints_leaving = self._make_gauge(
+            "endpoints_leaving", "Endpoints that have announced to leave."
+        )
         self.store_calls = self._make_counter(
             "store_calls", "Calls to the store by outcome.", ("outcome",)
         )
@@ -125,3 +136,8 @@
             labels,
             registry=self.registry,
         )
+
+    def _make_gauge(self, name: str, description: str):
+        return prometheus_client.Gauge(
+            f"sassafrasstile_{name}", description, registry=self.registry
+        )
--- a/sassafrasstile/web/_pool.py
+++ b/sassafrasstile/web/_pool.py
@@ -64,7 +64,8 @@
             headers: The headers without Content-Length and hop-by-hop headers.
             body: The body.
             fresh: True to open a new connection rather than reuse one.
-            on_send: Called just before the first byte is written.
+            on_send: Called just before the first byte is written. If it
+                raises an error, nothing is sent.
 
         Returns:
             The reply, before any of it has arrived.
@@ -75,7 +76,11 @@
         connection = None if fresh else self._pop_idle()
         if connection is None:
             connection = await self._connect()
-        on_send()
+        try:
+            on_send()
+        except _reply.ExchangeError:
+            self._keep(connection)
+            raise
         return connection.send(
             method=method, target=target, headers=headers, body=body
         )
@@ -117,6 +122,7 @@
                 detail=f"{self._address}: {reason}",
                 was_sent=False,
             ) from reason
+        connection.idle_since = self._reactor.seconds()
         self._connections.add(connection)
         self.opened_count += 1
         return connection
@@ -129,11 +135,15 @@
         )
 
     def _add_idle(self, connection: _connection.HttpConnection) -> None:
+        connection.idle_since = self._reactor.seconds()
+        self._keep(connection)
+
+    def _keep(self, connection: _connection.HttpConnection) -> None:
+        """Keeps an idle connection for a later request."""
         if self._closed:
             connection.abort()
-            return
-        connection.idle_since = self._reactor.seconds()
-        self._idle.append(connection)
+        else:
+            self._idle.append(connection)
 
     def _remove(self, connection: _connection.HttpConnection) -> None:
         self._connections.discard(connection)
--- a/sassafrasstile/web/_reply.py
+++ b/sassafrasstile/web/_reply.py
@@ -36,6 +36,14 @@
                 return value
         return None
 
+    def list_values(self, name: bytes) -> list[bytes]:
+        """Returns every value of a header.
+
+        Args:
+            name: The name, in lower case.
+        """
+        return [value for key, value in self.headers if key == name]
+
 
 class ExchangeError(errors.Error):
     """A request to a server got no complete response.
