Send nothing to an endpoint for the time that it asks for

What callers saw: an endpoint refuses with Retry-After, and the gateway sends it further requests, holds, prompts and probes a tenth of a second later; their refusals use up the retry budget, and callers wait or are told to come back in half a second when nothing can serve them for many.

Cause: the Retry-After of an endpoint wasn't read.

It is kept with the drain notice, in the restrictions of the endpoint's incarnation, and denies every send, releases included. Only status 503 with the request's own id and from no other instance counts, at most 60 s (a mistaken value must not take an endpoint away for good). Each gateway begins up to a tenth of the time later, at random. Where all endpoints of a service back off, calls and generations that can't outwait it are refused at once, with the time until the first is back. Engines that back off get no role orders.

Ruled out: passing the endpoint's value on to callers, who may be served by another endpoint; ending a back-off early with a probe, since an endpoint that wants quiet would be asked for nothing.

--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -13,6 +13,7 @@
 from sassafrasstile.dispatch._queue import GenerationQueue, Waiter
 from sassafrasstile.dispatch._refusals import RefusalMemory
 from sassafrasstile.dispatch._restrictions import (
+    MAX_BACKOFF_S,
     EndpointNotice,
     RestrictionChange,
     SendRestrictions,
@@ -26,6 +27,7 @@
     "GenerationQueue",
     "Grant",
     "Health",
+    "MAX_BACKOFF_S",
     "OutputLengthEstimator",
     "Placement",
     "RefusalMemory",
--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Mapping
 import dataclasses
 
+from sassafrasstile import errors
 from sassafrasstile import membership
 from sassafrasstile import peers
 from sassafrasstile.dispatch import _base
@@ -103,6 +104,12 @@
         is_ending = self.is_removed or self.restrictions.is_leaving
         return is_ready and not is_ending
 
+    def find_denial(self, now: float) -> errors.Code | None:
+        """Returns why it may not be sent new work now, or None if it may."""
+        if not self.accepts_work:
+            return errors.Code.LEAVING
+        return self.restrictions.find_denial(now)
+
     def has_own_load(self, now: float) -> bool:
         """Returns whether there is anything to report about it."""
         return bool(
@@ -127,6 +134,8 @@
         """Returns whether it is neither in backoff nor changing its role."""
         if now < self.backoff_until or now < self.role_change_until:
             return False
+        if self.restrictions.is_backing_off(now):
+            return False
         return not self.peer_total.changing
 
     def set_peer_load(
@@ -233,7 +242,7 @@
 
     def _remember_restrictions(self, former: Endpoint | None) -> None:
         """Keeps what an endpoint has asked, since its record may return."""
-        if former is None or not former.restrictions.is_leaving:
+        if former is None or not former.restrictions.were_asked:
             return
         self._former[former.name] = _Former(
             started_ms=former.record.started_ms,
@@ -356,8 +365,8 @@
         """Returns the endpoints that may take new work.
 
         If none is reachable, the unreachable ones are returned: they may
-        have recovered, and there is no better choice. Those that leave are
-        never returned.
+        have recovered, and there is no better choice. Those that leave or
+        have asked for a back-off are never returned.
 
         Args:
             service: The required service.
@@ -370,7 +379,7 @@
             for item in self._endpoints.values()
             if item.record.service == service
             and item.record.role is role
-            and item.accepts_work
+            and item.find_denial(now) is None
             and item not in excluded
         ]
         reachable = [item for item in ready if item.health.is_reachable(now)]
@@ -381,11 +390,40 @@
         return [
             item
             for item in self._endpoints.values()
-            if item.health.needs_probe(now) and not item.restrictions.is_leaving
+            if item.health.needs_probe(now)
+            and item.restrictions.find_denial(now) is None
+        ]
+
+    def measure_backoff_s(
+        self, *, service: str, role: membership.Role, now: float
+    ) -> float:
+        """Returns the seconds until the first back-off of a service ends.
+
+        It is zero if an endpoint takes requests now, or if all of them leave.
+
+        Args:
+            service: The service.
+            role: The role of its endpoints.
+            now: The time in seconds.
+        """
+        ends = [
+            item.restrictions.backoff_until
+            for item in self._endpoints.values()
+            if item.record.service == service
+            and item.record.role is role
+            and item.accepts_work
         ]
+        return max(0.0, min(ends, default=now) - now)
 
     def count_leaving(self) -> int:
         """Returns the number of endpoints that have announced to leave."""
         return sum(
             item.restrictions.is_leaving for item in self._endpoints.values()
         )
+
+    def count_backing_off(self, now: float) -> int:
+        """Returns the number of endpoints that have asked for a back-off."""
+        return sum(
+            item.restrictions.is_backing_off(now)
+            for item in self._endpoints.values()
+        )
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -132,6 +132,12 @@
             for item in self._endpoints.list_all()
         )
 
+    def measure_decode_backoff_s(self, service: str, now: float) -> float:
+        """Returns the seconds until a decode engine ends its back-off."""
+        return self._endpoints.measure_backoff_s(
+            service=service, role=membership.Role.DECODE, now=now
+        )
+
     def choose_for_generation(
         self,
         *,
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -191,11 +191,15 @@
     def expire(self, now: float) -> list[Waiter]:
         """Removes and returns waiters that can't expect capacity in time."""
         rate = self.measure_rate(now)
+        backoffs_s = self._measure_backoffs(now)
         expired = []
         ahead = 0
         for waiter in self._sort(now):
             wait_s = ahead / rate
-            if self._should_expire(waiter, wait_s, now):
+            resumes_at = now + backoffs_s[waiter.service.name]
+            if resumes_at >= waiter.wait_deadline or self._should_expire(
+                waiter, wait_s, now
+            ):
                 expired.append(waiter)
             else:
                 ahead += 1
@@ -203,6 +207,14 @@
             self._waiters.remove(waiter)
         return expired
 
+    def _measure_backoffs(self, now: float) -> dict[str, float]:
+        """Returns the seconds until an engine takes requests, by service."""
+        services = {item.service.name for item in self._waiters}
+        return {
+            service: self._placement.measure_decode_backoff_s(service, now)
+            for service in services
+        }
+
     def measure_rate(self, now: float) -> float:
         """Returns the recent admission rate per second."""
         while self._admitted_at and self._admitted_at[0] < now - _RATE_WINDOW_S:
--- a/sassafrasstile/dispatch/_restrictions.py
+++ b/sassafrasstile/dispatch/_restrictions.py
@@ -4,6 +4,13 @@
 
 from sassafrasstile import errors
 
+# The longest back-off that an endpoint gets. A mistaken value must not take it
+# out of service for good.
+MAX_BACKOFF_S = 60.0
+# Requests begin again up to this share of a back-off after its end, so that
+# the gateways don't all send theirs at the same time.
+_RESUMPTION_SPREAD_SHARE = 0.1
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EndpointNotice:
@@ -12,9 +19,14 @@
     Attributes:
         is_leaving: True if it is a drain notice: the endpoint takes nothing
             new.
+        backoff_s: Seconds for which the endpoint wants no requests, or None.
+        unreadable_backoff: A back-off that isn't a number of seconds, or an
+            empty string.
     """
 
     is_leaving: bool = False
+    backoff_s: float | None = None
+    unreadable_backoff: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -23,9 +35,14 @@
 
     Attributes:
         begins_leaving: True if it is the first drain notice.
+        backoff_s: Seconds until the new end of the back-off, or None if the
+            end is unchanged.
+        is_first_unreadable: True if it is the first unreadable back-off.
     """
 
     begins_leaving: bool = False
+    backoff_s: float | None = None
+    is_first_unreadable: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -36,20 +53,77 @@
 
     Attributes:
         is_leaving: True from the first drain notice on.
+        backoff_until: End of the back-off that the endpoint has asked for, in
+            seconds.
+        had_unreadable_backoff: True once it sent a back-off that isn't a
+            number of seconds.
+
+    >>> restrictions = SendRestrictions()
+    >>> change = restrictions.apply(
+    ...     EndpointNotice(backoff_s=2.0), now=10.0, spread=0.5
+    ... )
+    >>> restrictions.find_denial(12.0), restrictions.find_denial(12.2)
+    (<Code.ENDPOINT_BACKOFF: 'endpoint_backoff'>, None)
     """
 
     is_leaving: bool = False
+    backoff_until: float = float("-inf")
+    had_unreadable_backoff: bool = False
 
-    def apply(self, notice: EndpointNotice) -> RestrictionChange:
-        """Applies a notice; it never ends an earlier one.
+    def apply(
+        self, notice: EndpointNotice, *, now: float, spread: float
+    ) -> RestrictionChange:
+        """Applies a notice; it never ends or shortens an earlier one.
 
         Args:
             notice: The notice.
+            now: The time in seconds.
+            spread: A random number from 0 to 1 that spreads the end of the
+                back-off.
         """
         begins_leaving = notice.is_leaving and not self.is_leaving
         self.is_leaving = self.is_leaving or notice.is_leaving
-        return RestrictionChange(begins_leaving=begins_leaving)
-
-    def find_denial(self) -> errors.Code | None:
+        is_unreadable = bool(notice.unreadable_backoff)
+        is_first_unreadable = is_unreadable and not self.had_unreadable_backoff
+        self.had_unreadable_backoff |= is_unreadable
+        return RestrictionChange(
+            begins_leaving=begins_leaving,
+            backoff_s=self._extend(notice.backoff_s, now, spread),
+            is_first_unreadable=is_first_unreadable,
+        )
+
+    def _extend(
+        self, asked_s: float | None, now: float, spread: float
+    ) -> float | None:
+        if not asked_s:
+            return None
+        backoff_s = min(asked_s, MAX_BACKOFF_S)
+        backoff_s += _RESUMPTION_SPREAD_SHARE * spread * backoff_s
+        if now + backoff_s <= self.backoff_until:
+            return None
+        self.backoff_until = now + backoff_s
+        return backoff_s
+
+    @property
+    def were_asked(self) -> bool:
+        """True if the endpoint has asked for anything yet."""
+        return self.is_leaving or self.backoff_until > float("-inf")
+
+    def is_backing_off(self, now: float) -> bool:
+        """Returns whether the endpoint wants nothing at all for now."""
+        return now < self.backoff_until
+
+    def find_denial(self, now: float) -> errors.Code | None:
         """Returns why it may not be sent a request now, or None if it may."""
-        return errors.Code.LEAVING if self.is_leaving else None
+        if self.is_leaving:
+            return errors.Code.LEAVING
+        return self.find_release_denial(now)
+
+    def find_release_denial(self, now: float) -> errors.Code | None:
+        """Returns why it may not be told now to free memory, or None.
+
+        What a leaving endpoint frees serves the streams that still run there.
+        """
+        if self.is_backing_off(now):
+            return errors.Code.ENDPOINT_BACKOFF
+        return None
--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -59,6 +59,7 @@
     ENDPOINT_FULL = "endpoint_full"
     ENDPOINT_REPLACED = "endpoint_replaced"
     ENDPOINT_SILENT = "endpoint_silent"
+    ENDPOINT_BACKOFF = "endpoint_backoff"
     BAD_ANSWER = "bad_answer"
     CALLER_GONE = "caller_gone"
     STORE_UNAVAILABLE = "store_unavailable"
--- a/sassafrasstile/forwarding/_calls.py
+++ b/sassafrasstile/forwarding/_calls.py
@@ -4,6 +4,7 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
+from sassafrasstile import membership
 from sassafrasstile import verdicts
 from sassafrasstile import web
 from sassafrasstile.forwarding import _answers
@@ -147,7 +148,12 @@
         )
 
     def _fail(self, task: _task.RequestTask, code: errors.Code) -> None:
+        backoff_s = self._context.endpoints.measure_backoff_s(
+            service=task.service.name,
+            role=membership.Role.PLAIN,
+            now=self._context.now(),
+        )
         verdict = task.decide_verdict(
-            code, retry_after_s=_NO_ENDPOINT_RETRY_AFTER_S
+            code, retry_after_s=max(_NO_ENDPOINT_RETRY_AFTER_S, backoff_s)
         )
         _answers.fail_task(self._context, task, verdict)
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -49,9 +49,12 @@
         finally:
             self._release_handle(progress)
         if verdict is not None:
+            backoff_s = self._context.placement.measure_decode_backoff_s(
+                task.service.name, self._context.now()
+            )
             final = task.decide_verdict(
                 verdict.code,
-                retry_after_s=_NO_ENDPOINT_RETRY_AFTER_S,
+                retry_after_s=max(_NO_ENDPOINT_RETRY_AFTER_S, backoff_s),
             )
             if isinstance(final, verdicts.NotRun):
                 self._context.refusals.record(
@@ -146,9 +149,8 @@
 
     def _find_denial(self, engine: dispatch.Endpoint) -> verdicts.NotRun | None:
         """Returns a verdict if a granted engine takes nothing new by now."""
-        if engine.accepts_work:
-            return None
-        return verdicts.NotRun(code=errors.Code.LEAVING)
+        code = engine.find_denial(self._context.now())
+        return None if code is None else verdicts.NotRun(code=code)
 
     @staticmethod
     def _is_handle_lost(
@@ -229,7 +231,8 @@
         used_share = engine.total_reserved_tokens / capacity
         handle = progress.handle
         engine.record_refusal(now)
-        if handle is None or used_share >= _FULL_SHARE:
+        is_shedding = engine.restrictions.find_denial(now) is not None
+        if handle is None or is_shedding or used_share >= _FULL_SHARE:
             return
         progress.unexplained_refusals += 1
         if progress.unexplained_refusals <= 1:
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -18,6 +18,7 @@
         errors.Code.ENDPOINT_UNREACHABLE,
         errors.Code.ENDPOINT_FULL,
         errors.Code.LEAVING,
+        errors.Code.ENDPOINT_BACKOFF,
     )
 )
 
--- a/sassafrasstile/forwarding/_sends.py
+++ b/sassafrasstile/forwarding/_sends.py
@@ -1,7 +1,7 @@
 """The only way to an endpoint: each request asks for permission here.
 
 Every answer is looked at here, too, since an endpoint announces in any of them
-that it leaves.
+that it leaves or that it wants no requests for a while.
 """
 
 from collections.abc import Callable
@@ -15,6 +15,7 @@
 from sassafrasstile.forwarding import _context
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
+_DENIALS = frozenset((errors.Code.LEAVING, errors.Code.ENDPOINT_BACKOFF))
 
 
 class SendDeniedError(web.ExchangeError):
@@ -30,10 +31,7 @@
 
 def is_denial(verdict: verdicts.Verdict) -> bool:
     """Returns whether a verdict says that a send was not permitted."""
-    return (
-        isinstance(verdict, verdicts.NotRun)
-        and verdict.code == errors.Code.LEAVING
-    )
+    return isinstance(verdict, verdicts.NotRun) and verdict.code in _DENIALS
 
 
 async def send(
@@ -64,8 +62,12 @@
     """
 
     def check() -> None:
-        denial = endpoint.restrictions.find_denial()
-        if denial is not None and not is_release:
+        restrictions = endpoint.restrictions
+        find = restrictions.find_denial
+        if is_release:
+            find = restrictions.find_release_denial
+        denial = find(context.now())
+        if denial is not None:
             context.metrics.sends_denied.labels(denial).inc()
             raise SendDeniedError(code=denial, endpoint=endpoint)
 
@@ -107,14 +109,17 @@
     notice = context.codec.decode_notice(
         head, endpoint_id=endpoint.name, request_id=request_id
     )
-    change = endpoint.restrictions.apply(notice)
-    _record(context, endpoint, change, request_id)
+    change = endpoint.restrictions.apply(
+        notice, now=context.now(), spread=context.generator.random()
+    )
+    _record(context, endpoint, notice, change, request_id)
     return head
 
 
 def _record(
     context: _context.ForwardingContext,
     endpoint: dispatch.Endpoint,
+    notice: dispatch.EndpointNotice,
     change: dispatch.RestrictionChange,
     request_id: str,
 ) -> None:
@@ -125,3 +130,22 @@
         _LOG.info(
             "notice: endpoint %s is leaving.", endpoint.name, extra=fields
         )
+    if change.backoff_s is not None:
+        context.metrics.backoffs_asked.inc()
+        _LOG.info(
+            "notice: endpoint %s asks for a back-off of %.3f s.",
+            endpoint.name,
+            notice.backoff_s,
+            extra={
+                **fields,
+                "asked_s": notice.backoff_s,
+                "backoff_s": round(change.backoff_s, 3),
+            },
+        )
+    if change.is_first_unreadable:
+        _LOG.warning(
+            "notice: endpoint %s asks for an unreadable back-off: %s.",
+            endpoint.name,
+            notice.unreadable_backoff,
+            extra=fields,
+        )
--- a/sassafrasstile/forwarding/tests/test_sends.py
+++ b/sassafrasstile/forwarding/tests/test_sends.py
@@ -11,6 +11,7 @@
 
 _REQUEST = forwarding.OutgoingRequest(method=b"POST", target=b"/")
 _LEAVING = dispatch.EndpointNotice(is_leaving=True)
+_BACKOFF = dispatch.EndpointNotice(backoff_s=2.0)
 
 
 class _Pool:
@@ -43,7 +44,7 @@
         )
 
     def restrict(self, notice):
-        self.endpoint.restrictions.apply(notice)
+        self.endpoint.restrictions.apply(notice, now=0.0, spread=0.0)
 
     def send(self, **fields):
         testing.run(
@@ -61,17 +62,20 @@
         self.restrict(_LEAVING)
         self.check_denied(errors.Code.LEAVING)
 
-    def test_leaving_endpoint_may_be_told_to_free_memory(self):
+    def test_only_a_backoff_denies_releases(self):
         self.restrict(_LEAVING)
         self.send(is_release=True)
         self.assertEqual(self.pool.sends, 1)
+        self.pool.sends = 0
+        self.restrict(_BACKOFF)
+        self.check_denied(errors.Code.ENDPOINT_BACKOFF, is_release=True)
 
     # The permission was looked at only before the connection was opened.
     def test_notice_that_comes_while_the_connection_is_opened_counts(self):
-        self.pool.happen = lambda: self.restrict(_LEAVING)
+        self.pool.happen = lambda: self.restrict(_BACKOFF)
         sent = []
         self.check_denied(
-            errors.Code.LEAVING, on_send=lambda: sent.append(True)
+            errors.Code.ENDPOINT_BACKOFF, on_send=lambda: sent.append(True)
         )
         self.assertEqual(sent, [])
 
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -1,6 +1,7 @@
 """Encodes requests to endpoints and decodes requests and responses."""
 
 import json
+import re
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
@@ -12,7 +13,11 @@
 from sassafrasstile.platform import _names
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _IS_LEAVING = b"1"
+_SECONDS = re.compile(rb"\d+\.?\d*|\.\d+")
+# Longer texts are cut before they are logged.
+_MAX_TEXT_CHARS = 40
 # Priority of the least urgent requests that engines accept; 0 is the most
 # urgent.
 _LOWEST_PRIORITY = 9
@@ -55,6 +60,18 @@
         ) from reason
 
 
+def _read_backoff(values: list[bytes]) -> tuple[float | None, str]:
+    """Returns the longest back-off among values, and an unreadable one."""
+    backoff_s = None
+    unreadable = ""
+    for text in b",".join(values).split(b",") if values else ():
+        if _SECONDS.fullmatch(text.strip()):
+            backoff_s = max(backoff_s or 0.0, float(text))
+        else:
+            unreadable = repr(text.decode("latin-1")[:_MAX_TEXT_CHARS])
+    return backoff_s, unreadable
+
+
 class PlatformCodec(forwarding.EndpointCodec):
     """Implements the platform's protocol between gateways and endpoints."""
 
@@ -294,7 +311,16 @@
         ):
             return dispatch.EndpointNotice()
         is_leaving = _IS_LEAVING in head.list_values(_names.LEAVING.lower())
-        return dispatch.EndpointNotice(is_leaving=is_leaving)
+        if head.status != _UNAVAILABLE or (request_id and echoed is None):
+            return dispatch.EndpointNotice(is_leaving=is_leaving)
+        backoff_s, unreadable = _read_backoff(
+            head.list_values(_names.RETRY_AFTER.lower())
+        )
+        return dispatch.EndpointNotice(
+            is_leaving=is_leaving,
+            backoff_s=backoff_s,
+            unreadable_backoff=unreadable,
+        )
 
     def encode_retry_after(self, seconds: float) -> web.Headers:
         """Returns the headers that tell a caller when to retry."""
--- a/sassafrasstile/roles/_manager.py
+++ b/sassafrasstile/roles/_manager.py
@@ -169,8 +169,12 @@
                 for engine, pending in self._pending.items()
             },
             prefill_share=self._prefill_share,
+            excluded=[item for item in own if not self._takes_orders(item)],
         )
 
+    def _takes_orders(self, engine: dispatch.Endpoint) -> bool:
+        return engine.find_denial(self._reactor.seconds()) is None
+
     async def _handle_order(self, order: _base.RoleOrder) -> None:
         """Sends an order, or tries to acquire the lease first."""
         if not self._lease.is_held:
@@ -180,6 +184,8 @@
         if self._orders_allowed_at is None or now < self._orders_allowed_at:
             return
         fencing_token = await self._lease.acquire()
+        if not self._takes_orders(order.engine):
+            return
         self._pending[order.engine] = _PendingChange(
             role=order.role, expires_at=now + _PENDING_TIMEOUT_S
         )
--- a/sassafrasstile/roles/_plan.py
+++ b/sassafrasstile/roles/_plan.py
@@ -1,6 +1,6 @@
 """Chooses the engine that should change its role next."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 import math
 
 from sassafrasstile import dispatch
@@ -18,6 +18,7 @@
     *,
     pending_roles: Mapping[dispatch.Endpoint, membership.Role],
     prefill_share: float,
+    excluded: Collection[dispatch.Endpoint] = (),
 ) -> _base.RoleOrder | None:
     """Returns the order that brings the roles closer to the wanted share.
 
@@ -28,6 +29,7 @@
         engines: The engines of one service that accept work.
         pending_roles: The roles that some of them have been ordered to take.
         prefill_share: The share of engines that should prefill.
+        excluded: Engines that take no orders now.
 
     Returns:
         The order, or None when no role should change now.
@@ -46,7 +48,11 @@
         candidates, role = decodes, membership.Role.PREFILL
     else:
         return None
-    candidates = [item for item in candidates if item not in pending_roles]
+    candidates = [
+        item
+        for item in candidates
+        if item not in pending_roles and item not in excluded
+    ]
     if not candidates:
         return None
     return _base.RoleOrder(engine=_choose_least_loaded(candidates), role=role)
--- a/sassafrasstile/roles/tests/test_lease.py
+++ b/sassafrasstile/roles/tests/test_lease.py
@@ -66,6 +66,7 @@
         self.clock = task.Clock()
         self.store = _Store()
         self.orders = []
+        self.ordered_engines = []
         self.live = {"a": {"b"}, "b": {"a"}}
         self.endpoints = dispatch.EndpointTable(silence_timeout_s=1.0)
         for number in range(9):
@@ -95,6 +96,7 @@
     def start(self, name):
         def send(order, fencing_token):
             self.orders.append((self.clock.seconds(), name, fencing_token))
+            self.ordered_engines.append(order.engine)
             return defer.succeed(True)
 
         manager = roles.RoleManager(
@@ -185,3 +187,44 @@
         self.advance(15.0)
         self.assertTrue(self.orders)
         self.check_fencing_tokens()
+
+    # Engines that had asked for a back-off, or leave, got orders.
+    def test_restricted_engines_get_no_orders(self):
+        engines = self.endpoints.list_all()
+        for engine in engines[3:6]:
+            engine.restrictions.apply(
+                dispatch.EndpointNotice(backoff_s=50.0), now=0.0, spread=0.0
+            )
+        leaving = dispatch.EndpointNotice(is_leaving=True)
+        engines[2].restrictions.apply(leaving, now=0.0, spread=0.0)
+        self.start("a")
+        self.advance(20.0)
+        ordered = {engine.name for engine in self.ordered_engines}
+        self.assertEqual(ordered, {"e0", "e1"})
+
+    # An engine that asked for a back-off during the renewal got the order.
+    def test_engine_is_looked_at_again_after_the_renewal(self):
+        put = self.store.put
+
+        def restrict_and_put(*arguments, **fields):
+            for engine in self.endpoints.list_all():
+                engine.restrictions.apply(
+                    dispatch.EndpointNotice(backoff_s=50.0),
+                    now=self.clock.seconds(),
+                    spread=0.0,
+                )
+            return put(*arguments, **fields)
+
+        self.start("a")
+        while not self.orders:
+            self.advance(0.25)
+        self.store.put = restrict_and_put
+        before = len(self.orders)
+        self.advance(15.0)
+        self.assertEqual(len(self.orders), before)
+        unused = [
+            item
+            for item in self.endpoints.list_all()
+            if item.role_change_until and item not in self.ordered_engines
+        ]
+        self.assertEqual(unused, [])
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -122,6 +122,9 @@
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
         metrics.endpoints_leaving.set_function(self._endpoints.count_leaving)
+        metrics.endpoints_backing_off.set_function(
+            lambda: self._endpoints.count_backing_off(self._now())
+        )
 
     def _make_context(self, codec) -> forwarding.ForwardingContext:
         placement = dispatch.Placement(
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -101,6 +101,9 @@
         self.drain_notices = self._make_counter(
             "drain_notices", "Endpoints that announced that they leave."
         )
+        self.backoffs_asked = self._make_counter(
+            "backoffs_asked", "Back-offs begun or extended by endpoints."
+        )
         self.sends_denied = self._make_counter(
             "sends_denied",
             "Requests not sent, since the endpoint wants none, by reason.",
@@ -109,6 +112,10 @@
         self.endpoints_leaving = self._make_gauge(
             "endpoints_leaving", "Endpoints that have announced to leave."
         )
+        self.endpoints_backing_off = self._make_gauge(
+            "endpoints_backing_off",
+            "Endpoints that want no requests for a while.",
+        )
         self.store_calls = self._make_counter(
             "store_calls", "Calls to the store by outcome.", ("outcome",)
         )
