Fault soak: endpoints leave and shed load, and check what they are sent

Endpoints announce in their answers that they leave while the store's record says ready, and are replaced after two to four seconds; or they refuse all with Retry-After of one to four seconds, one in ten of them unreadable. What each was sent afterwards is checked by gateway: no request that a caller sent over a second after a drain notice (half of what the platform allows), and at most two from half a second after a refusal to the end of the back-off. Gateways and links that were disturbed meanwhile are excused. The notices have random numbers of their own, so that seeds keep the faults that they have.

Gateways that ignore one kind of notice are caught (faults other than notices off, one gateway, 10 s).

--- a/sassafrasstile/faultsoak/__init__.py
+++ b/sassafrasstile/faultsoak/__init__.py
@@ -4,9 +4,10 @@
 
 Each gateway is a separate process that speaks the platform's protocol;
 stand-ins, loopback proxies and callers run in this process. Signals stop,
-suspend and kill the gateways, connections are reset, delayed or silenced, and
-endpoints and the store fail. Answers and executions are checked against the
-guarantees of the router.
+suspend and kill the gateways, connections are reset, delayed or silenced,
+endpoints and the store fail, and endpoints announce that they leave or ask for
+a back-off. Answers, executions and what endpoints were sent are checked against
+the guarantees of the router.
 """
 
 from sassafrasstile.faultsoak._run import SoakReport, SoakRun
--- a/sassafrasstile/faultsoak/_callers.py
+++ b/sassafrasstile/faultsoak/_callers.py
@@ -24,12 +24,16 @@
     Attributes:
         kind: The route: `once` for an unsafe call, `again` for a safe one,
             which may be retried, or `gen` for a generation.
+        gateway: The name of the gateway that it was sent to.
+        sent_at: When it was sent, in seconds.
         status: The HTTP status, or zero without an answer.
         is_complete: True when the answer was complete.
         has_disconnected: True when the caller disconnected before the end.
     """
 
     kind: str
+    gateway: str = ""
+    sent_at: float = 0.0
     status: int = 0
     is_complete: bool = False
     has_disconnected: bool = False
@@ -92,7 +96,10 @@
     async def _exchange(
         self, request_id: str, outcome: Outcome
     ) -> testing.RawAnswer:
-        caller = await self._connect(self._generator.choice(self._gateways))
+        gateway = self._generator.choice(self._gateways)
+        caller = await self._connect(gateway)
+        outcome.gateway = gateway.name
+        outcome.sent_at = self._reactor.seconds()
         caller.send(
             testing.make_request(
                 f"/{outcome.kind}/",
--- a/sassafrasstile/faultsoak/_endpoints.py
+++ b/sassafrasstile/faultsoak/_endpoints.py
@@ -5,8 +5,14 @@
 import random
 
 from sassafrasstile import standins
+from sassafrasstile.faultsoak import _notice_log
 
 _HANDLE = "h"
+_MIN_BACKOFF_S = 1.0
+_MAX_BACKOFF_S = 4.0
+# One in this many back-offs can't be read.
+_UNREADABLE_SHARE = 0.1
+_HEAD_START = b"HTTP/1.1 "
 
 
 class ExecutionLog:
@@ -28,6 +34,13 @@
         execution_log: Counts the executions.
         generator: The random number generator.
         stage: `prefill`, `decode`, or None for a plain service.
+        name: The endpoint's name.
+        notices: Records what it announces and what it is sent.
+        notice_generator: The random number generator of its notices.
+
+    Attributes:
+        is_leaving: True while its answers are drain notices.
+        is_shedding: True while it refuses everything and asks for a back-off.
     """
 
     def __init__(
@@ -37,9 +50,18 @@
         execution_log: ExecutionLog,
         generator: random.Random,
         stage: str | None,
+        name: str,
+        notices: _notice_log.NoticeLog,
+        notice_generator: random.Random,
     ):
         self._execution_log = execution_log
         self._generator = generator
+        self._reactor = reactor
+        self._notices = notices
+        self._notice_generator = notice_generator
+        self.name = name
+        self.is_leaving = False
+        self.is_shedding = False
         self.stage = stage
         self.failure_probability = 0.0
         self.server = standins.PlatformEndpoint(
@@ -48,6 +70,60 @@
 
     def _answer(
         self, request: standins.EndpointRequest
+    ) -> standins.EndpointAnswer:
+        if request.request_id:
+            self._notices.arrivals.append(
+                _notice_log.Arrival(
+                    endpoint=self.name,
+                    request_id=request.request_id,
+                    at=self._reactor.seconds(),
+                )
+            )
+        answer = self._shed(request) if self.is_shedding else self._run(request)
+        if self.is_leaving and answer.segments:
+            answer = self._announce_leaving(request, answer)
+        return answer
+
+    def _shed(
+        self, request: standins.EndpointRequest
+    ) -> standins.EndpointAnswer:
+        """Refuses a request and asks for a back-off."""
+        if self._notice_generator.random() < _UNREADABLE_SHARE:
+            return standins.make_refusal(request, retry_after="-1")
+        backoff_s = self._notice_generator.uniform(
+            _MIN_BACKOFF_S, _MAX_BACKOFF_S
+        )
+        now = self._reactor.seconds()
+        self._notices.notices.append(
+            _notice_log.Notice(
+                endpoint=self.name,
+                request_id=request.request_id,
+                at=now,
+                until=now + backoff_s,
+            )
+        )
+        return standins.make_refusal(request, retry_after=f"{backoff_s:.3f}")
+
+    def _announce_leaving(
+        self,
+        request: standins.EndpointRequest,
+        answer: standins.EndpointAnswer,
+    ) -> standins.EndpointAnswer:
+        first = answer.segments[0]
+        if not first.data.startswith(_HEAD_START):
+            return answer
+        self._notices.notices.append(
+            _notice_log.Notice(
+                endpoint=self.name,
+                request_id=request.request_id,
+                at=self._reactor.seconds() + first.after_s,
+                is_leaving=True,
+            )
+        )
+        return standins.announce_leaving(answer)
+
+    def _run(
+        self, request: standins.EndpointRequest
     ) -> standins.EndpointAnswer:
         if request.method == "DELETE" or not request.request_id:
             return standins.make_answer(request, signed=False)
--- a/sassafrasstile/faultsoak/_gateways.py
+++ b/sassafrasstile/faultsoak/_gateways.py
@@ -1,5 +1,6 @@
 """Gateway processes that can be signalled and restarted."""
 
+from collections.abc import Sequence
 import os
 import pathlib
 import signal
@@ -13,6 +14,7 @@
 # Retries that the gateways of a run may add together to their share of the
 # requests.
 _RETRY_SLACK = 52
+PLATFORM_GATEWAY = ("-m", "sassafrasstile.platform")
 
 
 class GatewayProcess:
@@ -22,10 +24,19 @@
         name: The name of the gateway.
         folder: The folder for the settings file and the output.
         store_port: The port of the store or of a proxy in front of it.
+        arguments: The arguments of the interpreter that start it.
     """
 
-    def __init__(self, *, name: str, folder: pathlib.Path, store_port: int):
+    def __init__(
+        self,
+        *,
+        name: str,
+        folder: pathlib.Path,
+        store_port: int,
+        arguments: Sequence[str] = PLATFORM_GATEWAY,
+    ):
         self.name = name
+        self._arguments = arguments
         self.port = testing.pick_port()
         self._ready_port = testing.pick_port()
         self._path = folder / f"{name}.yaml"
@@ -52,7 +63,7 @@
         environment = {**os.environ, "SASSAFRASSTILE_BOOT": str(self._path)}
         with open(self._output, "ab") as output:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "sassafrasstile.platform"],
+                [sys.executable, *self._arguments],
                 env=environment,
                 stdout=output,
                 stderr=output,
--- a/sassafrasstile/faultsoak/_proxy.py
+++ b/sassafrasstile/faultsoak/_proxy.py
@@ -51,14 +51,16 @@
 
     Args:
         reactor: The reactor.
+        name: The target's name.
         host: The target's IP address.
         port: The target's port.
     """
 
     noisy = False
 
-    def __init__(self, *, reactor, host: str, port: int):
+    def __init__(self, *, reactor, name: str, host: str, port: int):
         self._reactor = reactor
+        self.name = name
         self._target = endpoints.TCP4ClientEndpoint(reactor, host, port)
         self._port: interfaces.IListeningPort | None = None
         self.sides: set[_Side] = set()
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -1,6 +1,7 @@
 """Runs gateway processes and callers, and injects faults from a seed."""
 
 import collections
+from collections.abc import Sequence
 import dataclasses
 import pathlib
 import random
@@ -15,6 +16,8 @@
 from sassafrasstile.faultsoak import _callers
 from sassafrasstile.faultsoak import _endpoints
 from sassafrasstile.faultsoak import _gateways
+from sassafrasstile.faultsoak import _notice_faults
+from sassafrasstile.faultsoak import _notice_log
 from sassafrasstile.faultsoak import _proxy
 
 _STARTUP_WAIT_S = 3.0
@@ -35,6 +38,8 @@
         whole: The number of requests with a complete answer.
         statuses: The number of answers by HTTP status; zero means no answer.
         faults: The number of injected faults by name.
+        notices: The number of answers that restricted what their endpoint may
+            be sent.
         violations: The violated guarantees, one sentence each.
     """
 
@@ -43,6 +48,7 @@
     whole: int
     statuses: dict[int, int]
     faults: dict[str, int]
+    notices: int
     violations: list[str]
 
 
@@ -54,7 +60,10 @@
         seed: The seed of all random numbers.
         seconds: How long callers send requests.
         gateways: The number of gateways.
-        faults: Whether to inject faults.
+        faults: Whether to disturb processes, links and the store.
+        notices: Whether endpoints leave and shed load.
+        gateway_arguments: The arguments of the interpreter that start a
+            gateway.
     """
 
     def __init__(
@@ -65,13 +74,20 @@
         seconds: float,
         gateways: int = 3,
         faults: bool = True,
+        notices: bool = True,
+        gateway_arguments: Sequence[str] = _gateways.PLATFORM_GATEWAY,
     ):
         self._reactor = reactor
         self._seed = seed
         self._seconds = seconds
         self._gateway_count = gateways
         self._has_faults = faults
+        self._has_notices = notices
+        self._gateway_arguments = gateway_arguments
         self._generator = random.Random(seed)
+        self._notice_generator = random.Random(f"notices {seed}")
+        self._notice_log = _notice_log.NoticeLog()
+        self._starts: collections.Counter[str] = collections.Counter()
         self._execution_log = _endpoints.ExecutionLog()
         self._store_server = standins.PlatformStoreServer(reactor=reactor)
         self.endpoints: dict[str, _endpoints.ScriptedEndpoint] = {}
@@ -98,6 +114,8 @@
         await self._sleep(_STARTUP_WAIT_S)
         callers.stop_sending_at = self._reactor.seconds() + self._seconds
         sending = testing.spawn(callers.run())
+        if self._has_notices:
+            self._running_faults.append(self._start_notice_faults(callers))
         while self._reactor.seconds() < callers.stop_sending_at:
             await self._sleep(0.2 + self._generator.random())
             if self._has_faults:
@@ -106,6 +124,7 @@
         await defer.gatherResults(self._running_faults, consumeErrors=False)
         await self._sleep(_SETTLE_WAIT_S)
         callers.check_executions(self._execution_log.counts)
+        callers.violations.extend(self._notice_log.check(callers.outcomes))
         self._configure(2, "/new/")
         await self._sleep(_CONFIG_APPLY_WAIT_S)
         await callers.check_route("/new/")
@@ -118,6 +137,7 @@
             ),
             statuses=dict(callers.statuses),
             faults=dict(self._fault_counts),
+            notices=len(self._notice_log.notices),
             violations=callers.violations,
         )
 
@@ -155,17 +175,24 @@
         self._configure(1)
         for number in range(self._gateway_count):
             proxy = self._make_proxy(
-                self._store_server.host, self._store_server.port
+                f"store{number}",
+                self._store_server.host,
+                self._store_server.port,
             )
             self._proxies[f"store{number}"] = proxy
             gateway = _gateways.GatewayProcess(
-                name=f"g{number}", folder=folder, store_port=proxy.port
+                name=f"g{number}",
+                folder=folder,
+                store_port=proxy.port,
+                arguments=self._gateway_arguments,
             )
             gateway.start()
             self.gateways.append(gateway)
 
-    def _make_proxy(self, host: str, port: int) -> _proxy.FaultProxy:
-        proxy = _proxy.FaultProxy(reactor=self._reactor, host=host, port=port)
+    def _make_proxy(self, name: str, host: str, port: int) -> _proxy.FaultProxy:
+        proxy = _proxy.FaultProxy(
+            reactor=self._reactor, name=name, host=host, port=port
+        )
         proxy.start()
         return proxy
 
@@ -175,18 +202,30 @@
             execution_log=self._execution_log,
             generator=self._generator,
             stage=stage,
+            name=name,
+            notices=self._notice_log,
+            notice_generator=self._notice_generator,
         )
         endpoint.server.start()
-        proxy = self._make_proxy(endpoint.server.host, endpoint.server.port)
         self.endpoints[name] = endpoint
-        self._proxies[name] = proxy
+        self._proxies[name] = self._make_proxy(
+            name, endpoint.server.host, endpoint.server.port
+        )
+        self._announce_instance(name)
+
+    def _announce_instance(self, name: str) -> None:
+        """Announces a new instance of an endpoint, with the same address."""
+        stage = self.endpoints[name].stage
+        self._starts[name] += 1
+        self._notice_log.end_notices(name, self._reactor.seconds())
         self._store_server.store.put_json(
             "keyed.servers",
             name,
             testing.make_endpoint_document(
-                port=proxy.port,
+                port=self._proxies[name].port,
                 service="writer" if stage else "desk",
                 stage=stage,
+                born=self._starts[name],
             ),
         )
 
@@ -228,6 +267,20 @@
 
     # Faults.
 
+    def _start_notice_faults(self, callers: _callers.Callers):
+        faults = _notice_faults.NoticeFaults(
+            reactor=self._reactor,
+            endpoints=self.endpoints,
+            replace=self._announce_instance,
+            generator=self._notice_generator,
+            counts=self._fault_counts,
+        )
+        return testing.spawn(faults.run(callers.stop_sending_at))
+
+    def _disturb(self, name: str) -> _notice_log.Disturbance:
+        """Records that a gateway or link can't be expected to work."""
+        return self._notice_log.disturb(name, self._reactor.seconds())
+
     def _inject_fault(self) -> None:
         faults = (
             self._kill,
@@ -261,33 +314,43 @@
         await self._restart(gateway)
 
     async def _restart(self, gateway: _gateways.GatewayProcess) -> None:
+        disturbance = self._disturb(gateway.name)
         while gateway.is_running:
             await self._sleep(0.1)
         await self._sleep(0.3)
         if not gateway.is_running:
             gateway.start()
+        disturbance.end(self._reactor.seconds())
 
     async def _pause(self) -> None:
         gateway = self._choose_gateway()
+        disturbance = self._disturb(gateway.name)
         gateway.send(signal.SIGSTOP)
         await self._sleep(0.5 + 3 * self._generator.random())
         gateway.send(signal.SIGCONT)
+        disturbance.end(self._reactor.seconds())
 
     async def _reset_link(self) -> None:
-        self._choose_proxy().reset()
+        proxy = self._choose_proxy()
+        self._disturb(proxy.name).end(self._reactor.seconds())
+        proxy.reset()
 
     async def _silence_link(self) -> None:
         proxy = self._choose_proxy()
+        disturbance = self._disturb(proxy.name)
         proxy.is_silent = True
         await self._sleep(0.5 + 3 * self._generator.random())
         proxy.is_silent = False
         proxy.reset()
+        disturbance.end(self._reactor.seconds())
 
     async def _delay_link(self) -> None:
         proxy = self._choose_proxy()
+        disturbance = self._disturb(proxy.name)
         proxy.delay_s = 0.3 * self._generator.random()
         await self._sleep(2.0)
         proxy.delay_s = 0.0
+        disturbance.end(self._reactor.seconds())
 
     async def _fail_worker(self) -> None:
         name = self._generator.choice(sorted(self.endpoints))
--- /dev/null
+++ b/sassafrasstile/faultsoak/tests/deaf_gateway.py
@@ -0,0 +1,31 @@
+"""Gateways that ignore one kind of notice, for tests of the soak's checks.
+
+python -m sassafrasstile.faultsoak.tests.deaf_gateway leaving
+"""
+
+import dataclasses
+import sys
+
+from sassafrasstile import dispatch
+from sassafrasstile.platform import __main__ as platform_main
+
+_WITHOUT = {
+    "leaving": {"is_leaving": False},
+    "backoff": {"backoff_s": None},
+}
+
+
+def _ignore(kind: str) -> None:
+    """Removes a kind of notice before it is applied."""
+    apply = dispatch.SendRestrictions.apply
+
+    def apply_others(self, notice, *, now, spread):
+        rest = dataclasses.replace(notice, **_WITHOUT[kind])
+        return apply(self, rest, now=now, spread=spread)
+
+    dispatch.SendRestrictions.apply = apply_others
+
+
+if __name__ == "__main__":
+    _ignore(sys.argv[1])
+    sys.exit(platform_main.main())
--- /dev/null
+++ b/sassafrasstile/faultsoak/tests/test_notice_variants.py
@@ -0,0 +1,36 @@
+import unittest
+
+from sassafrasstile import faultsoak
+from sassafrasstile import testing
+
+_SEED = 2
+_SECONDS = 10.0
+_DEAF_GATEWAY = ("-m", "sassafrasstile.faultsoak.tests.deaf_gateway")
+
+
+class NoticeVariantTest(unittest.TestCase):
+    """The soak catches gateways that ignore what endpoints announce."""
+
+    def find_violations(self, ignored):
+        run = faultsoak.SoakRun(
+            reactor=testing.reactor,
+            seed=_SEED,
+            seconds=_SECONDS,
+            # Disturbed gateways and links would excuse most requests, and
+            # several gateways would share them.
+            faults=False,
+            gateways=1,
+            gateway_arguments=(*_DEAF_GATEWAY, ignored),
+        )
+        return testing.run(run.run).violations
+
+    # A check that nothing can fail would show nothing.
+    def test_ignored_drain_notices_are_caught(self):
+        violations = self.find_violations("leaving")
+        self.assertTrue(
+            any("announced to leave" in item for item in violations)
+        )
+
+    def test_ignored_backoffs_are_caught(self):
+        violations = self.find_violations("backoff")
+        self.assertTrue(any("back-off" in item for item in violations))
