--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -126,7 +126,7 @@
     def has_decode_engine(
         self, service: str, *, software_version: str | None = None
     ) -> bool:
-        """Returns whether a service has a decode engine that isn't draining.
+        """Returns whether a service has a decode engine that isn't leaving.
 
         Args:
             service: The service.
@@ -136,11 +136,17 @@
         return any(
             item.record.service == service
             and item.record.role is membership.Role.DECODE
-            and item.record.state is membership.EndpointState.READY
+            and item.accepts_work
             and item.has_version(software_version)
             for item in self._endpoints.list_all()
         )
 
+    def measure_decode_backoff_s(self, service: str, now: float) -> float:
+        """Returns the seconds until a decode engine ends its back-off."""
+        return self._endpoints.measure_backoff_s(
+            service=service, role=membership.Role.DECODE, now=now
+        )
+
     def choose_for_generation(
         self,
         *,
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -16,6 +16,8 @@
 from sassafrasstile.faultsoak import _callers
 from sassafrasstile.faultsoak import _endpoints
 from sassafrasstile.faultsoak import _gateways
+from sassafrasstile.faultsoak import _notice_faults
+from sassafrasstile.faultsoak import _notice_log
 from sassafrasstile.faultsoak import _proxy
 from sassafrasstile.faultsoak import _restores
 from sassafrasstile.faultsoak import _versions
@@ -40,6 +42,8 @@
         faults: The number of injected faults by name.
         streams: How often streams began, went on in another attempt of their
             caller, and were refused.
+        notices: The number of answers that restricted what their endpoint may
+            be sent.
         violations: The violated guarantees, one sentence each.
     """
 
@@ -49,6 +53,7 @@
     statuses: dict[int, int]
     faults: dict[str, int]
     streams: dict[str, int]
+    notices: int
     violations: list[str]
 
 
@@ -60,7 +65,8 @@
         seed: The seed of all random numbers.
         seconds: How long callers send requests.
         gateways: The number of gateways.
-        faults: Whether to inject faults.
+        faults: Whether to disturb processes, links and the store.
+        notices: Whether endpoints leave and shed load.
         arguments: The interpreter's arguments that start a gateway.
         states_era: Whether the store's answers show when it was restored.
     """
@@ -73,6 +79,7 @@
         seconds: float,
         gateways: int = 3,
         faults: bool = True,
+        notices: bool = True,
         arguments: Sequence[str] = _gateways.ARGUMENTS,
         states_era: bool = True,
     ):
@@ -81,7 +88,11 @@
         self._seconds = seconds
         self._gateway_count = gateways
         self._has_faults = faults
+        self._has_notices = notices
         self._generator = random.Random(seed)
+        self._notice_generator = random.Random(f"notices {seed}")
+        self._notice_log = _notice_log.NoticeLog()
+        self._starts: collections.Counter[str] = collections.Counter()
         self._execution_log = _endpoints.ExecutionLog()
         self._arguments = arguments
         self._store_server = standins.PlatformStoreServer(reactor=reactor)
@@ -124,6 +135,8 @@
         returning = testing.spawn(self._returning.run(callers.stop_sending_at))
         if self._has_faults:
             self._start_restores(callers.stop_sending_at)
+        if self._has_notices:
+            self._running_faults.append(self._start_notice_faults(callers))
         while self._reactor.seconds() < callers.stop_sending_at:
             await self._sleep(0.2 + self._generator.random())
             if self._has_faults:
@@ -133,6 +146,7 @@
         await defer.gatherResults(self._running_faults, consumeErrors=False)
         await self._sleep(_SETTLE_WAIT_S)
         callers.check_executions(self._execution_log.counts)
+        callers.violations.extend(self._notice_log.check(callers.outcomes))
         await self._restores.publish_at_reused_offsets("/new/")
         await self._restores.check_departure(
             self._reactor.seconds() + _CONFIG_APPLY_WAIT_S
@@ -149,6 +163,7 @@
             statuses=dict(callers.statuses),
             faults=dict(self._fault_counts),
             streams=dict(self._returning.counts),
+            notices=len(self._notice_log.notices),
             violations=[
                 *callers.violations,
                 *self._returning.violations,
@@ -196,7 +211,9 @@
         self._configure(1)
         for number in range(self._gateway_count):
             proxy = self._make_proxy(
-                self._store_server.host, self._store_server.port
+                f"store{number}",
+                self._store_server.host,
+                self._store_server.port,
             )
             self._proxies[f"store{number}"] = proxy
             gateway = _gateways.GatewayProcess(
@@ -208,8 +225,10 @@
             gateway.start()
             self.gateways.append(gateway)
 
-    def _make_proxy(self, host: str, port: int) -> _proxy.FaultProxy:
-        proxy = _proxy.FaultProxy(reactor=self._reactor, host=host, port=port)
+    def _make_proxy(self, name: str, host: str, port: int) -> _proxy.FaultProxy:
+        proxy = _proxy.FaultProxy(
+            reactor=self._reactor, name=name, host=host, port=port
+        )
         proxy.start()
         return proxy
 
@@ -219,18 +238,30 @@
             execution_log=self._execution_log,
             generator=self._generator,
             stage=stage,
+            name=name,
+            notices=self._notice_log,
+            notice_generator=self._notice_generator,
         )
         endpoint.server.start()
-        proxy = self._make_proxy(endpoint.server.host, endpoint.server.port)
         self.endpoints[name] = endpoint
-        self._proxies[name] = proxy
+        self._proxies[name] = self._make_proxy(
+            name, endpoint.server.host, endpoint.server.port
+        )
+        self._announce_instance(name)
+
+    def _announce_instance(self, name: str) -> None:
+        """Announces a new instance of an endpoint, with the same address."""
+        stage = self.endpoints[name].stage
+        self._starts[name] += 1
+        self._notice_log.end_notices(name, self._reactor.seconds())
         self._store_server.store.put_json(
             "keyed.servers",
             name,
             testing.make_endpoint_document(
-                port=proxy.port,
+                port=self._proxies[name].port,
                 service="writer" if stage else "desk",
                 stage=stage,
+                born=self._starts[name],
             ),
         )
 
@@ -288,6 +319,20 @@
 
     # Faults.
 
+    def _start_notice_faults(self, callers: _callers.Callers):
+        faults = _notice_faults.NoticeFaults(
+            reactor=self._reactor,
+            endpoints=self.endpoints,
+            replace=self._announce_instance,
+            generator=self._notice_generator,
+            counts=self._fault_counts,
+        )
+        return testing.spawn(faults.run(callers.stop_sending_at))
+
+    def _disturb(self, name: str) -> _notice_log.Disturbance:
+        """Records that a gateway or link can't be expected to work."""
+        return self._notice_log.disturb(name, self._reactor.seconds())
+
     def _inject_fault(self) -> None:
         faults = (
             self._kill,
@@ -321,33 +366,43 @@
         await self._restart(gateway)
 
     async def _restart(self, gateway: _gateways.GatewayProcess) -> None:
+        disturbance = self._disturb(gateway.name)
         while gateway.is_running:
             await self._sleep(0.1)
         await self._sleep(0.3)
         if not gateway.is_running:
             gateway.start()
+        disturbance.end(self._reactor.seconds())
 
     async def _pause(self) -> None:
         gateway = self._choose_gateway()
+        disturbance = self._disturb(gateway.name)
         gateway.send(signal.SIGSTOP)
         await self._sleep(0.5 + 3 * self._generator.random())
         gateway.send(signal.SIGCONT)
+        disturbance.end(self._reactor.seconds())
 
     async def _reset_link(self) -> None:
-        self._choose_proxy().reset()
+        proxy = self._choose_proxy()
+        self._disturb(proxy.name).end(self._reactor.seconds())
+        proxy.reset()
 
     async def _silence_link(self) -> None:
         proxy = self._choose_proxy()
+        disturbance = self._disturb(proxy.name)
         proxy.is_silent = True
         await self._sleep(0.5 + 3 * self._generator.random())
         proxy.is_silent = False
         proxy.reset()
+        disturbance.end(self._reactor.seconds())
 
     async def _delay_link(self) -> None:
         proxy = self._choose_proxy()
+        disturbance = self._disturb(proxy.name)
         proxy.delay_s = 0.3 * self._generator.random()
         await self._sleep(2.0)
         proxy.delay_s = 0.0
+        disturbance.end(self._reactor.seconds())
 
     async def _fail_worker(self) -> None:
         name = self._generator.choice(sorted(self.endpoints))
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -98,6 +98,24 @@
         self.probes = self._make_counter(
             "probes", "Probes of unreachable endpoints."
         )
+        self.drain_notices = self._make_counter(
+            "drain_notices", "Endpoints that announced that they leave."
+        )
+        self.backoffs_asked = self._make_counter(
+            "backoffs_asked", "Back-offs begun or extended by endpoints."
+        )
+        self.sends_denied = self._make_counter(
+            "sends_denied",
+            "Requests not sent, since the endpoint wants none, by reason.",
+            ("reason",),
+        )
+        self.endpoints_leaving = self._make_gauge(
+            "endpoints_leaving", "Endpoints that have announced to leave."
+        )
+        self.endpoints_backing_off = self._make_gauge(
+            "endpoints_backing_off",
+            "Endpoints that want no requests for a while.",
+        )
         self.store_calls = self._make_counter(
             "store_calls", "Calls to the store by outcome.", ("outcome",)
         )
@@ -134,3 +152,8 @@
             labels,
             registry=self.registry,
         )
+
+    def _make_gauge(self, name: str, description: str):
+        return prometheus_client.Gauge(
+            f"sassafrasstile_{name}", description, registry=self.registry
+        )
