--- a/sassafrasstile/faultsoak/_versions.py
+++ b/sassafrasstile/faultsoak/_versions.py
@@ -93,7 +93,9 @@
                 self.events.append((number, value.partition(" ")[0]))
                 self.origin = self.origin or request_id
                 number = None
-        self.is_complete = answer.is_complete_stream
+        # A caller that has all events doesn't come back for the end alone.
+        has_all = self.last_event_id == _EVENTS
+        self.is_complete = answer.is_complete_stream or has_all
 
 
 class ReturningCallers:
--- a/sassafrasstile/router/tests/test_stream_versions.py
+++ b/sassafrasstile/router/tests/test_stream_versions.py
@@ -174,6 +174,33 @@
         await self.close_sites()
         self.assertEqual(_count_runs(other), 0)
 
+    # Guards against a KV cache of one version, or one that has expired, being
+    # named to the engine that takes a silent one's request over.
+    @testing.on_reactor
+    async def test_prefill_is_not_passed_to_an_engine_of_another_version(self):
+        site = await self.start_site()
+        site.endpoints["d0"].script = lambda _request: standins.SILENCE
+        site.add_endpoint(
+            "p0",
+            lambda request: standins.make_handle(request, "h1"),
+            service="writer",
+            stage="prefill",
+        )
+        await self.sleep(0.5)
+        caller = await site.connect()
+        caller.send(testing.make_request("/brisk/", headers=_COUNT))
+        first = site.endpoints["d0"]
+        await self.wait_until(lambda: _count_runs(first), timeout_s=2)
+        other = self.add_engine(site, "d1", "v2")
+        await self.wait_until(lambda: _count_runs(other), timeout_s=4)
+        caller.disconnect()
+        await self.close_sites()
+        (run,) = (item for item in first.requests if item.method == "POST")
+        self.assertIn("x-kv-source", run.headers)
+        run = other.requests[-1]
+        self.assertEqual(run.target, "/brisk/")
+        self.assertNotIn("x-kv-source", run.headers)
+
     # Guards against a returned caller's stream going on at any free engine.
     @testing.on_reactor
     async def test_returned_caller_goes_on_at_the_version_that_began(self):
