Confirm endpoints only within one epoch of the store

What callers would see: after a restore of the store a stream may go on at another software version. A stream whose version nobody knows goes on if only one version can have begun it, and if the store confirms the list; the call read at the known end and trusted an empty page, also when a restored store ends at the same offset with other records before. The test got True before. The call now goes through the store that compares the epoch.

--- a/sassafrasstile/router/_confirmation.py
+++ b/sassafrasstile/router/_confirmation.py
@@ -79,7 +79,10 @@
         )
         reading.addTimeout(_TIMEOUT_S, self._reactor)
         page = await reading
-        if page.changes or page.next_offset != end.next_offset:
+        # Offsets of different epochs can't be compared.
+        is_same_epoch = page.epoch in (None, end.epoch)
+        is_same_end = page.next_offset == end.next_offset
+        if page.changes or not is_same_epoch or not is_same_end:
             self._follower.mark_stale()
             return False
         return True
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -106,7 +106,7 @@
         self._followers = self._make_followers(record_decoder)
         confirmation = _confirmation.TopicConfirmation(
             reactor=reactor,
-            store=store,
+            store=self._store,
             topic=record_decoder.membership_topic,
             follower=self._followers[record_decoder.membership_topic],
         )
--- a/sassafrasstile/router/tests/test_confirmation.py
+++ b/sassafrasstile/router/tests/test_confirmation.py
@@ -18,7 +18,7 @@
         self.clock = task.Clock()
         self.calls = []
         self.stale = []
-        end = stores.TopicEnd(next_offset=7, known_at=0.0)
+        end = stores.TopicEnd(next_offset=7, known_at=0.0, epoch=3)
         self.follower = types.SimpleNamespace(
             end=end, mark_stale=lambda: self.stale.append(True)
         )
@@ -40,8 +40,10 @@
         self.clock.advance(0)
         return results
 
-    def answer(self, *changes):
-        page = stores.ChangePage(changes=changes, next_offset=7 + len(changes))
+    def answer(self, *changes, epoch=3):
+        page = stores.ChangePage(
+            changes=changes, next_offset=7 + len(changes), epoch=epoch
+        )
         self.calls[-1].callback(page)
 
     def test_topic_that_ends_where_it_was_read_is_confirmed(self):
@@ -55,6 +57,19 @@
         self.assertEqual(results, [False])
         self.assertEqual(self.stale, [True])
 
+    # Guards against a restored store that ends at the same offset as before,
+    # with other records before it.
+    def test_answer_of_another_epoch_confirms_nothing(self):
+        results = self.confirm()
+        self.answer(epoch=4)
+        self.assertEqual(results, [False])
+        self.assertEqual(self.stale, [True])
+
+    def test_answer_without_an_epoch_says_nothing_of_a_restore(self):
+        results = self.confirm()
+        self.answer(epoch=None)
+        self.assertEqual(results, [True])
+
     # Guards against a call that began before a request confirming it.
     def test_later_request_waits_for_a_call_of_its_own(self):
         first = self.confirm()
