--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -1,7 +1,6 @@
 """Connects configuration, membership, routing and listening ports."""
 
 from collections.abc import Mapping
-import functools
 import logging
 import random
 import secrets
@@ -28,6 +27,7 @@
 from sassafrasstile.router import _record_decoder
 from sassafrasstile.router import _settings
 from sassafrasstile.router import _start_gate
+from sassafrasstile.router import _store_records
 from sassafrasstile.router import _topics
 
 _LOG = logging.getLogger("sassafrasstile.router")
@@ -103,7 +103,7 @@
         self._topic_sharing = _topics.TopicSharing(
             reactor=reactor, name=settings.name
         )
-        self._followers = self._make_followers(record_decoder)
+        self._followers = self._make_records(record_decoder).followers
         confirmation = _confirmation.TopicConfirmation(
             reactor=reactor,
             store=self._store,
@@ -132,7 +132,6 @@
         self._context.announce = self._channel.announce_loads
         self._context.count_gateways = self._count_gateways
         self._roles = self._make_roles(record_decoder)
-        self._record_decoder = record_decoder
         self._caller_port = _caller_port.CallerPort(
             reactor=reactor,
             host=settings.host,
@@ -171,56 +170,24 @@
             versions=self._versions,
         )
 
-    def _make_followers(self, record_decoder) -> dict[str, stores.Follower]:
-        configuration = stores.Follower(
+    def _make_records(self, record_decoder) -> _store_records.StoreRecords:
+        return _store_records.StoreRecords(
             reactor=self._reactor,
             store=self._store,
-            topic=record_decoder.configuration_topic,
-            max_lag_s=self.settings.propagation_limit_s,
-            on_change=self._apply_configuration_change,
-            on_loaded=lambda: None,
-            on_outage=lambda: None,
-            on_contact=self._topic_sharing.announce,
-            generator=self._generator,
-            is_watcher=self._topic_sharing.is_watcher,
-            on_page=functools.partial(
-                self._topic_sharing.relay, record_decoder.configuration_topic
-            ),
-        )
-        endpoints = stores.Follower(
-            reactor=self._reactor,
-            store=self._store,
-            topic=record_decoder.membership_topic,
+            epochs=self._epochs,
+            record_decoder=record_decoder,
+            topic_sharing=self._topic_sharing,
             max_lag_s=self.settings.propagation_limit_s,
-            on_change=self._apply_endpoint_change,
-            on_loaded=self._mark_endpoints_loaded,
-            on_outage=self._roster.record_outage,
-            on_contact=self._record_membership_contact,
-            on_restore=self._record_membership_restore,
             generator=self._generator,
-            is_watcher=self._topic_sharing.is_watcher,
-            on_page=functools.partial(
-                self._topic_sharing.relay, record_decoder.membership_topic
-            ),
+            active_configuration=self._active_configuration,
+            roster=self._roster,
+            versions=self._versions,
+            on_configuration=self._apply_limits,
+            on_progress=self._accept_callers_if_ready,
         )
-        for follower in (configuration, endpoints):
-            self._epochs.subscribe(follower.start_epoch)
-        return {
-            record_decoder.configuration_topic: configuration,
-            record_decoder.membership_topic: endpoints,
-        }
 
-    def _mark_endpoints_loaded(self) -> None:
-        self._roster.mark_loaded()
-        self._versions.restart(now=self._now())
-        self._accept_callers_if_ready()
-
-    def _record_membership_contact(self) -> None:
-        self._roster.record_contact(self._now())
-        self._topic_sharing.announce()
-
-    def _record_membership_restore(self) -> None:
-        self._roster.record_restore(self._now())
+    def _apply_limits(self, configuration: routes.Configuration) -> None:
+        self._ingress.limits = configuration.limits
 
     def _make_channel(self, address) -> peers.PeerChannel:
         return peers.PeerChannel(
@@ -425,39 +392,7 @@
     def _sleep(self, seconds: float) -> defer.Deferred:
         return task.deferLater(self._reactor, seconds)
 
-    # Changes from the store and reports from peers.
-
-    def _apply_configuration_change(self, change: stores.Change) -> None:
-        try:
-            configuration = self._record_decoder.decode_configuration(change)
-        except errors.Error as reason:
-            _LOG.error(
-                "config: record rejected: %s",
-                reason,
-                extra={"key": change.key, "offset": change.offset},
-            )
-            return
-        if (
-            configuration is not None
-            and self._active_configuration.apply_if_newer(configuration)
-        ):
-            self._ingress.limits = configuration.limits
-        self._accept_callers_if_ready()
-
-    def _apply_endpoint_change(self, change: stores.Change) -> None:
-        try:
-            record = self._record_decoder.decode_endpoint(change)
-        except errors.Error as reason:
-            _LOG.warning(
-                "membership: record rejected: %s",
-                reason,
-                extra={"key": change.key, "offset": change.offset},
-            )
-            return
-        if record is None:
-            self._roster.remove(change.key, self._now())
-        else:
-            self._roster.apply(record)
+    # Changes of endpoints and reports from peers.
 
     def _update_endpoint(
         self, endpoint_id: str, record: membership.EndpointRecord | None
