Count a sidecar's silence from the first unanswered renewal

What callers saw: a sidecar that sent nothing for little more than a second lost its link, and every request there its attempt: recomputed elsewhere, or refused where nothing else could take it.

Cause: `silence_s` (2.0) ran from the last message received. A sidecar without news sends only in answer to a renewal, so up to `renew_s` (0.8) of ordinary quiet counted as silence: 1.3 s were enough.

Ruled out: the gateway's own suspension, which restarts the count as before.

Now the count starts when a renewal is sent and ends with anything that is received. A sidecar that is really gone is noticed up to `renew_s` later than before; leases at the sidecar don't depend on this count.

--- a/sassafrasstile/gateway/_endpoints.py
+++ b/sassafrasstile/gateway/_endpoints.py
@@ -22,7 +22,8 @@
         leaving: True once the endpoint reported that it is leaving.
         incarnation: Its sidecar's incarnation, from the last batch.
         load: Its last load report.
-        last_received_at: When its sidecar last sent a batch, in kernel time.
+        unanswered_since: When the oldest renewal was sent that its sidecar
+            has sent nothing after, in kernel time, or None.
         live_attempts: Numbers of this gateway's attempts that the endpoint
             holds or may hold.
         full_until: It gets no new work before this time, after a refusal.
@@ -39,11 +40,17 @@
     leaving: bool = False
     incarnation: str = ""
     load: messages.Load = dataclasses.field(default_factory=messages.Load)
-    last_received_at: float = 0.0
+    unanswered_since: float | None = None
     live_attempts: set[int] = dataclasses.field(default_factory=set)
     full_until: float = 0.0
     avoid_until: float = 0.0
 
+    def measure_silence(self, now: float) -> float:
+        """Returns for how many seconds a renewal has been unanswered."""
+        if self.unanswered_since is None:
+            return 0.0
+        return now - self.unanswered_since
+
     def record_refusal(self, code: str, *, until: float) -> None:
         """Records that the endpoint refused work.
 
--- a/sassafrasstile/gateway/_kernel.py
+++ b/sassafrasstile/gateway/_kernel.py
@@ -100,7 +100,7 @@
         """Handles a new link to a sidecar."""
         endpoint = self._endpoints.get(peer)
         endpoint.connected = True
-        endpoint.last_received_at = now
+        endpoint.unanswered_since = None
         endpoint.full_until = 0.0
         # Frees whatever the sidecar still holds from before the link was lost.
         self._context.send(
@@ -137,7 +137,7 @@
             self._mark_disconnected(endpoint, now)
             endpoint.connected = True
         endpoint.incarnation = batch.incarnation
-        endpoint.last_received_at = now
+        endpoint.unanswered_since = None
         if batch.load is not None:
             self._endpoints.update_load(endpoint, batch.load)
         for message in batch.messages:
@@ -160,7 +160,7 @@
         self._calls.tick(now)
         if now >= self._renew_at:
             self._renew_at = now + self.settings.renew_s
-            self._renew()
+            self._renew(now)
         return self._collect_effects()
 
     # Queries.
@@ -201,7 +201,7 @@
         )
         self._renew_at = now
         for endpoint in self._endpoints.list_all():
-            endpoint.last_received_at = now
+            endpoint.unanswered_since = None
         if suspended_s >= self.settings.lease_s:
             self._generations.requeue_before_decode()
 
@@ -211,20 +211,21 @@
             if not endpoint.connected:
                 continue
             if not endpoint.live_attempts:
-                endpoint.last_received_at = now
+                endpoint.unanswered_since = None
                 continue
-            if now - endpoint.last_received_at < self.settings.silence_s:
+            silent_s = endpoint.measure_silence(now)
+            if silent_s < self.settings.silence_s:
                 continue
             _LOG.warning(
                 "gateway %s: closes the link to %s. Reason: silent for %.1f s.",
                 self.name,
                 endpoint.name,
-                now - endpoint.last_received_at,
+                silent_s,
             )
             self._context.emit(_base.Reconnect(peer=endpoint.name))
             self._mark_disconnected(endpoint, now)
 
-    def _renew(self) -> None:
+    def _renew(self, now: float) -> None:
         """Renews the lease at each endpoint that holds attempts.
 
         An endpoint whose attempts have all ended gets one more renewal.
@@ -240,6 +241,8 @@
                 continue
             if endpoint.live_attempts:
                 holding.add(endpoint.name)
+                if endpoint.unanswered_since is None:
+                    endpoint.unanswered_since = now
             self._context.send(
                 endpoint.name,
                 messages.Renew(
--- a/sassafrasstile/gateway/_settings.py
+++ b/sassafrasstile/gateway/_settings.py
@@ -24,8 +24,8 @@
             lease at a sidecar expires. After a suspension at least this long,
             a gateway requeues the requests that weren't decoding.
         renew_s: Seconds between renewals of leases.
-        silence_s: Seconds without a message from a sidecar that holds work of
-            this gateway until its link is closed.
+        silence_s: Seconds without a message after a renewal, from a sidecar
+            that holds work of this gateway, until its link is closed.
         reserve_limit_s: Seconds until a reservation times out.
         prefill_limit_s: Seconds until a prefill times out.
         decode_limit_s: Seconds between pieces until a decode times out.
