Leave a silent sidecar only for one that has room for the request

What callers saw: two seconds of silence of one sidecar, which then went on, ended their answers with `no_capacity` or `retry_budget_spent`.

Cause: at `silence_s` the gateway closed the link, which failed every attempt there, and only then asked for another endpoint, the number of tries and the retry budget.

Evidence, on the code before: seven tests of test_silent_sidecars fail. only sidecar: [<Code.NO_CAPACITY: 'no_capacity'>] != [] no retry budget: [<Code.RETRY_BUDGET_SPENT: 'retry_budget_spent'>] != [] other sidecar is full: [<Code.NO_CAPACITY: 'no_capacity'>] != [] late prefill, moves once reserved, released when it goes on: fail as well.

Now a silent sidecar gets no new work, and another endpoint is asked: for memory, or, while prefilling, for a second prefill, which the budget pays when it is sent and gets back if it is refused. The silent one is left when the other has answered and the retry is paid; whatever it sends first cancels the successor. The link is closed when nothing is left there, and at the latest after `lease_s` without an answer to a renewal: by then a sidecar that never heard it has released its holds. So callers of a sidecar that is really gone, and nothing else is free, hear of it 0.5 s later; calls to services move 0.5 s later than before, too.

--- a/sassafrasstile/gateway/_budget.py
+++ b/sassafrasstile/gateway/_budget.py
@@ -25,13 +25,21 @@
         """Adds the share of a new request to the budget."""
         self._balance = min(self.reserve, self._balance + self.share)
 
+    def has_retry(self) -> bool:
+        """Returns whether a retry could be taken now."""
+        return self._balance >= 1
+
+    def refund(self) -> None:
+        """Gives back a retry that was refused before it ran."""
+        self._balance = min(self.reserve, self._balance + 1)
+
     def spend(self) -> bool:
         """Takes one retry from the budget.
 
         Returns:
             False when less than one retry is left; then nothing is taken.
         """
-        if self._balance < 1:
+        if not self.has_retry():
             return False
         self._balance -= 1
         return True
--- a/sassafrasstile/gateway/_endpoints.py
+++ b/sassafrasstile/gateway/_endpoints.py
@@ -24,6 +24,8 @@
         load: Its last load report.
         unanswered_since: When the oldest renewal was sent that its sidecar
             has sent nothing after, in kernel time, or None.
+        is_silent: True while that renewal has been unanswered for so long
+            that the endpoint gets no new work.
         live_attempts: Numbers of this gateway's attempts that the endpoint
             holds or may hold.
         full_until: It gets no new work before this time, after a refusal.
@@ -41,6 +43,7 @@
     incarnation: str = ""
     load: messages.Load = dataclasses.field(default_factory=messages.Load)
     unanswered_since: float | None = None
+    is_silent: bool = False
     live_attempts: set[int] = dataclasses.field(default_factory=set)
     full_until: float = 0.0
     avoid_until: float = 0.0
@@ -51,6 +54,11 @@
             return 0.0
         return now - self.unanswered_since
 
+    def record_message(self) -> None:
+        """Records that the sidecar isn't silent."""
+        self.unanswered_since = None
+        self.is_silent = False
+
     def record_refusal(self, code: str, *, until: float) -> None:
         """Records that the endpoint refused work.
 
@@ -112,8 +120,8 @@
             excluded: Names of endpoints that failed this request before.
 
         Returns:
-            Connected endpoints that are neither leaving nor known to be
-            full. Excluded endpoints and those that failed recently are left
+            Connected endpoints that are neither silent, leaving nor known to
+            be full. Excluded endpoints and those that failed recently are left
             out while there are others.
         """
         usable = [
@@ -122,6 +130,7 @@
             if item.role == role
             and item.serves == serves
             and item.connected
+            and not item.is_silent
             and not item.leaving
             and item.vm not in self._leaving_vms
             and now >= item.full_until
--- a/sassafrasstile/gateway/_generation.py
+++ b/sassafrasstile/gateway/_generation.py
@@ -37,6 +37,9 @@
             haven't replied.
         resumed_from: The attempt number under which the resumed answer was
             generated before.
+        successor: The placement that may take over from one whose sidecar is
+            silent, or None.
+        next_search_at: When a successor may be looked for, in kernel time.
         excluded: Names of endpoints that failed this request.
         unproven_prefills: Numbers of prefill attempts that may have run.
     """
@@ -57,6 +60,8 @@
         dataclasses.field(default_factory=list)
     )
     resumed_from: int = 0
+    successor: "_placements.Placement[Generation] | None" = None
+    next_search_at: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
     unproven_prefills: set[int] = dataclasses.field(default_factory=set)
 
@@ -104,12 +109,30 @@
         is_late = self.arrived_at < late_before
         return is_late, self.priority, self.arrived_at
 
+    def find_active_placement(
+        self,
+    ) -> "_placements.Placement[Generation] | None":
+        """Returns the placement that has to answer next, or None."""
+        match self.phase:
+            case Phase.RESERVING | Phase.DECODING:
+                return self.decode
+            case Phase.PREFILLING:
+                return self.prefill
+            case _:
+                return None
+
     def detach_placements(
         self,
     ) -> "list[_placements.Placement[Generation] | None]":
         """Removes and returns all placements of the request."""
-        placements = [self.decode, self.prefill, *self.resume_queries]
+        placements = [
+            self.decode,
+            self.prefill,
+            self.successor,
+            *self.resume_queries,
+        ]
         self.decode = None
         self.prefill = None
+        self.successor = None
         self.resume_queries.clear()
         return placements
--- a/sassafrasstile/gateway/_generation_messages.py
+++ b/sassafrasstile/gateway/_generation_messages.py
@@ -2,27 +2,34 @@
 
 from sassafrasstile import messages
 from sassafrasstile.gateway import _generation
+from sassafrasstile.gateway import _placements
 from sassafrasstile.gateway import _settings
 
+Placement = _placements.Placement[_generation.Generation]
 
-def make_reserve(generation: _generation.Generation) -> messages.Reserve:
+
+def make_reserve(
+    generation: _generation.Generation, placement: Placement
+) -> messages.Reserve:
     """Returns the message that reserves memory for the whole request."""
     return messages.Reserve(
         request_id=generation.request_id,
-        attempt=generation.decode.attempt,
+        attempt=placement.attempt,
         model=generation.request.model,
         tokens=generation.max_total_tokens,
         priority=generation.priority,
     )
 
 
-def make_prefill(generation: _generation.Generation) -> messages.Prefill:
+def make_prefill(
+    generation: _generation.Generation, placement: Placement
+) -> messages.Prefill:
     """Returns the message that prefills the prompt and the tokens sent."""
     request = generation.request
     sent = tuple(generation.answer.texts)
     return messages.Prefill(
         request_id=generation.request_id,
-        attempt=generation.prefill.attempt,
+        attempt=placement.attempt,
         model=request.model,
         prompt=request.prompt,
         prompt_tokens=request.prompt_tokens + len(sent),
--- a/sassafrasstile/gateway/_generation_table.py
+++ b/sassafrasstile/gateway/_generation_table.py
@@ -14,6 +14,7 @@
 from sassafrasstile.gateway import _generation_messages
 from sassafrasstile.gateway import _placements
 from sassafrasstile.gateway import _resumption
+from sassafrasstile.gateway import _succession
 
 _LOG = logging.getLogger("sassafrasstile.gateway")
 
@@ -43,6 +44,12 @@
             placements=self._placements,
             start_attempt=self._start_attempt,
         )
+        self._succession = _succession.Succession(
+            context=context,
+            placements=self._placements,
+            start_prefill=self._start_prefill,
+            finish_prefill=self._on_prefilled,
+        )
         self._requests: dict[str, Generation] = {}
 
     def __len__(self) -> int:
@@ -120,6 +127,10 @@
         if placement in generation.resume_queries:
             self._resumption.receive(placement, message, now)
             return True
+        if placement is generation.successor:
+            self._succession.receive(placement, message, now)
+            return True
+        self._succession.drop(generation)
         match message:
             case messages.Reserved():
                 self._on_reserved(placement, now)
@@ -138,6 +149,11 @@
     ) -> None:
         """Fails the attempts at an endpoint whose link was lost."""
         for placement in self._placements.list_at(endpoint):
+            if not self._placements.is_open(placement):
+                continue
+            if placement is placement.item.successor:
+                self._succession.handle_lost_link(placement)
+                continue
             if placement in placement.item.resume_queries:
                 self._resumption.handle_no_answer(placement, now)
                 continue
@@ -163,6 +179,8 @@
         """Handles timeouts and starts attempts of queued requests."""
         for generation in list(self._requests.values()):
             self._check_timeouts(generation, now)
+        for generation in self._requests.values():
+            self._succession.tick(generation, now)
         queued = [
             generation
             for generation in self._requests.values()
@@ -243,7 +261,8 @@
         generation.phase = Phase.RESERVING
         generation.phase_deadline = now + self._settings.reserve_limit_s
         self._context.send(
-            endpoint.name, _generation_messages.make_reserve(generation)
+            endpoint.name,
+            _generation_messages.make_reserve(generation, generation.decode),
         )
 
     def _open_placement(
@@ -287,7 +306,8 @@
         generation.phase_deadline = now + self._settings.prefill_limit_s
         generation.unproven_prefills.add(generation.prefill.attempt)
         self._context.send(
-            endpoint.name, _generation_messages.make_prefill(generation)
+            endpoint.name,
+            _generation_messages.make_prefill(generation, generation.prefill),
         )
 
     def _on_prefilled(
--- a/sassafrasstile/gateway/_kernel.py
+++ b/sassafrasstile/gateway/_kernel.py
@@ -100,7 +100,7 @@
         """Handles a new link to a sidecar."""
         endpoint = self._endpoints.get(peer)
         endpoint.connected = True
-        endpoint.unanswered_since = None
+        endpoint.record_message()
         endpoint.full_until = 0.0
         # Frees whatever the sidecar still holds from before the link was lost.
         self._context.send(
@@ -137,7 +137,7 @@
             self._mark_disconnected(endpoint, now)
             endpoint.connected = True
         endpoint.incarnation = batch.incarnation
-        endpoint.unanswered_since = None
+        endpoint.record_message()
         if batch.load is not None:
             self._endpoints.update_load(endpoint, batch.load)
         for message in batch.messages:
@@ -201,20 +201,23 @@
         )
         self._renew_at = now
         for endpoint in self._endpoints.list_all():
-            endpoint.unanswered_since = None
+            endpoint.record_message()
         if suspended_s >= self.settings.lease_s:
             self._generations.requeue_before_decode()
 
     def _disconnect_unresponsive(self, now: float) -> None:
-        """Closes the links to sidecars that don't answer renewals."""
+        """Closes the links to sidecars that don't answer renewals.
+
+        While a silent sidecar holds attempts, its link is kept for as long as
+        a lease, so that their requests can move to other endpoints first. By
+        then a sidecar that hasn't heard the renewal has released them.
+        """
         for endpoint in self._endpoints.list_all():
-            if not endpoint.connected:
-                continue
-            if not endpoint.live_attempts:
-                endpoint.unanswered_since = None
-                continue
             silent_s = endpoint.measure_silence(now)
-            if silent_s < self.settings.silence_s:
+            endpoint.is_silent = silent_s >= self.settings.silence_s
+            if not endpoint.connected or not endpoint.is_silent:
+                continue
+            if endpoint.live_attempts and silent_s < self.settings.lease_s:
                 continue
             _LOG.warning(
                 "gateway %s: closes the link to %s. Reason: silent for %.1f s.",
--- a/sassafrasstile/gateway/_placements.py
+++ b/sassafrasstile/gateway/_placements.py
@@ -67,6 +67,10 @@
             return None
         return placement
 
+    def is_open(self, placement: Placement[Item]) -> bool:
+        """Returns whether a placement has neither ended nor been cancelled."""
+        return placement.attempt in self._placements
+
     def list_at(self, endpoint: _endpoints.Endpoint) -> list[Placement[Item]]:
         """Returns the placements at an endpoint, oldest first."""
         return [
--- a/sassafrasstile/gateway/_settings.py
+++ b/sassafrasstile/gateway/_settings.py
@@ -24,8 +24,10 @@
             lease at a sidecar expires. After a suspension at least this long,
             a gateway requeues the requests that weren't decoding.
         renew_s: Seconds between renewals of leases.
-        silence_s: Seconds without a message after a renewal, from a sidecar
-            that holds work of this gateway, until its link is closed.
+        silence_s: Seconds without a message after a renewal until a sidecar
+            gets no new work and other endpoints are asked to take over what
+            it holds. Its link is closed once it holds nothing, or after
+            `lease_s` of silence.
         reserve_limit_s: Seconds until a reservation times out.
         prefill_limit_s: Seconds until a prefill times out.
         decode_limit_s: Seconds between pieces until a decode times out.
--- a/sassafrasstile/gateway/tests/test_silent_sidecars.py
+++ b/sassafrasstile/gateway/tests/test_silent_sidecars.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+from sassafrasstile import errors
 from sassafrasstile import gateway
 from sassafrasstile import messages
 from sassafrasstile import policies
@@ -86,6 +87,21 @@
             request_id="r", attempt=attempt, offset=offset, texts=texts
         )
 
+    def refuse(self, message):
+        return messages.Failed(
+            request_id="r",
+            attempt=message.attempt,
+            verdict="not_run",
+            code=errors.Code.NO_CAPACITY,
+        )
+
+    def list_cancelled(self, effects, peer):
+        return [
+            message.attempt
+            for name, message in self.find_sent(effects, messages.Cancel)
+            if name == peer
+        ]
+
     def list_delivered(self, effects):
         return [
             effect.texts
@@ -100,6 +116,83 @@
             if isinstance(effect, gateway.Refuse)
         ]
 
+    # Fails if the link is closed although no other endpoint can go on.
+    def test_answer_goes_on_after_silence_of_the_only_sidecar(self):
+        self.start("p1", "d1")
+        peer, attempt = self.start_decode()
+        effects = self.run_until(2.2, start=0.0, silent=(peer,))
+        self.assertEqual(self.list_refused(effects), [])
+        effects = self.reply(peer, self.pieces(attempt, 1, "b"), 2.3)
+        self.assertEqual(self.list_delivered(effects), [("b",)])
+
+    # Fails if the link is closed before the budget allows a retry.
+    def test_answer_goes_on_after_silence_without_a_retry_budget(self):
+        self.start("p1", "d1", "d2", retry_share=0.0, retry_reserve=0)
+        peer, attempt = self.start_decode()
+        effects = self.run_until(2.2, start=0.0, silent=(peer,))
+        self.assertEqual(self.list_refused(effects), [])
+        effects = self.reply(peer, self.pieces(attempt, 1, "b"), 2.3)
+        self.assertEqual(self.list_delivered(effects), [("b",)])
+
+    # Fails if the sidecar is left for one that refuses the request.
+    def test_answer_goes_on_after_silence_while_the_other_sidecar_is_full(self):
+        self.start("p1", "d1", "d2")
+        peer, attempt = self.start_decode()
+        effects = self.run_until(2.1, start=0.0, silent=(peer,))
+        [(other, reserve)] = self.find_sent(effects, messages.Reserve)
+        effects.extend(self.reply(other, self.refuse(reserve), 2.1))
+        self.assertEqual(self.list_refused(effects), [])
+        effects = self.reply(peer, self.pieces(attempt, 1, "b"), 2.15)
+        self.assertEqual(self.list_delivered(effects), [("b",)])
+
+    # Fails if an answer stays with a silent sidecar although another one has
+    # reserved memory for it, or if the silent one is left before that.
+    def test_answer_moves_once_another_sidecar_has_reserved(self):
+        self.start("p1", "d1", "d2")
+        peer, attempt = self.start_decode()
+        effects = self.run_until(2.1, start=0.0, silent=(peer,))
+        [(other, reserve)] = self.find_sent(effects, messages.Reserve)
+        self.assertNotEqual(other, peer)
+        self.assertEqual(self.list_cancelled(effects, peer), [])
+        reserved = messages.Reserved(request_id="r", attempt=reserve.attempt)
+        effects = self.reply(other, reserved, 2.15)
+        self.assertEqual(self.list_cancelled(effects, peer), [attempt])
+        [(_, prefill)] = self.find_sent(effects, messages.Prefill)
+        self.assertEqual(prefill.sent, ("a",))
+
+    # Fails if memory reserved for a move stays reserved when the answer goes
+    # on where it is.
+    def test_successor_is_released_when_the_silent_sidecar_goes_on(self):
+        self.start("p1", "d1", "d2")
+        peer, attempt = self.start_decode()
+        effects = self.run_until(2.1, start=0.0, silent=(peer,))
+        [(other, reserve)] = self.find_sent(effects, messages.Reserve)
+        effects = self.reply(peer, self.pieces(attempt, 1, "b"), 2.15)
+        self.assertEqual(self.list_delivered(effects), [("b",)])
+        self.assertEqual(self.list_cancelled(effects, other), [reserve.attempt])
+
+    # Fails if a prefill is given up before another sidecar has finished one.
+    def test_late_prefill_is_used_while_the_other_sidecar_is_full(self):
+        self.start("p1", "p2", "d1")
+        [(peer, reserve)] = self.find_sent(self.submit(), messages.Reserve)
+        reserved = messages.Reserved(request_id="r", attempt=reserve.attempt)
+        effects = self.reply(peer, reserved, 0.0)
+        [(first, prefill)] = self.find_sent(effects, messages.Prefill)
+        effects = self.run_until(2.1, start=0.0, silent=(first,))
+        [(second, again)] = self.find_sent(effects, messages.Prefill)
+        self.assertNotEqual(second, first)
+        effects.extend(self.reply(second, self.refuse(again), 2.1))
+        self.assertEqual(self.list_cancelled(effects, first), [])
+        prefilled = messages.Prefilled(
+            request_id="r",
+            attempt=prefill.attempt,
+            source_address="a",
+            handle="h",
+            computed_tokens=10,
+        )
+        effects = self.reply(first, prefilled, 2.15)
+        self.assertEqual(len(self.find_sent(effects, messages.Decode)), 1)
+
     # Fails if the time before a renewal counts as silence too.
     def test_link_survives_a_silence_of_little_more_than_a_second(self):
         self.start("p1", "d1", "d2")
