Keep a late reservation until another one has been made

What callers saw: a decode sidecar that answered a reservation after more than a second cost the request its attempt, and the request was refused with `retry_budget_spent` when the budget was empty, although nothing had run and the reservation came.

Cause: at `reserve_limit_s` (1.0) the reservation was cancelled, and only then the number of tries, the budget and another endpoint were asked for.

Evidence: the test fails on the code before with "[<Code.RETRY_BUDGET_SPENT: 'retry_budget_spent'>] != []". Ruled out: a reservation that was lost on its way; the next renewal lists it and the sidecar reports it unknown.

Now `reserve_limit_s` is when another endpoint is asked too; whichever reserves first is used and the other one cancelled. The first is given up `lease_s` later at the latest. test_late_reservation_is_replaced_by_one_elsewhere guards the move; its like passed before, by the retry.

--- a/sassafrasstile/gateway/_generation_table.py
+++ b/sassafrasstile/gateway/_generation_table.py
@@ -538,6 +538,11 @@
         if generation.phase is Phase.RESUMING:
             self._resumption.restart(generation, now)
             return
+        if (
+            generation.phase is Phase.RESERVING
+            and now < generation.phase_deadline + self._settings.lease_s
+        ):
+            return
         placement = generation.decode
         if generation.phase is Phase.PREFILLING:
             placement = generation.prefill
--- a/sassafrasstile/gateway/_settings.py
+++ b/sassafrasstile/gateway/_settings.py
@@ -28,7 +28,8 @@
             gets no new work and other endpoints are asked to take over what
             it holds. Its link is closed once it holds nothing, or after
             `lease_s` of silence.
-        reserve_limit_s: Seconds until a reservation times out.
+        reserve_limit_s: Seconds until another endpoint is asked for a
+            reservation too. The first one times out `lease_s` later.
         prefill_limit_s: Seconds until a prefill times out.
         decode_limit_s: Seconds between pieces until a decode times out.
         transfer_base_s: Seconds allowed for any KV transfer, whatever its
--- a/sassafrasstile/gateway/_succession.py
+++ b/sassafrasstile/gateway/_succession.py
@@ -1,4 +1,4 @@
-"""Successors of attempts whose sidecar is silent.
+"""Successors of attempts whose sidecar is silent or late.
 
 A sidecar in good order may send nothing for a second or so and then go on.
 Its attempt is therefore kept until another endpoint has taken the request
@@ -49,14 +49,21 @@
         self._finish_prefill = finish_prefill
 
     def tick(self, generation: Generation, now: float) -> None:
-        """Looks for a successor while a request's sidecar is silent."""
+        """Looks for a successor while a request's sidecar is overdue."""
         current = generation.find_active_placement()
-        if current is None or not current.endpoint.is_silent:
+        if current is None or not self._is_overdue(generation, current, now):
             self.drop(generation)
             return
         if generation.successor is None and now >= generation.next_search_at:
             self._search(generation, current.endpoint, now)
 
+    def _is_overdue(
+        self, generation: Generation, current: Placement, now: float
+    ) -> bool:
+        if generation.phase is Phase.RESERVING:
+            return now >= generation.phase_deadline
+        return current.endpoint.is_silent
+
     def drop(self, generation: Generation) -> None:
         """Cancels a successor that isn't needed any more."""
         self._placements.cancel(generation.successor)
@@ -159,8 +166,8 @@
     ) -> None:
         silent = current.endpoint
         _LOG.info(
-            "gateway %s: request %s: moves from %s to %s in %s. Reason: silent "
-            "for %.1f s.",
+            "gateway %s: request %s: moves from %s to %s in %s. Reason: no "
+            "answer in time, silent for %.1f s.",
             self._context.name,
             generation.request_id,
             silent.name,
--- a/sassafrasstile/gateway/tests/test_silent_sidecars.py
+++ b/sassafrasstile/gateway/tests/test_silent_sidecars.py
@@ -205,3 +205,23 @@
             if isinstance(effect, gateway.Reconnect)
         ]
         self.assertEqual(closed, [])
+
+    # Fails if a reservation is given up before the budget allows another.
+    def test_late_reservation_is_used_without_a_retry_budget(self):
+        self.start("p1", "d1", "d2", retry_share=0.0, retry_reserve=0)
+        [(peer, _)] = self.find_sent(self.submit(), messages.Reserve)
+        effects = self.run_until(1.2, start=0.0, silent=(peer,))
+        self.assertEqual(self.list_refused(effects), [])
+
+    # Fails if a request waits for a late reservation although another sidecar
+    # has reserved memory.
+    def test_late_reservation_is_replaced_by_one_elsewhere(self):
+        self.start("p1", "d1", "d2")
+        [(peer, reserve)] = self.find_sent(self.submit(), messages.Reserve)
+        effects = self.run_until(1.1, start=0.0, silent=(peer,))
+        [(other, again)] = self.find_sent(effects, messages.Reserve)
+        self.assertNotEqual(other, peer)
+        reserved = messages.Reserved(request_id="r", attempt=again.attempt)
+        effects = self.reply(other, reserved, 1.15)
+        self.assertEqual(self.list_cancelled(effects, peer), [reserve.attempt])
+        self.assertEqual(len(self.find_sent(effects, messages.Prefill)), 1)
