Keep a partial answer until the new attempt has a token

What callers saw: who returned through another gateway while the decode sidecar with the partial answer was silent for more than half a second got the whole answer computed anew, or a refusal; the partial answer was gone.

Cause: after `resume_wait_s` (0.5) the search ended and its queries were cancelled. The sidecar reads query and cancel in order: it hands the answer over and releases it at once. Same class of fault: the source is given up before the new attempt has anything.

Evidence, on the code before: "[('d1', Cancel(request_id='r', attempt=1))] != []" after 0.5 s of silence; a refused new attempt ends the request with "[<Code.NO_CAPACITY: 'no_capacity'>] != []" although the answer is there; and two more tests of the new behaviour fail. Ruled out: a longer `resume_wait_s`; every caller would wait for any silent sidecar of the model.

Now the request starts from its prompt as before, and the queries stay open until the new attempt has its first token. A sidecar that replies before that goes on. While a query is open, a refused new attempt waits in the queue. A query that is handled late may find the new attempt itself and supersede it: the request then waits for that reply (test_query_that_finds_the_new_attempt_continues_it). A query ends at the latest with its link, `lease_s` after an unanswered renewal, so nothing is held for longer.

Not covered: a new attempt that fails after it may have run, with no try or budget left, still ends the search.

--- a/sassafrasstile/gateway/_generation.py
+++ b/sassafrasstile/gateway/_generation.py
@@ -36,7 +36,7 @@
         resume_queries: Placements that were asked for an answer to resume and
             haven't replied.
         resumed_from: The attempt number under which the resumed answer was
-            generated before.
+            generated before; 0 while the answer isn't a resumed one.
         successor: The placement that may take over from one whose sidecar is
             silent, or None.
         next_search_at: When a successor may be looked for, in kernel time.
@@ -124,15 +124,19 @@
     def detach_placements(
         self,
     ) -> "list[_placements.Placement[Generation] | None]":
-        """Removes and returns all placements of the request."""
-        placements = [
-            self.decode,
-            self.prefill,
-            self.successor,
-            *self.resume_queries,
-        ]
+        """Removes and returns the placements that work on the request.
+
+        Queries for an answer to resume stay open.
+        """
+        placements = [self.decode, self.prefill, self.successor]
         self.decode = None
         self.prefill = None
         self.successor = None
-        self.resume_queries.clear()
+        self.resumed_from = 0
         return placements
+
+    def detach_queries(self) -> "list[_placements.Placement[Generation]]":
+        """Removes and returns the queries for an answer to resume."""
+        queries = list(self.resume_queries)
+        self.resume_queries.clear()
+        return queries
--- a/sassafrasstile/gateway/_generation_table.py
+++ b/sassafrasstile/gateway/_generation_table.py
@@ -340,6 +340,8 @@
         ):
             return
         generation.phase_deadline = now + self._settings.decode_limit_s
+        if not generation.resumed_from:
+            self._resumption.end_search(generation)
         self._release_prefill(generation)
         self._deliver(generation, message.offset, message.texts)
         self._finish_if_complete(generation)
@@ -398,6 +400,8 @@
         generation = placement.item
         self._placements.drop(placement)
         if message.code == errors.Code.SUPERSEDED:
+            if self._resumption.take_back(placement, now):
+                return
             self._refuse(
                 generation,
                 verdicts.MayHaveRun(code=errors.Code.SUPERSEDED),
@@ -482,7 +486,7 @@
         """Starts another attempt after a refusal, or leaves it queued."""
         generation.attempt_count -= 1
         generation.phase = Phase.QUEUED
-        if now >= generation.queue_deadline:
+        if now >= generation.queue_deadline and not generation.resume_queries:
             self._refuse_unserved(generation, errors.Code.NO_CAPACITY)
         elif endpoint is not None:
             self._start_attempt(generation, now)
@@ -522,6 +526,7 @@
 
     def _remove(self, generation: Generation) -> None:
         self._placements.cancel_all(generation.detach_placements())
+        self._resumption.end_search(generation)
         del self._requests[generation.request_id]
         self._admission.release(generation.request)
 
@@ -530,6 +535,8 @@
             self._refuse_unserved(generation, errors.Code.DEADLINE_EXCEEDED)
             return
         if generation.phase is Phase.QUEUED:
+            if generation.resume_queries:
+                return
             if now >= generation.queue_deadline:
                 self._refuse_unserved(generation, errors.Code.NO_CAPACITY)
             return
--- a/sassafrasstile/gateway/_resumption.py
+++ b/sassafrasstile/gateway/_resumption.py
@@ -76,11 +76,10 @@
         """Continues the answer, preferring the latest attempt."""
         generation = placement.item
         generation.resume_queries.remove(placement)
-        if generation.decode is not None:
-            if message.previous < generation.resumed_from:
-                self._placements.cancel(placement)
-                return
-            self._placements.cancel(generation.decode)
+        if message.previous < generation.resumed_from:
+            self._placements.cancel(placement)
+            return
+        self._placements.cancel_all(generation.detach_placements())
         generation.decode = placement
         generation.resumed_from = message.previous
         generation.phase = Phase.DECODING
@@ -102,6 +101,46 @@
             self.restart(generation, now)
 
     def restart(self, generation: Generation, now: float) -> None:
-        """Restarts the request from its prompt, without an answer to resume."""
-        self._placements.cancel_all(generation.detach_placements())
+        """Starts the request from its prompt, without an answer to resume.
+
+        Endpoints that haven't replied may still have an answer. It is used if
+        they reply before the new attempt has one.
+        """
+        if generation.resume_queries:
+            _LOG.info(
+                "gateway %s: request %s: starts from its prompt. Reason: %d "
+                "sidecars haven't said whether they have an answer.",
+                self._context.name,
+                generation.request_id,
+                len(generation.resume_queries),
+            )
         self._start_attempt(generation, now)
+
+    def take_back(self, placement: Placement, now: float) -> bool:
+        """Waits for the reply to a query that found this request's attempt.
+
+        A query that is handled late may find the attempt that was started
+        meanwhile, and supersedes it.
+
+        Args:
+            placement: The superseded placement.
+            now: Kernel time in seconds.
+
+        Returns:
+            False when no query is open at the placement's endpoint.
+        """
+        generation = placement.item
+        endpoint = placement.endpoint
+        if all(
+            query.endpoint is not endpoint
+            for query in generation.resume_queries
+        ):
+            return False
+        self._placements.cancel_all(generation.detach_placements())
+        generation.phase = Phase.RESUMING
+        generation.phase_deadline = now + self._settings.resume_wait_s
+        return True
+
+    def end_search(self, generation: Generation) -> None:
+        """Cancels the open queries; an answer that they find is released."""
+        self._placements.cancel_all(generation.detach_queries())
--- a/sassafrasstile/gateway/_settings.py
+++ b/sassafrasstile/gateway/_settings.py
@@ -37,7 +37,9 @@
         transfer_token_rate: Minimum rate of a link in tokens per second. The
             tokens to transfer, divided by this rate, extend the transfer's
             time limit.
-        resume_wait_s: Seconds to search for a partial answer to resume.
+        resume_wait_s: Seconds to search for a partial answer to resume before
+            the request is started from its prompt. A partial answer that is
+            found before the new attempt has one is still used.
         interactive_limit_s: Seconds until an interactive request times out.
         deferred_limit_s: Seconds until a deferred request times out.
         interactive_queue_s: Maximum seconds in the queue for an interactive
--- a/sassafrasstile/gateway/tests/test_silent_sidecars.py
+++ b/sassafrasstile/gateway/tests/test_silent_sidecars.py
@@ -68,8 +68,14 @@
     def start_decode(self):
         """Runs a request up to its decode; returns endpoint and attempt."""
         [(peer, reserve)] = self.find_sent(self.submit(), messages.Reserve)
+        self.decode(peer, reserve, 0.0)
+        self.reply(peer, self.pieces(reserve.attempt, 0, "a"), 0.0)
+        return peer, reserve.attempt
+
+    def decode(self, peer, reserve, now):
+        """Runs a reserved attempt up to its decode; returns all effects."""
         reserved = messages.Reserved(request_id="r", attempt=reserve.attempt)
-        effects = self.reply(peer, reserved, 0.0)
+        effects = self.reply(peer, reserved, now)
         [(_, prefill)] = self.find_sent(effects, messages.Prefill)
         prefilled = messages.Prefilled(
             request_id="r",
@@ -78,9 +84,7 @@
             handle="h",
             computed_tokens=10,
         )
-        self.reply("p1", prefilled, 0.0)
-        self.reply(peer, self.pieces(reserve.attempt, 0, "a"), 0.0)
-        return peer, reserve.attempt
+        return effects + self.reply("p1", prefilled, now)
 
     def pieces(self, attempt, offset, *texts):
         return messages.Pieces(
@@ -225,3 +229,93 @@
         effects = self.reply(other, reserved, 1.15)
         self.assertEqual(self.list_cancelled(effects, peer), [reserve.attempt])
         self.assertEqual(len(self.find_sent(effects, messages.Prefill)), 1)
+
+    # Fails if the search for a partial answer ends, and cancels it, while
+    # the only sidecar that can have it is silent.
+    def test_partial_answer_is_resumed_after_a_second_of_silence(self):
+        self.start("p1", "d1")
+        effects = self.submit(resume_offset=1)
+        [(peer, resume)] = self.find_sent(effects, messages.Resume)
+        effects = self.run_until(1.0, start=0.0, silent=(peer,))
+        self.assertEqual(self.find_sent(effects, messages.Cancel), [])
+        resumed = messages.Resumed(
+            request_id="r", attempt=resume.attempt, previous=3, tokens=2
+        )
+        effects = self.reply(peer, resumed, 1.1)
+        effects.extend(
+            self.reply(peer, self.pieces(resume.attempt, 0, "a", "b"), 1.1)
+        )
+        self.assertEqual(self.list_delivered(effects), [("b",)])
+
+    # Fails if a silent sidecar's partial answer is kept, or used, once the new
+    # attempt has an answer.
+    def test_search_for_a_partial_answer_ends_with_the_new_answer(self):
+        self.start("p1", "d1", "d2")
+        asked = self.find_sent(self.submit(resume_offset=1), messages.Resume)
+        [(silent, query)] = [item for item in asked if item[0] == "d1"]
+        [(_, other)] = [item for item in asked if item[0] == "d2"]
+        self.reply("d2", self.refuse(other), 0.0)
+        effects = self.run_until(0.6, start=0.0, silent=(silent,))
+        [(peer, reserve)] = self.find_sent(effects, messages.Reserve)
+        self.assertEqual(peer, "d2")
+        effects = self.decode(peer, reserve, 0.6)
+        self.assertEqual(self.list_cancelled(effects, silent), [])
+        effects = self.reply(
+            peer, self.pieces(reserve.attempt, 0, "a", "b"), 0.7
+        )
+        self.assertEqual(self.list_delivered(effects), [("b",)])
+        self.assertEqual(self.list_cancelled(effects, silent), [query.attempt])
+
+    # Fails if a request is refused as superseded by another gateway when its
+    # own late query has found the attempt that was started meanwhile.
+    def test_query_that_finds_the_new_attempt_continues_it(self):
+        self.start("p1", "d1")
+        effects = self.submit(resume_offset=1)
+        [(peer, query)] = self.find_sent(effects, messages.Resume)
+        effects = self.run_until(0.6, start=0.0, silent=(peer,))
+        [(_, reserve)] = self.find_sent(effects, messages.Reserve)
+        self.decode(peer, reserve, 0.6)
+        superseded = messages.Failed(
+            request_id="r",
+            attempt=reserve.attempt,
+            verdict="may_have_run",
+            code=errors.Code.SUPERSEDED,
+        )
+        effects = self.reply(peer, superseded, 0.7)
+        self.assertEqual(self.list_refused(effects), [])
+        resumed = messages.Resumed(
+            request_id="r",
+            attempt=query.attempt,
+            previous=reserve.attempt,
+            tokens=2,
+        )
+        self.reply(peer, resumed, 0.7)
+        effects = self.reply(peer, self.pieces(query.attempt, 0, "a", "b"), 0.7)
+        self.assertEqual(self.list_delivered(effects), [("b",)])
+
+    # Fails if the refusal of a new attempt ends the search for a partial
+    # answer.
+    def test_partial_answer_is_resumed_after_the_new_attempt_was_refused(self):
+        self.start("p1", "d1", "d2")
+        asked = self.find_sent(self.submit(resume_offset=1), messages.Resume)
+        [(silent, query)] = [item for item in asked if item[0] == "d1"]
+        [(_, other)] = [item for item in asked if item[0] == "d2"]
+        self.reply("d2", self.refuse(other), 0.0)
+        effects = self.run_until(2.0, start=0.0, silent=(silent,))
+        reserve = next(
+            message
+            for peer, message in self.find_sent(effects, messages.Reserve)
+            if peer == "d2"
+        )
+        effects.extend(self.reply("d2", self.refuse(reserve), 2.05))
+        effects.extend(self.run_until(2.2, start=2.05, silent=(silent,)))
+        self.assertEqual(self.list_refused(effects), [])
+        self.assertNotIn(query.attempt, self.list_cancelled(effects, silent))
+        resumed = messages.Resumed(
+            request_id="r", attempt=query.attempt, previous=3, tokens=2
+        )
+        self.reply(silent, resumed, 2.25)
+        effects = self.reply(
+            silent, self.pieces(query.attempt, 0, "a", "b"), 2.25
+        )
+        self.assertEqual(self.list_delivered(effects), [("b",)])
