--- a/sassafrasstile/gateway/_generation_table.py
+++ b/sassafrasstile/gateway/_generation_table.py
@@ -14,6 +14,7 @@
 from sassafrasstile.gateway import _generation_messages
 from sassafrasstile.gateway import _placements
 from sassafrasstile.gateway import _resumption
+from sassafrasstile.gateway import _succession
 
 _LOG = logging.getLogger("sassafrasstile.gateway")
 
@@ -43,6 +44,12 @@
             placements=self._placements,
             start_attempt=self._start_attempt,
         )
+        self._succession = _succession.Succession(
+            context=context,
+            placements=self._placements,
+            start_prefill=self._start_prefill,
+            finish_prefill=self._on_prefilled,
+        )
         self._requests: dict[str, Generation] = {}
 
     def __len__(self) -> int:
@@ -120,6 +127,10 @@
         if placement in generation.resume_queries:
             self._resumption.receive(placement, message, now)
             return True
+        if placement is generation.successor:
+            self._succession.receive(placement, message, now)
+            return True
+        self._succession.drop(generation)
         match message:
             case messages.Reserved():
                 self._on_reserved(placement, now)
@@ -138,6 +149,11 @@
     ) -> None:
         """Fails the attempts at an endpoint whose link was lost."""
         for placement in self._placements.list_at(endpoint):
+            if not self._placements.is_open(placement):
+                continue
+            if placement is placement.item.successor:
+                self._succession.handle_lost_link(placement)
+                continue
             if placement in placement.item.resume_queries:
                 self._resumption.handle_no_answer(placement, now)
                 continue
@@ -163,6 +179,8 @@
         """Handles timeouts and starts attempts of queued requests."""
         for generation in list(self._requests.values()):
             self._check_timeouts(generation, now)
+        for generation in self._requests.values():
+            self._succession.tick(generation, now)
         queued = [
             generation
             for generation in self._requests.values()
@@ -243,7 +261,8 @@
         generation.phase = Phase.RESERVING
         generation.phase_deadline = now + self._settings.reserve_limit_s
         self._context.send(
-            endpoint.name, _generation_messages.make_reserve(generation)
+            endpoint.name,
+            _generation_messages.make_reserve(generation, generation.decode),
         )
 
     def _open_placement(
@@ -287,7 +306,8 @@
         generation.phase_deadline = now + self._settings.prefill_limit_s
         generation.unproven_prefills.add(generation.prefill.attempt)
         self._context.send(
-            endpoint.name, _generation_messages.make_prefill(generation)
+            endpoint.name,
+            _generation_messages.make_prefill(generation, generation.prefill),
         )
 
     def _on_prefilled(
@@ -320,6 +340,8 @@
         ):
             return
         generation.phase_deadline = now + self._settings.decode_limit_s
+        if not generation.resumed_from:
+            self._resumption.end_search(generation)
         self._release_prefill(generation)
         self._deliver(generation, message.offset, message.texts)
         self._finish_if_complete(generation)
@@ -378,6 +400,8 @@
         generation = placement.item
         self._placements.drop(placement)
         if message.code == errors.Code.SUPERSEDED:
+            if self._resumption.take_back(placement, now):
+                return
             self._refuse(
                 generation,
                 verdicts.MayHaveRun(code=errors.Code.SUPERSEDED),
@@ -462,7 +486,7 @@
         """Starts another attempt after a refusal, or leaves it queued."""
         generation.attempt_count -= 1
         generation.phase = Phase.QUEUED
-        if now >= generation.queue_deadline:
+        if now >= generation.queue_deadline and not generation.resume_queries:
             self._refuse_unserved(generation, errors.Code.NO_CAPACITY)
         elif endpoint is not None:
             self._start_attempt(generation, now)
@@ -502,6 +526,7 @@
 
     def _remove(self, generation: Generation) -> None:
         self._placements.cancel_all(generation.detach_placements())
+        self._resumption.end_search(generation)
         del self._requests[generation.request_id]
         self._admission.release(generation.request)
 
@@ -510,6 +535,8 @@
             self._refuse_unserved(generation, errors.Code.DEADLINE_EXCEEDED)
             return
         if generation.phase is Phase.QUEUED:
+            if generation.resume_queries:
+                return
             if now >= generation.queue_deadline:
                 self._refuse_unserved(generation, errors.Code.NO_CAPACITY)
             return
@@ -518,6 +545,11 @@
         if generation.phase is Phase.RESUMING:
             self._resumption.restart(generation, now)
             return
+        if (
+            generation.phase is Phase.RESERVING
+            and now < generation.phase_deadline + self._settings.lease_s
+        ):
+            return
         placement = generation.decode
         if generation.phase is Phase.PREFILLING:
             placement = generation.prefill
--- a/sassafrasstile/gateway/_settings.py
+++ b/sassafrasstile/gateway/_settings.py
@@ -24,9 +24,12 @@
             lease at a sidecar expires. After a suspension at least this long,
             a gateway requeues the requests that weren't decoding.
         renew_s: Seconds between renewals of leases.
-        silence_s: Seconds without a message from a sidecar that holds work of
-            this gateway until its link is closed.
-        reserve_limit_s: Seconds until a reservation times out.
+        silence_s: Seconds without a message after a renewal until a sidecar
+            gets no new work and other endpoints are asked to take over what
+            it holds. Its link is closed once it holds nothing, or after
+            `lease_s` of silence.
+        reserve_limit_s: Seconds until another endpoint is asked for a
+            reservation too. The first one times out `lease_s` later.
         prefill_limit_s: Seconds until a prefill times out.
         decode_limit_s: Seconds between pieces until a decode times out.
         transfer_base_s: Seconds allowed for any KV transfer, whatever its
@@ -34,7 +37,9 @@
         transfer_token_rate: Minimum rate of a link in tokens per second. The
             tokens to transfer, divided by this rate, extend the transfer's
             time limit.
-        resume_wait_s: Seconds to search for a partial answer to resume.
+        resume_wait_s: Seconds to search for a partial answer to resume before
+            the request is started from its prompt. A partial answer that is
+            found before the new attempt has one is still used.
         interactive_limit_s: Seconds until an interactive request times out.
         deferred_limit_s: Seconds until a deferred request times out.
         interactive_queue_s: Maximum seconds in the queue for an interactive
