--- a/sassafrasstile/faultsoak/__main__.py
+++ b/sassafrasstile/faultsoak/__main__.py
@@ -38,6 +38,7 @@
             seconds=seconds,
             faults=faults,
             notices=faults,
+            silences=faults,
         )
         report = testing.run(run.run)
         failed_seeds += bool(report.violations)
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -20,6 +20,7 @@
 from sassafrasstile.faultsoak import _notice_log
 from sassafrasstile.faultsoak import _proxy
 from sassafrasstile.faultsoak import _restores
+from sassafrasstile.faultsoak import _silences
 from sassafrasstile.faultsoak import _versions
 
 _STARTUP_WAIT_S = 3.0
@@ -44,6 +45,7 @@
             caller, and were refused.
         notices: The number of answers that restricted what their endpoint may
             be sent.
+        silenced: The number of streams that a silence of their engine checked.
         violations: The violated guarantees, one sentence each.
     """
 
@@ -54,6 +56,7 @@
     faults: dict[str, int]
     streams: dict[str, int]
     notices: int
+    silenced: int
     violations: list[str]
 
 
@@ -67,6 +70,7 @@
         gateways: The number of gateways.
         faults: Whether to disturb processes, links and the store.
         notices: Whether endpoints leave and shed load.
+        silences: Whether engines fall silent for about a second and go on.
         arguments: The interpreter's arguments that start a gateway.
         states_era: Whether the store's answers show when it was restored.
     """
@@ -80,6 +84,7 @@
         gateways: int = 3,
         faults: bool = True,
         notices: bool = True,
+        silences: bool = True,
         arguments: Sequence[str] = _gateways.ARGUMENTS,
         states_era: bool = True,
     ):
@@ -89,6 +94,7 @@
         self._gateway_count = gateways
         self._has_faults = faults
         self._has_notices = notices
+        self._has_silences = silences
         self._generator = random.Random(seed)
         self._notice_generator = random.Random(f"notices {seed}")
         self._notice_log = _notice_log.NoticeLog()
@@ -100,6 +106,7 @@
             self._store_server.store.stated_era = ""
         self.endpoints: dict[str, _endpoints.ScriptedEndpoint] = {}
         self._proxies: dict[str, _proxy.FaultProxy] = {}
+        self._silent_engines: _silences.SilentEngines | None = None
         self.gateways: list[_gateways.GatewayProcess] = []
         self._returning = _versions.ReturningCallers(
             reactor=reactor, gateways=self.gateways, seed=seed
@@ -130,6 +137,9 @@
             generator=self._generator,
         )
         await self._sleep(_STARTUP_WAIT_S)
+        silent_engines = self._silent_engines
+        if self._has_silences:
+            await silent_engines.check()
         callers.stop_sending_at = self._reactor.seconds() + self._seconds
         sending = testing.spawn(callers.run())
         returning = testing.spawn(self._returning.run(callers.stop_sending_at))
@@ -137,6 +147,9 @@
             self._start_restores(callers.stop_sending_at)
         if self._has_notices:
             self._running_faults.append(self._start_notice_faults(callers))
+        if self._has_silences:
+            silencing = silent_engines.run(callers.stop_sending_at)
+            self._running_faults.append(testing.spawn(silencing))
         while self._reactor.seconds() < callers.stop_sending_at:
             await self._sleep(0.2 + self._generator.random())
             if self._has_faults:
@@ -164,9 +177,11 @@
             faults=dict(self._fault_counts),
             streams=dict(self._returning.counts),
             notices=len(self._notice_log.notices),
+            silenced=silent_engines.checked,
             violations=[
                 *callers.violations,
                 *self._returning.violations,
+                *silent_engines.violations,
                 *self._restores.violations,
             ],
         )
@@ -208,6 +223,13 @@
                 self._add_endpoint(f"{kind}{number}", stage)
         self._returning.start(self._store_server)
         self._restores.start()
+        self._silent_engines = _silences.SilentEngines(
+            reactor=self._reactor,
+            gateways=self.gateways,
+            proxies=[self._proxies["d0"], self._proxies["d1"]],
+            seed=self._seed,
+        )
+        self._silent_engines.start(self._store_server)
         self._configure(1)
         for number in range(self._gateway_count):
             proxy = self._make_proxy(
@@ -291,6 +313,21 @@
             testing.make_platform_route(
                 _restores.SPARE_PATH, _restores.SPARE_SERVICE, "safe"
             ),
+            *(
+                testing.make_platform_route(
+                    path,
+                    service,
+                    "streaming",
+                    targetGapMs=300,
+                    resumable=True,
+                    maxAttempts=2,
+                    timeoutMs=20000,
+                )
+                for path, service in (
+                    (_silences.SHARED_PATH, "writer"),
+                    (_silences.SINGLE_PATH, _silences.SINGLE_SERVICE),
+                )
+            ),
             *(
                 testing.make_platform_route(path, "desk", "unsafe")
                 for path in extra_paths
@@ -303,6 +340,8 @@
             item for item in document["services"] if item["name"] == "writer"
         )
         document["services"].append({**writer, "name": _versions.SERVICE})
+        single = {**writer, "name": _silences.SINGLE_SERVICE}
+        document["services"].append(single)
         self._store_server.store.put_json("keyed.op", "config", document)
 
     async def close(self) -> None:
@@ -315,6 +354,7 @@
             await defer.maybeDeferred(endpoint.server.close)
         await self._returning.close()
         await self._restores.close()
+        await self._silent_engines.close()
         await defer.maybeDeferred(self._store_server.close)
 
     # Faults.
