--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -1,6 +1,7 @@
 """The queue of generations that wait for capacity on engines."""
 
 import collections
+from collections.abc import Collection
 import dataclasses
 import enum
 import itertools
@@ -48,7 +49,12 @@
         prefilled_until: When its finished prefill expires, in seconds, or
             None without one.
         is_resumed: True when the caller already has a part of the output.
+        may_prefill: False when the decode engine reads the prompt itself.
         excluded: Engines on which it has failed.
+        software_version: The version that its decode engine must have, or None
+            for any.
+        prefilled_version: The version that its finished prefill needs while it
+            hasn't expired.
         grant: The granted capacity, once it is admitted.
     """
 
@@ -60,7 +66,10 @@
     sequence: int
     prefilled_until: float | None = None
     is_resumed: bool = False
+    may_prefill: bool = True
     excluded: tuple[_endpoints.Endpoint, ...] = ()
+    software_version: str | None = None
+    prefilled_version: str | None = None
     grant: _grants.Grant | None = None
 
     def needs_prefill(self, now: float) -> bool:
@@ -69,7 +78,7 @@
         Args:
             now: The time in seconds.
         """
-        if self.is_resumed:
+        if not self.may_prefill:
             return False
         return self.prefilled_until is None or now >= self.prefilled_until
 
@@ -118,7 +127,10 @@
         priority: int = 0,
         prefilled_until: float | None = None,
         is_resumed: bool = False,
+        may_prefill: bool = True,
         excluded: tuple[_endpoints.Endpoint, ...] = (),
+        software_version: str | None = None,
+        prefilled_version: str | None = None,
     ) -> Waiter:
         """Adds a generation; `admit` returns it once it has capacity.
 
@@ -134,7 +146,13 @@
                 or None without one.
             is_resumed: True when the caller already has a part of the
                 output.
+            may_prefill: False when the decode engine reads the prompt itself,
+                beside its other streams.
             excluded: Engines on which it has failed.
+            software_version: The version that its decode engine must have, or
+                None for any.
+            prefilled_version: The version of the engine that has prefilled it,
+                or None without a finished prefill.
         """
         waiter = Waiter(
             service=service,
@@ -145,7 +163,10 @@
             sequence=next(self._sequence),
             prefilled_until=prefilled_until,
             is_resumed=is_resumed,
+            may_prefill=may_prefill,
             excluded=excluded,
+            software_version=software_version,
+            prefilled_version=prefilled_version,
         )
         self._waiters.append(waiter)
         return waiter
@@ -158,8 +179,16 @@
     def admit(self, now: float) -> list[Waiter]:
         """Reserves capacity for generations and returns the admitted ones."""
         admitted = []
+        # Versions of engines that are full, by service.
+        full_versions: dict[str, set[str]] = collections.defaultdict(set)
         for waiter in self._sort(now):
-            match self._choose(waiter, now):
+            full = full_versions[waiter.service.name]
+            match self._choose(waiter, now, full):
+                case _placement.VersionShortage(versions=versions):
+                    # Later generations leave the engines of these versions to
+                    # it, and needn't wait for those of others.
+                    full.update(versions)
+                    continue
                 case _placement.Shortage.DECODE:
                     # Smaller generations must not starve it.
                     break
@@ -177,15 +206,21 @@
         return admitted
 
     def _choose(
-        self, waiter: Waiter, now: float
-    ) -> _grants.Grant | _placement.Shortage:
+        self, waiter: Waiter, now: float, full_versions: Collection[str]
+    ) -> _grants.Grant | _placement.Shortage | _placement.VersionShortage:
+        needs_prefill = waiter.needs_prefill(now)
+        version = waiter.software_version
+        if version is None and not needs_prefill:
+            version = waiter.prefilled_version
         return self._placement.choose_for_generation(
             service=waiter.service,
             size=waiter.size,
             now=now,
-            needs_prefill=waiter.needs_prefill(now),
+            needs_prefill=needs_prefill,
             is_late=waiter.get_urgency(now) is Urgency.LATE,
             excluded=waiter.excluded,
+            software_version=version,
+            avoided_versions=full_versions,
         )
 
     def expire(self, now: float) -> list[Waiter]:
@@ -209,10 +244,14 @@
             self._admitted_at.popleft()
         return max(_MIN_RATE_PER_S, len(self._admitted_at) / _RATE_WINDOW_S)
 
-    @staticmethod
-    def _should_expire(waiter: Waiter, wait_s: float, now: float) -> bool:
+    def _should_expire(self, waiter: Waiter, wait_s: float, now: float) -> bool:
         if now >= waiter.wait_deadline:
             return True
+        if waiter.software_version and not self._placement.has_decode_engine(
+            waiter.service.name, software_version=waiter.software_version
+        ):
+            # Its version has left.
+            return True
         match waiter.get_urgency(now + wait_s):
             case Urgency.LATE:
                 return wait_s > _MAX_LATE_WAIT_S
--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -13,6 +13,7 @@
 from sassafrasstile import web
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _timers
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
 
@@ -75,11 +76,13 @@
 
     def check():
         if is_alive() and max_timeout_s > timeout_s:
-            timers[0] = reactor.callLater(max_timeout_s - timeout_s, abandon)
+            limit.start(max_timeout_s - timeout_s)
         else:
             abandon()
 
-    timers = [reactor.callLater(max(0.0, min(timeout_s, max_timeout_s)), check)]
+    limit = _timers.SilenceTimer(reactor=reactor, on_silence=abandon)
+    timer = _timers.SilenceTimer(reactor=reactor, on_silence=check)
+    timer.start(min(timeout_s, max_timeout_s))
     try:
         return await work
     except defer.CancelledError:
@@ -87,8 +90,8 @@
             raise defer.TimeoutError from None
         raise
     finally:
-        if timers[0].active():
-            timers[0].cancel()
+        timer.close()
+        limit.close()
 
 
 class Attempt:
@@ -124,6 +127,7 @@
         *,
         timeout_s: float,
         max_timeout_s: float | None = None,
+        overdue_s: float | None = None,
     ) -> AttemptResult:
         """Sends the request and waits for the answer's head.
 
@@ -132,6 +136,8 @@
             timeout_s: Seconds to wait for the head.
             max_timeout_s: Seconds to wait if the endpoint still sends data
                 for other requests; `timeout_s` by default.
+            overdue_s: Seconds after which an attempt that is cancelled counts
+                as a failure of the endpoint; by default it never does.
 
         Returns:
             The beginning of the answer, or the verdict when there is none.
@@ -153,7 +159,7 @@
         except defer.TimeoutError:
             result = self._handle_timeout()
         except defer.CancelledError:
-            self._log(verdicts.MayHaveRun(code=errors.Code.CANCELLED))
+            self._handle_cancellation(overdue_s)
             raise
         finally:
             self.endpoint.health.remove_pending(self._key)
@@ -235,6 +241,17 @@
         self.record_failure()
         return verdicts.MayHaveRun(code=reason.code)
 
+    def _handle_cancellation(self, overdue_s: float | None) -> None:
+        """Records an attempt that has ended without a result."""
+        now = self._context.now()
+        self._log(verdicts.MayHaveRun(code=errors.Code.CANCELLED))
+        if overdue_s is None or now - self.began_at < overdue_s:
+            return
+        if self.endpoint.health.is_silent(now):
+            self.endpoint.health.mark_unreachable(now)
+        if self.was_sent:
+            self.record_failure()
+
     def _handle_timeout(self) -> AttemptResult:
         now = self._context.now()
         is_silent = self.endpoint.health.is_silent(now)
@@ -262,6 +279,7 @@
                 "request": self._request_id,
                 "attempt": self._number,
                 "endpoint": self.endpoint.name,
+                "software_version": self.endpoint.record.software_version,
                 "outcome": outcome,
                 "taken_ms": round((self._context.now() - self.began_at) * 1000),
                 "in_flight": self.endpoint.in_flight,
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -2,6 +2,8 @@
 
 import logging
 
+from twisted.internet import defer
+
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import verdicts
@@ -13,14 +15,13 @@
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _holds
 from sassafrasstile.forwarding import _prefills
+from sassafrasstile.forwarding import _resumptions
 from sassafrasstile.forwarding import _retries
+from sassafrasstile.forwarding import _standby
 from sassafrasstile.forwarding import _streams
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
-# A resumable generation without a first token is sent to another engine
-# after this share of its route's timeout.
-_FIRST_TOKEN_TIMEOUT_SHARE = 0.15
 _NO_ENDPOINT_RETRY_AFTER_S = 0.5
 # From this reserved share of its memory on, an engine is likely to be full.
 _FULL_SHARE = 0.85
@@ -37,11 +38,22 @@
         self._context = context
         self._prefills = _prefills.PrefillRunner(context=context)
         self._holds = _holds.HoldTaker(context=context)
-        self._streams = _streams.StreamForwarder(context=context)
+        self._resumptions = _resumptions.ResumptionResolver(context=context)
         self.admission = _admission.AdmissionController(context=context)
+        self._standbys = _standby.StandbyFinder(
+            context=context, admission=self.admission, holds=self._holds
+        )
+        self._streams = _streams.StreamForwarder(
+            context=context, standbys=self._standbys
+        )
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Forwards a generation request and answers its caller."""
+        if task.details.is_resumption:
+            refusal = await self._resumptions.resolve(task)
+            if refusal is not None:
+                _answers.fail_task(self._context, task, refusal)
+                return
         progress = _streams.Progress(last_event_id=task.details.last_event_id)
         try:
             verdict = await self._run_until_answered(task, progress)
@@ -70,11 +82,7 @@
             on the last send, or NO_CAPACITY when no engine was granted.
         """
         while True:
-            grant = await self.admission.acquire(
-                task,
-                handle=progress.handle,
-                is_resumed=progress.events > 0,
-            )
+            grant = await self._acquire(task, progress)
             if grant is None:
                 return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
             try:
@@ -83,9 +91,27 @@
                 self.admission.release(grant)
             if verdict is None:
                 return None
-            if not _retries.may_send_again(self._context, task, verdict):
+            # The retry budget has already paid for a standby engine.
+            if progress.standby is None and not _retries.may_send_again(
+                self._context, task, verdict
+            ):
                 return verdict
 
+    async def _acquire(
+        self, task: _task.RequestTask, progress: _streams.Progress
+    ) -> dispatch.Grant | None:
+        """Returns the capacity of the standby engine, or waits for some."""
+        standby, progress.standby = progress.standby, None
+        if standby is not None:
+            progress.hold = standby.hold
+            return standby.grant
+        return await self.admission.acquire(
+            task,
+            handle=progress.handle,
+            is_resumed=progress.events > 0 or task.details.is_resumption,
+            may_prefill=not progress.events,
+        )
+
     async def _run_on_grant(
         self,
         task: _task.RequestTask,
@@ -93,7 +119,8 @@
         progress: _streams.Progress,
     ) -> verdicts.Verdict | None:
         """Runs a request on the engines that it was granted."""
-        if self._holds.is_needed(task, grant):
+        if progress.hold is None and self._holds.is_needed(task, grant):
+            task.hold_attempts += 1
             hold = await self._holds.take(task, grant)
             if isinstance(hold, verdicts.NotRun):
                 return hold
@@ -156,7 +183,7 @@
             hold=self._get_hold_token(progress),
             last_event_id=progress.last_event_id if progress.events else None,
         )
-        timeout_s = self._choose_timeout(task, remaining_s)
+        is_last = _retries.is_last_send(task)
         task.record_send(engine)
         attempt = _attempts.Attempt(
             context=context,
@@ -164,8 +191,20 @@
             request_id=task.request_id,
             number=task.sends,
         )
+        starting = defer.ensureDeferred(
+            attempt.start(
+                outgoing,
+                timeout_s=remaining_s,
+                overdue_s=_standby.compute_search_delay_s(task.route),
+            )
+        )
         try:
-            result = await attempt.start(outgoing, timeout_s=timeout_s)
+            if is_last:
+                result = await starting
+            else:
+                result = await self._wait_for_head(
+                    task, engine, starting, progress
+                )
             if isinstance(result, _attempts.Answered):
                 # The engine has consumed the handle and the hold.
                 progress.handle = None
@@ -184,6 +223,30 @@
             self._handle_refusal(task, engine, progress)
         return result
 
+    async def _wait_for_head(
+        self,
+        task: _task.RequestTask,
+        engine: dispatch.Endpoint,
+        starting: defer.Deferred,
+        progress: _streams.Progress,
+    ) -> _attempts.AttemptResult:
+        """Waits for an answer, or until another engine can run the request."""
+        watch = self._standbys.watch(
+            task,
+            engine,
+            starting,
+            generated_tokens=self._streams.count_tokens(task, progress),
+        )
+        try:
+            return await starting
+        except defer.CancelledError:
+            if watch.standby is None:
+                raise
+            progress.standby = watch.standby
+            return verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
+        finally:
+            watch.close()
+
     def _may_prefill_locally(self, grant: dispatch.Grant) -> bool:
         """Returns whether the decode engine may prefill locally."""
         return self._context.placement.can_prefill_locally(
@@ -228,14 +291,6 @@
         if hold is not None:
             self._holds.release(hold)
 
-    def _choose_timeout(
-        self, task: _task.RequestTask, remaining_s: float
-    ) -> float:
-        if _retries.is_last_send(task):
-            return remaining_s
-        timeout_s = _FIRST_TOKEN_TIMEOUT_SHARE * task.route.timeout_s
-        return min(remaining_s, timeout_s)
-
     async def _forward_failure(
         self,
         task: _task.RequestTask,
@@ -248,8 +303,10 @@
             body = await answered.reply.read_body()
         except web.ExchangeError as reason:
             return verdicts.MayHaveRun(code=reason.code)
-        if _retries.may_run_elsewhere(task) or task.exchange.has_begun:
-            return verdicts.MayHaveRun(code=errors.Code.ENGINE_FAILED)
+        verdict = verdicts.MayHaveRun(code=errors.Code.ENGINE_FAILED)
+        obstacle = _retries.find_obstacle(self._context, task, verdict)
+        if obstacle is None or task.exchange.has_begun:
+            return verdict
         task.outcome = f"answered {answered.head.status}"
         task.exchange.respond(
             status=answered.head.status,
--- /dev/null
+++ b/sassafrasstile/forwarding/_standby.py
@@ -0,0 +1,294 @@
+"""Engines that are ready to take a stream over from a silent one.
+
+A silent engine may go on at any time, so a stream leaves it only for an engine
+that has already set memory aside for it. Until then it waits.
+"""
+
+from collections.abc import Awaitable, Callable
+import dataclasses
+import logging
+
+from twisted.internet import defer
+
+from sassafrasstile import dispatch
+from sassafrasstile import errors
+from sassafrasstile import routes
+from sassafrasstile import verdicts
+from sassafrasstile.forwarding import _admission
+from sassafrasstile.forwarding import _context
+from sassafrasstile.forwarding import _holds
+from sassafrasstile.forwarding import _retries
+from sassafrasstile.forwarding import _task
+from sassafrasstile.forwarding import _timers
+
+_LOG = logging.getLogger("sassafrasstile.forwarding")
+# A caller gives a stream up after the longest of these times without an event:
+# this time,
+_MIN_PATIENCE_S = 2.0
+# this many targets for the first token,
+_PATIENCE_TARGETS = 4.0
+# and this many targets for the gap between two tokens.
+_PATIENCE_GAPS = 8.0
+# Another engine is looked for after this share of the caller's patience. The
+# rest is left to it for the prefill of what the caller has received.
+_SEARCH_SHARE = 0.5
+# The same where engines set no memory aside: such an engine may refuse, so it
+# is tried only when the caller is about to give up.
+_UNSECURED_SEARCH_SHARE = 0.8
+# Interval of the attempts to find one.
+_SEARCH_INTERVAL_S = 0.25
+# The verdict on an attempt that is ended to move.
+_VERDICT = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
+
+
+def compute_search_delay_s(
+    route: routes.Route, *, has_holds: bool = True
+) -> float:
+    """Returns the silence after which another engine is looked for.
+
+    Args:
+        route: The route of the stream.
+        has_holds: Whether the engines of the service set memory aside.
+
+    >>> route = routes.Route(
+    ...     name="r", host="h", prefix="/", kind=routes.RouteKind.GENERATION,
+    ...     services=(), timeout_s=14.0, target_s=0.9, target_gap_s=0.3)
+    >>> compute_search_delay_s(route)
+    1.8
+    """
+    patience_s = max(
+        _MIN_PATIENCE_S,
+        _PATIENCE_TARGETS * route.target_s,
+        _PATIENCE_GAPS * route.target_gap_s,
+    )
+    share = _SEARCH_SHARE if has_holds else _UNSECURED_SEARCH_SHARE
+    return share * patience_s
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Standby:
+    """An engine that a stream may move to.
+
+    Attributes:
+        grant: The capacity reserved there.
+        hold: The memory that the engine has set aside, or None if engines of
+            the service don't do that.
+    """
+
+    grant: dispatch.Grant
+    hold: _holds.KvHold | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unavailable:
+    """Why a stream can't leave its silent engine now.
+
+    Attributes:
+        reason: The reason, for the log.
+    """
+
+    reason: str
+
+
+def _has_holds(service: routes.Service) -> bool:
+    """Returns whether the engines of a service set memory aside."""
+    return service.engine is not None and service.engine.hold_s > 0
+
+
+class StandbyFinder:
+    """Finds engines for streams whose engines are silent.
+
+    Args:
+        context: State shared by the parts of the router.
+        admission: Reserves capacity.
+        holds: Asks engines to set memory aside.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: _context.ForwardingContext,
+        admission: _admission.AdmissionController,
+        holds: _holds.HoldTaker,
+    ):
+        self._context = context
+        self._admission = admission
+        self._holds = holds
+
+    def watch(
+        self,
+        task: _task.RequestTask,
+        engine: dispatch.Endpoint,
+        reading: defer.Deferred,
+        *,
+        generated_tokens: int = 0,
+    ) -> "StandbyWatch":
+        """Starts to wait for the next bytes of an engine.
+
+        Args:
+            task: The request.
+            engine: The engine that runs it.
+            reading: Fires with the next bytes. It is cancelled once another
+                engine is ready.
+            generated_tokens: Tokens that the caller has received. Before the
+                first one the prompt may be prefilled by a prefill engine.
+
+        Returns:
+            The watch, which has to be closed after `reading` has fired.
+        """
+        watch = StandbyWatch(
+            reactor=self._context.reactor,
+            request_id=task.request_id,
+            engine=engine,
+            reading=reading,
+            secure=lambda: self._secure(task, generated_tokens),
+            pay=lambda: _retries.may_send_again(self._context, task, _VERDICT),
+            release=self._release,
+        )
+        delay_s = compute_search_delay_s(
+            task.route, has_holds=_has_holds(task.service)
+        )
+        watch.start(delay_s)
+        return watch
+
+    async def _secure(
+        self, task: _task.RequestTask, generated_tokens: int
+    ) -> Standby | Unavailable:
+        """Reserves capacity and memory for a stream at another engine."""
+        needs_prefill = not generated_tokens
+        obstacle = _retries.find_obstacle(
+            self._context,
+            task,
+            _VERDICT,
+            # The prompt is prefilled once more as well.
+            arrivals=2 if needs_prefill else 1,
+        )
+        if obstacle is not None:
+            return Unavailable(reason=obstacle.value)
+        grant = self._admission.try_acquire(task, needs_prefill=needs_prefill)
+        if grant is None:
+            return Unavailable(reason="no other engine has capacity")
+        hold = None
+        try:
+            if _has_holds(task.service):
+                hold = await self._holds.take(
+                    task, grant, generated_tokens=generated_tokens
+                )
+        except BaseException:
+            self._admission.release(grant)
+            raise
+        standby = Standby(grant=grant, hold=hold)
+        name = grant.decode.name
+        if _has_holds(task.service) and not isinstance(hold, _holds.KvHold):
+            self._admission.release(grant)
+            return Unavailable(reason=f"{name} has no room")
+        if not grant.decode.accepts_work:
+            self._release(standby)
+            return Unavailable(reason=f"{name} begins to drain")
+        return standby
+
+    def _release(self, standby: Standby) -> None:
+        self._admission.release(standby.grant)
+        if standby.hold is not None:
+            self._holds.release(standby.hold)
+
+
+class StandbyWatch:
+    """Looks for another engine while one is silent.
+
+    Args:
+        reactor: The reactor.
+        request_id: The id of the stream's request.
+        engine: The engine that may fall silent.
+        reading: Fires with that engine's next bytes.
+        secure: Tries to get a standby engine ready.
+        pay: Takes the retry from the budget; returns False if it is spent.
+        release: Gives a standby engine up.
+
+    Attributes:
+        standby: The engine that is ready; `reading` was cancelled for it.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        request_id: str,
+        engine: dispatch.Endpoint,
+        reading: defer.Deferred,
+        secure: Callable[[], Awaitable[Standby | Unavailable]],
+        pay: Callable[[], bool],
+        release: Callable[[Standby], None],
+    ):
+        self._request_id = request_id
+        self._engine = engine
+        self._reading = reading
+        self._secure = secure
+        self._pay = pay
+        self._release = release
+        self._timer = _timers.SilenceTimer(
+            reactor=reactor, on_silence=self._begin
+        )
+        self._attempt: defer.Deferred | None = None
+        self._reason = ""
+        self._is_closed = False
+        self.standby: Standby | None = None
+
+    def start(self, delay_s: float) -> None:
+        """Starts to wait; the search begins after a delay in seconds."""
+        self._timer.start(delay_s)
+
+    def close(self) -> None:
+        """Ends the search and releases what it has reserved."""
+        self._is_closed = True
+        self._timer.close()
+        if self._attempt is not None and self.standby is None:
+            self._attempt.cancel()
+
+    def _begin(self) -> None:
+        self._attempt = defer.ensureDeferred(self._search())
+        self._attempt.addErrback(self._log_failure)
+
+    async def _search(self) -> None:
+        """Makes one attempt, and schedules the next one if it fails."""
+        match await self._secure():
+            case Standby() as standby if self._is_closed:
+                self._release(standby)
+            case Standby() as standby if self._pay():
+                self._log(f"moves to {standby.grant.decode.name}")
+                self.standby = standby
+                self._reading.cancel()
+            case Standby() as standby:
+                self._release(standby)
+                self._wait_on(_retries.Obstacle.BUDGET.value)
+            case Unavailable(reason=reason):
+                self._wait_on(reason)
+
+    def _wait_on(self, reason: str) -> None:
+        if self._is_closed:
+            return
+        if reason != self._reason:
+            self._reason = reason
+            self._log(f"stays: {reason}")
+        self._timer.start(_SEARCH_INTERVAL_S)
+
+    def _log(self, outcome: str) -> None:
+        _LOG.info(
+            "stream: request %s at the silent engine %s %s.",
+            self._request_id,
+            self._engine.name,
+            outcome,
+            extra={
+                "request": self._request_id,
+                "endpoint": self._engine.name,
+                "outcome": outcome,
+            },
+        )
+
+    @staticmethod
+    def _log_failure(reason) -> None:
+        if not reason.check(defer.CancelledError):
+            _LOG.error(
+                "stream: the search for another engine has failed: %s",
+                reason.getTraceback(),
+            )
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -105,6 +105,11 @@
             "store_epochs",
             "Restores of the store from a copy, as its epoch showed them.",
         )
+        self.resumptions = self._make_counter(
+            "resumptions",
+            "Streams that callers take up again, by outcome.",
+            ("outcome",),
+        )
         self.log_lines_dropped = self._make_counter(
             "log_lines_dropped", "Log lines dropped to stay within bounds."
         )
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -15,6 +15,7 @@
 from sassafrasstile.platform import _codec
 from sassafrasstile.platform import _records
 from sassafrasstile.platform import _store
+from sassafrasstile.testing import _ports
 
 HOST = "a.example"
 _CONFIGURATION_TOPIC = "keyed.op"
@@ -22,6 +23,7 @@
 _PEER_TOPIC = "keyed.gateways"
 # Nothing listens there.
 _DISCARD_PORT = 9
+_FIRST_GATEWAY = "gateway-1"
 # Long enough for the other side to react to a piece.
 _PIECE_INTERVAL_S = 0.1
 
@@ -223,7 +225,7 @@
 
 
 class PlatformSite:
-    """A store, scripted endpoints and a gateway on loopback.
+    """A store, scripted endpoints and one or more gateways on loopback.
 
     Args:
         reactor: The reactor.
@@ -232,8 +234,11 @@
         listener: The socket on which callers wait for the gateway, or None.
         other_gateways: The number of other gateways, which never report. They
             are in another availability zone than the gateway.
-        peer_port: The UDP port for the reports of other gateways, or zero for
-            any. Then no other gateway finds this one.
+        retry_slack: Retries that the budget allows beyond its share of the
+            requests.
+
+    Attributes:
+        daemon: The first gateway.
     """
 
     def __init__(
@@ -244,10 +249,10 @@
         grace_s: float = 8.0,
         listener: socket.socket | None = None,
         other_gateways: int = 0,
-        peer_port: int = 0,
+        retry_slack: float = 20.0,
     ):
+        self._retry_slack = retry_slack
         self._other_gateways = other_gateways
-        self._peer_port = peer_port
         self._reactor = reactor
         self._listener = listener
         self._grace_s = grace_s
@@ -258,6 +263,7 @@
         self.store = self.server.store
         self.metrics = telemetry.RouterMetrics()
         self.daemon: router.RouterDaemon | None = None
+        self._gateways: dict[str, router.RouterDaemon] = {}
 
     def start(self) -> None:
         """Starts the store and the gateway."""
@@ -266,33 +272,34 @@
             name = f"other-{number}"
             address = [name, "127.0.0.1", _DISCARD_PORT, "b"]
             self.store.put_json(_PEER_TOPIC, name, address)
-        self.daemon = self.make_gateway(
-            "gateway-1",
-            peer_port=self._peer_port,
-            metrics=self.metrics,
-            listener=self._listener,
+        self.daemon = self._start_gateway(
+            _FIRST_GATEWAY, "a", metrics=self.metrics, listener=self._listener
+        )
+
+    def add_gateway(self, name: str, *, zone: str) -> router.RouterDaemon:
+        """Starts another gateway, which exchanges reports with the others."""
+        return self._start_gateway(
+            name, zone, metrics=telemetry.RouterMetrics()
         )
-        self.daemon.start()
 
-    def make_gateway(
+    def get_gateway(self, name: str) -> router.RouterDaemon:
+        """Returns a running gateway."""
+        return self._gateways[name]
+
+    async def stop_gateway(self, name: str) -> None:
+        """Stops a gateway at once, with all that it knows."""
+        await self._gateways.pop(name).close()
+
+    def _start_gateway(
         self,
         name: str,
+        zone: str,
         *,
-        peer_port: int,
-        metrics: telemetry.RouterMetrics | None = None,
+        metrics: telemetry.RouterMetrics,
         listener: socket.socket | None = None,
     ) -> router.RouterDaemon:
-        """Makes a gateway, which the caller starts and closes.
-
-        Args:
-            name: The gateway's name.
-            peer_port: The UDP port for the reports of other gateways.
-            metrics: Its metrics, or None for new ones.
-            listener: The socket on which callers wait for it, or None.
-        """
-        metrics = metrics or telemetry.RouterMetrics()
-        settings = self._make_settings(name, peer_port)
-        return router.RouterDaemon(
+        settings = self._make_settings(name, zone)
+        daemon = router.RouterDaemon(
             reactor=self._reactor,
             settings=settings,
             settings_source=_FixedSettings(settings=settings),
@@ -308,33 +315,35 @@
             generator=random.Random(1),
             listener=listener,
         )
+        daemon.start()
+        self._gateways[name] = daemon
+        return daemon
 
     async def close(self) -> None:
         """Stops everything."""
-        await self.daemon.close()
+        for name in list(self._gateways):
+            await self.stop_gateway(name)
         for endpoint in self.endpoints.values():
             await defer.maybeDeferred(endpoint.close)
         await defer.maybeDeferred(self.server.close)
 
-    def _make_settings(
-        self, name: str, peer_port: int
-    ) -> router.RouterSettings:
+    def _make_settings(self, name: str, zone: str) -> router.RouterSettings:
         return router.RouterSettings(
             name=name,
-            zone="a",
+            zone=zone,
             host="127.0.0.1",
             port=0,
             ready_port=0,
             ready_path="/ready",
             metrics_port=0,
-            peer_port=peer_port,
+            peer_port=_ports.pick_udp_port(),
             store_host=self.server.host,
             store_port=self.server.port,
             grace_s=self._grace_s,
             propagation_limit_s=2.0,
             heartbeat_s=1.2,
             lease_s=3.0,
-            dispatch=dispatch.DispatchSettings(retry_slack=20.0),
+            dispatch=dispatch.DispatchSettings(retry_slack=self._retry_slack),
         )
 
     def add_endpoint(
@@ -345,6 +354,7 @@
         service: str = "desk",
         stage: str | None = None,
         zone: str = "a",
+        version: str = "v1",
     ) -> standins.PlatformEndpoint:
         """Starts an endpoint and writes its membership document."""
         endpoint = standins.PlatformEndpoint(
@@ -352,7 +362,9 @@
         )
         endpoint.start()
         self.endpoints[name] = endpoint
-        self.announce(name, service=service, stage=stage, zone=zone)
+        self.announce(
+            name, service=service, stage=stage, zone=zone, version=version
+        )
         return endpoint
 
     def announce(self, name: str, **changes) -> None:
@@ -373,12 +385,14 @@
         )
         self.store.put_json(_CONFIGURATION_TOPIC, "config", document)
 
-    async def connect(self) -> Caller:
-        """Opens a caller's connection."""
-        return await connect(self._reactor, self.daemon.port)
+    async def connect(self, gateway: str = _FIRST_GATEWAY) -> Caller:
+        """Opens a caller's connection to a gateway."""
+        return await connect(self._reactor, self._gateways[gateway].port)
 
-    async def call(self, path: str, **fields) -> RawAnswer:
+    async def call(
+        self, path: str, *, gateway: str = _FIRST_GATEWAY, **fields
+    ) -> RawAnswer:
         """Sends a request on a new connection and reads until it closes."""
-        caller = await self.connect()
+        caller = await self.connect(gateway)
         caller.send(make_request(path, **fields))
         return await caller.read_all()
