--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -16,17 +16,27 @@
 )
 from sassafrasstile.dispatch._queue import GenerationQueue, Waiter
 from sassafrasstile.dispatch._refusals import RefusalMemory
+from sassafrasstile.dispatch._restrictions import (
+    MAX_BACKOFF_S,
+    EndpointNotice,
+    RestrictionChange,
+    SendRestrictions,
+)
 
 __all__ = [
     "DispatchSettings",
     "Endpoint",
+    "EndpointNotice",
     "EndpointTable",
     "GenerationQueue",
     "Grant",
     "Health",
+    "MAX_BACKOFF_S",
     "OutputLengthEstimator",
     "Placement",
     "RefusalMemory",
+    "RestrictionChange",
+    "SendRestrictions",
     "Shortage",
     "VersionShortage",
     "Waiter",
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -17,6 +17,7 @@
 from sassafrasstile.forwarding import _prefills
 from sassafrasstile.forwarding import _resumptions
 from sassafrasstile.forwarding import _retries
+from sassafrasstile.forwarding import _sends
 from sassafrasstile.forwarding import _standby
 from sassafrasstile.forwarding import _streams
 from sassafrasstile.forwarding import _task
@@ -60,8 +61,12 @@
         finally:
             self._release_handle(progress)
         if verdict is not None:
+            backoff_s = self._context.placement.measure_decode_backoff_s(
+                task.service.name, self._context.now()
+            )
             final = task.decide_verdict(
-                verdict.code, retry_after_s=_NO_ENDPOINT_RETRY_AFTER_S
+                verdict.code,
+                retry_after_s=max(_NO_ENDPOINT_RETRY_AFTER_S, backoff_s),
             )
             if isinstance(final, verdicts.NotRun):
                 self._context.refusals.record(
@@ -119,6 +124,9 @@
         progress: _streams.Progress,
     ) -> verdicts.Verdict | None:
         """Runs a request on the engines that it was granted."""
+        denial = self._find_denial(grant.decode)
+        if denial is not None:
+            return denial
         if progress.hold is None and self._holds.is_needed(task, grant):
             task.hold_attempts += 1
             hold = await self._holds.take(task, grant)
@@ -145,12 +153,16 @@
             None when the request can be sent to the decode engine, else the
             verdict.
         """
-        if grant.prefill is not None and progress.handle is not None:
-            # The handle expired while the request waited for capacity.
+        if self._is_handle_lost(grant, progress):
             self._release_handle(progress)
             if not _retries.may_prefill_again(self._context, task):
                 return verdicts.NotRun(code=errors.Code.HANDLE_EXPIRED)
+            if grant.prefill is None:
+                return verdicts.NotRun(code=errors.Code.LEAVING)
         if grant.has_remote_prefill and not progress.events:
+            denial = self._find_denial(grant.prefill)
+            if denial is not None:
+                return denial
             progress.handle = await self._prefills.run(task, grant.prefill)
             self.admission.release_prefill(grant)
             if progress.handle is not None and progress.hold is None:
@@ -159,10 +171,26 @@
                 grant
             ):
                 return verdicts.NotRun(code=errors.Code.PREFILL_FAILED)
-        if not grant.decode.accepts_work:
-            # The engine began to drain during the prefill; nothing was sent.
-            return verdicts.NotRun(code=errors.Code.LEAVING)
-        return None
+        # The engine may have begun to drain during the prefill.
+        return self._find_denial(grant.decode)
+
+    def _find_denial(self, engine: dispatch.Endpoint) -> verdicts.NotRun | None:
+        """Returns a verdict if a granted engine takes nothing new by now."""
+        code = engine.find_denial(self._context.now())
+        return None if code is None else verdicts.NotRun(code=code)
+
+    @staticmethod
+    def _is_handle_lost(
+        grant: dispatch.Grant, progress: _streams.Progress
+    ) -> bool:
+        """Returns whether the prefill of an earlier send can't be used."""
+        handle = progress.handle
+        if handle is None:
+            return False
+        # It expired while the request waited for capacity, or its engine
+        # leaves, and a handle there is used at once or not at all.
+        has_expired = grant.prefill is not None
+        return has_expired or handle.endpoint.restrictions.is_leaving
 
     async def _send(
         self,
@@ -220,7 +248,8 @@
             attempt.close()
         if isinstance(result, verdicts.NotRun):
             task.record_not_run(engine)
-            self._handle_refusal(task, engine, progress)
+            if not _sends.is_denial(result):
+                self._handle_refusal(task, engine, progress)
         return result
 
     async def _wait_for_head(
@@ -265,7 +294,8 @@
         used_share = engine.total_reserved_tokens / capacity
         handle = progress.handle
         engine.record_refusal(now)
-        if handle is None or used_share >= _FULL_SHARE:
+        is_shedding = engine.restrictions.find_denial(now) is not None
+        if handle is None or is_shedding or used_share >= _FULL_SHARE:
             return
         progress.unexplained_refusals += 1
         if progress.unexplained_refusals <= 1:
--- a/sassafrasstile/forwarding/_standby.py
+++ b/sassafrasstile/forwarding/_standby.py
@@ -182,9 +182,9 @@
         if _has_holds(task.service) and not isinstance(hold, _holds.KvHold):
             self._admission.release(grant)
             return Unavailable(reason=f"{name} has no room")
-        if not grant.decode.accepts_work:
+        if grant.decode.find_denial(self._context.now()) is not None:
             self._release(standby)
-            return Unavailable(reason=f"{name} begins to drain")
+            return Unavailable(reason=f"{name} takes nothing new")
         return standby
 
     def _release(self, standby: Standby) -> None:
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -74,11 +74,11 @@
         read_refusals: Returns the generations that this gateway has refused
             lately.
         on_refusals: Called with those that a peer has refused.
+        on_message: Called with the sender's name and the payload of each
+            message to this gateway alone.
         read_version: Returns the version of the configuration in force here,
             or None before there is one.
         on_version: Called with the version that a peer has in force, or None.
-        on_message: Called with the sender's name and the payload of each
-            message to this gateway alone.
     """
 
     noisy = False
@@ -102,9 +102,9 @@
         on_refusals: Callable[
             [tuple[_base.PromptRefusal, ...]], None
         ] = lambda _refusals: None,
+        on_message: Callable[[str, bytes], None] = lambda _name, _data: None,
         read_version: Callable[[], int | None] = lambda: None,
         on_version: Callable[[int | None], None] = lambda _version: None,
-        on_message: Callable[[str, bytes], None] = lambda _name, _data: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -116,9 +116,9 @@
         self._on_page = on_page
         self._read_refusals = read_refusals
         self._on_refusals = on_refusals
+        self._on_message = on_message
         self._read_version = read_version
         self._on_version = on_version
-        self._on_message = on_message
         self._peers: dict[str, _Peer] = {}
         self._gateway_count = 1
         self._port: interfaces.IListeningPort | None = None
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -63,11 +63,11 @@
             on_topics=self.received_topics[name].update,
             read_refusals=lambda: self.refusals[name],
             on_refusals=self.received_refusals[name].extend,
-            read_version=lambda: self.versions[name],
-            on_version=self.received_versions[name].append,
             on_message=lambda sender, payload: self.messages.append(
                 (name, sender, payload)
             ),
+            read_version=lambda: self.versions[name],
+            on_version=self.received_versions[name].append,
         )
         channel.transport = self.network
         self.network.channels[("h", port)] = channel
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -106,7 +106,7 @@
         self._followers = self._make_followers(record_decoder)
         confirmation = _confirmation.TopicConfirmation(
             reactor=reactor,
-            store=store,
+            store=self._store,
             topic=record_decoder.membership_topic,
             follower=self._followers[record_decoder.membership_topic],
         )
@@ -144,6 +144,10 @@
         self._admission_call: interfaces.IDelayedCall | None = None
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
+        metrics.endpoints_leaving.set_function(self._endpoints.count_leaving)
+        metrics.endpoints_backing_off.set_function(
+            lambda: self._endpoints.count_backing_off(self._now())
+        )
 
     def _make_context(self, codec) -> forwarding.ForwardingContext:
         placement = dispatch.Placement(
@@ -234,9 +238,9 @@
             on_refusals=lambda refusals: self._context.refusals.apply(
                 refusals, self._now()
             ),
+            on_message=self._origins.receive,
             read_version=self._read_version,
             on_version=self._start_gate.record_peer_version,
-            on_message=self._origins.receive,
         )
 
     def _make_directory(self, record_decoder, address) -> peers.PeerDirectory:
@@ -376,9 +380,9 @@
         # While no gateway is ready, the load balancer may send callers to any
         # of them, so the port accepts connections until now.
         await self._caller_port.close()
-        self._ingress.close_idle()
-        while self._router.in_flight and self._now() < deadline:
+        while self._has_open_requests() and self._now() < deadline:
             await self._sleep(_IDLE_POLL_S)
+        self._ingress.close_idle()
         cut = self._router.in_flight
         self._router.abort_all()
         # Lets the last responses be sent.
@@ -388,6 +392,10 @@
             "router: gateway %s stops.", self.settings.name, extra={"cut": cut}
         )
 
+    def _has_open_requests(self) -> bool:
+        """Returns whether callers wait for answers or are sending requests."""
+        return self._router.in_flight > 0 or self._ingress.expects_requests()
+
     async def close(self) -> None:
         """Closes everything immediately, without draining."""
         if self._loop.running:
--- a/sassafrasstile/router/tests/test_store_restore.py
+++ b/sassafrasstile/router/tests/test_store_restore.py
@@ -5,9 +5,9 @@
 class StoreRestoreTest(testing.PlatformTestCase):
     """The store comes back from a copy that is some seconds old."""
 
-    async def start_site(self):
+    async def start_site(self, **options):
         site = self.make_site(
-            [testing.make_platform_route("/a/", "desk", "unsafe")]
+            [testing.make_platform_route("/a/", "desk", "unsafe")], **options
         )
         site.add_endpoint("e0", standins.make_answer)
         await self.wait_until_ready(site)
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -98,18 +98,36 @@
         self.probes = self._make_counter(
             "probes", "Probes of unreachable endpoints."
         )
+        self.drain_notices = self._make_counter(
+            "drain_notices", "Endpoints that announced that they leave."
+        )
+        self.backoffs_asked = self._make_counter(
+            "backoffs_asked", "Back-offs begun or extended by endpoints."
+        )
+        self.sends_denied = self._make_counter(
+            "sends_denied",
+            "Requests not sent, since the endpoint wants none, by reason.",
+            ("reason",),
+        )
+        self.endpoints_leaving = self._make_gauge(
+            "endpoints_leaving", "Endpoints that have announced to leave."
+        )
+        self.endpoints_backing_off = self._make_gauge(
+            "endpoints_backing_off",
+            "Endpoints that want no requests for a while.",
+        )
         self.store_calls = self._make_counter(
             "store_calls", "Calls to the store by outcome.", ("outcome",)
         )
-        self.store_epochs = self._make_counter(
-            "store_epochs",
-            "Restores of the store from a copy, as its epoch showed them.",
-        )
         self.resumptions = self._make_counter(
             "resumptions",
             "Streams that callers take up again, by outcome.",
             ("outcome",),
         )
+        self.store_epochs = self._make_counter(
+            "store_epochs",
+            "Restores of the store from a copy, as its epoch showed them.",
+        )
         self.log_lines_dropped = self._make_counter(
             "log_lines_dropped", "Log lines dropped to stay within bounds."
         )
@@ -134,3 +152,8 @@
             labels,
             registry=self.registry,
         )
+
+    def _make_gauge(self, name: str, description: str):
+        return prometheus_client.Gauge(
+            f"sassafrasstile_{name}", description, registry=self.registry
+        )
