Soak streams whose engine falls silent for about a second

Each run of the fault soak begins with a check without other faults: streams of two services, resumable or not, at every gateway. A single engine falls silent for 0.9 to 1.6 s before three of five events; one or both engines of the other service are held back as long. Each stream that has begun has to come whole in its one answer. During the other faults engines are held back, too. The other faults of a seed are drawn as before.

The gap timeout of 1.2 s takes the silent engine for lost, sends the stream to it again and again and has then no sends left. Which streams are cut differs from run to run.

--- a/sassafrasstile/faultsoak/__main__.py
+++ b/sassafrasstile/faultsoak/__main__.py
@@ -37,6 +37,7 @@
             seed=run_seed,
             seconds=seconds,
             faults=faults,
+            silences=faults,
         )
         report = testing.run(run.run)
         failed_seeds += bool(report.violations)
--- a/sassafrasstile/faultsoak/_callers.py
+++ b/sassafrasstile/faultsoak/_callers.py
@@ -14,7 +14,14 @@
 
 # With these statuses a gateway guarantees that the request hasn't run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
-_EVENTS = [f"data: token {number}".encode() for number in range(1, 9)]
+EVENTS = [f"data: token {number}".encode() for number in range(1, 9)]
+
+
+def list_events(answer: testing.RawAnswer) -> list[bytes]:
+    """Returns the data lines of the events in an answer."""
+    return [
+        line for line in answer.data.splitlines() if line.startswith(b"data:")
+    ]
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -152,14 +159,8 @@
             self.violations.append(f"{request_id}: answer to another request")
         if outcome.kind == "gen":
             outcome.is_complete = answer.is_complete_stream
-            events = [
-                line
-                for line in answer.data.splitlines()
-                if line.startswith(b"data:")
-            ]
-            expected = (
-                _EVENTS if outcome.is_complete else _EVENTS[: len(events)]
-            )
+            events = list_events(answer)
+            expected = EVENTS if outcome.is_complete else EVENTS[: len(events)]
             if events != expected:
                 self.violations.append(f"{request_id}: events {events}")
         elif request_id.encode() in answer.body:
--- a/sassafrasstile/faultsoak/_proxy.py
+++ b/sassafrasstile/faultsoak/_proxy.py
@@ -63,6 +63,7 @@
         self._port: interfaces.IListeningPort | None = None
         self.sides: set[_Side] = set()
         self.is_silent = False
+        self.is_held = False
         self.delay_s = 0.0
         self.port = 0
 
@@ -92,6 +93,9 @@
         """Forwards bytes, subject to the current fault."""
         if self.is_silent:
             return
+        if self.is_held:
+            side.delayed_chunks.append(data)
+            return
         if not self.delay_s and not side.delayed_chunks:
             side.transport.write(data)
             return
@@ -100,12 +104,26 @@
         side.delayed_chunks.append(data)
         self._reactor.callLater(self.delay_s, self._write, side)
 
+    def hold(self) -> None:
+        """Keeps all bytes back until `release`."""
+        self.is_held = True
+
+    def release(self) -> None:
+        """Forwards the bytes that were kept back."""
+        self.is_held = False
+        for side in list(self.sides):
+            while side.delayed_chunks:
+                self._write(side)
+
     def reset(self) -> None:
         """Aborts every connection."""
         for side in list(self.sides):
             side.transport.abortConnection()
 
     def _write(self, side: _Side) -> None:
+        if self.is_held or not side.delayed_chunks:
+            # A release writes all chunks, also those with a timer.
+            return
         data = side.delayed_chunks.popleft()
         if side in self.sides and not self.is_silent:
             side.transport.write(data)
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -16,6 +16,7 @@
 from sassafrasstile.faultsoak import _endpoints
 from sassafrasstile.faultsoak import _gateways
 from sassafrasstile.faultsoak import _proxy
+from sassafrasstile.faultsoak import _silences
 
 _STARTUP_WAIT_S = 3.0
 _SETTLE_WAIT_S = 8.0
@@ -35,6 +36,7 @@
         whole: The number of requests with a complete answer.
         statuses: The number of answers by HTTP status; zero means no answer.
         faults: The number of injected faults by name.
+        silenced: The number of streams that a silence of their engine checked.
         violations: The violated guarantees, one sentence each.
     """
 
@@ -43,6 +45,7 @@
     whole: int
     statuses: dict[int, int]
     faults: dict[str, int]
+    silenced: int
     violations: list[str]
 
 
@@ -55,6 +58,7 @@
         seconds: How long callers send requests.
         gateways: The number of gateways.
         faults: Whether to inject faults.
+        silences: Whether engines fall silent for about a second and go on.
     """
 
     def __init__(
@@ -65,17 +69,20 @@
         seconds: float,
         gateways: int = 3,
         faults: bool = True,
+        silences: bool = True,
     ):
         self._reactor = reactor
         self._seed = seed
         self._seconds = seconds
         self._gateway_count = gateways
         self._has_faults = faults
+        self._has_silences = silences
         self._generator = random.Random(seed)
         self._execution_log = _endpoints.ExecutionLog()
         self._store_server = standins.PlatformStoreServer(reactor=reactor)
         self.endpoints: dict[str, _endpoints.ScriptedEndpoint] = {}
         self._proxies: dict[str, _proxy.FaultProxy] = {}
+        self._silent_engines: _silences.SilentEngines | None = None
         self.gateways: list[_gateways.GatewayProcess] = []
         self._fault_counts: collections.Counter[str] = collections.Counter()
         self._running_faults: list[defer.Deferred] = []
@@ -96,8 +103,14 @@
             generator=self._generator,
         )
         await self._sleep(_STARTUP_WAIT_S)
+        silent_engines = self._silent_engines
+        if self._has_silences:
+            await silent_engines.check()
         callers.stop_sending_at = self._reactor.seconds() + self._seconds
         sending = testing.spawn(callers.run())
+        if self._has_silences:
+            silencing = silent_engines.run(callers.stop_sending_at)
+            self._running_faults.append(testing.spawn(silencing))
         while self._reactor.seconds() < callers.stop_sending_at:
             await self._sleep(0.2 + self._generator.random())
             if self._has_faults:
@@ -118,7 +131,8 @@
             ),
             statuses=dict(callers.statuses),
             faults=dict(self._fault_counts),
-            violations=callers.violations,
+            silenced=silent_engines.checked,
+            violations=[*callers.violations, *silent_engines.violations],
         )
 
     async def _check_shutdown(self, callers: _callers.Callers) -> None:
@@ -152,6 +166,13 @@
         for kind, stage in stages.items():
             for number in range(2):
                 self._add_endpoint(f"{kind}{number}", stage)
+        self._silent_engines = _silences.SilentEngines(
+            reactor=self._reactor,
+            gateways=self.gateways,
+            proxies=[self._proxies["d0"], self._proxies["d1"]],
+            seed=self._seed,
+        )
+        self._silent_engines.start(self._store_server)
         self._configure(1)
         for number in range(self._gateway_count):
             proxy = self._make_proxy(
@@ -205,16 +226,35 @@
             testing.make_platform_route(
                 "/gen/", "writer", "streaming", targetGapMs=300
             ),
+            *(
+                testing.make_platform_route(
+                    path,
+                    service,
+                    "streaming",
+                    targetGapMs=300,
+                    resumable=True,
+                    maxAttempts=2,
+                    timeoutMs=20000,
+                )
+                for path, service in (
+                    (_silences.SHARED_PATH, "writer"),
+                    (_silences.SINGLE_PATH, _silences.SINGLE_SERVICE),
+                )
+            ),
             *(
                 testing.make_platform_route(path, "desk", "unsafe")
                 for path in extra_paths
             ),
         ]
-        self._store_server.store.put_json(
-            "keyed.op",
-            "config",
-            testing.make_configuration_document(version=version, routes=routes),
+        document = testing.make_configuration_document(
+            version=version, routes=routes
+        )
+        (writer,) = (
+            item for item in document["services"] if item["name"] == "writer"
         )
+        single = {**writer, "name": _silences.SINGLE_SERVICE}
+        document["services"].append(single)
+        self._store_server.store.put_json("keyed.op", "config", document)
 
     async def close(self) -> None:
         """Stops every process and server."""
@@ -224,6 +264,7 @@
             await defer.maybeDeferred(proxy.close)
         for endpoint in self.endpoints.values():
             await defer.maybeDeferred(endpoint.server.close)
+        await self._silent_engines.close()
         await defer.maybeDeferred(self._store_server.close)
 
     # Faults.
--- a/sassafrasstile/faultsoak/tests/test_faultsoak.py
+++ b/sassafrasstile/faultsoak/tests/test_faultsoak.py
@@ -21,6 +21,9 @@
     313,
 )
 _SECONDS = 4.0
+# A resumable stream was cut when its only engine fell silent repeatedly.
+_SILENCE_SEEDS = (9001, 9003)
+_SILENCE_SECONDS = 1.0
 
 
 class FaultSoakTest(unittest.TestCase):
@@ -30,8 +33,24 @@
         for seed in _SEEDS:
             with self.subTest(seed=seed):
                 run = faultsoak.SoakRun(
-                    reactor=testing.reactor, seed=seed, seconds=_SECONDS
+                    reactor=testing.reactor,
+                    seed=seed,
+                    seconds=_SECONDS,
+                    silences=False,
                 )
                 report = testing.run(run.run)
                 self.assertEqual(report.violations, [])
                 self.assertGreater(report.whole, 0)
+
+    def test_streams_come_whole_when_their_engine_falls_silent(self):
+        for seed in _SILENCE_SEEDS:
+            with self.subTest(seed=seed):
+                run = faultsoak.SoakRun(
+                    reactor=testing.reactor,
+                    seed=seed,
+                    seconds=_SILENCE_SECONDS,
+                    faults=False,
+                )
+                report = testing.run(run.run)
+                self.assertEqual(report.violations, [])
+                self.assertGreater(report.silenced, 0)
