Say nothing of streams that live longer than departures are remembered

What callers would see: with a route timeout above 585 s a stream may go on at another version. The list of former versions forgets after 20 minutes, but 'only one version can have begun it' was answered for any lifetime.

--- a/sassafrasstile/streams/_directory.py
+++ b/sassafrasstile/streams/_directory.py
@@ -26,8 +26,9 @@
 # A caller waits no longer than this for the answers of other gateways.
 _ANSWER_TIMEOUT_S = 0.15
 _MAX_DATAGRAMS_PER_S = 400.0
-# Datagrams arrive and callers return within this time after the deadline.
-_SLACK_S = 5.0
+# An origin is kept for this long after its deadline, for late datagrams and
+# late callers.
+_LIFETIME_MARGIN_S = 5.0
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -48,15 +49,16 @@
 
     Any gateway may be the one to which a caller returns, and the one that
     began the stream may be gone. So a few others, which follow from the id of
-    the stream, are told before the caller can see its first event. The cost of
-    a gateway doesn't depend on the number of gateways.
+    the stream, are told before the caller can see its first event. The number
+    of datagrams for a stream doesn't grow with the number of gateways.
 
     Args:
         reactor: The reactor.
         transport: Sends to the other gateways.
 
     Attributes:
-        transport: The same; it may be set later.
+        transport: Sends to the other gateways. It is set once the channel to
+            them exists.
     """
 
     def __init__(
@@ -101,7 +103,7 @@
         """
         now = self._now()
         key = _codec.make_key(stream_id)
-        lifetime_s = max(0.0, deadline - now) + _SLACK_S
+        lifetime_s = max(0.0, deadline - now) + _LIFETIME_MARGIN_S
         self._registry.record(key, origin, now=now, lifetime_s=lifetime_s)
         holders = self._choose_holders(key)
         notice = _base.Notice(key=key, origin=origin, lifetime_s=lifetime_s)
--- a/sassafrasstile/streams/_versions.py
+++ b/sassafrasstile/streams/_versions.py
@@ -7,12 +7,13 @@
 from sassafrasstile.streams import _base
 
 # Endpoints may serve on for about this long after their records are gone.
-_RUN_ON_S = 30.0
+_SERVING_AFTER_REMOVAL_S = 30.0
 # A caller may come back until its own deadline, which may be later than the
 # timeout of one attempt.
 _LIFETIME_TIMEOUTS = 2.0
-# Departures are forgotten after this time.
-_MEMORY_S = 1200.0
+# Departures are forgotten after this time. Nothing is said of streams that can
+# live longer.
+_DEPARTURE_RETENTION_S = 1200.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -25,7 +26,7 @@
     """Tells whether only one version can have begun a stream.
 
     >>> history = VersionHistory()
-    >>> history.restart(now=0.0)
+    >>> history.record_loaded(now=0.0)
     >>> history.find_only({"s"}, timeout_s=10.0, now=100.0) is None
     True
     """
@@ -35,7 +36,7 @@
         self._departures: list[_Departure] = []
         self._complete_since: float | None = None
 
-    def restart(self, *, now: float) -> None:
+    def record_loaded(self, *, now: float) -> None:
         """Records that the list was read anew; what was before isn't known."""
         self._complete_since = now
 
@@ -67,7 +68,8 @@
         self._departures = [
             item
             for item in self._departures
-            if item.origin != origin and now - item.left_at < _MEMORY_S
+            if item.origin != origin
+            and now - item.left_at < _DEPARTURE_RETENTION_S
         ]
         self._departures.append(_Departure(origin=origin, left_at=now))
 
@@ -81,10 +83,12 @@
             timeout_s: The longest timeout of a stream in seconds.
             now: The time in seconds.
         """
-        lifetime_s = _LIFETIME_TIMEOUTS * timeout_s + _RUN_ON_S
+        lifetime_s = _LIFETIME_TIMEOUTS * timeout_s + _SERVING_AFTER_REMOVAL_S
         since = self._complete_since
         if since is None or now - since < lifetime_s:
             return None
+        if lifetime_s > _DEPARTURE_RETENTION_S:
+            return None
         candidates = {
             item for item in self._present.values() if item.service in services
         }
--- a/sassafrasstile/streams/tests/test_versions.py
+++ b/sassafrasstile/streams/tests/test_versions.py
@@ -13,7 +13,7 @@
 
     def setUp(self):
         self.history = streams.VersionHistory()
-        self.history.restart(now=0.0)
+        self.history.record_loaded(now=0.0)
         self.update("e1", "v1", now=0.0)
 
     def update(self, endpoint_id, version, *, now, service="engine"):
@@ -33,7 +33,7 @@
     def test_history_has_to_be_as_long_as_a_stream_can_live(self):
         self.assertIsNone(self.find(_TIMEOUT_S))
         self.assertEqual(self.find(_LONG_S), "v1")
-        self.history.restart(now=_LONG_S)
+        self.history.record_loaded(now=_LONG_S)
         self.assertIsNone(self.find(_LONG_S + _TIMEOUT_S))
 
     def test_two_versions_leave_the_origin_open(self):
@@ -52,6 +52,16 @@
         self.assertIsNone(self.find(_LONG_S + _TIMEOUT_S))
         self.assertEqual(self.find(2 * _LONG_S), "v2")
 
+    # Guards against a departure that is forgotten while streams of it can live.
+    def test_streams_longer_than_departures_are_kept_leave_it_open(self):
+        self.update("e1", "v2", now=1.0)
+        self.update("e2", "v2", now=1300.0)
+        self.history.update("e1", None, now=1300.0)
+        origin = self.history.find_only(
+            {"engine"}, timeout_s=1000.0, now=2100.0
+        )
+        self.assertIsNone(origin)
+
     def test_other_services_leave_the_origin_as_it_is(self):
         self.update("e2", "v2", now=1.0, service="other")
         self.assertEqual(self.find(_LONG_S), "v1")
