Name and explain what a newcomer stumbles on

From a reading of the whole diff by someone new to it: one constant for the verdict on a silent attempt, 'callers' wait' for 'patience', terms that stood for two things, comments like riddles, a branch of the calls that could not be reached, incomplete doc comments. Two changes of behaviour, both small: an attempt at a service whose engines set no memory aside counts as overdue when the search for another engine begins, not before; a call to the store that doesn't confirm the endpoints leaves a log line.

--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -15,11 +15,11 @@
 # Backoff after an endpoint refused work, doubled with each refusal in a row.
 _REFUSAL_BACKOFF_S = 0.1
 _MAX_BACKOFF_DOUBLINGS = 4
-# A longer gap between calls means that this process was suspended.
-_SUSPENSION_S = 0.3
+# Calls come at shorter intervals than this unless this process was suspended.
+_SUSPENSION_GAP_S = 0.3
 # The restrictions of this many former endpoints are remembered. Their records
 # may return, for example when the store is restored from a copy.
-_MAX_FORMER = 1000
+_MAX_REMEMBERED = 1000
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -44,7 +44,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Former:
+class _RememberedRestrictions:
     """What an endpoint had asked before its record was dropped."""
 
     started_ms: int
@@ -215,9 +215,9 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._peer_loads: dict[str, dict[str, peers.EndpointLoad]] = {}
         self._checked_at = float("inf")
-        self._former: collections.OrderedDict[str, _Former] = (
-            collections.OrderedDict()
-        )
+        self._remembered: collections.OrderedDict[
+            str, _RememberedRestrictions
+        ] = collections.OrderedDict()
 
     def update_record(
         self, endpoint_id: str, record: membership.EndpointRecord | None
@@ -246,24 +246,27 @@
 
     def _remember_restrictions(self, former: Endpoint | None) -> None:
         """Keeps what an endpoint has asked, since its record may return."""
-        if former is None or not former.restrictions.were_asked:
+        if former is None or not former.restrictions.has_asked:
             return
-        self._former[former.name] = _Former(
+        self._remembered[former.name] = _RememberedRestrictions(
             started_ms=former.record.started_ms,
             restrictions=former.restrictions,
         )
-        self._former.move_to_end(former.name)
-        if len(self._former) > _MAX_FORMER:
-            self._former.popitem(last=False)
+        self._remembered.move_to_end(former.name)
+        if len(self._remembered) > _MAX_REMEMBERED:
+            self._remembered.popitem(last=False)
 
-    def _find_restrictions(
+    def _take_restrictions(
         self, record: membership.EndpointRecord
     ) -> _restrictions.SendRestrictions:
-        """Returns what an instance has asked before, unless it is newer."""
-        former = self._former.pop(record.endpoint_id, None)
+        """Returns what this instance has asked before.
+
+        One that started later has asked for nothing yet.
+        """
+        former = self._remembered.pop(record.endpoint_id, None)
         known = self._endpoints.get(record.endpoint_id)
         if known is not None:
-            former = _Former(
+            former = _RememberedRestrictions(
                 started_ms=known.record.started_ms,
                 restrictions=known.restrictions,
             )
@@ -275,7 +278,7 @@
         endpoint = Endpoint(
             record=record,
             health=_health.Health(silence_timeout_s=self._silence_timeout_s),
-            restrictions=self._find_restrictions(record),
+            restrictions=self._take_restrictions(record),
         )
         # A gateway's report may arrive before the endpoint's record.
         for peer, loads in self._peer_loads.items():
@@ -336,7 +339,7 @@
         Returns:
             True if the process was suspended.
         """
-        was_suspended = now - self._checked_at > _SUSPENSION_S
+        was_suspended = now - self._checked_at > _SUSPENSION_GAP_S
         self._checked_at = now
         if was_suspended:
             for endpoint in self._endpoints.values():
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -177,7 +177,9 @@
             avoided_versions: Versions that the decode engine mustn't have.
 
         Returns:
-            The chosen engines, or the resource that is exhausted.
+            The chosen engines; the resource that is exhausted; or a
+            `VersionShortage` when only engines of some versions may run it and
+            they are full.
         """
         is_bound = software_version is not None
         versions = frozenset((software_version,)) if is_bound else None
--- a/sassafrasstile/dispatch/_restrictions.py
+++ b/sassafrasstile/dispatch/_restrictions.py
@@ -9,7 +9,7 @@
 MAX_BACKOFF_S = 60.0
 # Requests begin again up to this share of a back-off after its end, so that
 # the gateways don't all send theirs at the same time.
-_RESUMPTION_SPREAD_SHARE = 0.1
+_BACKOFF_SPREAD_SHARE = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -20,8 +20,8 @@
         is_leaving: True if it is a drain notice: the endpoint takes nothing
             new.
         backoff_s: Seconds for which the endpoint wants no requests, or None.
-        unreadable_backoff: A back-off that isn't a number of seconds, or an
-            empty string.
+        unreadable_backoff: The text of a back-off that isn't a number of
+            seconds, or an empty string if there is none.
     """
 
     is_leaving: bool = False
@@ -98,14 +98,14 @@
         if not asked_s:
             return None
         backoff_s = min(asked_s, MAX_BACKOFF_S)
-        backoff_s += _RESUMPTION_SPREAD_SHARE * spread * backoff_s
+        backoff_s += _BACKOFF_SPREAD_SHARE * spread * backoff_s
         if now + backoff_s <= self.backoff_until:
             return None
         self.backoff_until = now + backoff_s
         return backoff_s
 
     @property
-    def were_asked(self) -> bool:
+    def has_asked(self) -> bool:
         """True if the endpoint has asked for anything yet."""
         return self.is_leaving or self.backoff_until > float("-inf")
 
--- a/sassafrasstile/faultsoak/_endpoints.py
+++ b/sassafrasstile/faultsoak/_endpoints.py
@@ -10,7 +10,7 @@
 _HANDLE = "h"
 _MIN_BACKOFF_S = 1.0
 _MAX_BACKOFF_S = 4.0
-# One in this many back-offs can't be read.
+# This share of the back-offs can't be read.
 _UNREADABLE_SHARE = 0.1
 _HEAD_START = b"HTTP/1.1 "
 
--- a/sassafrasstile/faultsoak/_gateways.py
+++ b/sassafrasstile/faultsoak/_gateways.py
@@ -36,7 +36,6 @@
         arguments: Sequence[str] = ARGUMENTS,
     ):
         self.name = name
-        self._arguments = arguments
         self.port = testing.pick_port()
         self._ready_port = testing.pick_port()
         self._path = folder / f"{name}.yaml"
--- a/sassafrasstile/forwarding/_calls.py
+++ b/sassafrasstile/forwarding/_calls.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from twisted.internet import defer
-from twisted.python import failure
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
@@ -23,8 +22,6 @@
 _OVERDUE_LATENCIES = 5.0
 # It is overdue no earlier than after this share of the time to the deadline.
 _MIN_OVERDUE_SHARE = 0.45
-# The verdict on an attempt that is overdue.
-_OVERDUE_VERDICT = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
 _NO_ENDPOINT_RETRY_AFTER_S = 0.3
 
 
@@ -105,21 +102,17 @@
         while endpoint is not None or not group.is_empty:
             if endpoint is not None:
                 self._begin(task, group, endpoint)
-            verdict = _OVERDUE_VERDICT
-            match await group.wait():
-                case _CompleteAnswer(is_success=True) as answer:
-                    return answer
-                case failure.Failure() as reason:
-                    reason.raiseException()
-                case _hedging.Overdue.OVERDUE:
-                    pass
-                case result:
-                    verdict = outcome.record(result)
+            result = await group.wait()
+            if isinstance(result, _CompleteAnswer) and result.is_success:
+                return result
             endpoint = None
-            is_overdue = verdict is _OVERDUE_VERDICT
-            if (is_overdue or group.is_empty) and _retries.may_send_again(
-                self._context, task, verdict
-            ):
+            if result is _hedging.Overdue.OVERDUE:
+                verdict = _retries.SILENT_VERDICT
+            else:
+                verdict = outcome.record(result)
+                if not group.is_empty:
+                    continue
+            if _retries.may_send_again(self._context, task, verdict):
                 endpoint = self._choose(task)
         return outcome.failed
 
@@ -139,7 +132,7 @@
     def _may_begin_another(self, task: _task.RequestTask) -> bool:
         """Returns whether another endpoint should be tried for a call now."""
         now = self._context.now()
-        if _retries.find_obstacle(self._context, task, _OVERDUE_VERDICT):
+        if _retries.find_obstacle(self._context, task, _retries.SILENT_VERDICT):
             return False
         endpoint = self._choose(task)
         if endpoint is None or endpoint in task.tried:
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -223,7 +223,9 @@
             attempt.start(
                 outgoing,
                 timeout_s=remaining_s,
-                overdue_s=_standby.compute_search_delay_s(task.route),
+                overdue_s=_standby.compute_search_delay_s(
+                    task.route, has_holds=_standby.has_holds(task.service)
+                ),
             )
         )
         try:
@@ -272,7 +274,7 @@
             if watch.standby is None:
                 raise
             progress.standby = watch.standby
-            return verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
+            return _retries.SILENT_VERDICT
         finally:
             watch.close()
 
@@ -294,8 +296,8 @@
         used_share = engine.total_reserved_tokens / capacity
         handle = progress.handle
         engine.record_refusal(now)
-        is_shedding = engine.restrictions.find_denial(now) is not None
-        if handle is None or is_shedding or used_share >= _FULL_SHARE:
+        wants_nothing = engine.restrictions.find_denial(now) is not None
+        if handle is None or wants_nothing or used_share >= _FULL_SHARE:
             return
         progress.unexplained_refusals += 1
         if progress.unexplained_refusals <= 1:
--- a/sassafrasstile/forwarding/_hedging.py
+++ b/sassafrasstile/forwarding/_hedging.py
@@ -62,6 +62,9 @@
 
         Returns:
             The result of an attempt, or `Overdue.OVERDUE`.
+
+        Raises:
+            Exception: What an attempt has raised.
         """
         return await self._results.get()
 
--- a/sassafrasstile/forwarding/_holds.py
+++ b/sassafrasstile/forwarding/_holds.py
@@ -203,7 +203,10 @@
 
 
 def _wait_without_cancelling(work: defer.Deferred) -> defer.Deferred:
-    """Returns a Deferred with the same result; cancelling it only ends it."""
+    """Returns a Deferred with the result of work that may not be cancelled.
+
+    Cancelling it leaves the work running.
+    """
     waiting: defer.Deferred = defer.Deferred()
 
     def pass_on(result):
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -9,6 +9,8 @@
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
+# The verdict on an attempt whose endpoint is silent.
+SILENT_VERDICT = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
 # Maximum number of sends of a request, including refused ones.
 MAX_SENDS = 3
 # Maximum number of engines that are asked to set memory aside for a request.
@@ -73,7 +75,7 @@
     task: _task.RequestTask,
     verdict: verdicts.Verdict,
     *,
-    arrivals: int = 1,
+    retries: int = 1,
 ) -> Obstacle | None:
     """Returns what stands against another send, or None if it is allowed.
 
@@ -85,7 +87,7 @@
         context: State shared by the parts of the router.
         task: The request.
         verdict: The verdict on the last send.
-        arrivals: How many requests to endpoints the next try takes.
+        retries: The number of retries that the budget must still allow.
     """
     now = context.now()
     if task.deadline - now < MIN_REMAINING_S:
@@ -102,7 +104,7 @@
     if not is_proved and not may_run_elsewhere(task):
         return Obstacle.MAY_HAVE_RUN
     budget = context.get_budget(task.service.name)
-    if counts_against_budget(verdict) and not budget.can_spend(now, arrivals):
+    if counts_against_budget(verdict) and not budget.can_spend(now, retries):
         return Obstacle.BUDGET
     return None
 
@@ -135,6 +137,7 @@
             "verdict": verdicts.name_verdict(verdict),
             "code": verdict.code,
             "sends": task.sends,
+            "outcome": obstacle.name.lower(),
         },
     )
     return False
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -24,7 +24,8 @@
 _NEWEST_WEIGHT = 0.05
 # Few generations take longer than this many times the average.
 _LONG_GENERATION_FACTOR = 2.0
-# An engine in good order may be silent for about this long meanwhile.
+# Added to the usual duration of a generation, since an engine may send nothing
+# for about this long and then go on.
 _SILENCE_MARGIN_S = 1.0
 
 
@@ -62,7 +63,7 @@
             return
         except Exception:
             # The HTTP server would close the connection without an answer.
-            _LOG.exception("request: not routed: internal error.")
+            _LOG.exception("request: refused after an internal error.")
             self._refuse(exchange, 503, errors.Code.INVARIANT_VIOLATED)
             return
         if not self._can_finish_in_time(task):
--- a/sassafrasstile/forwarding/_standby.py
+++ b/sassafrasstile/forwarding/_standby.py
@@ -11,9 +11,7 @@
 from twisted.internet import defer
 
 from sassafrasstile import dispatch
-from sassafrasstile import errors
 from sassafrasstile import routes
-from sassafrasstile import verdicts
 from sassafrasstile.forwarding import _admission
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _holds
@@ -22,28 +20,23 @@
 from sassafrasstile.forwarding import _timers
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
-# A caller gives a stream up after the longest of these times without an event:
-# this time,
-_MIN_PATIENCE_S = 2.0
+# A caller gives up after the longest of three times without an event: this one,
+_MIN_CALLER_WAIT_S = 2.0
 # this many targets for the first token,
-_PATIENCE_TARGETS = 4.0
+_CALLER_WAIT_TARGETS = 4.0
 # and this many targets for the gap between two tokens.
-_PATIENCE_GAPS = 8.0
-# Another engine is looked for after this share of the caller's patience. The
-# rest is left to it for the prefill of what the caller has received.
+_CALLER_WAIT_GAPS = 8.0
+# Share of that time after which another engine is sought. The other engine
+# needs the rest to prefill what the caller has received.
 _SEARCH_SHARE = 0.5
 # The same where engines set no memory aside: such an engine may refuse, so it
 # is tried only when the caller is about to give up.
 _UNSECURED_SEARCH_SHARE = 0.8
 # Interval of the attempts to find one.
 _SEARCH_INTERVAL_S = 0.25
-# The verdict on an attempt that is ended to move.
-_VERDICT = verdicts.MayHaveRun(code=errors.Code.ENDPOINT_SILENT)
 
 
-def compute_search_delay_s(
-    route: routes.Route, *, has_holds: bool = True
-) -> float:
+def compute_search_delay_s(route: routes.Route, *, has_holds: bool) -> float:
     """Returns the silence after which another engine is looked for.
 
     Args:
@@ -53,16 +46,16 @@
     >>> route = routes.Route(
     ...     name="r", host="h", prefix="/", kind=routes.RouteKind.GENERATION,
     ...     services=(), timeout_s=14.0, target_s=0.9, target_gap_s=0.3)
-    >>> compute_search_delay_s(route)
+    >>> compute_search_delay_s(route, has_holds=True)
     1.8
     """
-    patience_s = max(
-        _MIN_PATIENCE_S,
-        _PATIENCE_TARGETS * route.target_s,
-        _PATIENCE_GAPS * route.target_gap_s,
+    caller_wait_s = max(
+        _MIN_CALLER_WAIT_S,
+        _CALLER_WAIT_TARGETS * route.target_s,
+        _CALLER_WAIT_GAPS * route.target_gap_s,
     )
     share = _SEARCH_SHARE if has_holds else _UNSECURED_SEARCH_SHARE
-    return share * patience_s
+    return share * caller_wait_s
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -90,7 +83,7 @@
     reason: str
 
 
-def _has_holds(service: routes.Service) -> bool:
+def has_holds(service: routes.Service) -> bool:
     """Returns whether the engines of a service set memory aside."""
     return service.engine is not None and service.engine.hold_s > 0
 
@@ -141,12 +134,14 @@
             request_id=task.request_id,
             engine=engine,
             reading=reading,
-            secure=lambda: self._secure(task, generated_tokens),
-            pay=lambda: _retries.may_send_again(self._context, task, _VERDICT),
+            find_standby=lambda: self._secure(task, generated_tokens),
+            spend_retry=lambda: _retries.may_send_again(
+                self._context, task, _retries.SILENT_VERDICT
+            ),
             release=self._release,
         )
         delay_s = compute_search_delay_s(
-            task.route, has_holds=_has_holds(task.service)
+            task.route, has_holds=has_holds(task.service)
         )
         watch.start(delay_s)
         return watch
@@ -159,34 +154,46 @@
         obstacle = _retries.find_obstacle(
             self._context,
             task,
-            _VERDICT,
+            _retries.SILENT_VERDICT,
             # The prompt is prefilled once more as well.
-            arrivals=2 if needs_prefill else 1,
+            retries=2 if needs_prefill else 1,
         )
         if obstacle is not None:
             return Unavailable(reason=obstacle.value)
         grant = self._admission.try_acquire(task, needs_prefill=needs_prefill)
         if grant is None:
             return Unavailable(reason="no other engine has capacity")
+        name = grant.decode.name
         hold = None
-        try:
-            if _has_holds(task.service):
-                hold = await self._holds.take(
-                    task, grant, generated_tokens=generated_tokens
-                )
-        except BaseException:
-            self._admission.release(grant)
-            raise
+        if has_holds(task.service):
+            hold = await self._take_hold(task, grant, generated_tokens)
+            if hold is None:
+                return Unavailable(reason=f"{name} granted no memory")
         standby = Standby(grant=grant, hold=hold)
-        name = grant.decode.name
-        if _has_holds(task.service) and not isinstance(hold, _holds.KvHold):
-            self._admission.release(grant)
-            return Unavailable(reason=f"{name} has no room")
         if grant.decode.find_denial(self._context.now()) is not None:
             self._release(standby)
             return Unavailable(reason=f"{name} takes nothing new")
         return standby
 
+    async def _take_hold(
+        self,
+        task: _task.RequestTask,
+        grant: dispatch.Grant,
+        generated_tokens: int,
+    ) -> _holds.KvHold | None:
+        """Asks for memory; releases the grant if the engine grants none."""
+        try:
+            hold = await self._holds.take(
+                task, grant, generated_tokens=generated_tokens
+            )
+        except BaseException:
+            self._admission.release(grant)
+            raise
+        if isinstance(hold, _holds.KvHold):
+            return hold
+        self._admission.release(grant)
+        return None
+
     def _release(self, standby: Standby) -> None:
         self._admission.release(standby.grant)
         if standby.hold is not None:
@@ -201,8 +208,9 @@
         request_id: The id of the stream's request.
         engine: The engine that may fall silent.
         reading: Fires with that engine's next bytes.
-        secure: Tries to get a standby engine ready.
-        pay: Takes the retry from the budget; returns False if it is spent.
+        find_standby: Tries to get a standby engine ready.
+        spend_retry: Takes the retry from the budget; returns False if the
+            budget is spent.
         release: Gives a standby engine up.
 
     Attributes:
@@ -216,21 +224,21 @@
         request_id: str,
         engine: dispatch.Endpoint,
         reading: defer.Deferred,
-        secure: Callable[[], Awaitable[Standby | Unavailable]],
-        pay: Callable[[], bool],
+        find_standby: Callable[[], Awaitable[Standby | Unavailable]],
+        spend_retry: Callable[[], bool],
         release: Callable[[Standby], None],
     ):
         self._request_id = request_id
         self._engine = engine
         self._reading = reading
-        self._secure = secure
-        self._pay = pay
+        self._find_standby = find_standby
+        self._spend_retry = spend_retry
         self._release = release
         self._timer = _timers.SilenceTimer(
             reactor=reactor, on_silence=self._begin
         )
         self._attempt: defer.Deferred | None = None
-        self._reason = ""
+        self._logged_reason = ""
         self._is_closed = False
         self.standby: Standby | None = None
 
@@ -251,24 +259,24 @@
 
     async def _search(self) -> None:
         """Makes one attempt, and schedules the next one if it fails."""
-        match await self._secure():
+        match await self._find_standby():
             case Standby() as standby if self._is_closed:
                 self._release(standby)
-            case Standby() as standby if self._pay():
+            case Standby() as standby if self._spend_retry():
                 self._log(f"moves to {standby.grant.decode.name}")
                 self.standby = standby
                 self._reading.cancel()
             case Standby() as standby:
                 self._release(standby)
-                self._wait_on(_retries.Obstacle.BUDGET.value)
+                self._schedule_search(_retries.Obstacle.BUDGET.value)
             case Unavailable(reason=reason):
-                self._wait_on(reason)
+                self._schedule_search(reason)
 
-    def _wait_on(self, reason: str) -> None:
+    def _schedule_search(self, reason: str) -> None:
         if self._is_closed:
             return
-        if reason != self._reason:
-            self._reason = reason
+        if reason != self._logged_reason:
+            self._logged_reason = reason
             self._log(f"stays: {reason}")
         self._timer.start(_SEARCH_INTERVAL_S)
 
--- a/sassafrasstile/forwarding/_timers.py
+++ b/sassafrasstile/forwarding/_timers.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-# A timer that fires this late shows that this process was suspended.
-_SUSPENSION_S = 0.2
+# A timer fires no later than this unless this process was suspended.
+_SUSPENSION_DELAY_S = 0.2
 # Bytes that arrived during a suspension are read within this time.
 _READ_DELAY_S = 0.05
 
@@ -42,7 +42,7 @@
             call.cancel()
 
     def _fire(self) -> None:
-        if self._reactor.seconds() - self._due_at > _SUSPENSION_S:
+        if self._reactor.seconds() - self._due_at > _SUSPENSION_DELAY_S:
             self._call = self._reactor.callLater(
                 _READ_DELAY_S, self._on_silence
             )
--- a/sassafrasstile/forwarding/tests/test_resumptions.py
+++ b/sassafrasstile/forwarding/tests/test_resumptions.py
@@ -48,7 +48,7 @@
             confirm_endpoints=self.confirm,
         )
         self.resolver = _resumptions.ResumptionResolver(context=self.context)
-        self.context.versions.restart(now=0.0)
+        self.context.versions.record_loaded(now=0.0)
         self.add("d1", "v1")
 
     async def confirm(self, since):
--- a/sassafrasstile/gateway/_generation_table.py
+++ b/sassafrasstile/gateway/_generation_table.py
@@ -545,6 +545,8 @@
         if generation.phase is Phase.RESUMING:
             self._resumption.restart(generation, now)
             return
+        # A late reservation is kept for as long as a lease, while another
+        # endpoint is asked too.
         if (
             generation.phase is Phase.RESERVING
             and now < generation.phase_deadline + self._settings.lease_s
--- a/sassafrasstile/gateway/_succession.py
+++ b/sassafrasstile/gateway/_succession.py
@@ -1,6 +1,6 @@
 """Successors of attempts whose sidecar is silent or late.
 
-A sidecar in good order may send nothing for a second or so and then go on.
+A sidecar without a fault may send nothing for a second or so and then go on.
 Its attempt is therefore kept until another endpoint has taken the request
 over, and the retry is paid for.
 """
--- a/sassafrasstile/membership/_departures.py
+++ b/sassafrasstile/membership/_departures.py
@@ -6,8 +6,8 @@
 
 _LOG = logging.getLogger("sassafrasstile.membership")
 _MAX_DEPARTURES = 1000
-# Entries of endpoints that aren't alive expire after this many heartbeats; the
-# list may be back a little later than its first answer here.
+# The store drops the entry of an endpoint that misses this many heartbeats. The
+# margin covers endpoints that reach the store later than this gateway.
 _EXPIRY_HEARTBEATS = 3
 _EXPIRY_MARGIN_S = 1.4
 
@@ -42,21 +42,22 @@
         self._departures.pop(endpoint_id, None)
         self._withheld.pop(endpoint_id, None)
 
-    def start_restore(self, now: float) -> None:
+    def record_restore(self, now: float) -> None:
         """Records that the list was restored from a copy."""
         self._window_ends_at = now + self._window_s
 
-    def withhold(self, record: _base.EndpointRecord) -> bool:
+    def try_withhold(self, record: _base.EndpointRecord) -> bool:
         """Withholds a record that may be from the copy.
 
         Returns:
-            False when the record counts.
+            True if it was withheld; False if the caller should use it.
         """
         if self._window_ends_at is None or not self._has_left(record):
             return False
         self._withheld[record.endpoint_id] = record
         _LOG.info(
-            "membership: endpoint %s has left; its restored record waits.",
+            "membership: restored record of endpoint %s isn't used yet. "
+            "Reason: the endpoint had left.",
             record.endpoint_id,
             extra={
                 "endpoint": record.endpoint_id,
--- a/sassafrasstile/membership/_roster.py
+++ b/sassafrasstile/membership/_roster.py
@@ -65,7 +65,7 @@
         is_older = (
             entry is not None and record.started_ms < entry.record.started_ms
         )
-        if is_older or self._departures.withhold(record):
+        if is_older or self._departures.try_withhold(record):
             return
         if record.state is _base.EndpointState.DRAINING:
             self._departures.add(record)
@@ -124,7 +124,7 @@
         had left don't come back with the copy.
         """
         self.record_outage()
-        self._departures.start_restore(now)
+        self._departures.record_restore(now)
 
     def record_contact(self, now: float) -> None:
         """Records that the list responds, which ends an outage."""
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -52,7 +52,7 @@
 REPORT_PATH = b"/sassafrasstile/report"
 PREFILL_STAGE = b"prefill"
 
-# The header of the store's answers that rises when it is restored from a copy.
+# The header with the store's epoch, which rises at each restore from a copy.
 STORE_ERA = b"Store-Era"
 
 # Paths that gateways serve.
--- a/sassafrasstile/router/_confirmation.py
+++ b/sassafrasstile/router/_confirmation.py
@@ -1,9 +1,15 @@
 """Confirms that a topic has no records that this gateway hasn't seen."""
 
+import logging
+
 from twisted.internet import defer
+from twisted.python import failure
 
+from sassafrasstile import limits
 from sassafrasstile import stores
 
+_LOG = logging.getLogger("sassafrasstile.router")
+_MAX_LOG_LINES_PER_S = 1.0
 _TIMEOUT_S = 0.2
 
 
@@ -34,6 +40,7 @@
         self._waiting: list[defer.Deferred] = []
         self._is_calling = False
         self._called_at = float("-inf")
+        self._warnings = limits.TokenBucket(rate_per_s=_MAX_LOG_LINES_PER_S)
 
     async def confirm(self, since: float) -> bool:
         """Returns whether all records up to a time have been seen.
@@ -55,19 +62,34 @@
     def _begin(self) -> None:
         self._is_calling = True
         self._called_at = self._reactor.seconds()
-        # The answer is passed on in a later turn, when its first waiter waits.
+        # Started in a later turn of the reactor, so that the caller is in the
+        # list of waiters even if the answer is immediate.
         self._reactor.callLater(
-            0, lambda: defer.ensureDeferred(self._call()).addBoth(self._end)
+            0,
+            lambda: defer.ensureDeferred(self._call()).addBoth(
+                self._finish_call
+            ),
         )
 
-    def _end(self, result) -> None:
+    def _finish_call(self, result) -> None:
+        if isinstance(result, failure.Failure):
+            self._log_failure(result)
         self._is_calling = False
         waiting, self._waiting = self._waiting, []
         for waiter in waiting:
             if not waiter.called:
                 waiter.callback(result is True)
 
+    def _log_failure(self, reason: failure.Failure) -> None:
+        if self._warnings.take(1, self._reactor.seconds()):
+            _LOG.info(
+                "store: topic %s isn't confirmed: %s",
+                self._topic,
+                reason.getErrorMessage(),
+            )
+
     async def _call(self) -> bool:
+        """Compares the topic's end at the store with the one read here."""
         end = self._follower.end
         if end is None:
             return False
--- a/sassafrasstile/router/_store_records.py
+++ b/sassafrasstile/router/_store_records.py
@@ -29,7 +29,7 @@
         generator: The random number generator.
         active_configuration: Receives each configuration.
         roster: Receives each record of an endpoint.
-        versions: Forgets what it knows when the endpoints are loaded.
+        versions: Is told when all endpoints were loaded.
         on_configuration: Called with each configuration that is in force now.
         on_progress: Called when a record of the configuration was read, and
             when all endpoints were.
@@ -135,7 +135,7 @@
 
     def _mark_endpoints_loaded(self) -> None:
         self._roster.mark_loaded()
-        self._versions.restart(now=self._now())
+        self._versions.record_loaded(now=self._now())
         self._on_progress()
 
     def _record_contact(self) -> None:
--- a/sassafrasstile/stores/_epochs.py
+++ b/sassafrasstile/stores/_epochs.py
@@ -12,12 +12,11 @@
 
 _LOG = logging.getLogger("sassafrasstile.stores")
 _MAX_WARNINGS_PER_S = 0.2
-# Answers that are late are fewer than this, since few calls are open at once.
-# After as many in succession, a lower epoch is the current one: the higher one
-# was wrong, and following it would mean never to read again.
+# After this many answers in a row with a lower epoch, the lower one is taken as
+# current. Late answers are fewer, as few calls are open at once; so the higher
+# epoch was wrong, and each further answer would be ignored.
 _MAX_LOWER_ANSWERS = 20
-# A lower epoch proves that the store was never restored: the first one is zero
-# or one.
+# A store that was never restored has the epoch 0 or 1.
 _FIRST_RESTORED_EPOCH = 2
 
 
@@ -98,7 +97,8 @@
         before, self.current = self.current, epoch
         self.may_be_restored = True
         _LOG.warning(
-            "store: restored from a copy: epoch %s.",
+            "store: the epoch changed from %s to %s, so topics are read again.",
+            before,
             epoch,
             extra={"epoch_before": before, "epoch": epoch},
         )
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -126,7 +126,7 @@
         )
         self.store_epochs = self._make_counter(
             "store_epochs",
-            "Restores of the store from a copy, as its epoch showed them.",
+            "Changes of the store's epoch, which rises at each restore.",
         )
         self.log_lines_dropped = self._make_counter(
             "log_lines_dropped", "Log lines dropped to stay within bounds."
--- a/sassafrasstile/web/_connection.py
+++ b/sassafrasstile/web/_connection.py
@@ -47,10 +47,10 @@
 
 
 def _peek(transport) -> bytes | None:
-    """Returns the first unread byte, or None while there is nothing to read.
+    """Looks at the first unread byte without reading it.
 
     Returns:
-        The byte, which stays unread, or no bytes if the peer has closed.
+        The byte; no bytes if the peer has closed; None if nothing has arrived.
 
     Raises:
         OSError: The connection is lost.
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -254,7 +254,7 @@
 
     @property
     def can_close(self) -> bool:
-        """True when the caller's last request is answered, with none behind."""
+        """True when all requests are answered and no more bytes have come."""
         return (
             self.is_idle
             and not self._is_unused
--- a/sassafrasstile/web/_pool.py
+++ b/sassafrasstile/web/_pool.py
@@ -65,13 +65,15 @@
             body: The body.
             fresh: True to open a new connection rather than reuse one.
             on_send: Called just before the first byte is written. If it
-                raises an error, nothing is sent.
+                raises an `ExchangeError`, nothing is sent and the connection
+                is kept.
 
         Returns:
             The reply, before any of it has arrived.
 
         Raises:
-            ExchangeError: No connection could be made; nothing was sent.
+            ExchangeError: No connection could be made, or `on_send` refused;
+                nothing was sent.
         """
         connection = None if fresh else self._pop_idle()
         if connection is None:
