--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -49,7 +49,7 @@
         prefilled_until: When its finished prefill expires, in seconds, or
             None without one.
         is_resumed: True when the caller already has a part of the output.
-        may_prefill: False when the decode engine reads the prompt itself.
+        may_prefill_remotely: False when only a local prefill is allowed.
         excluded: Engines on which it has failed.
         software_version: The version that its decode engine must have, or None
             for any.
@@ -66,7 +66,7 @@
     sequence: int
     prefilled_until: float | None = None
     is_resumed: bool = False
-    may_prefill: bool = True
+    may_prefill_remotely: bool = True
     excluded: tuple[_endpoints.Endpoint, ...] = ()
     software_version: str | None = None
     prefilled_version: str | None = None
@@ -78,7 +78,7 @@
         Args:
             now: The time in seconds.
         """
-        if not self.may_prefill:
+        if not self.may_prefill_remotely:
             return False
         return self.prefilled_until is None or now >= self.prefilled_until
 
@@ -127,7 +127,7 @@
         priority: int = 0,
         prefilled_until: float | None = None,
         is_resumed: bool = False,
-        may_prefill: bool = True,
+        may_prefill_remotely: bool = True,
         excluded: tuple[_endpoints.Endpoint, ...] = (),
         software_version: str | None = None,
         prefilled_version: str | None = None,
@@ -146,8 +146,7 @@
                 or None without one.
             is_resumed: True when the caller already has a part of the
                 output.
-            may_prefill: False when the decode engine reads the prompt itself,
-                beside its other streams.
+            may_prefill_remotely: False when only a local prefill is allowed.
             excluded: Engines on which it has failed.
             software_version: The version that its decode engine must have, or
                 None for any.
@@ -163,7 +162,7 @@
             sequence=next(self._sequence),
             prefilled_until=prefilled_until,
             is_resumed=is_resumed,
-            may_prefill=may_prefill,
+            may_prefill_remotely=may_prefill_remotely,
             excluded=excluded,
             software_version=software_version,
             prefilled_version=prefilled_version,
--- a/sassafrasstile/dispatch/tests/test_queue.py
+++ b/sassafrasstile/dispatch/tests/test_queue.py
@@ -131,7 +131,7 @@
     # beside its other streams.
     def test_resumed_generation_may_be_prefilled_first(self):
         returned = self.add(is_resumed=True)
-        broken = self.add(is_resumed=True, may_prefill=False)
+        broken = self.add(is_resumed=True, may_prefill_remotely=False)
         self.assertEqual(self.queue.admit(0.0), [returned, broken])
         self.assertEqual(returned.grant.prefill.name, "p1")
         self.assertIsNone(broken.grant.prefill)
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -72,7 +72,7 @@
         notices: Whether endpoints leave and shed load.
         silences: Whether engines fall silent for about a second and go on.
         arguments: The interpreter's arguments that start a gateway.
-        states_era: Whether the store's answers show when it was restored.
+        states_epoch: Whether the store's answers show when it was restored.
     """
 
     def __init__(
@@ -86,7 +86,7 @@
         notices: bool = True,
         silences: bool = True,
         arguments: Sequence[str] = _gateways.ARGUMENTS,
-        states_era: bool = True,
+        states_epoch: bool = True,
     ):
         self._reactor = reactor
         self._seed = seed
@@ -102,7 +102,7 @@
         self._execution_log = _endpoints.ExecutionLog()
         self._arguments = arguments
         self._store_server = standins.PlatformStoreServer(reactor=reactor)
-        if not states_era:
+        if not states_epoch:
             self._store_server.store.stated_era = ""
         self.endpoints: dict[str, _endpoints.ScriptedEndpoint] = {}
         self._proxies: dict[str, _proxy.FaultProxy] = {}
--- a/sassafrasstile/faultsoak/tests/test_restores.py
+++ b/sassafrasstile/faultsoak/tests/test_restores.py
@@ -42,7 +42,7 @@
 
     # Without the epoch, gateways read on at offsets that were given out again.
     def test_configuration_that_is_missed_is_a_violation(self):
-        report = self.run_soak(states_era=False)
+        report = self.run_soak(states_epoch=False)
         self.assertTrue(
             any("/new/ answered 404" in item for item in report.violations)
         )
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -50,7 +50,7 @@
         *,
         handle: _base.KvHandle | None = None,
         is_resumed: bool = False,
-        may_prefill: bool = True,
+        may_prefill_remotely: bool = True,
     ) -> dispatch.Grant | None:
         """Waits for capacity and reserves it.
 
@@ -58,14 +58,17 @@
             task: The request.
             handle: Its finished prefill, or None.
             is_resumed: True when its caller has part of the answer.
-            may_prefill: False when the decode engine reads the prompt.
+            may_prefill_remotely: False when the decode engine reads the prompt.
 
         Returns:
             The grant, or None when no capacity can be expected in time.
         """
         while True:
             grant = await self._wait(
-                task, handle, is_resumed=is_resumed, may_prefill=may_prefill
+                task,
+                handle,
+                is_resumed=is_resumed,
+                may_prefill_remotely=may_prefill_remotely,
             )
             if grant is None or await self._resolve_contention(task, grant):
                 return grant
@@ -142,7 +145,7 @@
         handle: _base.KvHandle | None,
         *,
         is_resumed: bool,
-        may_prefill: bool,
+        may_prefill_remotely: bool,
     ) -> dispatch.Grant | None:
         if not self._context.placement.has_decode_engine(
             task.service.name, software_version=task.software_version
@@ -169,7 +172,7 @@
                 handle.endpoint.record.software_version if handle else None
             ),
             is_resumed=is_resumed,
-            may_prefill=may_prefill,
+            may_prefill_remotely=may_prefill_remotely,
             excluded=tuple(task.may_have_run),
             software_version=task.software_version,
         )
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -114,7 +114,7 @@
             task,
             handle=progress.handle,
             is_resumed=progress.events > 0 or task.details.is_resumption,
-            may_prefill=not progress.events,
+            may_prefill_remotely=not progress.events,
         )
 
     async def _run_on_grant(
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -94,7 +94,7 @@
         topics: The ends of topics, as the gateway's own calls to the store
             showed them.
         refusals: The generations that it has refused lately.
-        version: The version of the configuration in force there, or None
+        configuration_version: The configuration in force there, or None
             before it has one.
     """
 
@@ -107,7 +107,7 @@
         default_factory=dict
     )
     refusals: tuple[PromptRefusal, ...] = ()
-    version: int | None = None
+    configuration_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -76,9 +76,10 @@
         on_refusals: Called with those that a peer has refused.
         on_message: Called with the sender's name and the payload of each
             message to this gateway alone.
-        read_version: Returns the version of the configuration in force here,
-            or None before there is one.
-        on_version: Called with the version that a peer has in force, or None.
+        read_configuration_version: Returns the version in force here, or None
+            before there is one.
+        on_configuration_version: Called with the version that a peer has in
+            force, or None.
     """
 
     noisy = False
@@ -103,8 +104,10 @@
             [tuple[_base.PromptRefusal, ...]], None
         ] = lambda _refusals: None,
         on_message: Callable[[str, bytes], None] = lambda _name, _data: None,
-        read_version: Callable[[], int | None] = lambda: None,
-        on_version: Callable[[int | None], None] = lambda _version: None,
+        read_configuration_version: Callable[[], int | None] = lambda: None,
+        on_configuration_version: Callable[
+            [int | None], None
+        ] = lambda _version: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -117,8 +120,8 @@
         self._read_refusals = read_refusals
         self._on_refusals = on_refusals
         self._on_message = on_message
-        self._read_version = read_version
-        self._on_version = on_version
+        self._read_configuration_version = read_configuration_version
+        self._on_configuration_version = on_configuration_version
         self._peers: dict[str, _Peer] = {}
         self._gateway_count = 1
         self._port: interfaces.IListeningPort | None = None
@@ -278,7 +281,7 @@
         self._on_report(peer.address.name, report.loads, report.is_complete)
         self._on_topics(report.topics)
         self._on_refusals(report.refusals)
-        self._on_version(report.version)
+        self._on_configuration_version(report.configuration_version)
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
@@ -341,7 +344,7 @@
                 loads=loads,
                 topics=self._read_topics(),
                 refusals=self._read_refusals(),
-                version=self._read_version(),
+                configuration_version=self._read_configuration_version(),
             )
         )
         for peer in group:
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -86,7 +86,7 @@
             ]
             for item in report.refusals
         ],
-        report.version,
+        report.configuration_version,
     ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
@@ -106,7 +106,7 @@
             rows,
             ends,
             refusals,
-            version,
+            configuration_version,
         ) = json.loads(data)
         topics = {
             str(topic): _base.TopicEndReport(
@@ -148,7 +148,7 @@
                 )
                 for prompt_id, age_ms, remaining_ms in refusals
             ),
-            version=_read_number(version),
+            configuration_version=_read_number(configuration_version),
         )
     except (ValueError, TypeError) as reason:
         raise errors.Error(
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -66,8 +66,8 @@
             on_message=lambda sender, payload: self.messages.append(
                 (name, sender, payload)
             ),
-            read_version=lambda: self.versions[name],
-            on_version=self.received_versions[name].append,
+            read_configuration_version=lambda: self.versions[name],
+            on_configuration_version=self.received_versions[name].append,
         )
         channel.transport = self.network
         self.network.channels[("h", port)] = channel
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -120,7 +120,7 @@
         self._start_gate = _start_gate.StartGate(
             reactor=reactor,
             epochs=self._epochs,
-            read_version=self._read_version,
+            read_configuration_version=self._read_configuration_version,
             count_gateways=self._count_gateways,
         )
         self._channel = self._make_channel(address)
@@ -206,8 +206,8 @@
                 refusals, self._now()
             ),
             on_message=self._origins.receive,
-            read_version=self._read_version,
-            on_version=self._start_gate.record_peer_version,
+            read_configuration_version=self._read_configuration_version,
+            on_configuration_version=self._start_gate.record_peer_configuration_version,
         )
 
     def _make_directory(self, record_decoder, address) -> peers.PeerDirectory:
@@ -324,7 +324,7 @@
             and self._start_gate.is_open()
         )
 
-    def _read_version(self) -> int | None:
+    def _read_configuration_version(self) -> int | None:
         return self._active_configuration.version
 
     async def drain(self) -> None:
--- a/sassafrasstile/router/_start_gate.py
+++ b/sassafrasstile/router/_start_gate.py
@@ -23,8 +23,8 @@
     Args:
         reactor: The reactor.
         epochs: The store's epoch.
-        read_version: Returns the version of this gateway's configuration, or
-            None before it has one.
+        read_configuration_version: Returns the version in force here, or None
+            before there is one.
         count_gateways: Returns the number of gateways, or None before it is
             known.
     """
@@ -34,25 +34,25 @@
         *,
         reactor,
         epochs: stores.EpochMonitor,
-        read_version: Callable[[], int | None],
+        read_configuration_version: Callable[[], int | None],
         count_gateways: Callable[[], int | None],
     ):
         self._reactor = reactor
         self._epochs = epochs
-        self._read_version = read_version
+        self._read_configuration_version = read_configuration_version
         self._count_gateways = count_gateways
         self._started_at = reactor.seconds()
         self._peer_version: int | None = None
         self._is_open = False
 
-    def record_peer_version(self, version: int | None) -> None:
+    def record_peer_configuration_version(self, version: int | None) -> None:
         """Records the version that a peer has in force, or None for none."""
         if version is not None:
             self._peer_version = max(version, self._peer_version or version)
 
     def is_open(self) -> bool:
         """Returns whether callers can be accepted; it never closes again."""
-        version = self._read_version()
+        version = self._read_configuration_version()
         if not self._is_open and version is not None:
             self._is_open = self._is_reliable(version)
         return self._is_open
@@ -69,6 +69,9 @@
             return False
         _LOG.warning(
             "router: peers have a newer configuration than the store.",
-            extra={"version": version, "version_of_peers": self._peer_version},
+            extra={
+                "version": version,
+                "version_of_peers": self._peer_version,
+            },
         )
         return True
--- a/sassafrasstile/router/tests/test_start_gate.py
+++ b/sassafrasstile/router/tests/test_start_gate.py
@@ -18,29 +18,29 @@
         self.gate = _start_gate.StartGate(
             reactor=self.clock,
             epochs=self.epochs,
-            read_version=lambda: self.version,
+            read_configuration_version=lambda: self.version,
             count_gateways=lambda: self.gateways,
         )
 
     # Callers would be served by a version that is no longer in force.
     def test_gateway_waits_for_the_version_of_its_peers(self):
         self.assertFalse(self.gate.is_open())
-        self.gate.record_peer_version(7)
-        self.gate.record_peer_version(6)
+        self.gate.record_peer_configuration_version(7)
+        self.gate.record_peer_configuration_version(6)
         self.clock.advance(3.0)
         self.assertFalse(self.gate.is_open())
         self.version = 7
         self.assertTrue(self.gate.is_open())
 
     def test_same_version_as_a_peer_is_enough(self):
-        self.gate.record_peer_version(None)
+        self.gate.record_peer_configuration_version(None)
         self.assertFalse(self.gate.is_open())
-        self.gate.record_peer_version(5)
+        self.gate.record_peer_configuration_version(5)
         self.assertTrue(self.gate.is_open())
 
     # A peer may be wrong, or the lost version may never be written again.
     def test_wait_is_bounded(self):
-        self.gate.record_peer_version(99)
+        self.gate.record_peer_configuration_version(99)
         self.clock.advance(6.1)
         self.assertTrue(self.gate.is_open())
 
@@ -58,7 +58,7 @@
             gate = _start_gate.StartGate(
                 reactor=self.clock,
                 epochs=epochs,
-                read_version=lambda: 5,
+                read_configuration_version=lambda: 5,
                 count_gateways=lambda: 3,
             )
             self.assertTrue(gate.is_open())
@@ -69,9 +69,9 @@
 
     # A gateway in use isn't taken out by a newer version of a peer.
     def test_open_gate_stays_open(self):
-        self.gate.record_peer_version(5)
+        self.gate.record_peer_configuration_version(5)
         self.assertTrue(self.gate.is_open())
-        self.gate.record_peer_version(6)
+        self.gate.record_peer_configuration_version(6)
         self.assertTrue(self.gate.is_open())
 
     def test_no_configuration_is_not_enough(self):
--- a/sassafrasstile/streams/_base.py
+++ b/sassafrasstile/streams/_base.py
@@ -47,7 +47,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Notice:
+class OriginAnnouncement:
     """Tells another gateway the origin of a stream that begins.
 
     Attributes:
@@ -85,4 +85,4 @@
     origin: StreamOrigin | None
 
 
-Message = Notice | Query | Answer
+Message = OriginAnnouncement | Query | Answer
--- a/sassafrasstile/streams/_codec.py
+++ b/sassafrasstile/streams/_codec.py
@@ -8,7 +8,7 @@
 
 _MS_PER_S = 1000
 _KEY_BYTES = 12
-_NOTICE = "began"
+_ANNOUNCEMENT = "began"
 _QUERY = "which"
 _ANSWER = "is"
 
@@ -27,7 +27,7 @@
 
     >>> origin = _base.StreamOrigin(service="s", software_version="v1")
     >>> for message in (
-    ...     _base.Notice(key="k", origin=origin, lifetime_s=2.5),
+    ...     _base.OriginAnnouncement(key="k", origin=origin, lifetime_s=2.5),
     ...     _base.Query(key="k"),
     ...     _base.Answer(key="k", origin=origin),
     ...     _base.Answer(key="k", origin=None),
@@ -35,9 +35,11 @@
     ...     assert decode_message(encode_message(message)) == message
     """
     match message:
-        case _base.Notice(key=key, origin=origin, lifetime_s=lifetime_s):
+        case _base.OriginAnnouncement(
+            key=key, origin=origin, lifetime_s=lifetime_s
+        ):
             lifetime_ms = round(lifetime_s * _MS_PER_S)
-            fields = [_NOTICE, key, *_list_fields(origin), lifetime_ms]
+            fields = [_ANNOUNCEMENT, key, *_list_fields(origin), lifetime_ms]
         case _base.Query(key=key):
             fields = [_QUERY, key]
         case _base.Answer(key=key, origin=origin):
@@ -63,8 +65,8 @@
                 str(service),
                 str(version),
                 int(lifetime_ms),
-            ] if tag == _NOTICE:
-                return _base.Notice(
+            ] if tag == _ANNOUNCEMENT:
+                return _base.OriginAnnouncement(
                     key=key,
                     origin=_base.StreamOrigin(
                         service=service, software_version=version
--- a/sassafrasstile/streams/_directory.py
+++ b/sassafrasstile/streams/_directory.py
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
-class _Inquiry:
+class _PendingQuery:
     """A question to other gateways.
 
     Attributes:
@@ -70,7 +70,7 @@
         self._reactor = reactor
         self.transport = transport or _transport.NoTransport()
         self._registry = _registry.OriginRegistry()
-        self._inquiries: dict[str, list[_Inquiry]] = {}
+        self._pending_queries: dict[str, list[_PendingQuery]] = {}
         self._calls: set = set()
         self._bucket = limits.TokenBucket(rate_per_s=_MAX_DATAGRAMS_PER_S)
 
@@ -106,8 +106,10 @@
         lifetime_s = max(0.0, deadline - now) + _LIFETIME_MARGIN_S
         self._registry.record(key, origin, now=now, lifetime_s=lifetime_s)
         holders = self._choose_holders(key)
-        notice = _base.Notice(key=key, origin=origin, lifetime_s=lifetime_s)
-        return holders if self._send_twice(holders, notice) else []
+        announcement = _base.OriginAnnouncement(
+            key=key, origin=origin, lifetime_s=lifetime_s
+        )
+        return holders if self._send_twice(holders, announcement) else []
 
     async def find(self, stream_id: str) -> _base.Lookup:
         """Finds where a stream began."""
@@ -133,7 +135,9 @@
             _LOG.warning("peers: datagram ignored: %s", reason)
             return
         match message:
-            case _base.Notice(key=key, origin=origin, lifetime_s=lifetime_s):
+            case _base.OriginAnnouncement(
+                key=key, origin=origin, lifetime_s=lifetime_s
+            ):
                 self._registry.record(
                     key, origin, now=self._now(), lifetime_s=lifetime_s
                 )
@@ -165,34 +169,34 @@
         asked = self._choose_asked(key)
         if not asked:
             return None
-        inquiry = _Inquiry(answer=defer.Deferred(), unanswered=set(asked))
-        self._inquiries.setdefault(key, []).append(inquiry)
-        inquiry.answer.addTimeout(_ANSWER_TIMEOUT_S, self._reactor)
-        self._send_twice(asked, _base.Query(key=key), inquiry)
+        pending = _PendingQuery(answer=defer.Deferred(), unanswered=set(asked))
+        self._pending_queries.setdefault(key, []).append(pending)
+        pending.answer.addTimeout(_ANSWER_TIMEOUT_S, self._reactor)
+        self._send_twice(asked, _base.Query(key=key), pending)
         try:
-            return await inquiry.answer
+            return await pending.answer
         except defer.TimeoutError:
             return None
         finally:
-            self._inquiries[key].remove(inquiry)
-            if not self._inquiries[key]:
-                del self._inquiries[key]
+            self._pending_queries[key].remove(pending)
+            if not self._pending_queries[key]:
+                del self._pending_queries[key]
 
     def _receive_answer(
         self, sender: str, key: str, origin: _base.StreamOrigin | None
     ) -> None:
-        # An answer ends its inquiry, which leaves the list.
-        for inquiry in list(self._inquiries.get(key, ())):
-            inquiry.unanswered.discard(sender)
-            is_over = origin is not None or not inquiry.unanswered
-            if is_over and not inquiry.answer.called:
-                inquiry.answer.callback(origin)
+        # An answer ends its pending, which leaves the list.
+        for pending in list(self._pending_queries.get(key, ())):
+            pending.unanswered.discard(sender)
+            is_over = origin is not None or not pending.unanswered
+            if is_over and not pending.answer.called:
+                pending.answer.callback(origin)
 
     def _send_twice(
         self,
         names: list[str],
         message: _base.Message,
-        inquiry: _Inquiry | None = None,
+        pending: _PendingQuery | None = None,
     ) -> bool:
         """Sends a message now and once more, if it isn't answered by then.
 
@@ -203,10 +207,10 @@
 
         def repeat():
             self._calls.discard(call)
-            if inquiry is None:
+            if pending is None:
                 self._send(names, message)
-            elif not inquiry.answer.called:
-                self._send(sorted(inquiry.unanswered), message)
+            elif not pending.answer.called:
+                self._send(sorted(pending.unanswered), message)
 
         call = self._reactor.callLater(_REPEAT_S, repeat)
         self._calls.add(call)
