--- a/sassafrasstile/faultsoak/_callers.py
+++ b/sassafrasstile/faultsoak/_callers.py
@@ -4,9 +4,7 @@
 import dataclasses
 import random
 
-from twisted.internet import endpoints
 from twisted.internet import error
-from twisted.internet import protocol
 from twisted.internet import task
 
 from sassafrasstile import testing
@@ -132,12 +130,7 @@
     async def _connect(
         self, gateway: _gateways.GatewayProcess
     ) -> testing.Caller:
-        target = endpoints.TCP4ClientEndpoint(
-            self._reactor, "127.0.0.1", gateway.port, timeout=1
-        )
-        return await target.connect(
-            protocol.Factory.forProtocol(testing.Caller)
-        )
+        return await testing.connect(self._reactor, gateway.port, timeout_s=1.0)
 
     async def check_route(self, path: str) -> None:
         """Checks that every gateway answers a path with status 200."""
--- a/sassafrasstile/faultsoak/_restores.py
+++ b/sassafrasstile/faultsoak/_restores.py
@@ -215,16 +215,12 @@
             caller = await testing.connect(self._reactor, gateway.port)
         except error.ConnectError:
             return 0
-        timer = self._reactor.callLater(_PROBE_TIMEOUT_S, caller.disconnect)
         caller.send(
             testing.make_request(
                 path, method="GET", request_id=f"probe{self._probes}"
             )
         )
-        answer = await caller.read_all()
-        if timer.active():
-            timer.cancel()
-        return answer.status
+        return (await caller.read_within(_PROBE_TIMEOUT_S)).status
 
     def _sleep(self, seconds: float) -> defer.Deferred:
         return task.deferLater(self._reactor, seconds)
--- a/sassafrasstile/faultsoak/_silences.py
+++ b/sassafrasstile/faultsoak/_silences.py
@@ -114,7 +114,7 @@
         chosen = self._generator.choice((1, len(self._proxies)))
         await self._silence(self._generator.sample(self._proxies, chosen))
         for name, caller in callers.items():
-            answer = await self._read_all(caller)
+            answer = await caller.read_within(_DEADLINE_MS / 1000)
             if name in begun and not _is_whole(answer):
                 self.violations.append(
                     f"{name}: cut by a silence of its engine: {answer.data!r}"
@@ -158,13 +158,6 @@
         )
         return caller
 
-    async def _read_all(self, caller: testing.Caller) -> testing.RawAnswer:
-        timer = self._reactor.callLater(_DEADLINE_MS / 1000, caller.disconnect)
-        answer = await caller.read_all()
-        if timer.active():
-            timer.cancel()
-        return answer
-
     def _sleep(self, seconds: float) -> defer.Deferred:
         return task.deferLater(self._reactor, seconds)
 
--- a/sassafrasstile/faultsoak/_versions.py
+++ b/sassafrasstile/faultsoak/_versions.py
@@ -4,9 +4,7 @@
 import random
 
 from twisted.internet import defer
-from twisted.internet import endpoints
 from twisted.internet import error
-from twisted.internet import protocol
 from twisted.internet import task
 
 from sassafrasstile import standins
@@ -20,6 +18,11 @@
 _EVENTS = 12
 _EVENT_GAP_S = 0.08
 _STREAMS_PER_S = 8.0
+# Engines break this share of the streams off.
+_BREAK_SHARE = 0.2
+# Callers leave this share of the streams, within this time.
+_LEAVE_SHARE = 0.4
+_MAX_STAY_S = 0.8
 # Callers come back for this long.
 _DEADLINE_S = 6.0
 _RETURN_DELAY_S = 0.15
@@ -51,7 +54,7 @@
         first = int(request.headers.get("last-event-id", 0)) + 1
         count = _EVENTS + 1 - first
         end = "whole"
-        if self._generator.random() < 0.2:
+        if self._generator.random() < _BREAK_SHARE:
             count = self._generator.randrange(count + 1)
             end = "reset"
         return standins.make_stream(
@@ -183,12 +186,9 @@
             headers.append(f"Resumes: {stream.origin}")
             kind = "went on"
         gateway = self._generator.choice(self._gateways)
-        target = endpoints.TCP4ClientEndpoint(
-            self._reactor, "127.0.0.1", gateway.port, timeout=1
-        )
         try:
-            caller = await target.connect(
-                protocol.Factory.forProtocol(testing.Caller)
+            caller = await testing.connect(
+                self._reactor, gateway.port, timeout_s=1.0
             )
         except error.ConnectError:
             return
@@ -201,15 +201,12 @@
             )
         )
         timeout_s = remaining_s
-        if self._generator.random() < 0.4:
-            timeout_s = min(timeout_s, 0.8 * self._generator.random())
-        timer = self._reactor.callLater(timeout_s, caller.disconnect)
-        answer = await caller.read_all()
-        if timer.active():
-            timer.cancel()
-        has_events = len(stream.events)
+        if self._generator.random() < _LEAVE_SHARE:
+            timeout_s = min(timeout_s, _MAX_STAY_S * self._generator.random())
+        answer = await caller.read_within(timeout_s)
+        event_count = len(stream.events)
         stream.add(request_id, answer)
-        if len(stream.events) > has_events:
+        if len(stream.events) > event_count:
             self.counts[kind] += 1
         elif answer.status:
             self.counts[f"{kind}: {answer.status}"] += 1
--- a/sassafrasstile/soak/_faults.py
+++ b/sassafrasstile/soak/_faults.py
@@ -79,6 +79,10 @@
 
 def stop_log(site) -> None:
     """Stops the log for up to a minute."""
+    _stop_log_for(site, site.world.generator.uniform(1.0, 60.0))
+
+
+def _stop_log_for(site, seconds: float) -> None:
     site.world.add_trace_line("the log is down")
     site.log.model.is_down = True
 
@@ -86,7 +90,7 @@
         site.world.add_trace_line("the log is up")
         site.log.model.is_down = False
 
-    site.world.call_later(site.world.generator.uniform(1.0, 60.0), end)
+    site.world.call_later(seconds, end)
 
 
 def crash_in_outage(site) -> None:
@@ -95,8 +99,6 @@
     The record of calls that it ran without a claim is then lost, and callers
     that wait for an answer retry once the log is available again.
     """
-    site.world.add_trace_line("the log is down")
-    site.log.model.is_down = True
     outage_s = site.world.generator.uniform(2.0, 8.0)
     lead_s = site.world.generator.uniform(0.1, 1.0)
     node = _choose(site.world, site.services)
@@ -105,12 +107,8 @@
         if node.is_alive:
             _kill_and_restart(site, node)
 
-    def end():
-        site.world.add_trace_line("the log is up")
-        site.log.model.is_down = False
-
     site.world.call_later(outage_s - lead_s, crash)
-    site.world.call_later(outage_s, end)
+    _stop_log_for(site, outage_s)
 
 
 def lose_answers(site) -> None:
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -107,6 +107,14 @@
         """Reads until the connection ends."""
         return await self.read_until(b"\0never\0")
 
+    async def read_within(self, seconds: float) -> RawAnswer:
+        """Reads until the connection ends, and disconnects after a time."""
+        timer = self.transport.reactor.callLater(seconds, self.disconnect)
+        answer = await self.read_all()
+        if timer.active():
+            timer.cancel()
+        return answer
+
     def _sleep(self, seconds: float) -> defer.Deferred:
         deferred: defer.Deferred = defer.Deferred()
         self.transport.reactor.callLater(seconds, deferred.callback, None)
@@ -121,9 +129,11 @@
                 self._waiters.append((marker, deferred))
 
 
-async def connect(reactor, port: int) -> Caller:
+async def connect(reactor, port: int, *, timeout_s: float = 30.0) -> Caller:
     """Opens a connection to a port of this machine."""
-    target = endpoints.TCP4ClientEndpoint(reactor, "127.0.0.1", port)
+    target = endpoints.TCP4ClientEndpoint(
+        reactor, "127.0.0.1", port, timeout=timeout_s
+    )
     return await target.connect(protocol.Factory.forProtocol(Caller))
 
 
