--- a/sassafrasstile/faultsoak/tests/test_restores.py
+++ b/sassafrasstile/faultsoak/tests/test_restores.py
@@ -26,7 +26,6 @@
 from unittest import mock
 from sassafrasstile.membership import _departures
 
-# Fails at the start if there is no such method.
 mock.patch.object(
     _departures.DepartureLog, "try_withhold", return_value=False
 ).start()
