Read what has arrived before an idle connection times out

What callers saw: a request on a kept connection got no answer; its connection was closed with the request in the receive buffer.

Cause: after the process was held up in a socket's callback, timers fire before sockets are read, so the idle timeout closed a connection on which a request had waited. The close of idle connections in a shutdown looked for such bytes already; the timeout didn't. Callers reuse connections up to four fifths of the limit, so with a limit in force for long this takes a process that is held up for a fifth of it; beside a change of the limit any hold-up will do. Class of fault: a timer is taken for silence before the input is read.

Evidence: test_request_that_waits_at_the_idle_timeout_is_answered failed on the code before ("b' 200 ' not found in b''"). A connection whose caller doesn't read its answers still times out: reading is paused there, and its bytes don't count.

--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -295,6 +295,18 @@
         elif timeout_s > self.timeOut:
             self.setTimeout(timeout_s)
 
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Closes the connection unless bytes have arrived on it."""
+        has_stopped_reading = self._waitingForTransport
+        if not has_stopped_reading and _connection.has_unread_bytes(
+            self.transport
+        ):
+            # After the process was held up, timers fire before sockets are
+            # read.
+            self.setTimeout(self.timeOut)
+        else:
+            super().timeoutConnection()
+
     def connectionLost(self, reason) -> None:  # noqa: N802
         """Handles the end of the connection."""
         self.factory.channels.discard(self)
--- a/sassafrasstile/web/tests/test_ingress.py
+++ b/sassafrasstile/web/tests/test_ingress.py
@@ -139,6 +139,17 @@
         self.assertIn(b" 200 ", await self.read())
         await self.close()
 
+    # A connection was closed with a request in its receive buffer, after the
+    # process had been held up.
+    @testing.on_reactor
+    async def test_request_that_waits_at_the_idle_timeout_is_answered(self):
+        await self.call()
+        self.caller.sendall(_REQUEST)
+        for channel in self.factory.channels:
+            channel.timeoutConnection()
+        self.assertIn(b" 200 ", await self.read())
+        await self.close()
+
     @testing.on_reactor
     async def test_idle_connection_closes(self):
         self.set_idle_timeout(_SHORT_S)
