Refuse a request whose body stalls, and pass no rest of it on

What callers saw: a connection closed without an answer while the body of a request was being sent more slowly than the idle timeout allows.

Cause: the idle timeout closes the connection whatever happens on it. What arrived between the timeout and the close was read on, so a body that became complete there was passed on to an endpoint, and its connection closed under it. Now the caller gets 408, which says that nothing ran, and nothing more is read.

Evidence: test_body_that_stalls_is_refused failed on the code before ("b' 408 ' not found in b''"). That a rest was passed on after the timeout is by reading, not shown.

--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -296,7 +296,7 @@
             self.setTimeout(timeout_s)
 
     def timeoutConnection(self) -> None:  # noqa: N802
-        """Closes the connection unless bytes have arrived on it."""
+        """Closes an idle connection, and refuses a request that stalls."""
         has_stopped_reading = self._waitingForTransport
         if not has_stopped_reading and _connection.has_unread_bytes(
             self.transport
@@ -304,8 +304,10 @@
             # After the process was held up, timers fire before sockets are
             # read.
             self.setTimeout(self.timeOut)
-        else:
+        elif self.is_idle:
             super().timeoutConnection()
+        else:
+            self.refuse(_REQUEST_TIMEOUT)
 
     def connectionLost(self, reason) -> None:  # noqa: N802
         """Handles the end of the connection."""
--- a/sassafrasstile/web/tests/test_ingress.py
+++ b/sassafrasstile/web/tests/test_ingress.py
@@ -156,3 +156,22 @@
         await self.call()
         self.assertEqual(await self.read(), b"")
         await self.close()
+
+    # A connection was closed without an answer while a body was being read;
+    # what arrived of it before the close was passed on all the same.
+    @testing.on_reactor
+    async def test_body_that_stalls_is_refused(self):
+        handled = []
+        self.factory.handler = lambda request, _exchange: handled.append(
+            request
+        )
+        self.set_idle_timeout(_SHORT_S)
+        self.caller.sendall(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\na"
+        )
+        answer = await self.read()
+        self.caller.sendall(b"b")
+        self.assertIn(b" 408 ", answer)
+        self.assertEqual(await self.read(), b"")
+        await self.close()
+        self.assertEqual(handled, [])
