Refuse what is read in the last moments of a planned stop

What callers may have seen: a request read as its gateway ended was run by an endpoint and got no answer.

Cause: between the last check for open requests and the end of the process 50 ms and the closing of ports pass. A connection that is open and has carried nothing for half a second stays open until then. A first request on it was accepted, since by the clock it could still be answered before the end of the grace time, and sent to an endpoint whose connection was closed right after. Class of fault: admission ends later than what it admits to. Now nothing is accepted after the last check; the answer is 503, not run.

Evidence: test_request_read_as_the_process_ends_is_refused failed on the code before: the endpoint got the request and the caller 502, since the test's process lives on. That the 502 is lost with a process that ends is by reading, not shown.

--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -351,6 +351,8 @@
             await self._sleep(_IDLE_POLL_S)
         self._ingress.close_idle()
         cut = self._router.in_flight
+        # What is read from now on is refused.
+        self._router.begin_shutdown(self._now())
         self._router.abort_all()
         # Lets the last responses be sent.
         await self._sleep(_IDLE_POLL_S)
--- a/sassafrasstile/router/tests/test_ingress.py
+++ b/sassafrasstile/router/tests/test_ingress.py
@@ -1,6 +1,8 @@
 import socket
 import time
+from unittest import mock
 
+from sassafrasstile import forwarding
 from sassafrasstile import standins
 from sassafrasstile import testing
 
@@ -303,3 +305,27 @@
                 caller.settimeout(0.0)
                 self.assertIn(b" 200 ", caller.recv(4096))
         await self.site.close()
+
+    # A request that was read after the last check for open requests was sent
+    # to an endpoint, and the process ended before the answer.
+    @testing.on_reactor
+    async def test_request_read_as_the_process_ends_is_refused(self):
+        endpoint = await self.start_site(
+            lambda request: standins.make_answer(request, after_s=1.0)
+        )
+        caller = await self.site.connect()
+        await self.sleep(1.0)
+        abort_all = forwarding.Router.abort_all
+
+        def abort_all_and_call(router):
+            abort_all(router)
+            caller.send(testing.make_request("/once/", deadline_ms=2000))
+
+        with mock.patch.object(
+            forwarding.Router, "abort_all", abort_all_and_call
+        ):
+            await self.site.daemon.drain()
+        answer = await caller.read_all()
+        await self.site.close()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(endpoint.requests, [])
