Retry a refused generation of a service without an engine profile

What callers saw: a generation was refused as not run though another engine was free; a stream that had to go on elsewhere was cut when the next engine refused it.

Cause: what a refusal means for the handle of a prefill was computed from the capacity in the service's engine profile, and a configuration may have a service without one: an AttributeError, answered as an internal error (503 before the first event, a closed connection after it). Class of fault: an error in the gateway on a path that only some configurations reach.

Evidence: test_refused_generation_without_an_engine_profile_is_retried failed on the code before (503 != 200; the log has "'NoneType' object has no attribute 'capacity_tokens'"). Elsewhere: the three other uses of the profile look whether there is one.

--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -292,12 +292,14 @@
     ) -> None:
         """Records a refusal, and drops the handle if it seems to be invalid."""
         now = self._context.now()
-        capacity = task.service.engine.capacity_tokens
-        used_share = engine.total_reserved_tokens / capacity
         handle = progress.handle
         engine.record_refusal(now)
+        profile = task.service.engine
+        if handle is None or profile is None:
+            return
         wants_nothing = engine.restrictions.find_denial(now) is not None
-        if handle is None or wants_nothing or used_share >= _FULL_SHARE:
+        used_share = engine.total_reserved_tokens / profile.capacity_tokens
+        if wants_nothing or used_share >= _FULL_SHARE:
             return
         progress.unexplained_refusals += 1
         if progress.unexplained_refusals <= 1:
