--- /dev/null
+++ b/sassafrasstile/platform/tests/test_start_signals.py
@@ -0,0 +1,73 @@
+"""Signals that reach a gateway process while it starts."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+import yaml
+
+from sassafrasstile import testing
+from sassafrasstile.platform import _names
+
+_WAIT_S = 60.0
+_POLL_INTERVAL_S = 0.01
+
+
+def _is_open(port):
+    try:
+        with socket.create_connection(("127.0.0.1", port), timeout=1.0):
+            return True
+    except OSError:
+        return False
+
+
+class StartSignalTest(unittest.TestCase):
+    """A gateway that is told to read its settings again during its start."""
+
+    def start(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.port = testing.pick_port()
+        self.ready_port = testing.pick_port()
+        internal_port = testing.pick_port()
+        settings = {
+            "nodeName": "edge-1",
+            "zone": "a",
+            "ip": "127.0.0.1",
+            "listen": {
+                "frontend": f"127.0.0.1:{self.port}",
+                "ready": f"127.0.0.1:{self.ready_port}",
+            },
+            "internalPorts": [internal_port, internal_port],
+            "platform": {"address": f"127.0.0.1:{testing.pick_port()}"},
+        }
+        path = pathlib.Path(folder.name) / "settings.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "sassafrasstile.platform"],
+            env={**os.environ, _names.SETTINGS_VARIABLE: str(path)},
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        self.addCleanup(self.process.wait)
+        self.addCleanup(self.process.kill)
+
+    def wait_until_open(self, port):
+        deadline = time.monotonic() + _WAIT_S
+        while not _is_open(port) and self.process.poll() is None:
+            self.assertLess(time.monotonic(), deadline)
+            time.sleep(_POLL_INTERVAL_S)
+
+    # The process ended, and callers that waited on its port were reset.
+    def test_reload_during_the_start_ends_nothing(self):
+        self.start()
+        self.wait_until_open(self.port)
+        self.process.send_signal(signal.SIGHUP)
+        self.wait_until_open(self.ready_port)
+        self.assertIsNone(self.process.poll())
