--- a/sassafrasstile/routes/_active.py
+++ b/sassafrasstile/routes/_active.py
@@ -47,6 +47,7 @@
                 "version": configuration.version,
                 "version_before": before,
                 "routes": len(configuration.routes),
+                "idle_timeout_s": configuration.limits.idle_timeout_s,
             },
         )
         return True
