--- a/sassafrasstile/peers/__init__.py
+++ b/sassafrasstile/peers/__init__.py
@@ -12,10 +12,12 @@
 )
 from sassafrasstile.peers._channel import PeerChannel
 from sassafrasstile.peers._directory import PeerDirectory
+from sassafrasstile.peers._transport import NoTransport, Transport
 
 __all__ = [
     "EndpointLoad",
     "LoadReport",
+    "NoTransport",
     "PeerAddress",
     "PeerChannel",
     "PeerDirectory",
@@ -24,4 +26,5 @@
     "TopicEndReport",
     "TopicPage",
     "TopicRecord",
+    "Transport",
 ]
--- a/sassafrasstile/streams/_transport.py
+++ b/sassafrasstile/peers/_transport.py
@@ -1,4 +1,4 @@
-"""The interface through which gateways tell each other of streams."""
+"""The interface through which gateways send each other messages."""
 
 from collections.abc import Collection, Mapping
 from typing import Protocol
--- a/sassafrasstile/streams/__init__.py
+++ b/sassafrasstile/streams/__init__.py
@@ -8,17 +8,14 @@
 from sassafrasstile.streams._directory import OriginDirectory
 from sassafrasstile.streams._holders import rank_holders
 from sassafrasstile.streams._registry import OriginRegistry
-from sassafrasstile.streams._transport import NoTransport, Transport
 from sassafrasstile.streams._versions import VersionHistory
 
 __all__ = [
     "Lookup",
-    "NoTransport",
     "OriginDirectory",
     "OriginRegistry",
     "Source",
     "StreamOrigin",
-    "Transport",
     "VersionHistory",
     "rank_holders",
 ]
--- a/sassafrasstile/streams/_directory.py
+++ b/sassafrasstile/streams/_directory.py
@@ -7,11 +7,11 @@
 
 from sassafrasstile import errors
 from sassafrasstile import limits
+from sassafrasstile import peers
 from sassafrasstile.streams import _base
 from sassafrasstile.streams import _codec
 from sassafrasstile.streams import _holders
 from sassafrasstile.streams import _registry
-from sassafrasstile.streams import _transport
 
 _LOG = logging.getLogger("sassafrasstile.streams")
 # Number of other gateways that are told where a stream began.
@@ -65,10 +65,10 @@
         self,
         *,
         reactor,
-        transport: _transport.Transport | None = None,
+        transport: peers.Transport | None = None,
     ):
         self._reactor = reactor
-        self.transport = transport or _transport.NoTransport()
+        self.transport = transport or peers.NoTransport()
         self._registry = _registry.OriginRegistry()
         self._pending_queries: dict[str, list[_PendingQuery]] = {}
         self._calls: set = set()
