--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -24,8 +24,8 @@
             accepts.
         last_event_id: The id of the last event that the caller received
             from an earlier attempt, or None.
-        prompt_id: Identifies a generation's prompt, also when the request is
-            repeated; empty if the caller names none.
+        prompt_parts: The ids of the parts of a generation's prompt, in order.
+            Requests share parts; the last one is the prompt's own.
         origin_id: The id of the attempt that brought the first event of the
             stream that the caller takes up again, or None.
     """
@@ -36,9 +36,17 @@
     prompt_tokens: int
     output_tokens: int
     last_event_id: str | None
-    prompt_id: str = ""
+    prompt_parts: tuple[str, ...] = ()
     origin_id: str | None = None
 
+    @property
+    def prompt_id(self) -> str:
+        """Identifies a generation's prompt, also when the request is repeated.
+
+        It is empty if the caller names none.
+        """
+        return self.prompt_parts[-1] if self.prompt_parts else ""
+
     @property
     def is_resumption(self) -> bool:
         """True when the caller has a part of the stream already."""
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -234,6 +234,7 @@
             "software_version": attempt.endpoint.record.software_version,
             "code": reason.code,
             "events": progress.events,
+            "prompt_parts": task.details.prompt_parts,
             "last_event_id": progress.last_event_id,
         },
     )
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -39,10 +39,14 @@
         ) from reason
 
 
-def _read_prompt_id(parts: bytes | None) -> str:
-    """Returns the id of the last part of a prompt, which is its own."""
-    last = (parts or b"").rpartition(b",")[2]
-    return last.partition(b":")[0].strip().decode("latin-1")
+def _read_prompt_parts(text: bytes | None) -> tuple[str, ...]:
+    """Returns the ids of the parts of a prompt, in order."""
+    if not text:
+        return ()
+    return tuple(
+        part.partition(b":")[0].strip().decode("latin-1")
+        for part in text.split(b",")
+    )
 
 
 def _read_name(body: bytes, field: str) -> str:
@@ -105,7 +109,9 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             last_event_id=last_event_id and last_event_id.decode("latin-1"),
-            prompt_id=_read_prompt_id(request.get(_names.PROMPT_PARTS.lower())),
+            prompt_parts=_read_prompt_parts(
+                request.get(_names.PROMPT_PARTS.lower())
+            ),
             origin_id=origin_id.decode("latin-1") if origin_id else None,
         )
 
