Refuse prompts that crash engines, from what the crashes at all gateways have in common

Cause: a lost engine was counted against the engine alone. Nothing connected a crash with the prompts that were there, so each further prompt with the part was admitted, prefilled and sent, by every gateway, and sent on where its route allows another engine.

Ruled out: load (the crashes go on with nearly idle engines), a caller or route (sound requests share both).

Now each loss of an engine before it had answered a prompt is told to all gateways. Parts that engines answer are sound. Prompts with what three crashes have in common, beyond sound parts, are refused before the prefill, the decode, a retry, a standby engine and while they wait; a prompt that was at two crashes isn't sent again. Refusals say when they end (five minutes after the last crash); then one crash renews them.

Tests: three of the five in router/tests/test_deadly_prompts.py failed before, a fourth without its part of the change (the queue); the fifth guards sound requests.

--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -53,6 +53,7 @@
     NOT_CONFIGURED = "not_configured"
     UNKNOWN_ROUTE = "unknown_route"
     VERSION_UNKNOWN = "version_unknown"
+    PROMPT_REFUSED = "prompt_refused"
     VERSION_GONE = "version_gone"
     PREFILL_FAILED = "prefill_failed"
     HANDLE_EXPIRED = "handle_expired"
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -1,5 +1,6 @@
 """Admission of generations to engines."""
 
+import dataclasses
 import logging
 
 from twisted.internet import defer
@@ -27,6 +28,19 @@
 _MIN_RESUMED_WAIT_S = 2.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Waiting:
+    """A request in the queue.
+
+    Attributes:
+        task: The request.
+        decision: Fires with its grant, or with None when it is refused.
+    """
+
+    task: _task.RequestTask
+    decision: defer.Deferred
+
+
 class AdmissionController:
     """Queues generations until their engines have capacity.
 
@@ -37,7 +51,7 @@
     def __init__(self, *, context: _context.ForwardingContext):
         self._context = context
         self._queue = dispatch.GenerationQueue(placement=context.placement)
-        self._waiting: dict[dispatch.Waiter, defer.Deferred] = {}
+        self._waiting: dict[dispatch.Waiter, _Waiting] = {}
 
     @property
     def queued(self) -> int:
@@ -177,7 +191,7 @@
             software_version=task.software_version,
         )
         decision: defer.Deferred = defer.Deferred()
-        self._waiting[waiter] = decision
+        self._waiting[waiter] = _Waiting(task=task, decision=decision)
         self.admit()
         try:
             grant = await decision
@@ -235,12 +249,19 @@
         if admitted:
             self._context.announce()
         for waiter in [*admitted, *self._queue.expire(now)]:
-            decision = self._waiting.pop(waiter, None)
-            if decision is not None:
-                decision.callback(waiter.grant)
+            waiting = self._waiting.pop(waiter, None)
+            if waiting is not None:
+                waiting.decision.callback(waiter.grant)
             elif waiter.grant is not None:
                 waiter.grant.release()
 
+    def refuse_deadly(self) -> None:
+        """Refuses queued generations whose prompts crash engines."""
+        for waiter, waiting in list(self._waiting.items()):
+            if self._context.prompts.find(waiting.task.prompt) is not None:
+                del self._waiting[waiter]
+                waiting.decision.callback(None)
+
     def _log(
         self, task: _task.RequestTask, grant: dispatch.Grant | None
     ) -> None:
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from sassafrasstile import dispatch
+from sassafrasstile import quarantine
 from sassafrasstile import routes
 from sassafrasstile import streams
 from sassafrasstile import telemetry
@@ -33,6 +34,7 @@
         refusals: Remembers refused prompts.
         origins: Knows where the streams of all gateways began, or None where
             no caller takes a stream up again.
+        prompts: Knows the prompts that crash engines.
         versions: The software versions that endpoints have had.
         confirm_endpoints: Returns whether the known endpoints are those that
             the store lists, as of a time in seconds or later.
@@ -47,6 +49,7 @@
     settings: dispatch.DispatchSettings
     metrics: telemetry.RouterMetrics
     generator: random.Random
+    prompts: quarantine.Quarantine
     announce: Callable[[], None] = lambda: None
     count_gateways: Callable[[], int | None] = lambda: 1
     lengths: dispatch.OutputLengthEstimator = dataclasses.field(
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -47,9 +47,14 @@
         self._streams = _streams.StreamForwarder(
             context=context, standbys=self._standbys
         )
+        context.prompts.subscribe(self.admission.refuse_deadly)
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Forwards a generation request and answers its caller."""
+        if self._context.prompts.find(task.prompt) is not None:
+            code = errors.Code.PROMPT_REFUSED
+            self._fail(task, verdicts.NotRun(code=code))
+            return
         if task.details.is_resumption:
             refusal = await self._resumptions.resolve(task)
             if refusal is not None:
@@ -61,21 +66,31 @@
         finally:
             self._release_handle(progress)
         if verdict is not None:
-            backoff_s = self._context.placement.measure_decode_backoff_s(
-                task.service.name, self._context.now()
-            )
-            final = task.decide_verdict(
-                verdict.code,
-                retry_after_s=max(_NO_ENDPOINT_RETRY_AFTER_S, backoff_s),
+            self._fail(task, verdict)
+
+    def _fail(self, task: _task.RequestTask, verdict: verdicts.Verdict) -> None:
+        """Answers a caller whose request isn't sent, or not sent again."""
+        final = task.decide_verdict(
+            verdict.code, retry_after_s=self._choose_retry_after_s(task)
+        )
+        if isinstance(final, verdicts.NotRun):
+            self._context.refusals.record(
+                task.details.prompt_id,
+                arrived_at=task.arrived_at,
+                deadline=task.caller_deadline,
+                now=self._context.now(),
             )
-            if isinstance(final, verdicts.NotRun):
-                self._context.refusals.record(
-                    task.details.prompt_id,
-                    arrived_at=task.arrived_at,
-                    deadline=task.caller_deadline,
-                    now=self._context.now(),
-                )
-            _answers.fail_task(self._context, task, final)
+        _answers.fail_task(self._context, task, final)
+
+    def _choose_retry_after_s(self, task: _task.RequestTask) -> float:
+        now = self._context.now()
+        suspicion = self._context.prompts.find(task.prompt)
+        if suspicion is not None:
+            return suspicion.until - now
+        backoff_s = self._context.placement.measure_decode_backoff_s(
+            task.service.name, now
+        )
+        return max(_NO_ENDPOINT_RETRY_AFTER_S, backoff_s)
 
     async def _run_until_answered(
         self, task: _task.RequestTask, progress: _streams.Progress
@@ -84,12 +99,12 @@
 
         Returns:
             None when the caller has the complete answer, else the verdict
-            on the last send, or NO_CAPACITY when no engine was granted.
+            on the last send, or the reason why no engine was granted.
         """
         while True:
             grant = await self._acquire(task, progress)
             if grant is None:
-                return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
+                return self._explain_missing_grant(task)
             try:
                 verdict = await self._run_on_grant(task, grant, progress)
             finally:
@@ -102,6 +117,13 @@
             ):
                 return verdict
 
+    def _explain_missing_grant(
+        self, task: _task.RequestTask
+    ) -> verdicts.NotRun:
+        if self._context.prompts.find(task.prompt) is not None:
+            return verdicts.NotRun(code=errors.Code.PROMPT_REFUSED)
+        return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
+
     async def _acquire(
         self, task: _task.RequestTask, progress: _streams.Progress
     ) -> dispatch.Grant | None:
@@ -124,7 +146,7 @@
         progress: _streams.Progress,
     ) -> verdicts.Verdict | None:
         """Runs a request on the engines that it was granted."""
-        denial = self._find_denial(grant.decode)
+        denial = self._find_denial(task, grant.decode)
         if denial is not None:
             return denial
         if progress.hold is None and self._holds.is_needed(task, grant):
@@ -160,7 +182,7 @@
             if grant.prefill is None:
                 return verdicts.NotRun(code=errors.Code.LEAVING)
         if grant.has_remote_prefill and not progress.events:
-            denial = self._find_denial(grant.prefill)
+            denial = self._find_denial(task, grant.prefill)
             if denial is not None:
                 return denial
             progress.handle = await self._prefills.run(task, grant.prefill)
@@ -172,10 +194,14 @@
             ):
                 return verdicts.NotRun(code=errors.Code.PREFILL_FAILED)
         # The engine may have begun to drain during the prefill.
-        return self._find_denial(grant.decode)
+        return self._find_denial(task, grant.decode)
 
-    def _find_denial(self, engine: dispatch.Endpoint) -> verdicts.NotRun | None:
-        """Returns a verdict if a granted engine takes nothing new by now."""
+    def _find_denial(
+        self, task: _task.RequestTask, engine: dispatch.Endpoint
+    ) -> verdicts.NotRun | None:
+        """Returns a verdict if a request may no longer be sent to an engine."""
+        if self._context.prompts.find(task.prompt) is not None:
+            return verdicts.NotRun(code=errors.Code.PROMPT_REFUSED)
         code = engine.find_denial(self._context.now())
         return None if code is None else verdicts.NotRun(code=code)
 
@@ -219,6 +245,9 @@
             request_id=task.request_id,
             number=task.sends,
         )
+        run_watch = context.prompts.watch(
+            task.prompt, engine.record, request_id=task.request_id
+        )
         starting = defer.ensureDeferred(
             attempt.start(
                 outgoing,
@@ -244,10 +273,12 @@
                 if result.kind is not _base.AnswerKind.SUCCESS:
                     return await self._forward_failure(task, attempt, result)
                 return await self._streams.forward_events(
-                    task, attempt, result, progress, grant
+                    task, attempt, result, progress, grant, run_watch
                 )
         finally:
             attempt.close()
+        if result.code == errors.Code.ENDPOINT_LOST:
+            run_watch.record_loss(context.now())
         if isinstance(result, verdicts.NotRun):
             task.record_not_run(engine)
             if not _sends.is_denial(result):
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -39,6 +39,7 @@
     HOLDS = "engines were asked for memory as often as allowed"
     MAY_HAVE_RUN = "it may have run, and no other endpoint may run it"
     BUDGET = "the retry budget is spent"
+    PROMPT = "engines were lost under prompts like it"
 
 
 def is_last_send(task: _task.RequestTask) -> bool:
@@ -100,6 +101,8 @@
         return Obstacle.HOLDS
     if verdict.code == errors.Code.HANDLE_EXPIRED:
         return Obstacle.HANDLE
+    if context.prompts.find(task.prompt) is not None:
+        return Obstacle.PROMPT
     is_proved = isinstance(verdict, verdicts.NotRun)
     if not is_proved and not may_run_elsewhere(task):
         return Obstacle.MAY_HAVE_RUN
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -7,6 +7,7 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
+from sassafrasstile import quarantine
 from sassafrasstile import verdicts
 from sassafrasstile import web
 from sassafrasstile.forwarding import _attempts
@@ -70,6 +71,7 @@
         answered: _attempts.Answered,
         progress: Progress,
         grant: dispatch.Grant,
+        run_watch: quarantine.RunWatch,
     ) -> verdicts.Verdict | None:
         """Forwards events until the stream ends or breaks off.
 
@@ -79,6 +81,7 @@
             answered: The head of its answer.
             progress: What the caller has received so far; is updated.
             grant: The capacity reserved for the generation.
+            run_watch: Learns whether the engine survives the prompt.
 
         Returns:
             None once the caller has the complete answer, else the verdict.
@@ -96,10 +99,14 @@
                     self._forward_event(
                         task, attempt, answered, event, progress
                     )
+                    run_watch.record_event(progress.sent_at)
                 grant.update_output_tokens(self.count_tokens(task, progress))
             _check_end(splitter, progress)
         except web.ExchangeError as reason:
+            if reason.code == errors.Code.ENDPOINT_LOST:
+                run_watch.record_loss(self._context.now())
             return _record_break(task, attempt, progress, reason)
+        run_watch.record_end()
         task.exchange.complete()
         self._record_length(task, progress)
         task.outcome = f"answered {answered.head.status}"
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -4,6 +4,7 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
+from sassafrasstile import quarantine
 from sassafrasstile import routes
 from sassafrasstile import verdicts
 from sassafrasstile import web
@@ -67,6 +68,13 @@
         """The caller's id for this attempt."""
         return self.details.request_id
 
+    @property
+    def prompt(self) -> quarantine.Prompt:
+        """What identifies its prompt among those of its service."""
+        return quarantine.Prompt.make(
+            self.service.name, self.details.prompt_parts
+        )
+
     def record_send(self, endpoint: dispatch.Endpoint) -> None:
         """Records that it is about to be sent to an endpoint."""
         self.sends += 1
--- a/sassafrasstile/forwarding/tests/test_resumptions.py
+++ b/sassafrasstile/forwarding/tests/test_resumptions.py
@@ -8,6 +8,7 @@
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import forwarding
+from sassafrasstile import quarantine
 from sassafrasstile import routes
 from sassafrasstile import streams
 from sassafrasstile import telemetry
@@ -44,6 +45,9 @@
             settings=dispatch.DispatchSettings(),
             metrics=telemetry.RouterMetrics(),
             generator=random.Random(1),
+            prompts=quarantine.Quarantine(
+                reactor=self.clock, generator=random.Random(1)
+            ),
             origins=streams.OriginDirectory(reactor=self.clock),
             confirm_endpoints=self.confirm,
         )
--- /dev/null
+++ b/sassafrasstile/quarantine/__init__.py
@@ -0,0 +1,16 @@
+"""Prompts that crash engines: found by what crashes have in common, refused."""
+
+from sassafrasstile.quarantine._base import Prompt, Suspicion
+from sassafrasstile.quarantine._codec import is_message
+from sassafrasstile.quarantine._evidence import CrashLog
+from sassafrasstile.quarantine._quarantine import Quarantine
+from sassafrasstile.quarantine._watch import RunWatch
+
+__all__ = [
+    "CrashLog",
+    "Prompt",
+    "Quarantine",
+    "RunWatch",
+    "Suspicion",
+    "is_message",
+]
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -16,6 +16,7 @@
 from sassafrasstile import forwarding
 from sassafrasstile import membership
 from sassafrasstile import peers
+from sassafrasstile import quarantine
 from sassafrasstile import roles
 from sassafrasstile import routes
 from sassafrasstile import stores
@@ -94,6 +95,9 @@
         )
         self._origins = streams.OriginDirectory(reactor=reactor)
         self._versions = streams.VersionHistory()
+        self._quarantine = quarantine.Quarantine(
+            reactor=reactor, generator=self._generator
+        )
         self._context = self._make_context(codec)
         self._router = forwarding.Router(context=self._context)
         self._prober = forwarding.Prober(context=self._context)
@@ -125,6 +129,7 @@
         )
         self._channel = self._make_channel(address)
         self._origins.transport = self._channel
+        self._quarantine.transport = self._channel
         self._topic_sharing.connect(
             channel=self._channel, followers=self._followers
         )
@@ -143,6 +148,7 @@
         self._admission_call: interfaces.IDelayedCall | None = None
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
+        metrics.prompts_refused.set_function(self._quarantine.count_active)
         metrics.endpoints_leaving.set_function(self._endpoints.count_leaving)
         metrics.endpoints_backing_off.set_function(
             lambda: self._endpoints.count_backing_off(self._now())
@@ -166,6 +172,7 @@
             settings=self.settings.dispatch,
             metrics=self._metrics,
             generator=self._generator,
+            prompts=self._quarantine,
             origins=self._origins,
             versions=self._versions,
         )
@@ -205,11 +212,17 @@
             on_refusals=lambda refusals: self._context.refusals.apply(
                 refusals, self._now()
             ),
-            on_message=self._origins.receive,
+            on_message=self._receive_message,
             read_configuration_version=self._read_configuration_version,
             on_configuration_version=self._start_gate.record_peer_configuration_version,
         )
 
+    def _receive_message(self, sender: str, payload: bytes) -> None:
+        if quarantine.is_message(payload):
+            self._quarantine.receive(sender, payload)
+        else:
+            self._origins.receive(sender, payload)
+
     def _make_directory(self, record_decoder, address) -> peers.PeerDirectory:
         directory = peers.PeerDirectory(
             reactor=self._reactor,
@@ -259,6 +272,7 @@
             *self._followers.values(),
             self._channel,
             self._origins,
+            self._quarantine,
             self._directory,
             self._prober,
             self._roles,
--- /dev/null
+++ b/sassafrasstile/router/tests/test_deadly_prompts.py
@@ -0,0 +1,202 @@
+"""Engines that crash when they begin to answer a prompt with a certain part."""
+
+from sassafrasstile import standins
+from sassafrasstile import testing
+
+_COUNT = "X-Token-Count: 100,50"
+# More than half of an engine's memory.
+_LARGE_COUNT = "X-Token-Count: 6000,50"
+_ENDLESS = "endless"
+_ENGINES = 6
+_HOLD_TARGET = "/sassafrasstile/hold-take"
+_BAD = "bad"
+_SLOW = "slow"
+_PREFILL_S = 1.0
+# The head of a stream, without an event.
+_HEAD = slice(0, 1)
+
+
+def _read_parts(request):
+    return request.headers.get("x-prompt-prefix", "")
+
+
+def _decode(request):
+    """Answers with a stream, or crashes under the deadly part."""
+    if request.target == _HOLD_TARGET:
+        return standins.make_hold(request, "m1")
+    stream = standins.make_stream(request)
+    if _ENDLESS in _read_parts(request):
+        return standins.EndpointAnswer(segments=stream.segments[:-1])
+    if _BAD not in _read_parts(request):
+        return stream
+    return standins.EndpointAnswer(segments=stream.segments[_HEAD], end="close")
+
+
+def _prefill(request):
+    is_slow = _SLOW in _read_parts(request)
+    return standins.EndpointAnswer(
+        segments=[
+            standins.Segment(
+                data=standins.make_handle(request, "h1").segments[0].data,
+                after_s=_PREFILL_S if is_slow else 0.0,
+            )
+        ]
+    )
+
+
+def _list_runs(site, part=""):
+    """Returns what reached the decode engines with a part of a prompt."""
+    return [
+        request
+        for name, endpoint in site.endpoints.items()
+        if name.startswith("d")
+        for request in endpoint.requests
+        if request.method == "POST"
+        and request.target != _HOLD_TARGET
+        and part in _read_parts(request)
+    ]
+
+
+class DeadlyPromptTest(testing.PlatformTestCase):
+    """What crashes have in common isn't sent again."""
+
+    async def start_site(self, *, engines=_ENGINES, gateways=(), **route):
+        path = testing.make_platform_route(
+            "/gen/", "writer", "streaming", targetGapMs=300, **route
+        )
+        site = self.make_site([path])
+        for name in gateways:
+            site.add_gateway(name, zone="a")
+        for number in range(engines):
+            site.add_endpoint(
+                f"d{number}", _decode, service="writer", stage="decode"
+            )
+        site.add_endpoint("p0", _prefill, service="writer", stage="prefill")
+        await self.wait_until_ready(site)
+        for name in gateways:
+            await self.wait_until(site.get_gateway(name).is_ready)
+        # Reports between the gateways.
+        await self.sleep(0.6)
+        return site
+
+    async def fill_engines(self, site):
+        """Lets endless streams leave no room for a further large prompt."""
+        for number in range(_ENGINES):
+            caller = await site.connect()
+            text = f"X-Prompt-Prefix: a1:20,{_ENDLESS}{number}:20"
+            caller.send(
+                testing.make_request(
+                    "/gen/",
+                    request_id=f"f{number}",
+                    deadline_ms=12000,
+                    headers=(_LARGE_COUNT, text),
+                )
+            )
+        await self.wait_until(
+            lambda: len(_list_runs(site, _ENDLESS)) == _ENGINES
+        )
+
+    async def ask(self, site, *parts, gateway="gateway-1"):
+        text = ",".join(f"{part}:20" for part in parts)
+        answer = await site.call(
+            "/gen/",
+            gateway=gateway,
+            request_id=f"r-{parts[-1]}",
+            headers=(_COUNT, f"X-Prompt-Prefix: {text}"),
+        )
+        await self.sleep(0.05)
+        return answer
+
+    # Guards against requests with one deadly part that crash engine after
+    # engine, at whichever gateway they come.
+    @testing.on_reactor
+    async def test_deadly_part_reaches_few_engines(self):
+        gateways = ("gateway-1", "gateway-2", "gateway-3")
+        site = await self.start_site(gateways=gateways[1:])
+        answers = [
+            await self.ask(
+                site, "a0", _BAD, f"b{number}", gateway=gateways[number % 3]
+            )
+            for number in range(9)
+        ]
+        await self.close_sites()
+        self.assertEqual([item.status for item in answers[3:]], [503] * 6)
+        self.assertIn(b"Retry-After", answers[-1].data)
+        self.assertIn(b"prompt_refused", answers[-1].data)
+        self.assertEqual(len(_list_runs(site, _BAD)), 3)
+
+    # Guards against refusing sound requests that share their first part with
+    # those that crash engines.
+    @testing.on_reactor
+    async def test_requests_that_share_other_parts_are_answered(self):
+        gateways = ("gateway-1", "gateway-2")
+        site = await self.start_site(gateways=gateways[1:])
+        for number in range(4):
+            gateway = gateways[number % 2]
+            await self.ask(site, "a0", _BAD, f"b{number}", gateway=gateway)
+        answers = [
+            await self.ask(
+                site, "a0", f"s{number}", f"c{number}", gateway=gateways[1]
+            )
+            for number in range(6)
+        ]
+        await self.close_sites()
+        self.assertEqual([item.status for item in answers], [200] * 6)
+
+    # Guards against a single request that crashes as many engines as it may
+    # be sent to.
+    @testing.on_reactor
+    async def test_request_is_not_sent_on_after_two_crashes(self):
+        site = await self.start_site(resumable=True, maxAttempts=5)
+        answer = await self.ask(site, "a0", _BAD, "b0")
+        again = await self.ask(site, "a0", _BAD, "b0")
+        await self.close_sites()
+        self.assertEqual((answer.status, again.status), (502, 503))
+        self.assertEqual(len(_list_runs(site, _BAD)), 2)
+
+    # Guards against a request that is sent to a decode engine although its part
+    # was found to be deadly during its prefill.
+    @testing.on_reactor
+    async def test_part_that_is_found_during_a_prefill_is_not_decoded(self):
+        site = await self.start_site()
+        late = await site.connect()
+        text = f"X-Prompt-Prefix: a0:20,{_BAD}:20,{_SLOW}:20"
+        late.send(
+            testing.make_request(
+                "/gen/", request_id="late", headers=(_COUNT, text)
+            )
+        )
+        prefill = site.endpoints["p0"]
+        await self.wait_until(lambda: prefill.requests)
+        for number in range(3):
+            await self.ask(site, "a0", _BAD, f"b{number}")
+        self.assertEqual(late.data, b"")
+        answer = await late.read_all()
+        await self.close_sites()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(_list_runs(site, _SLOW), [])
+
+    # Guards against a request that waits for capacity although it won't be
+    # sent to any engine.
+    @testing.on_reactor
+    async def test_queued_request_is_refused_once_its_part_is_known(self):
+        site = await self.start_site(targetLatencyMs=2500, timeoutMs=12000)
+        await self.fill_engines(site)
+        queued = await site.connect()
+        text = f"X-Prompt-Prefix: a0:20,{_BAD}:20,b9:20"
+        queued.send(
+            testing.make_request(
+                "/gen/",
+                request_id="queued",
+                deadline_ms=12000,
+                headers=(_LARGE_COUNT, text),
+            )
+        )
+        await self.sleep(0.3)
+        self.assertEqual(queued.data, b"")
+        for number in range(3):
+            await self.ask(site, "a0", _BAD, f"b{number}")
+        answer = await queued.read_within(1.0)
+        await self.close_sites()
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"prompt_refused", answer.data)
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -8,6 +8,7 @@
 from sassafrasstile import dispatch
 from sassafrasstile import forwarding
 from sassafrasstile import peers
+from sassafrasstile import quarantine
 from sassafrasstile import routes
 from sassafrasstile import web
 from sassafrasstile.simulation import _base
@@ -107,6 +108,9 @@
             ),
             metrics=None,
             generator=generator,
+            prompts=quarantine.Quarantine(
+                reactor=self._reactor, generator=generator
+            ),
             count_gateways=lambda: self._profile.gateways,
         )
 
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -116,6 +116,10 @@
             "endpoints_backing_off",
             "Endpoints that want no requests for a while.",
         )
+        self.prompts_refused = self._make_gauge(
+            "prompts_refused",
+            "Sets of prompt parts that are refused, since engines were lost.",
+        )
         self.store_calls = self._make_counter(
             "store_calls", "Calls to the store by outcome.", ("outcome",)
         )
