--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -278,7 +278,7 @@
         finally:
             attempt.close()
         if result.code == errors.Code.ENDPOINT_LOST:
-            run_watch.record_loss(context.now())
+            run_watch.record_loss()
         if isinstance(result, verdicts.NotRun):
             task.record_not_run(engine)
             if not _sends.is_denial(result):
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -21,6 +21,8 @@
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
+# With these codes an answer was broken off, perhaps since its engine was lost.
+_LOSS_CODES = frozenset((errors.Code.ENDPOINT_LOST, errors.Code.ANSWER_CUT))
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -103,10 +105,11 @@
                 grant.update_output_tokens(self.count_tokens(task, progress))
             _check_end(splitter, progress)
         except web.ExchangeError as reason:
-            if reason.code == errors.Code.ENDPOINT_LOST:
-                run_watch.record_loss(self._context.now())
+            if reason.code in _LOSS_CODES:
+                run_watch.record_loss()
             return _record_break(task, attempt, progress, reason)
-        run_watch.record_end()
+        if answered.head.is_delimited:
+            run_watch.record_end()
         task.exchange.complete()
         self._record_length(task, progress)
         task.outcome = f"answered {answered.head.status}"
@@ -214,11 +217,11 @@
     """Checks that a stream has ended after a complete event.
 
     Raises:
-        web.ExchangeError: With BAD_ANSWER.
+        web.ExchangeError: With ANSWER_CUT.
     """
     if not splitter.is_empty or not progress.events:
         raise web.ExchangeError(
-            code=errors.Code.BAD_ANSWER,
+            code=errors.Code.ANSWER_CUT,
             detail=f"the stream ended within event {progress.events + 1}",
             was_sent=True,
         )
--- a/sassafrasstile/quarantine/_base.py
+++ b/sassafrasstile/quarantine/_base.py
@@ -7,7 +7,7 @@
 MAX_KEY_CHARS = 40
 _DIGEST_BYTES = 8
 # Parts of a prompt beyond this many are ignored.
-_MAX_PARTS = 16
+MAX_PARTS = 16
 
 
 def make_key(service: str, part_id: str) -> str:
@@ -23,7 +23,11 @@
     key = f"{service}/{part_id}"
     if len(key) <= MAX_KEY_CHARS and key.isascii() and key.isprintable():
         return key
-    data = key.encode("utf-8", "surrogatepass")
+    return _make_digest(key)
+
+
+def _make_digest(text: str) -> str:
+    data = text.encode("utf-8", "surrogatepass")
     return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).hexdigest()
 
 
@@ -32,12 +36,13 @@
     """What identifies a prompt and those that share parts with it.
 
     Attributes:
-        own: The key of its last part, which belongs to this prompt or to its
-            session; empty if nothing is known of the prompt.
-        shared: The keys of its other parts.
+        identity: The digest of all its parts; empty if nothing is known of the
+            prompt.
+        shared: The keys of its parts, but for the last one, which belongs to
+            this prompt or to its session.
     """
 
-    own: str
+    identity: str
     shared: frozenset[str]
 
     @classmethod
@@ -46,61 +51,59 @@
 
         Args:
             service: The name of the service that it is for.
-            part_ids: The ids of its parts in order. The last one is its own.
+            part_ids: The ids of its parts in order.
 
         >>> prompt = Prompt.make("s", ("system", "session", "turn"))
-        >>> prompt.own, len(prompt.shared)
-        ('s/turn', 2)
+        >>> len(prompt.identity), sorted(prompt.shared)
+        (16, ['s/session', 's/system'])
         """
         if not part_ids:
-            return cls(own="", shared=frozenset())
-        shared = part_ids[:-1][:_MAX_PARTS]
+            return cls(identity="", shared=frozenset())
+        shared = part_ids[:-1][:MAX_PARTS]
         return cls(
-            own=make_key(service, part_ids[-1]),
+            identity=_make_digest("\0".join((service, *part_ids))),
             shared=frozenset(make_key(service, item) for item in shared),
         )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Crash:
-    """An engine that was lost before it had written what it was asked to.
+    """An engine that was lost before it had answered all of its prompts.
 
     Attributes:
         engine: The key of the engine's incarnation.
         age_s: Seconds since it was lost.
-        suspects: The prompts that it had not begun to answer, without those
-            parts that are known to be sound.
+        suspects: The prompts that it had not answered, without the parts that
+            engines have answered about that time or later.
+        answered: The identities of those that an engine has answered since.
     """
 
     engine: str
     age_s: float
-    suspects: frozenset[Prompt]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Evidence:
-    """What one gateway tells another.
-
-    Attributes:
-        crashes: Crashes, the newest first.
-        sound: The keys of parts that engines have answered.
-    """
-
-    crashes: tuple[Crash, ...] = ()
-    sound: tuple[str, ...] = ()
+    suspects: frozenset[Prompt] = frozenset()
+    answered: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Suspicion:
-    """Why a prompt is refused.
+    """Why prompts are refused.
 
     Attributes:
-        parts: The keys of the shared parts that all prompts concerned have, or
-            the key of the prompt itself.
-        crashes: The number of engines that were lost.
+        parts: The keys of the parts that all of these prompts have; empty if
+            it concerns one prompt alone.
+        identity: The identity of that prompt; empty if it concerns all with
+            the parts.
+        engines: The keys of the engines that were lost.
         until: When such prompts are let through again, in seconds.
     """
 
-    parts: frozenset[str]
-    crashes: int
+    parts: frozenset[str] = frozenset()
+    identity: str = ""
+    engines: frozenset[str]
     until: float
+
+    def concerns(self, prompt: Prompt) -> bool:
+        """Returns whether a prompt is refused for it."""
+        if self.identity:
+            return self.identity == prompt.identity
+        return self.parts <= prompt.shared
--- /dev/null
+++ b/sassafrasstile/quarantine/_common_parts.py
@@ -0,0 +1,147 @@
+"""Finds the parts that the prompts at several crashes have in common."""
+
+from collections.abc import Iterable, Mapping
+import dataclasses
+
+# Engines are lost for other reasons, too. So parts count as deadly only if they
+# were at crashes at this many different times
+_MIN_CRASHES = 3
+# under this many different prompts.
+_MIN_PROMPTS = 2
+# Engines that are lost within this time may have a cause of their own in
+# common, such as the loss of a zone.
+_SAME_TIME_S = 0.1
+# Parts at this many crashes count
+_MANY_CRASHES = 5
+# if this many of these have no larger set of parts in common.
+_MIN_UNEXPLAINED = 2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Loss:
+    """An engine that was lost.
+
+    Attributes:
+        at: When it was lost, in seconds.
+        suspects: The parts of each prompt that may have caused it, by the
+            prompt's identity.
+    """
+
+    at: float
+    suspects: Mapping[str, frozenset[str]]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Candidate:
+    """A part that may be deadly.
+
+    Attributes:
+        engines: The engines that were lost under it.
+        prompts: The identities of the prompts that had it there.
+        companions: The parts that all these prompts have, itself included.
+    """
+
+    engines: set[str]
+    prompts: set[str]
+    companions: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CommonParts:
+    """Parts that the prompts at several crashes have in common.
+
+    Attributes:
+        parts: The keys of the parts.
+        engines: The engines that were lost under prompts with all of them.
+    """
+
+    parts: frozenset[str]
+    engines: frozenset[str]
+
+
+def find_common_parts(losses: Mapping[str, Loss]) -> list[CommonParts]:
+    """Returns the sets of parts that explain several crashes.
+
+    Each part stands for all that the prompts with it have in common, so that
+    as few other prompts as possible have the set. A set that larger ones
+    explain is left out, and so is one at fewer crashes than another that
+    explains them. Sets that explain the same crashes can't be told apart.
+
+    Args:
+        losses: The losses by the key of the engine's incarnation.
+    """
+    times = _number_times(losses)
+    sets = _drop_explained(_list_sets(losses, times), times)
+    sets.sort(key=lambda item: len(item.engines), reverse=True)
+    found: list[CommonParts] = []
+    for item in sets:
+        explained = set().union(*(other.engines for other in found))
+        is_tie = any(item.engines == other.engines for other in found)
+        unexplained = _count_times(item.engines - explained, times)
+        if is_tie or unexplained >= _MIN_CRASHES or not found:
+            found.append(item)
+    return found
+
+
+def _number_times(losses: Mapping[str, Loss]) -> dict[str, int]:
+    """Returns a number for each engine, the same for those lost together."""
+    numbers: dict[str, int] = {}
+    number = 0
+    began_at = float("-inf")
+    for engine in sorted(losses, key=lambda engine: losses[engine].at):
+        if losses[engine].at - began_at > _SAME_TIME_S:
+            number += 1
+            began_at = losses[engine].at
+        numbers[engine] = number
+    return numbers
+
+
+def _count_times(engines: Iterable[str], times: Mapping[str, int]) -> int:
+    return len({times[engine] for engine in engines})
+
+
+def _list_sets(
+    losses: Mapping[str, Loss], times: Mapping[str, int]
+) -> list[CommonParts]:
+    """Returns what is in common to the prompts with each eligible part."""
+    sets = {
+        item.companions: CommonParts(
+            parts=item.companions, engines=frozenset(item.engines)
+        )
+        for item in _list_candidates(losses)
+        if _count_times(item.engines, times) >= _MIN_CRASHES
+        and len(item.prompts) >= _MIN_PROMPTS
+    }
+    return list(sets.values())
+
+
+def _list_candidates(losses: Mapping[str, Loss]) -> Iterable[_Candidate]:
+    candidates: dict[str, _Candidate] = {}
+    for engine, loss in losses.items():
+        for identity, parts in loss.suspects.items():
+            for part in parts:
+                candidate = candidates.get(part)
+                if candidate is None:
+                    candidate = candidates[part] = _Candidate(
+                        engines=set(), prompts=set(), companions=parts
+                    )
+                candidate.engines.add(engine)
+                candidate.prompts.add(identity)
+                candidate.companions &= parts
+    return candidates.values()
+
+
+def _drop_explained(
+    sets: list[CommonParts], times: Mapping[str, int]
+) -> list[CommonParts]:
+    """Returns the sets whose crashes larger sets don't explain."""
+    kept = []
+    for item in sets:
+        larger = [other for other in sets if item.parts < other.parts]
+        explained = set().union(*(other.engines for other in larger))
+        unexplained = _count_times(item.engines - explained, times)
+        is_frequent = _count_times(item.engines, times) >= _MANY_CRASHES
+        needed = _MIN_UNEXPLAINED if is_frequent else _MIN_CRASHES
+        if unexplained >= needed:
+            kept.append(item)
+    return kept
--- a/sassafrasstile/quarantine/_quarantine.py
+++ b/sassafrasstile/quarantine/_quarantine.py
@@ -1,6 +1,6 @@
 """Collects evidence on crashes from all gateways and refuses deadly prompts."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 import logging
 import random
 
@@ -14,6 +14,7 @@
 from sassafrasstile.quarantine import _base
 from sassafrasstile.quarantine import _codec
 from sassafrasstile.quarantine import _evidence
+from sassafrasstile.quarantine import _messages
 from sassafrasstile.quarantine import _watch
 
 _LOG = logging.getLogger("sassafrasstile.quarantine")
@@ -27,8 +28,6 @@
 # datagram may be lost.
 _REPEAT_NEWS_S = 0.1
 _MAX_DATAGRAMS_PER_S = 200.0
-# Larger datagrams would be sent in fragments, and lost with any of them.
-_MAX_DATAGRAM_BYTES = 1200
 _MAX_LOG_LINES_PER_S = 5.0
 
 
@@ -58,10 +57,8 @@
         self.transport = transport or peers.NoTransport()
         self._reactor = reactor
         self._generator = generator
-        self._log = _evidence.CrashLog()
-        # Parts of this gateway's own reports that aren't known to be sound.
-        self._reported: set[str] = set()
-        self._active: frozenset[frozenset[str]] = frozenset()
+        self._crashes = _evidence.CrashLog()
+        self._active: frozenset[_base.Suspicion] = frozenset()
         self._subscribers: list[Callable[[], None]] = []
         self._bucket = limits.TokenBucket(rate_per_s=_MAX_DATAGRAMS_PER_S)
         self._log_bucket = limits.TokenBucket(rate_per_s=_MAX_LOG_LINES_PER_S)
@@ -87,13 +84,13 @@
 
     def find(self, prompt: _base.Prompt) -> _base.Suspicion | None:
         """Returns why a prompt must not be sent to an engine, or None."""
-        if self._log.is_empty:
+        if self._crashes.is_empty:
             return None
-        return self._log.find(prompt, self._now())
+        return self._crashes.find(prompt, self._now())
 
     def count_active(self) -> int:
-        """Returns the number of sets of parts that are refused now."""
-        return len(self._log.list_active(self._now()))
+        """Returns the number of suspicions for which prompts are refused."""
+        return len(self._crashes.list_active(self._now()))
 
     def watch(
         self,
@@ -104,57 +101,52 @@
     ) -> _watch.RunWatch:
         """Returns a watch over a run of a prompt that begins at an engine."""
         return _watch.RunWatch(
-            on_sound=lambda: self._record_sound(prompt),
-            on_lost=lambda: self._record_loss(prompt, engine, request_id),
+            on_answer=lambda: self._record_answer(prompt),
+            on_loss=lambda: self._record_loss(prompt, engine, request_id),
         )
 
     def receive(self, sender: str, payload: bytes) -> None:
-        """Handles evidence of another gateway.
+        """Handles what another gateway knows of crashes.
 
         Args:
             sender: The gateway's name.
             payload: The message.
         """
+        now = self._now()
         try:
-            evidence = _codec.decode_evidence(payload)
+            crashes = _codec.decode_crashes(payload)
         except errors.Error as reason:
-            _LOG.warning("peers: datagram ignored: %s", reason)
+            if self._log_bucket.take(1, now):
+                _LOG.warning("peers: datagram ignored: %s", reason)
             return
-        now = self._now()
-        self._apply_sound(evidence.sound, now)
-        for crash in evidence.crashes:
-            self._log.add(
-                crash.engine, crash.suspects, at=now - crash.age_s, now=now
-            )
-        self._announce_changes()
-        suspects = [
-            item for crash in evidence.crashes for item in crash.suspects
-        ]
-        sound = self._log.find_sound(suspects, now)
-        if sound:
-            self._send([sender], _base.Evidence(sound=tuple(sound)))
+        is_new = [self._crashes.add(crash, now=now) for crash in crashes]
+        if any(is_new):
+            self._announce_changes()
+        self._tell_what_is_missing(sender, crashes)
 
     def _now(self) -> float:
         return self._reactor.seconds()
 
-    def _record_sound(self, prompt: _base.Prompt) -> None:
-        self._log.record_answered(prompt)
-        cleared = self._log.record_sound(prompt.shared, now=self._now())
-        self._reported.difference_update(cleared)
-        if cleared:
-            self._tell_all(_base.Evidence(sound=tuple(cleared)))
-        self._announce_changes()
-
-    def _apply_sound(self, parts: Iterable[str], now: float) -> None:
-        """Applies what another gateway knows to be sound.
+    def _tell_what_is_missing(
+        self, sender: str, crashes: Iterable[_base.Crash]
+    ) -> None:
+        """Answers a gateway that suspects more than is known here."""
+        known = [
+            self._crashes.describe(crash.engine, self._now())
+            for crash in crashes
+        ]
+        cleared = [
+            mine
+            for theirs, mine in zip(crashes, known, strict=True)
+            if mine is not None and _clears_more(mine, theirs)
+        ]
+        self._send([sender], cleared)
 
-        The gateway that has reported a crash tells it to all the others.
-        """
-        cleared = self._log.record_sound(parts, now=now)
-        reported = self._reported.intersection(cleared)
-        self._reported -= reported
-        if reported:
-            self._tell_all(_base.Evidence(sound=tuple(sorted(reported))))
+    def _record_answer(self, prompt: _base.Prompt) -> None:
+        changed = self._crashes.record_answer(prompt, now=self._now())
+        if changed:
+            self._tell_all(changed)
+            self._announce_changes()
 
     def _record_loss(
         self,
@@ -163,8 +155,12 @@
         request_id: str,
     ) -> None:
         now = self._now()
-        key = _base.make_key(engine.endpoint_id, str(engine.started_ms))
-        is_new = self._log.add(key, (prompt,), at=now, now=now)
+        crash = _base.Crash(
+            engine=_base.make_key(engine.endpoint_id, str(engine.started_ms)),
+            age_s=0.0,
+            suspects=frozenset((prompt,)),
+        )
+        is_new = self._crashes.add(crash, now=now)
         if self._log_bucket.take(1, now):
             _LOG.info(
                 "quarantine: engine %s was lost before it answered request %s.",
@@ -174,59 +170,56 @@
                     "request": request_id,
                     "endpoint": engine.endpoint_id,
                     "started_ms": engine.started_ms,
-                    "prompt": prompt.own,
+                    "prompt": prompt.identity,
                     "parts": sorted(prompt.shared),
                     "outcome": "noted" if is_new else "known",
                 },
             )
         if is_new:
-            crash = _base.Crash(
-                engine=key, age_s=0.0, suspects=frozenset((prompt,))
-            )
-            sound = self._log.find_sound((prompt,), now)
-            self._reported |= prompt.shared.difference(sound)
-            self._tell_all(_base.Evidence(crashes=(crash,), sound=tuple(sound)))
-        self._announce_changes()
+            self._tell_all([crash.engine])
+            self._announce_changes()
 
     def _announce_changes(self) -> None:
         """Tells which prompts begin to be refused, and which no longer are."""
         active = {
-            item.parts: item for item in self._log.list_active(self._now())
+            (item.parts, item.identity): item
+            for item in self._crashes.list_active(self._now())
         }
-        added = active.keys() - self._active
-        for parts in added:
+        before = {(item.parts, item.identity): item for item in self._active}
+        added = [active[key] for key in active.keys() - before.keys()]
+        for item in added:
             _LOG.warning(
                 "quarantine: prompts begin to be refused. Reason: %d engines "
                 "were lost under them.",
-                active[parts].crashes,
-                extra={"parts": sorted(parts)},
+                len(item.engines),
+                extra=_describe(item),
             )
-        for parts in self._active - active.keys():
+        for key in before.keys() - active.keys():
             _LOG.info(
                 "quarantine: prompts are let through again.",
-                extra={"parts": sorted(parts)},
+                extra=_describe(before[key]),
             )
-        self._active = frozenset(active)
+        self._active = frozenset(active.values())
         if added:
             for on_refusal in self._subscribers:
                 on_refusal()
 
     def _repeat(self) -> None:
-        """Tells some other gateways all that is known."""
+        """Tells some other gateways what matters."""
         self._announce_changes()
-        crashes = self._log.list_crashes(self._now())
-        if not crashes:
-            self._reported.clear()
-            return
+        crashes = self._crashes.list_relevant(self._now())
         names = sorted(self.transport.list_zones())
         count = min(_REPEAT_COUNT, len(names))
-        chosen = self._generator.sample(names, count)
-        for evidence in _split(crashes):
-            self._send(chosen, evidence)
+        self._send(self._generator.sample(names, count), crashes)
+
+    def _tell_all(self, engines: Collection[str]) -> None:
+        """Tells all other gateways of crashes, now and once more."""
 
-    def _tell_all(self, evidence: _base.Evidence) -> None:
         def tell() -> None:
-            self._send(list(self.transport.list_zones()), evidence)
+            now = self._now()
+            crashes = [self._crashes.describe(item, now) for item in engines]
+            known = [item for item in crashes if item is not None]
+            self._send(list(self.transport.list_zones()), known)
 
         def tell_again() -> None:
             self._calls.discard(call)
@@ -236,24 +229,30 @@
         call = self._reactor.callLater(_REPEAT_NEWS_S, tell_again)
         self._calls.add(call)
 
-    def _send(self, names: list[str], evidence: _base.Evidence) -> None:
-        if not names or not self._bucket.take(len(names), self._now()):
+    def _send(self, names: list[str], crashes: list[_base.Crash]) -> None:
+        if not names:
             return
-        payload = _codec.encode_evidence(evidence)
-        for name in names:
-            self.transport.send(name, payload)
-
-
-def _split(crashes: list[_base.Crash]) -> list[_base.Evidence]:
-    """Returns the crashes in messages that each fit into a datagram."""
-    groups: list[list[_base.Crash]] = [[]]
-    size = 0
-    for crash in crashes:
-        evidence = _base.Evidence(crashes=(crash,))
-        crash_size = len(_codec.encode_evidence(evidence))
-        if groups[-1] and size + crash_size > _MAX_DATAGRAM_BYTES:
-            groups.append([])
-            size = 0
-        groups[-1].append(crash)
-        size += crash_size
-    return [_base.Evidence(crashes=tuple(group)) for group in groups]
+        for payload in _messages.make_messages(crashes):
+            if not self._bucket.take(len(names), self._now()):
+                return
+            for name in names:
+                self.transport.send(name, payload)
+
+
+def _clears_more(mine: _base.Crash, theirs: _base.Crash) -> bool:
+    """Returns whether one gateway suspects less of a crash than another."""
+    suspects = {item.identity: item.shared for item in mine.suspects}
+    return any(
+        item.identity in mine.answered
+        or item.shared - suspects.get(item.identity, item.shared)
+        for item in theirs.suspects
+    )
+
+
+def _describe(item: _base.Suspicion) -> dict:
+    """Returns the fields of a suspicion's log lines."""
+    return {
+        "parts": sorted(item.parts),
+        "prompt": item.identity,
+        "engines": sorted(item.engines),
+    }
--- a/sassafrasstile/quarantine/_watch.py
+++ b/sassafrasstile/quarantine/_watch.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 
-# An engine that goes on for this long after it has begun to write has survived
-# the prompt.
+# An engine that has gone on writing for this long has survived the prompt.
 _PROOF_S = 0.5
 
 
@@ -11,18 +10,18 @@
     """Follows a run until it shows whether an engine survives its prompt.
 
     Args:
-        on_sound: Called once when the engine has survived the prompt.
-        on_lost: Called when the engine is lost before that.
+        on_answer: Called once when the engine has survived the prompt.
+        on_loss: Called when the engine is lost before that.
     """
 
     def __init__(
         self,
         *,
-        on_sound: Callable[[], None],
-        on_lost: Callable[[], None],
+        on_answer: Callable[[], None],
+        on_loss: Callable[[], None],
     ):
-        self._on_sound = on_sound
-        self._on_lost = on_lost
+        self._on_answer = on_answer
+        self._on_loss = on_loss
         self._first_event_at: float | None = None
         self._is_decided = False
 
@@ -30,23 +29,17 @@
         """Records that the engine has written something."""
         if self._first_event_at is None:
             self._first_event_at = now
-        if self._has_survived(now):
+        if now - self._first_event_at >= _PROOF_S:
             self.record_end()
 
     def record_end(self) -> None:
         """Records that the engine has written the complete answer."""
         if not self._is_decided:
             self._is_decided = True
-            self._on_sound()
+            self._on_answer()
 
-    def record_loss(self, now: float) -> None:
-        """Records that the connection to the engine was lost."""
-        if self._has_survived(now):
-            self.record_end()
-        elif not self._is_decided:
+    def record_loss(self) -> None:
+        """Records that the answer broke off or never began."""
+        if not self._is_decided:
             self._is_decided = True
-            self._on_lost()
-
-    def _has_survived(self, now: float) -> bool:
-        first_event_at = self._first_event_at
-        return first_event_at is not None and now - first_event_at >= _PROOF_S
+            self._on_loss()
--- a/sassafrasstile/web/_reply.py
+++ b/sassafrasstile/web/_reply.py
@@ -36,6 +36,12 @@
                 return value
         return None
 
+    @property
+    def is_delimited(self) -> bool:
+        """True if the end of the body doesn't follow from the connection's."""
+        has_length = self.get(b"content-length") is not None
+        return has_length or self.get(b"transfer-encoding") is not None
+
     def list_values(self, name: bytes) -> list[bytes]:
         """Returns every value of a header.
 
