Quarantine: a gateway that starts is told at once

Cause: a started gateway heard of it only with the next repeat, up to a second later. Now every peer that hears the first report of a new process tells it. Test: test_gateway_that_starts_is_told_at_once failed without.

--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -76,6 +76,8 @@
         on_refusals: Called with those that a peer has refused.
         on_message: Called with the sender's name and the payload of each
             message to this gateway alone.
+        on_start: Called with the name of a peer when a process of it is heard
+            of for the first time.
         read_configuration_version: Returns the version in force here, or None
             before there is one.
         on_configuration_version: Called with the version that a peer has in
@@ -104,6 +106,7 @@
             [tuple[_base.PromptRefusal, ...]], None
         ] = lambda _refusals: None,
         on_message: Callable[[str, bytes], None] = lambda _name, _data: None,
+        on_start: Callable[[str], None] = lambda _name: None,
         read_configuration_version: Callable[[], int | None] = lambda: None,
         on_configuration_version: Callable[
             [int | None], None
@@ -120,6 +123,7 @@
         self._read_refusals = read_refusals
         self._on_refusals = on_refusals
         self._on_message = on_message
+        self._on_start = on_start
         self._read_configuration_version = read_configuration_version
         self._on_configuration_version = on_configuration_version
         self._peers: dict[str, _Peer] = {}
@@ -278,6 +282,8 @@
         peer.sequence = report.sequence
         peer.last_seen_at = self._reactor.seconds()
         peer.is_live = True
+        if not is_known:
+            self._on_start(peer.address.name)
         self._on_report(peer.address.name, report.loads, report.is_complete)
         self._on_topics(report.topics)
         self._on_refusals(report.refusals)
--- a/sassafrasstile/quarantine/_quarantine.py
+++ b/sassafrasstile/quarantine/_quarantine.py
@@ -105,6 +105,14 @@
             on_loss=lambda: self._record_loss(prompt, engine, request_id),
         )
 
+    def tell(self, name: str) -> None:
+        """Tells another gateway, which may have started, what matters.
+
+        Args:
+            name: The gateway's name.
+        """
+        self._send([name], self._crashes.list_relevant(self._now()))
+
     def receive(self, sender: str, payload: bytes) -> None:
         """Handles what another gateway knows of crashes.
 
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -213,6 +213,7 @@
                 refusals, self._now()
             ),
             on_message=self._receive_message,
+            on_start=self._quarantine.tell,
             read_configuration_version=self._read_configuration_version,
             on_configuration_version=self._start_gate.record_peer_configuration_version,
         )
--- a/sassafrasstile/router/tests/test_deadly_prompts.py
+++ b/sassafrasstile/router/tests/test_deadly_prompts.py
@@ -222,6 +222,21 @@
         self.assertEqual((answer.status, again.status), (502, 503))
         self.assertEqual(len(_list_runs(site.endpoints, _BAD)), 2)
 
+    # Guards against a gateway that starts and learns it by crashes of its own.
+    @testing.on_reactor
+    async def test_gateway_that_starts_is_told_at_once(self):
+        site = await self.start_site()
+        for number in range(3):
+            await self.ask(site, "a0", _BAD, f"b{number}")
+        late = site.add_gateway("gateway-2", zone="a")
+        await self.wait_until(late.is_ready)
+        # Far less than the interval of the repeats.
+        await self.sleep(0.1)
+        answer = await self.ask(site, "a0", _BAD, "b4", gateway="gateway-2")
+        await self.close_sites()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(len(_list_runs(site.endpoints, _BAD)), 3)
+
     # Guards against a request that is sent to a decode engine although its part
     # was found to be deadly during its prefill.
     @testing.on_reactor
