--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -7,6 +7,7 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
+from sassafrasstile import quarantine
 from sassafrasstile import verdicts
 from sassafrasstile import web
 from sassafrasstile.forwarding import _attempts
@@ -20,6 +21,8 @@
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
+# With these codes an answer was broken off, perhaps since its engine was lost.
+_LOSS_CODES = frozenset((errors.Code.ENDPOINT_LOST, errors.Code.ANSWER_CUT))
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -70,6 +73,7 @@
         answered: _attempts.Answered,
         progress: Progress,
         grant: dispatch.Grant,
+        run_watch: quarantine.RunWatch,
     ) -> verdicts.Verdict | None:
         """Forwards events until the stream ends or breaks off.
 
@@ -79,6 +83,7 @@
             answered: The head of its answer.
             progress: What the caller has received so far; is updated.
             grant: The capacity reserved for the generation.
+            run_watch: Learns whether the engine survives the prompt.
 
         Returns:
             None once the caller has the complete answer, else the verdict.
@@ -96,10 +101,15 @@
                     self._forward_event(
                         task, attempt, answered, event, progress
                     )
+                    run_watch.record_event(progress.sent_at)
                 grant.update_output_tokens(self.count_tokens(task, progress))
             _check_end(splitter, progress)
         except web.ExchangeError as reason:
+            if reason.code in _LOSS_CODES:
+                run_watch.record_loss()
             return _record_break(task, attempt, progress, reason)
+        if answered.head.is_delimited:
+            run_watch.record_end()
         task.exchange.complete()
         self._record_length(task, progress)
         task.outcome = f"answered {answered.head.status}"
@@ -207,11 +217,11 @@
     """Checks that a stream has ended after a complete event.
 
     Raises:
-        web.ExchangeError: With BAD_ANSWER.
+        web.ExchangeError: With ANSWER_CUT.
     """
     if not splitter.is_empty or not progress.events:
         raise web.ExchangeError(
-            code=errors.Code.BAD_ANSWER,
+            code=errors.Code.ANSWER_CUT,
             detail=f"the stream ended within event {progress.events + 1}",
             was_sent=True,
         )
@@ -234,6 +244,7 @@
             "software_version": attempt.endpoint.record.software_version,
             "code": reason.code,
             "events": progress.events,
+            "prompt_parts": task.details.prompt_parts,
             "last_event_id": progress.last_event_id,
         },
     )
--- /dev/null
+++ b/sassafrasstile/quarantine/_base.py
@@ -0,0 +1,109 @@
+"""Data types of crashes and of the prompts that may have caused them."""
+
+import dataclasses
+import hashlib
+
+# Longer names are replaced by a digest of this many bytes.
+MAX_KEY_CHARS = 40
+_DIGEST_BYTES = 8
+# Parts of a prompt beyond this many are ignored.
+MAX_PARTS = 16
+
+
+def make_key(service: str, part_id: str) -> str:
+    """Returns the key of a part of a prompt for a service.
+
+    Callers choose the ids of parts, so the length of a key is bounded.
+
+    >>> make_key("writer", "5c1e07a2")
+    'writer/5c1e07a2'
+    >>> len(make_key("writer", "x" * 1000))
+    16
+    """
+    key = f"{service}/{part_id}"
+    if len(key) <= MAX_KEY_CHARS and key.isascii() and key.isprintable():
+        return key
+    return _make_digest(key)
+
+
+def _make_digest(text: str) -> str:
+    data = text.encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Prompt:
+    """What identifies a prompt and those that share parts with it.
+
+    Attributes:
+        identity: The digest of all its parts; empty if nothing is known of the
+            prompt.
+        shared: The keys of its parts, but for the last one, which belongs to
+            this prompt or to its session.
+    """
+
+    identity: str
+    shared: frozenset[str]
+
+    @classmethod
+    def make(cls, service: str, part_ids: tuple[str, ...]) -> "Prompt":
+        """Returns the prompt of a request.
+
+        Args:
+            service: The name of the service that it is for.
+            part_ids: The ids of its parts in order.
+
+        >>> prompt = Prompt.make("s", ("system", "session", "turn"))
+        >>> len(prompt.identity), sorted(prompt.shared)
+        (16, ['s/session', 's/system'])
+        """
+        if not part_ids:
+            return cls(identity="", shared=frozenset())
+        shared = part_ids[:-1][:MAX_PARTS]
+        return cls(
+            identity=_make_digest("\0".join((service, *part_ids))),
+            shared=frozenset(make_key(service, item) for item in shared),
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Crash:
+    """An engine that was lost before it had answered all of its prompts.
+
+    Attributes:
+        engine: The key of the engine's incarnation.
+        age_s: Seconds since it was lost.
+        suspects: The prompts that it had not answered, without the parts that
+            engines have answered about that time or later.
+        answered: The identities of those that an engine has answered since.
+    """
+
+    engine: str
+    age_s: float
+    suspects: frozenset[Prompt] = frozenset()
+    answered: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Suspicion:
+    """Why prompts are refused.
+
+    Attributes:
+        parts: The keys of the parts that all of these prompts have; empty if
+            it concerns one prompt alone.
+        identity: The identity of that prompt; empty if it concerns all with
+            the parts.
+        engines: The keys of the engines that were lost.
+        until: When such prompts are let through again, in seconds.
+    """
+
+    parts: frozenset[str] = frozenset()
+    identity: str = ""
+    engines: frozenset[str]
+    until: float
+
+    def concerns(self, prompt: Prompt) -> bool:
+        """Returns whether a prompt is refused for it."""
+        if self.identity:
+            return self.identity == prompt.identity
+        return self.parts <= prompt.shared
--- /dev/null
+++ b/sassafrasstile/quarantine/_evidence.py
@@ -0,0 +1,278 @@
+"""Remembers crashes, and decides which prompts not to send again."""
+
+import collections
+import dataclasses
+
+from sassafrasstile.quarantine import _base
+from sassafrasstile.quarantine import _common_parts
+
+# Prompts are refused for this long after the last crash under them.
+REFUSAL_S = 300.0
+# Crashes are remembered for longer, so that one more is enough then.
+MEMORY_S = 900.0
+# A prompt that was at this many crashes isn't sent again for a while. Its
+# caller has given up by the end of it.
+_MAX_CRASHES_OF_PROMPT = 2
+PROMPT_REFUSAL_S = 60.0
+# An answer speaks for the parts of its prompt at crashes up to this much later;
+# after that the engines may run another software version.
+ANSWER_VALIDITY_S = 60.0
+_MAX_ENGINES = 64
+_MAX_SUSPECTS = 512
+_MAX_SUSPECTS_OF_CRASH = 64
+_MAX_ANSWERED_PARTS = 4096
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Entry:
+    """A crash that is remembered.
+
+    Attributes:
+        at: When the engine was lost, in seconds.
+        suspects: The parts of each prompt that may have caused it, by the
+            prompt's identity.
+        answered: The identities of prompts that it wasn't.
+    """
+
+    at: float
+    suspects: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    answered: set[str] = dataclasses.field(default_factory=set)
+
+
+class CrashLog:
+    """Remembers crashes, and decides which prompts not to send again.
+
+    A single crash proves nothing: engines are lost for other reasons, and other
+    prompts were there. A part that an engine has answered about that time or
+    later didn't cause it. What remains are the parts that several crashes have
+    in common.
+
+    What is known of a crash only ever shrinks: parts and prompts leave the
+    suspicion and don't return. So gateways that tell each other what they know
+    come to the same result, in whatever order they hear it.
+
+    >>> log = CrashLog()
+    >>> for number in range(3):
+    ...     prompt = _base.Prompt.make("s", ("system", "bad", f"own {number}"))
+    ...     crash = _base.Crash(
+    ...         engine=f"e{number}", age_s=0.0, suspects=frozenset((prompt,)))
+    ...     _ = log.add(crash, now=float(number))
+    >>> answered = _base.Prompt.make("s", ("system", "good", "x"))
+    >>> len(log.record_answer(answered, now=3.0))
+    3
+    >>> refused = _base.Prompt.make("s", ("other", "bad", "y"))
+    >>> len(log.find(refused, 3.0).engines)
+    3
+    >>> log.find(answered, 3.0)
+    """
+
+    def __init__(self):
+        self._entries: collections.OrderedDict[str, _Entry] = (
+            collections.OrderedDict()
+        )
+        self._answered_at: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._suspicions: tuple[_base.Suspicion, ...] | None = None
+
+    @property
+    def is_empty(self) -> bool:
+        """True if no crash is remembered."""
+        return not self._entries
+
+    def add(self, crash: _base.Crash, *, now: float) -> bool:
+        """Adds what is known of a crash.
+
+        Args:
+            crash: The crash.
+            now: The time in seconds.
+
+        Returns:
+            True if anything wasn't known before.
+        """
+        at = now - crash.age_s
+        entry = self._entries.get(crash.engine)
+        if entry is None:
+            entry = self._entries[crash.engine] = _Entry(at=at)
+        # The first gateway that notices is closest to the truth.
+        entry.at = min(entry.at, at)
+        is_new = self._mark_answered(entry, crash.answered)
+        for prompt in crash.suspects:
+            is_new |= self._add_suspect(entry, prompt)
+        if is_new:
+            self._limit()
+            self._suspicions = None
+        return is_new
+
+    def record_answer(self, prompt: _base.Prompt, *, now: float) -> list[str]:
+        """Records that an engine has answered a prompt.
+
+        Args:
+            prompt: The prompt.
+            now: The time in seconds.
+
+        Returns:
+            The engines at whose crashes it, or a part of it, was suspected.
+        """
+        for part in prompt.shared:
+            self._answered_at[part] = now
+            self._answered_at.move_to_end(part)
+        while len(self._answered_at) > _MAX_ANSWERED_PARTS:
+            self._answered_at.popitem(last=False)
+        changed = [
+            engine
+            for engine, entry in self._entries.items()
+            if self._clear(entry, prompt)
+        ]
+        if changed:
+            self._suspicions = None
+        return changed
+
+    def describe(self, engine: str, now: float) -> _base.Crash | None:
+        """Returns what is known of an engine's crash, or None."""
+        entry = self._entries.get(engine)
+        if entry is None:
+            return None
+        return _base.Crash(
+            engine=engine,
+            age_s=max(0.0, now - entry.at),
+            suspects=frozenset(
+                _base.Prompt(identity=identity, shared=parts)
+                for identity, parts in entry.suspects.items()
+            ),
+            answered=frozenset(entry.answered),
+        )
+
+    def list_relevant(self, now: float) -> list[_base.Crash]:
+        """Returns the crashes that matter to decisions, the newest first.
+
+        Those are the ones under suspicions and those of the last minute.
+        """
+        self._forget_old(now)
+        suspicious = {
+            engine for item in self.list_active(now) for engine in item.engines
+        }
+        crashes = [
+            self.describe(engine, now)
+            for engine, entry in self._entries.items()
+            if engine in suspicious or now - entry.at < PROMPT_REFUSAL_S
+        ]
+        return sorted(crashes, key=lambda crash: crash.age_s)
+
+    def find(self, prompt: _base.Prompt, now: float) -> _base.Suspicion | None:
+        """Returns why a prompt is refused, or None if it isn't."""
+        for suspicion in self._list_suspicions(now):
+            if now < suspicion.until and suspicion.concerns(prompt):
+                return suspicion
+        return None
+
+    def list_active(self, now: float) -> list[_base.Suspicion]:
+        """Returns the suspicions for which prompts are refused now."""
+        return [item for item in self._list_suspicions(now) if now < item.until]
+
+    def _add_suspect(self, entry: _Entry, prompt: _base.Prompt) -> bool:
+        """Adds a suspect of a crash, or removes parts that are cleared."""
+        identity = prompt.identity
+        if not identity or identity in entry.answered:
+            return False
+        known = entry.suspects.get(identity)
+        if known is None and len(entry.suspects) >= _MAX_SUSPECTS_OF_CRASH:
+            return False
+        parts = frozenset(
+            part
+            for part in prompt.shared
+            if not self._is_cleared(part, entry.at)
+        )
+        if known is not None:
+            parts &= known
+        entry.suspects[identity] = parts
+        return parts != known
+
+    def _is_cleared(self, part: str, at: float) -> bool:
+        """Returns whether a part was answered about or after a time."""
+        answered_at = self._answered_at.get(part, float("-inf"))
+        return answered_at > at - ANSWER_VALIDITY_S
+
+    @staticmethod
+    def _mark_answered(entry: _Entry, identities: frozenset[str]) -> bool:
+        room = _MAX_SUSPECTS_OF_CRASH - len(entry.answered)
+        new = list(identities - entry.answered)[:room]
+        entry.answered.update(new)
+        for identity in new:
+            entry.suspects.pop(identity, None)
+        return bool(new)
+
+    def _clear(self, entry: _Entry, prompt: _base.Prompt) -> bool:
+        """Clears a prompt and its parts of a crash; returns a change."""
+        is_changed = False
+        if prompt.identity in entry.suspects:
+            is_changed = self._mark_answered(
+                entry, frozenset((prompt.identity,))
+            )
+        for identity, parts in list(entry.suspects.items()):
+            if parts & prompt.shared:
+                entry.suspects[identity] = parts - prompt.shared
+                is_changed = True
+        return is_changed
+
+    def _limit(self) -> None:
+        """Forgets the crashes that were added first where there are many."""
+        total = sum(len(entry.suspects) for entry in self._entries.values())
+        while len(self._entries) > _MAX_ENGINES or total > _MAX_SUSPECTS:
+            _, entry = self._entries.popitem(last=False)
+            total -= len(entry.suspects)
+
+    def _forget_old(self, now: float) -> None:
+        old = [
+            engine
+            for engine, entry in self._entries.items()
+            if now - entry.at >= MEMORY_S
+        ]
+        for engine in old:
+            del self._entries[engine]
+            self._suspicions = None
+
+    def _list_suspicions(self, now: float) -> tuple[_base.Suspicion, ...]:
+        self._forget_old(now)
+        if self._suspicions is None:
+            self._suspicions = (
+                *self._suspect_prompts(),
+                *self._suspect_parts(),
+            )
+        return self._suspicions
+
+    def _suspect_prompts(self) -> list[_base.Suspicion]:
+        """Returns a suspicion for each prompt that was at several crashes."""
+        engines: dict[str, set[str]] = {}
+        for engine, entry in self._entries.items():
+            for identity in entry.suspects:
+                engines.setdefault(identity, set()).add(engine)
+        return [
+            _base.Suspicion(
+                identity=identity,
+                engines=frozenset(names),
+                until=self._find_last(names) + PROMPT_REFUSAL_S,
+            )
+            for identity, names in engines.items()
+            if len(names) >= _MAX_CRASHES_OF_PROMPT
+        ]
+
+    def _suspect_parts(self) -> list[_base.Suspicion]:
+        """Returns a suspicion for each set of parts common to crashes."""
+        losses = {
+            engine: _common_parts.Loss(at=entry.at, suspects=entry.suspects)
+            for engine, entry in self._entries.items()
+        }
+        return [
+            _base.Suspicion(
+                parts=item.parts,
+                engines=item.engines,
+                until=self._find_last(item.engines) + REFUSAL_S,
+            )
+            for item in _common_parts.find_common_parts(losses)
+        ]
+
+    def _find_last(self, engines) -> float:
+        return max(self._entries[engine].at for engine in engines)
