--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -264,7 +264,7 @@
                 prompt_tokens=attempt.prompt_tokens,
                 output_tokens=attempt.declared_tokens,
                 last_event_id=None,
-                prompt_id=attempt.prompt_id,
+                prompt_parts=(attempt.prompt_id,),
             ),
             route=_make_route(self._profile),
             service=self._service,
