Streams: find the origin of a stream by its prompt, if every gateway vouches

Cause: streams are found by the attempt's id only.

One prompt may begin several streams, so one known origin proves nothing while another may exist. Each gateway remembers the prompts of the streams that it began and is asked when one is looked for. The origin counts only if all answer that question, know no further gateways (those lost for up to two hours included), remember back to the begin, and no other origin is known.

Ruled out: telling the three holders of the prompt's key as for an attempt's id. A second attempt at a gateway that is cut off from them would stay unseen, and the first one's version be taken for it.

The transport double of test_directory gains count_lost; its checks are as they were.

--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -40,6 +40,9 @@
 _SILENCE_INTERVALS = 3
 # A peer that was silent for this long is removed and gets no more reports.
 _REMOVAL_TIMEOUT_S = 20.0
+# It may serve callers all the while, for example in a region that is cut off.
+_LOST_MEMORY_S = 7200.0
+_MAX_LOST = 100
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -123,6 +126,7 @@
         self._read_configuration_version = read_configuration_version
         self._on_configuration_version = on_configuration_version
         self._peers: dict[str, _Peer] = {}
+        self._lost_at: dict[str, float] = {}
         self._gateway_count = 1
         self._port: interfaces.IListeningPort | None = None
         self._loop = task.LoopingCall(self._tick)
@@ -148,6 +152,19 @@
         """Returns the availability zones of the known peers by name."""
         return {name: peer.address.zone for name, peer in self._peers.items()}
 
+    def count_lost(self) -> int:
+        """Returns how many peers fell silent and may still serve callers.
+
+        They aren't among the known peers any more.
+        """
+        now = self._reactor.seconds()
+        self._lost_at = {
+            name: lost_at
+            for name, lost_at in self._lost_at.items()
+            if now - lost_at < _LOST_MEMORY_S
+        }
+        return len(self._lost_at)
+
     def send(self, name: str, payload: bytes) -> None:
         """Sends a message to a peer alone, if it is known.
 
@@ -243,6 +260,7 @@
             self._peers[address.name] = _Peer(
                 address=address, last_seen_at=self._reactor.seconds()
             )
+            self._lost_at.pop(address.name, None)
             self._split_peers()
             self._gateway_count = max(self._gateway_count, len(self._peers) + 1)
 
@@ -366,4 +384,6 @@
                 self._on_report(name, {}, True)
             if silent_s >= _REMOVAL_TIMEOUT_S:
                 del self._peers[name]
+                if len(self._lost_at) < _MAX_LOST:
+                    self._lost_at[name] = now
                 self._split_peers()
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -124,6 +124,33 @@
         self.assertEqual(self.received["b"]["a"], {})
         self.assertEqual(self.channels["b"].list_live(), [])
 
+    # Guards against a gateway that is only cut off being taken for one that
+    # was never there.
+    def test_removed_gateways_are_counted_until_they_are_back(self):
+        self.advance(0.2)
+        self.network.drops = True
+        self.advance(19.0)
+        self.assertEqual(self.channels["b"].count_lost(), 0)
+        self.advance(2.0)
+        self.assertEqual(self.channels["b"].list_zones(), {})
+        self.assertEqual(self.channels["b"].count_lost(), 1)
+        # The regions may lose each other for an hour.
+        self.clock.advance(3600.0)
+        self.assertEqual(self.channels["b"].count_lost(), 1)
+        self.network.drops = False
+        self.channels["a"].send("b", b"question")
+        self.channels["b"].add_peer(
+            peers.PeerAddress(name="a", host="h", port=1)
+        )
+        self.assertEqual(self.channels["b"].count_lost(), 0)
+
+    def test_lost_gateways_are_forgotten_in_the_end(self):
+        self.advance(0.2)
+        self.network.drops = True
+        self.advance(21.0)
+        self.clock.advance(7200.0)
+        self.assertEqual(self.channels["b"].count_lost(), 0)
+
     def test_refusals_are_reported(self):
         refusal = peers.PromptRefusal(
             prompt_id="p1", age_s=1.5, remaining_s=12.0
--- a/sassafrasstile/streams/__init__.py
+++ b/sassafrasstile/streams/__init__.py
@@ -2,6 +2,7 @@
 
 from sassafrasstile.streams._base import (
     Lookup,
+    Obstacle,
     Source,
     StreamOrigin,
 )
@@ -14,6 +15,7 @@
 __all__ = [
     "Lookup",
     "NoTransport",
+    "Obstacle",
     "OriginDirectory",
     "OriginRegistry",
     "Source",
--- a/sassafrasstile/streams/_base.py
+++ b/sassafrasstile/streams/_base.py
@@ -23,16 +23,41 @@
     Attributes:
         OWN: It began the stream, or was told of it when it began.
         PEER: Another gateway has answered.
+        PROMPT: All gateways together know of one origin for its prompt.
         ONLY_VERSION: No other version can have begun it.
         NONE: It doesn't know the origin.
     """
 
     OWN = "own"
     PEER = "peer"
+    PROMPT = "prompt"
     ONLY_VERSION = "only version"
     NONE = "unknown"
 
 
+class Obstacle(enum.Enum):
+    """Why a prompt doesn't tell the origin of a stream.
+
+    Attributes:
+        NO_PROMPT: The caller names no prompt.
+        NEVER_SEEN: No gateway remembers a stream of the prompt.
+        SEVERAL_ORIGINS: Streams of the prompt began at several versions or
+            services.
+        GATEWAY_MISSING: A gateway that may know of another origin hasn't
+            answered.
+        MEMORY_TOO_SHORT: A gateway has started, or had to forget streams, since
+            the known one began.
+        TOO_MANY_GATEWAYS: There are too many gateways to ask all of them.
+    """
+
+    NO_PROMPT = "no prompt"
+    NEVER_SEEN = "never seen"
+    SEVERAL_ORIGINS = "several origins"
+    GATEWAY_MISSING = "gateway missing"
+    MEMORY_TOO_SHORT = "memory too short"
+    TOO_MANY_GATEWAYS = "too many gateways"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Lookup:
     """The result of looking for a stream's origin.
@@ -40,10 +65,13 @@
     Attributes:
         source: How the origin is known.
         origin: The origin, or None if it isn't known.
+        obstacle: Why its prompt doesn't tell it, or None if it does or wasn't
+            looked for.
     """
 
     source: Source
     origin: StreamOrigin | None = None
+    obstacle: Obstacle | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -85,4 +113,51 @@
     origin: StreamOrigin | None
 
 
-Message = OriginAnnouncement | Query | Answer
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PromptView:
+    """What one gateway knows about the streams of a prompt.
+
+    Attributes:
+        origins: The distinct origins of those that it began, two at most.
+        age_s: Seconds since the first of them began.
+        memory_s: Seconds for which it remembers every stream that it began.
+        gateway_count: The number of gateways that it knows, with itself and
+            with those that have fallen silent.
+    """
+
+    origins: tuple[StreamOrigin, ...]
+    age_s: float
+    memory_s: float
+    gateway_count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PromptQuery:
+    """Asks another gateway where the streams of a prompt began.
+
+    Attributes:
+        key: The prompt's key.
+        number: Tells the asker's questions apart. The answer to an earlier one
+            may be older than the stream.
+    """
+
+    key: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PromptAnswer:
+    """Answers a query about a prompt.
+
+    Attributes:
+        key: The prompt's key.
+        number: The question's number.
+        view: What the gateway knows.
+    """
+
+    key: str
+    number: int
+    view: PromptView
+
+
+Message = OriginAnnouncement | Query | Answer | PromptQuery | PromptAnswer
--- a/sassafrasstile/streams/_codec.py
+++ b/sassafrasstile/streams/_codec.py
@@ -11,14 +11,19 @@
 _ANNOUNCEMENT = "began"
 _QUERY = "which"
 _ANSWER = "is"
+_PROMPT_QUERY = "whose"
+_PROMPT_ANSWER = "vouch"
 
 
-def make_key(request_id: str) -> str:
-    """Returns the key of the stream that an attempt of a caller began.
+def make_key(text: str) -> str:
+    """Returns the key of an attempt's stream, or of a prompt.
 
     Callers choose the ids; a key has a fixed length.
+
+    Args:
+        text: The id of the attempt, or of the prompt.
     """
-    data = request_id.encode("utf-8", "surrogatepass")
+    data = text.encode("utf-8", "surrogatepass")
     return hashlib.blake2b(data, digest_size=_KEY_BYTES).hexdigest()
 
 
@@ -31,6 +36,14 @@
     ...     _base.Query(key="k"),
     ...     _base.Answer(key="k", origin=origin),
     ...     _base.Answer(key="k", origin=None),
+    ...     _base.PromptQuery(key="k", number=7),
+    ...     _base.PromptAnswer(
+    ...         key="k",
+    ...         number=7,
+    ...         view=_base.PromptView(
+    ...             origins=(origin,), age_s=1.5, memory_s=9.0, gateway_count=3
+    ...         ),
+    ...     ),
     ... ):
     ...     assert decode_message(encode_message(message)) == message
     """
@@ -44,6 +57,10 @@
             fields = [_QUERY, key]
         case _base.Answer(key=key, origin=origin):
             fields = [_ANSWER, key, *_list_fields(origin)]
+        case _base.PromptQuery(key=key, number=number):
+            fields = [_PROMPT_QUERY, key, number]
+        case _base.PromptAnswer(key=key, number=number, view=view):
+            fields = [_PROMPT_ANSWER, key, number, *_list_view(view)]
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -51,6 +68,22 @@
     return [] if origin is None else [origin.service, origin.software_version]
 
 
+def _list_view(view: _base.PromptView) -> list:
+    return [
+        [_list_fields(origin) for origin in view.origins],
+        round(view.age_s * _MS_PER_S),
+        round(view.memory_s * _MS_PER_S),
+        view.gateway_count,
+    ]
+
+
+def _decode_origin(fields: object) -> _base.StreamOrigin:
+    match fields:
+        case [str(service), str(version)]:
+            return _base.StreamOrigin(service=service, software_version=version)
+    raise ValueError(f"unexpected origin {fields!r:.100}")
+
+
 def decode_message(data: bytes) -> _base.Message:
     """Decodes a message.
 
@@ -86,6 +119,27 @@
                         service=service, software_version=version
                     ),
                 )
+            case [str(tag), str(key), int(number)] if tag == _PROMPT_QUERY:
+                return _base.PromptQuery(key=key, number=number)
+            case [
+                str(tag),
+                str(key),
+                int(number),
+                [*origins],
+                int(age_ms),
+                int(memory_ms),
+                int(gateway_count),
+            ] if tag == _PROMPT_ANSWER:
+                return _base.PromptAnswer(
+                    key=key,
+                    number=number,
+                    view=_base.PromptView(
+                        origins=tuple(map(_decode_origin, origins)),
+                        age_s=age_ms / _MS_PER_S,
+                        memory_s=memory_ms / _MS_PER_S,
+                        gateway_count=gateway_count,
+                    ),
+                )
             case fields:
                 raise ValueError(f"unexpected fields {fields!r:.100}")
     except ValueError as reason:
--- a/sassafrasstile/streams/_directory.py
+++ b/sassafrasstile/streams/_directory.py
@@ -1,15 +1,14 @@
 """Records where streams began, also at other gateways, and finds it again."""
 
-import dataclasses
 import logging
 
-from twisted.internet import defer
-
 from sassafrasstile import errors
-from sassafrasstile import limits
 from sassafrasstile.streams import _base
 from sassafrasstile.streams import _codec
 from sassafrasstile.streams import _holders
+from sassafrasstile.streams import _messenger
+from sassafrasstile.streams import _prompts
+from sassafrasstile.streams import _questions
 from sassafrasstile.streams import _registry
 from sassafrasstile.streams import _transport
 
@@ -21,29 +20,11 @@
 _EXTRA_ASKED = 3
 # Where there are no more other gateways than this, all are asked.
 _FEW_GATEWAYS = 16
-# Each datagram may be lost, so it is sent again after this time.
-_REPEAT_S = 0.05
-# A caller waits no longer than this for the answers of other gateways.
-_ANSWER_TIMEOUT_S = 0.15
-_MAX_DATAGRAMS_PER_S = 400.0
 # An origin is kept for this long after its deadline, for late datagrams and
 # late callers.
 _LIFETIME_MARGIN_S = 5.0
 
 
-@dataclasses.dataclass(kw_only=True, eq=False)
-class _PendingQuery:
-    """A question to other gateways.
-
-    Attributes:
-        answer: Fires with the origin, or with None when nobody knows it.
-        unanswered: The gateways that haven't answered.
-    """
-
-    answer: defer.Deferred
-    unanswered: set[str]
-
-
 class OriginDirectory:
     """Knows where the streams of all gateways began.
 
@@ -57,8 +38,7 @@
         transport: Sends to the other gateways.
 
     Attributes:
-        transport: Sends to the other gateways. It is set once the channel to
-            them exists.
+        prompts: Finds streams whose callers name no attempt.
     """
 
     def __init__(
@@ -68,20 +48,36 @@
         transport: _transport.Transport | None = None,
     ):
         self._reactor = reactor
-        self.transport = transport or _transport.NoTransport()
+        self._messenger = _messenger.Messenger(
+            reactor=reactor, transport=transport or _transport.NoTransport()
+        )
         self._registry = _registry.OriginRegistry()
-        self._pending_queries: dict[str, list[_PendingQuery]] = {}
-        self._calls: set = set()
-        self._bucket = limits.TokenBucket(rate_per_s=_MAX_DATAGRAMS_PER_S)
+        self._questions: _questions.QuestionTable[_base.StreamOrigin | None] = (
+            _questions.QuestionTable(
+                reactor=reactor,
+                messenger=self._messenger,
+                is_enough=lambda origin: origin is not None,
+            )
+        )
+        self.prompts = _prompts.PromptDirectory(
+            reactor=reactor, messenger=self._messenger
+        )
+
+    @property
+    def transport(self) -> _transport.Transport:
+        """Sends to the other gateways; set once the channel to them exists."""
+        return self._messenger.transport
+
+    @transport.setter
+    def transport(self, transport: _transport.Transport) -> None:
+        self._messenger.transport = transport
 
     def start(self) -> None:
         """Does nothing; messages are handled as they arrive."""
 
     def close(self) -> None:
         """Stops sending."""
-        for call in self._calls:
-            call.cancel()
-        self._calls.clear()
+        self._messenger.close()
 
     def record(
         self, stream_id: str, origin: _base.StreamOrigin, *, deadline: float
@@ -109,7 +105,8 @@
         announcement = _base.OriginAnnouncement(
             key=key, origin=origin, lifetime_s=lifetime_s
         )
-        return holders if self._send_twice(holders, announcement) else []
+        is_sent = self._messenger.send_twice(holders, announcement)
+        return holders if is_sent else []
 
     async def find(self, stream_id: str) -> _base.Lookup:
         """Finds where a stream began."""
@@ -143,9 +140,14 @@
                 )
             case _base.Query(key=key):
                 origin = self._registry.find(key, now=self._now())
-                self._send([sender], _base.Answer(key=key, origin=origin))
+                answer = _base.Answer(key=key, origin=origin)
+                self._messenger.send([sender], answer)
             case _base.Answer(key=key, origin=origin):
-                self._receive_answer(sender, key, origin)
+                self._questions.receive(sender, key, origin)
+            case _base.PromptQuery() as query:
+                self.prompts.answer(sender, query)
+            case _base.PromptAnswer() as answer:
+                self.prompts.receive_answer(sender, answer)
 
     def _now(self) -> float:
         return self._reactor.seconds()
@@ -166,60 +168,8 @@
         return ranked[: _HOLDER_COUNT + _EXTRA_ASKED]
 
     async def _ask(self, key: str) -> _base.StreamOrigin | None:
-        asked = self._choose_asked(key)
-        if not asked:
-            return None
-        pending = _PendingQuery(answer=defer.Deferred(), unanswered=set(asked))
-        self._pending_queries.setdefault(key, []).append(pending)
-        pending.answer.addTimeout(_ANSWER_TIMEOUT_S, self._reactor)
-        self._send_twice(asked, _base.Query(key=key), pending)
-        try:
-            return await pending.answer
-        except defer.TimeoutError:
-            return None
-        finally:
-            self._pending_queries[key].remove(pending)
-            if not self._pending_queries[key]:
-                del self._pending_queries[key]
-
-    def _receive_answer(
-        self, sender: str, key: str, origin: _base.StreamOrigin | None
-    ) -> None:
-        # An answer ends its pending, which leaves the list.
-        for pending in list(self._pending_queries.get(key, ())):
-            pending.unanswered.discard(sender)
-            is_over = origin is not None or not pending.unanswered
-            if is_over and not pending.answer.called:
-                pending.answer.callback(origin)
-
-    def _send_twice(
-        self,
-        names: list[str],
-        message: _base.Message,
-        pending: _PendingQuery | None = None,
-    ) -> bool:
-        """Sends a message now and once more, if it isn't answered by then.
-
-        Returns:
-            False when the rate limit held the first one back.
-        """
-        is_sent = self._send(names, message)
-
-        def repeat():
-            self._calls.discard(call)
-            if pending is None:
-                self._send(names, message)
-            elif not pending.answer.called:
-                self._send(sorted(pending.unanswered), message)
-
-        call = self._reactor.callLater(_REPEAT_S, repeat)
-        self._calls.add(call)
-        return is_sent
-
-    def _send(self, names: list[str], message: _base.Message) -> bool:
-        if not self._bucket.take(len(names), self._now()):
-            return False
-        payload = _codec.encode_message(message)
-        for name in names:
-            self.transport.send(name, payload)
-        return True
+        answers = await self._questions.ask(
+            key, self._choose_asked(key), _base.Query(key=key)
+        )
+        known = (origin for origin in answers.values() if origin is not None)
+        return next(known, None)
--- a/sassafrasstile/streams/_transport.py
+++ b/sassafrasstile/streams/_transport.py
@@ -13,6 +13,9 @@
     def list_live(self) -> Collection[str]:
         """Returns the names of those from which messages arrive."""
 
+    def count_lost(self) -> int:
+        """Returns how many others fell silent and may still serve callers."""
+
     def send(self, name: str, payload: bytes) -> None:
         """Sends a message to a gateway."""
 
@@ -28,5 +31,9 @@
         """Returns nothing."""
         return ()
 
+    def count_lost(self) -> int:
+        """Returns zero."""
+        return 0
+
     def send(self, name: str, payload: bytes) -> None:
         """Sends nothing."""
--- a/sassafrasstile/streams/tests/test_directory.py
+++ b/sassafrasstile/streams/tests/test_directory.py
@@ -52,6 +52,9 @@
     def list_live(self):
         return list(self.list_zones())
 
+    def count_lost(self):
+        return 0
+
     def send(self, name, payload):
         self._network.deliver(self._name, name, payload)
 
