Fault soak: callers that return without naming the attempt that began their stream

Every second returning caller leaves the name out, and every fifth stream has the prompt of the one before it, so prompts begin at two versions. The check is the one that was there: events of one version only.

--- a/sassafrasstile/faultsoak/_versions.py
+++ b/sassafrasstile/faultsoak/_versions.py
@@ -26,6 +26,11 @@
 # Callers come back for this long.
 _DEADLINE_S = 6.0
 _RETURN_DELAY_S = 0.15
+# Every second caller doesn't name the attempt that began its stream.
+_UNNAMED_INTERVAL = 2
+# Every fifth stream has the prompt of the one before it, like a session's next
+# request.
+_SESSION_INTERVAL = 5
 
 
 class VersionedEngine:
@@ -68,9 +73,15 @@
 
 
 class _Stream:
-    """What a caller has of one stream, over all its attempts."""
+    """What a caller has of one stream, over all its attempts.
 
-    def __init__(self):
+    Args:
+        number: The stream's number.
+    """
+
+    def __init__(self, *, number: int):
+        self.names_origin = number % _UNNAMED_INTERVAL != 0
+        self.prompt_id = number - (number % _SESSION_INTERVAL == 0)
         self.origin: str | None = None
         self.events: list[tuple[int, str]] = []
         self.is_complete = False
@@ -166,7 +177,7 @@
         return task.deferLater(self._reactor, seconds)
 
     async def _follow(self, number: int) -> None:
-        stream = _Stream()
+        stream = _Stream(number=number)
         deadline = self._reactor.seconds() + _DEADLINE_S
         attempt = 0
         while not stream.is_complete and self._reactor.seconds() < deadline:
@@ -179,10 +190,15 @@
         self, request_id: str, stream: _Stream, deadline: float
     ) -> None:
         remaining_s = deadline - self._reactor.seconds()
-        headers = ["X-Token-Count: 100,50"]
+        headers = [
+            "X-Token-Count: 100,50",
+            f"X-Prompt-Prefix: 0a:50,{stream.prompt_id:x}:50",
+        ]
         kind = "began"
         if stream.origin is not None:
             headers.append(f"Last-Event-Id: {stream.last_event_id}")
+            kind = "went on unnamed"
+        if stream.origin is not None and stream.names_origin:
             headers.append(f"Resumes: {stream.origin}")
             kind = "went on"
         gateway = self._generator.choice(self._gateways)
