--- a/sassafrasstile/streams/__init__.py
+++ b/sassafrasstile/streams/__init__.py
@@ -2,6 +2,7 @@
 
 from sassafrasstile.streams._base import (
     Lookup,
+    Obstacle,
     Source,
     StreamOrigin,
 )
@@ -12,6 +13,7 @@
 
 __all__ = [
     "Lookup",
+    "Obstacle",
     "OriginDirectory",
     "OriginRegistry",
     "Source",
