--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -71,7 +71,7 @@
     @property
     def prompt(self) -> quarantine.Prompt:
         """What identifies its prompt among those of its service."""
-        return quarantine.Prompt.make(
+        return quarantine.make_prompt(
             self.service.name, self.details.prompt_parts
         )
 
--- a/sassafrasstile/quarantine/__init__.py
+++ b/sassafrasstile/quarantine/__init__.py
@@ -1,6 +1,6 @@
 """Prompts that crash engines: found by what crashes have in common, refused."""
 
-from sassafrasstile.quarantine._base import Prompt, Suspicion
+from sassafrasstile.quarantine._base import Prompt, Suspicion, make_prompt
 from sassafrasstile.quarantine._codec import is_message
 from sassafrasstile.quarantine._evidence import CrashLog
 from sassafrasstile.quarantine._quarantine import Quarantine
@@ -13,4 +13,5 @@
     "RunWatch",
     "Suspicion",
     "is_message",
+    "make_prompt",
 ]
--- a/sassafrasstile/quarantine/_base.py
+++ b/sassafrasstile/quarantine/_base.py
@@ -45,25 +45,25 @@
     identity: str
     shared: frozenset[str]
 
-    @classmethod
-    def make(cls, service: str, part_ids: tuple[str, ...]) -> "Prompt":
-        """Returns the prompt of a request.
-
-        Args:
-            service: The name of the service that it is for.
-            part_ids: The ids of its parts in order.
-
-        >>> prompt = Prompt.make("s", ("system", "session", "turn"))
-        >>> len(prompt.identity), sorted(prompt.shared)
-        (16, ['s/session', 's/system'])
-        """
-        if not part_ids:
-            return cls(identity="", shared=frozenset())
-        shared = part_ids[:-1][:MAX_PARTS]
-        return cls(
-            identity=_make_digest("\0".join((service, *part_ids))),
-            shared=frozenset(make_key(service, item) for item in shared),
-        )
+
+def make_prompt(service: str, part_ids: tuple[str, ...]) -> Prompt:
+    """Returns the prompt of a request.
+
+    Args:
+        service: The name of the service that it is for.
+        part_ids: The ids of its parts in order.
+
+    >>> prompt = make_prompt("s", ("system", "session", "turn"))
+    >>> len(prompt.identity), sorted(prompt.shared)
+    (16, ['s/session', 's/system'])
+    """
+    if not part_ids:
+        return Prompt(identity="", shared=frozenset())
+    shared = part_ids[:-1][:MAX_PARTS]
+    return Prompt(
+        identity=_make_digest("\0".join((service, *part_ids))),
+        shared=frozenset(make_key(service, item) for item in shared),
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/quarantine/_codec.py
+++ b/sassafrasstile/quarantine/_codec.py
@@ -20,7 +20,7 @@
 def encode_crashes(crashes: Iterable[_base.Crash]) -> bytes:
     """Encodes crashes.
 
-    >>> prompt = _base.Prompt.make("s", ("system", "own"))
+    >>> prompt = _base.make_prompt("s", ("system", "own"))
     >>> crash = _base.Crash(
     ...     engine="e", age_s=1.5, suspects=frozenset((prompt,)),
     ...     answered=frozenset(("a",)))
--- a/sassafrasstile/quarantine/_evidence.py
+++ b/sassafrasstile/quarantine/_evidence.py
@@ -55,14 +55,14 @@
 
     >>> log = CrashLog()
     >>> for number in range(3):
-    ...     prompt = _base.Prompt.make("s", ("system", "bad", f"own {number}"))
+    ...     prompt = _base.make_prompt("s", ("system", "bad", f"own {number}"))
     ...     crash = _base.Crash(
     ...         engine=f"e{number}", age_s=0.0, suspects=frozenset((prompt,)))
     ...     _ = log.add(crash, now=float(number))
-    >>> answered = _base.Prompt.make("s", ("system", "good", "x"))
+    >>> answered = _base.make_prompt("s", ("system", "good", "x"))
     >>> len(log.record_answer(answered, now=3.0))
     3
-    >>> refused = _base.Prompt.make("s", ("other", "bad", "y"))
+    >>> refused = _base.make_prompt("s", ("other", "bad", "y"))
     >>> len(log.find(refused, 3.0).engines)
     3
     >>> log.find(answered, 3.0)
--- a/sassafrasstile/quarantine/tests/test_evidence.py
+++ b/sassafrasstile/quarantine/tests/test_evidence.py
@@ -8,7 +8,7 @@
 
 
 def _make_prompt(*parts):
-    return quarantine.Prompt.make(_SERVICE, parts)
+    return quarantine.make_prompt(_SERVICE, parts)
 
 
 class CrashLogTest(unittest.TestCase):
@@ -180,7 +180,7 @@
     def test_other_services_are_not_concerned(self):
         for number in range(3):
             self.crash(_make_prompt("bad", f"own {number}"))
-        other = quarantine.Prompt.make("reader", ("bad", "new"))
+        other = quarantine.make_prompt("reader", ("bad", "new"))
         self.assertIsNone(self.log.find(other, self.now))
 
     def test_prompts_without_parts_are_never_refused(self):
--- a/sassafrasstile/quarantine/tests/test_quarantine.py
+++ b/sassafrasstile/quarantine/tests/test_quarantine.py
@@ -86,7 +86,7 @@
             self.network.add(f"g{number}")
 
     def make_prompt(self, *parts):
-        return quarantine.Prompt.make(_SERVICE, parts)
+        return quarantine.make_prompt(_SERVICE, parts)
 
     def watch(self, gateway, *parts, engine="engine"):
         record = testing.make_endpoint_record(
