Keep an endpoint's connection while its caller still waits

Cause: TCP gave up a connection to an endpoint after 3 s without a sign of life (keep-alive probes and TCP_USER_TIMEOUT), and with it the only source of the answer, at a gateway where silence is otherwise judged by the route (forwarding/_standby.py). Class of fault: a limit of the transport is below that of the one who waits on it; the same class as the silent engine that was left too early. Now a connection that carries a request to an endpoint lasts 30 s without a sign of life, and the request's own deadline ends it sooner. Idle connections, the store's and callers' keep the 3 s: a connection that has gone silent for good must not be used again.

--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -12,6 +12,10 @@
 from sassafrasstile import web
 from sassafrasstile.forwarding import _base
 
+# A connection to an endpoint outlasts the request on it, which has its own
+# deadline. Silent endpoints are noticed earlier by their health.
+_ENDPOINT_LOSS_TIMEOUT_S = 30.0
+
 
 @dataclasses.dataclass(kw_only=True)
 class ForwardingContext:
@@ -97,6 +101,7 @@
                 port=endpoint.record.port,
                 connect_timeout_s=self.settings.connect_timeout_s,
                 on_activity=lambda: endpoint.health.record_activity(self.now()),
+                loss_timeout_s=_ENDPOINT_LOSS_TIMEOUT_S,
             )
             self._pools[endpoint] = pool
         return pool
--- a/sassafrasstile/web/_connection.py
+++ b/sassafrasstile/web/_connection.py
@@ -18,11 +18,11 @@
 from sassafrasstile.web import _reply
 
 _MAX_HEAD_BYTES = 65536
-# A connection to an unresponsive peer is lost after about three seconds.
+# A connection to an unresponsive peer is lost after about this time.
+LOSS_TIMEOUT_S = 3.0
 _TCP_KEEPIDLE_S = 1
 _TCP_KEEPINTVL_S = 1
-_TCP_KEEPCNT = 2
-_TCP_USER_TIMEOUT_MS = 3000
+_MS_PER_S = 1000
 # An idle connection is dropped this long before the server's keep-alive
 # timeout, so that no request is sent while the server closes it.
 _KEEP_ALIVE_MARGIN_S = 0.5
@@ -40,8 +40,20 @@
     for option, value in (
         (socket.TCP_KEEPIDLE, _TCP_KEEPIDLE_S),
         (socket.TCP_KEEPINTVL, _TCP_KEEPINTVL_S),
-        (socket.TCP_KEEPCNT, _TCP_KEEPCNT),
-        (socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    _set_loss_timeout(transport, LOSS_TIMEOUT_S)
+
+
+def _set_loss_timeout(transport, seconds: float) -> None:
+    """Sets after which time without a sign of life a connection is lost."""
+    if not interfaces.ITCPTransport.providedBy(transport):
+        return
+    probes = round((seconds - _TCP_KEEPIDLE_S) / _TCP_KEEPINTVL_S)
+    sock = transport.getHandle()
+    for option, value in (
+        (socket.TCP_KEEPCNT, probes),
+        (socket.TCP_USER_TIMEOUT, round(seconds * _MS_PER_S)),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
@@ -89,6 +101,8 @@
         on_idle: Called when the connection may carry another request.
         on_lost: Called once when the connection is lost.
         on_activity: Called whenever bytes arrive from the server.
+        loss_timeout_s: Seconds without a sign of life after which the
+            connection is lost while it carries a request.
 
     Attributes:
         is_open: True while the connection is open.
@@ -102,7 +116,9 @@
         on_idle: Callable[["HttpConnection"], None],
         on_lost: Callable[["HttpConnection"], None],
         on_activity: Callable[[], None],
+        loss_timeout_s: float = LOSS_TIMEOUT_S,
     ):
+        self._loss_timeout_s = loss_timeout_s
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._on_activity = on_activity
@@ -155,6 +171,7 @@
             fields.append((b"Content-Length", str(len(body)).encode()))
         request = h11.Request(method=method, target=target, headers=fields)
         self._reply = _reply.Reply(abort=self.abort)
+        self._change_loss_timeout(self._loss_timeout_s)
         data = self._parser.send(request)
         if body:
             data += self._parser.send(h11.Data(data=body))
@@ -240,4 +257,9 @@
             self.abort()
             return
         self._parser.start_next_cycle()
+        self._change_loss_timeout(LOSS_TIMEOUT_S)
         self._on_idle(self)
+
+    def _change_loss_timeout(self, seconds: float) -> None:
+        if self._loss_timeout_s != LOSS_TIMEOUT_S:
+            _set_loss_timeout(self.transport, seconds)
--- a/sassafrasstile/web/_pool.py
+++ b/sassafrasstile/web/_pool.py
@@ -21,6 +21,8 @@
         port: The server's port.
         connect_timeout_s: Seconds until a connection attempt times out.
         on_activity: Called whenever bytes arrive from the server.
+        loss_timeout_s: Seconds without a sign of life after which a
+            connection is lost while it carries a request.
 
     Attributes:
         opened_count: Number of connections opened so far.
@@ -34,8 +36,10 @@
         port: int,
         connect_timeout_s: float,
         on_activity: Callable[[], None] = lambda: None,
+        loss_timeout_s: float = _connection.LOSS_TIMEOUT_S,
     ):
         self._reactor = reactor
+        self._loss_timeout_s = loss_timeout_s
         self._on_activity = on_activity
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, host, port, timeout=connect_timeout_s
@@ -135,6 +139,7 @@
             on_idle=self._add_idle,
             on_lost=self._remove,
             on_activity=self._on_activity,
+            loss_timeout_s=self._loss_timeout_s,
         )
 
     def _add_idle(self, connection: _connection.HttpConnection) -> None:
