A first call runs in uncertain slots only if it was sent after the loss

Cause: slots whose dead owner may have run calls without a claim run calls that are declared the first of their key. That statement speaks of the moment of sending. While the call waits, a later call with its key may run at the owner without a claim; the owner dies with that knowledge, and the waiting call runs at the successor.

Now sidecars report the offset after the last record in the log by which such an owner was replaced, at once when it rises. A gateway notes with each call the highest offset it knew before it received the call, and the owner of the key refuses a first call that may be older than the loss: not run, owner_lost, with Retry-After, at once. Ages are compared by the log's order, without clocks. The check is made again before a call runs.

The test for restarts after a crash now asks more: a first call that may be older than the crash is refused as not run, one that is newer still runs; before it asked only for the latter, with a call whose age nobody knew.

--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -47,6 +47,7 @@
     TRANSFER_FAILED = "transfer_failed"
     SERVICE_FAILED = "service_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    OWNER_LOST = "owner_lost"
     NOT_OWNER = "not_owner"
     IN_PROGRESS = "in_progress"
 
--- a/sassafrasstile/gateway/_calls.py
+++ b/sassafrasstile/gateway/_calls.py
@@ -9,6 +9,7 @@
 from sassafrasstile.gateway import _base
 from sassafrasstile.gateway import _context
 from sassafrasstile.gateway import _endpoints
+from sassafrasstile.gateway import _losses
 from sassafrasstile.gateway import _owners
 from sassafrasstile.gateway import _placements
 
@@ -33,6 +34,8 @@
         has_no_earlier_run: True when no earlier call with the key can have
             run: the caller declared this one the first, or the key's owner
             knows it.
+        known_loss_offset: The loss offset of the service that was known
+            before the call was received.
     """
 
     request: _base.CallRequest | _base.InquiryRequest
@@ -44,6 +47,7 @@
     refused_by: set[str] = dataclasses.field(default_factory=set)
     wait_until: float = 0.0
     has_no_earlier_run: bool = False
+    known_loss_offset: int = 0
 
     @property
     def requires_owner(self) -> bool:
@@ -61,11 +65,19 @@
     Args:
         context: State shared by the parts of the kernel.
         owners: The known owners of idempotency keys.
+        losses: The known losses of owners.
     """
 
-    def __init__(self, *, context: _context.Context, owners: _owners.OwnerMap):
+    def __init__(
+        self,
+        *,
+        context: _context.Context,
+        owners: _owners.OwnerMap,
+        losses: _losses.LossTable,
+    ):
         self._context = context
         self._owners = owners
+        self._losses = losses
         self._calls: dict[str, PendingCall] = {}
         self._placements: _placements.PlacementTable[PendingCall] = (
             _placements.PlacementTable(context=context)
@@ -87,6 +99,9 @@
             request=request,
             deadline=now + request.limit_s,
             has_no_earlier_run=_is_declared_first(request),
+            known_loss_offset=self._losses.find_offset(
+                request.service, now=now
+            ),
         )
         self._calls[request.request_id] = call
         if not self._context.endpoints.is_served(
@@ -227,6 +242,7 @@
                     digest=request.digest,
                     first=request.first and not call.may_have_run,
                     runs_unlogged=request.runs_unlogged,
+                    known_loss_offset=call.known_loss_offset,
                 )
 
     # Ends of attempts.
@@ -272,6 +288,14 @@
             call.has_no_earlier_run = True
             self._refuse(call, verdict)
             return
+        if message.code == errors.Code.OWNER_LOST:
+            # No endpoint will run this call any more.
+            retry_after_s = self._context.settings.retry_after_s
+            self._refuse(
+                call,
+                verdicts.NotRun(code=message.code, retry_after_s=retry_after_s),
+            )
+            return
         if message.code == errors.Code.NOT_OWNER and message.owner:
             self._redirect(call, message.owner, now)
             return
--- a/sassafrasstile/gateway/_kernel.py
+++ b/sassafrasstile/gateway/_kernel.py
@@ -11,6 +11,7 @@
 from sassafrasstile.gateway import _endpoints
 from sassafrasstile.gateway import _generation_table
 from sassafrasstile.gateway import _invariants
+from sassafrasstile.gateway import _losses
 from sassafrasstile.gateway import _owners
 from sassafrasstile.gateway import _settings
 
@@ -48,9 +49,11 @@
         self._generations = _generation_table.GenerationTable(
             context=self._context
         )
+        self._losses = _losses.LossTable()
         self._calls = _calls.CallTable(
             context=self._context,
             owners=_owners.OwnerMap(endpoints=endpoints),
+            losses=self._losses,
         )
         self._answer_checker = _invariants.AnswerChecker(name=name)
         self._renew_at = 0.0
@@ -140,6 +143,9 @@
         endpoint.record_message()
         if batch.load is not None:
             self._endpoints.update_load(endpoint, batch.load)
+            self._losses.record(
+                endpoint.serves, batch.load.loss_offset, now=now
+            )
         for message in batch.messages:
             if not self._generations.receive(endpoint, message, now):
                 self._calls.receive(endpoint, message, now)
@@ -155,6 +161,7 @@
     def tick(self, now: float) -> list[_base.Effect]:
         """Handles timers. Must be called about 20 times a second."""
         self._handle_suspension(now)
+        self._losses.advance(now)
         self._disconnect_unresponsive(now)
         self._generations.tick(now)
         self._calls.tick(now)
--- a/sassafrasstile/messages/_base.py
+++ b/sassafrasstile/messages/_base.py
@@ -34,6 +34,9 @@
         waiting: Number of accepted requests that haven't started.
         backlog_s: Estimated seconds until a request that arrives now would
             start.
+        loss_offset: At a service, the offset in its ownership stream after
+            the last record by which a dead owner was replaced that may have
+            run calls without a claim. Zero if none was.
     """
 
     leaving: bool = False
@@ -41,6 +44,7 @@
     free_slots: int = 0
     waiting: int = 0
     backlog_s: float = 0.0
+    loss_offset: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/messages/_calls.py
+++ b/sassafrasstile/messages/_calls.py
@@ -24,6 +24,8 @@
             first time.
         runs_unlogged: True when it may run without a claim in the log
             while the log is unavailable.
+        known_loss_offset: The highest loss offset of the service that the
+            gateway knew before it received the call.
     """
 
     key: str
@@ -37,6 +39,7 @@
     digest: str = ""
     first: bool = False
     runs_unlogged: bool = False
+    known_loss_offset: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/ownership/_replay.py
+++ b/sassafrasstile/ownership/_replay.py
@@ -56,6 +56,11 @@
         uncertain_since: For each slot, when a dead owner that may have run
             calls without a claim was replaced, in seconds of the log's
             clock, or None.
+        certain_from: For each slot, the offset after the last record by
+            which such an owner was replaced. The owner was dead before the
+            log reached this offset, so a call sent later can't have run
+            there.
+        loss_offset: The highest offset in `certain_from`.
         blocked: True once a record of a later version was read.
         checkpointed_at: When the last checkpoint was appended, in seconds
             of the log's clock.
@@ -69,6 +74,8 @@
         self.members: dict[str, _records.Member] = {}
         self.owners: list[str] = [""] * SLOT_COUNT
         self.uncertain_since: list[float | None] = [None] * SLOT_COUNT
+        self.certain_from: list[int] = [0] * SLOT_COUNT
+        self.loss_offset = 0
         self.blocked = False
         self.checkpointed_at = 0.0
         self.last_record_at = 0.0
@@ -244,6 +251,9 @@
         """Records that a dead owner may have run calls without a claim."""
         for slot in slots:
             self.uncertain_since[slot] = at
+            self.certain_from[slot] = self.next_offset
+        if slots:
+            self.loss_offset = self.next_offset
 
     def _load_checkpoint(self, record: _records.Checkpoint, at: float) -> None:
         """Starts from a checkpoint if no record since its offset is missing."""
--- a/sassafrasstile/sidecar/_claims.py
+++ b/sassafrasstile/sidecar/_claims.py
@@ -96,6 +96,20 @@
             return False
         return self.state.last_record_at - since < self.settings.key_lifetime_s
 
+    def precedes_loss(self, key: str, known_loss_offset: int) -> bool:
+        """Returns whether a call may be older than the loss of its owner.
+
+        While such a call waited, the dead owner may have run a later call
+        with its key without a claim.
+
+        Args:
+            key: The key.
+            known_loss_offset: The loss offset that the call's gateway knew
+                before it received the call.
+        """
+        certain_from = self.state.certain_from[ownership.find_slot(key)]
+        return self.is_uncertain(key) and known_loss_offset < certain_from
+
     def may_run_unlogged(self, key: str, now: float) -> bool:
         """Returns whether a key may run without a claim.
 
--- a/sassafrasstile/sidecar/_service.py
+++ b/sassafrasstile/sidecar/_service.py
@@ -65,6 +65,8 @@
             settings=self.claim_settings,
         )
         self._unlogged_keys: set[str] = set()
+        # Every gateway that has sent a batch.
+        self._gateways: set[str] = set()
         self._last_tick_at = 0.0
         self._running: dict[str, tuple[_base.AttemptId, messages.Call]] = {}
         self._replies = _replies.Replies(name=name)
@@ -87,6 +89,7 @@
         """
         if batch.target and batch.target != self.incarnation:
             return self._collect_effects()
+        self._gateways.add(batch.sender)
         for message in batch.messages:
             if isinstance(message, messages.Renew):
                 renewed = messages.Renewed()
@@ -194,9 +197,12 @@
         Returns:
             The effects, in order.
         """
+        loss_offset = self._claim_manager.state.loss_offset
         self._claim_manager.replay_page(
             entries, first=first, after=after, now=now
         )
+        if self._claim_manager.state.loss_offset > loss_offset:
+            self._announce_load()
         for entry in self._idempotency_table.list_claiming():
             self._settle_claim(entry, now)
         self._unlogged_keys = {
@@ -207,6 +213,13 @@
         self._append_next(now)
         return self._collect_effects()
 
+    def _announce_load(self) -> None:
+        """Sends gateways a batch, so that they learn the loss offset."""
+        for gateway in sorted(self._gateways):
+            self._replies.add(
+                _base.Send(peer=gateway, message=messages.Renewed())
+            )
+
     def finish_append(
         self, *, succeeded: bool, now: float
     ) -> list[_base.Effect]:
@@ -269,6 +282,7 @@
             leaving=self.leaving,
             slots=self.slots,
             free_slots=max(0, self.slots - len(self._running)),
+            loss_offset=self._claim_manager.state.loss_offset,
         )
 
     def list_held(self) -> list[str]:
@@ -328,10 +342,7 @@
             claim_deadline=now + self.claim_settings.claim_wait_s,
         )
         self._idempotency_table.add(entry)
-        if self._claim_manager.is_claimed_elsewhere(call.key) or (
-            self._claim_manager.is_uncertain(call.key) and not call.first
-        ):
-            self._fail_with_unknown_outcome(entry, now)
+        if self._end_if_in_doubt(entry, now):
             return
         if self._claim_manager.is_claimed_here(call.key):
             # Claimed before, but refused when the claim timed out.
@@ -342,16 +353,42 @@
 
     def _settle_claim(self, entry: _idempotency.KeyEntry, now: float) -> None:
         """Runs or ends a call when its claim has been replayed."""
-        if self._claim_manager.is_claimed_here(entry.key):
-            self._run_claimed(entry)
-        elif self._claim_manager.is_claimed_elsewhere(entry.key):
-            self._claim_manager.withdraw_claim(entry.key)
-            self._fail_with_unknown_outcome(entry, now)
-        elif (
-            self._claim_manager.find_standing(entry.key)
-            is _claims.Standing.OTHER
+        manager = self._claim_manager
+        if (
+            not manager.is_claimed_here(entry.key)
+            and not manager.is_claimed_elsewhere(entry.key)
+            and manager.find_standing(entry.key) is _claims.Standing.OTHER
         ):
             self._refuse_claim(entry, errors.Code.NOT_OWNER)
+        elif self._end_if_in_doubt(entry, now):
+            return
+        elif manager.is_claimed_here(entry.key):
+            self._run_claimed(entry)
+
+    def _end_if_in_doubt(
+        self, entry: _idempotency.KeyEntry, now: float
+    ) -> bool:
+        """Ends a call if a former owner may have run its key.
+
+        A call that its caller declared the first of its key can't have run
+        there if it was sent after that owner's death. One that was sent
+        before hasn't run either, but a later call with its key may have.
+
+        Returns:
+            Whether the call has ended.
+        """
+        call = entry.call
+        manager = self._claim_manager
+        if manager.is_claimed_elsewhere(entry.key) or (
+            manager.is_uncertain(entry.key) and not call.first
+        ):
+            manager.withdraw_claim(entry.key)
+            self._fail_with_unknown_outcome(entry, now)
+            return True
+        if manager.precedes_loss(entry.key, call.known_loss_offset):
+            self._refuse_claim(entry, errors.Code.OWNER_LOST)
+            return True
+        return False
 
     def _handle_claim_timeout(
         self, entry: _idempotency.KeyEntry, now: float
--- a/sassafrasstile/sidecar/tests/test_service.py
+++ b/sassafrasstile/sidecar/tests/test_service.py
@@ -179,9 +179,45 @@
         self.assertEqual(
             self.failures(retry), [("may_have_run", "outcome_unknown")]
         )
-        fresh = self.send(successor, 3.1, _call(3, "new", first=True))
+        # One that may be older than the crash is refused, as not run.
+        waiting = self.send(successor, 3.1, _call(3, "old", first=True))
+        self.assertEqual(self.failures(waiting), [("not_run", "owner_lost")])
+        call = _call(
+            4,
+            "new",
+            first=True,
+            known_loss_offset=successor.describe_load().loss_offset,
+        )
+        fresh = self.send(successor, 3.2, call)
         self.assertEqual(self.runs(fresh), ["new"])
 
+    # A late copy of a release moves a slot away and its next owner dies, all
+    # while a call waits for its claim: the call ran without another check.
+    def test_call_that_waits_for_its_claim_is_checked_again(self):
+        first = self.make(runs_unlogged=True)
+        self.make("s2", "s2.1", runs_unlogged=True)
+        slot = ownership.find_slot("k")
+        batch = messages.Batch(
+            sender="g", incarnation="g.1", messages=(_call(1, "k", first=True),)
+        )
+        effects = first.receive(batch, 1.0)
+        self.log.append(
+            ownership.Release(
+                endpoint="s1", incarnation="s1.1", successor="s2", slots=(slot,)
+            ),
+            1.1,
+        )
+        self.make("s2", "s2.2", runs_unlogged=True)
+        self.log.append(
+            ownership.Release(
+                endpoint="s2", incarnation="s2.2", successor="s1", slots=(slot,)
+            ),
+            1.3,
+        )
+        effects = self.sync_log(first, 1.4, effects)
+        self.assertEqual(self.runs(effects), [])
+        self.assertEqual(self.failures(effects), [("not_run", "owner_lost")])
+
     def test_restart_in_an_outage_refuses_as_not_run(self):
         self.make(runs_unlogged=True)
         self.log.is_down = True
