A call that its caller gave an X-Request-Id isn't its first attempt by itself

Without an Idempotency-Key the caller's X-Request-Id is the key of a call, and a request that has it again is a retry. Each such retry was declared the first of its key, so in slots whose owner had died in an outage of the log it ran although the dead owner may have run it. X-Retry-Count decides now, as for a key.

What it costs: without X-Retry-Count such callers are told may_have_run where they were told not_run, as callers with a key are.

--- a/sassafrasstile/frontend/_identity.py
+++ b/sassafrasstile/frontend/_identity.py
@@ -21,11 +21,16 @@
     A request with the Idempotency-Key or the X-Request-Id of an earlier
     request is a retry of it.
     """
+    return _find_caller_id(request) or "req-" + uuid.uuid4().hex
+
+
+def _find_caller_id(request) -> str:
+    """Returns the caller's id for a request, or an empty string."""
     for name in ("idempotency-key", "x-request-id"):
         value = read_header(request, name)
         if _ID_PATTERN.fullmatch(value):
             return value
-    return "req-" + uuid.uuid4().hex
+    return ""
 
 
 def read_idempotency_key(request) -> str:
@@ -50,10 +55,11 @@
 def is_first_attempt(request) -> bool:
     """Returns whether the caller declares this as its key's first attempt.
 
-    A request without a key is always a first attempt. With a key, it is one
+    A request that carries neither an Idempotency-Key nor an X-Request-Id of
+    its caller gets a key of its own and is always a first attempt. Others are
     if X-Retry-Count (or X-Stainless-Retry-Count) is 0.
     """
-    if not read_header(request, "idempotency-key"):
+    if not _find_caller_id(request):
         return True
     return _read_retry_count(request) == "0"
 
