A late refusal of another request doesn't prove that this one hasn't run

On the users' platform an extra response may arrive where the next one is expected; the attempt's id tells whose it is. A 421 that names another instance was taken as proof before its id was looked at, so a call that may run once at most counted as not run and was sent again, and its caller might be told 503.

Cause: the check for a replaced instance stood before the one for foreign answers. The test failed before for another instance (NotRun, endpoint_replaced) and passed for the same one. A replaced endpoint is still recognised by answers that name this attempt or none.

--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -206,19 +206,13 @@
         self.endpoint.health.add_pending(self._key, self._context.now())
 
     def _classify(self, head: web.ResponseHead) -> AttemptResult:
-        if self._context.codec.is_from_other_instance(
-            head, endpoint_id=self.endpoint.name
-        ):
-            self._drain_short_answer()
-            self.endpoint.health.mark_replaced(self._context.now())
-            return verdicts.NotRun(code=errors.Code.ENDPOINT_REPLACED)
         kind = self._context.codec.classify(
             head, request_id=self._request_id, is_run=self._number > 0
         )
         match kind:
             case _base.AnswerKind.NOT_RUN:
                 self._drain_short_answer()
-                return verdicts.NotRun(code=errors.Code.ENDPOINT_REFUSED)
+                return verdicts.NotRun(code=self._find_refusal_code(head))
             case _base.AnswerKind.FOREIGN:
                 self.close()
                 self.record_failure()
@@ -226,6 +220,14 @@
             case _:
                 return Answered(head=head, reply=self._reply, kind=kind)
 
+    def _find_refusal_code(self, head: web.ResponseHead) -> errors.Code:
+        if not self._context.codec.is_from_other_instance(
+            head, endpoint_id=self.endpoint.name
+        ):
+            return errors.Code.ENDPOINT_REFUSED
+        self.endpoint.health.mark_replaced(self._context.now())
+        return errors.Code.ENDPOINT_REPLACED
+
     def _drain_short_answer(self) -> None:
         """Reads the rest of a short answer, to reuse its connection."""
         drain = fail_on_timeout(
