Bounds on heads and whole answers of endpoints and the store

Callers saw: a call whose endpoint sends a body without end, or informational heads without end, was held until its deadline and got 504; the gateway kept all bytes until then.

Cause: `Reply.read_body` joined whatever came, h11 bounds only one unfinished head, and 1xx heads were dropped without being counted. Chunks were kept as single objects, so that a body in chunks of two bytes costs many times its size.

Why the fix works: each read names its kind, and the bound of the kind is checked as the bytes come, where the connection is (head, framing) or where they are joined (bodies), with settings in the file's section `readBounds`. Past it the connection is closed, the error is `answer_too_large`, sent, so that the usual code makes "may have run" of it, counts a failure and decides on a retry. The bytes are kept in one buffer.

Pages of the store's records can be larger than the bound in principle: such a page is read again with 8 records at most, 2 MiB with records of the largest size. The store's stand-in now honours `maxSize` for it.

--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -63,6 +63,7 @@
     ENDPOINT_SILENT = "endpoint_silent"
     ENDPOINT_BACKOFF = "endpoint_backoff"
     BAD_ANSWER = "bad_answer"
+    ANSWER_TOO_LARGE = "answer_too_large"
     CALLER_GONE = "caller_gone"
     STORE_UNAVAILABLE = "store_unavailable"
     CONFLICT = "conflict"
--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -229,10 +229,18 @@
     def _drain_short_answer(self) -> None:
         """Reads the rest of a short answer, to reuse its connection."""
         drain = fail_on_timeout(
-            self._reply.read_body(), self._context.reactor, 1.0
+            self._reply.read_body(web.ReadKind.CONTROL),
+            self._context.reactor,
+            1.0,
         )
         reply, self._reply = self._reply, None
-        drain.addErrback(lambda _reason: reply.close())
+
+        def handle_failure(reason) -> None:
+            reply.close()
+            if reason.check(web.BoundExceededError):
+                self.record_failure()
+
+        drain.addErrback(handle_failure)
 
     def _handle_exchange_error(
         self, reason: web.ExchangeError
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -2,16 +2,22 @@
 
 from collections.abc import Awaitable, Callable
 import dataclasses
+import logging
 import random
 from typing import Any
 
 from sassafrasstile import dispatch
+from sassafrasstile import limits
 from sassafrasstile import routes
 from sassafrasstile import streams
 from sassafrasstile import telemetry
 from sassafrasstile import web
 from sassafrasstile.forwarding import _base
 
+_LOG = logging.getLogger("sassafrasstile.forwarding")
+# Warnings about endpoints that send more than a bound allows.
+_MAX_WARNINGS_PER_S = 1.0
+
 
 @dataclasses.dataclass(kw_only=True)
 class ForwardingContext:
@@ -34,6 +40,7 @@
         origins: Knows where the streams of all gateways began, or None where
             no caller takes a stream up again.
         versions: The software versions that endpoints have had.
+        read_bounds: Bounds on what is read from endpoints.
         confirm_endpoints: Returns whether the known endpoints are those that
             the store lists, as of a time in seconds or later.
         generator: The random number generator.
@@ -59,11 +66,13 @@
     versions: streams.VersionHistory = dataclasses.field(
         default_factory=streams.VersionHistory
     )
+    read_bounds: web.ReadBounds = web.DEFAULT_BOUNDS
     confirm_endpoints: Callable[[float], Awaitable[bool]] | None = None
 
     def __post_init__(self):
         self._pools: dict[dispatch.Endpoint, web.ConnectionPool] = {}
         self._budgets: dict[str, dispatch.WindowedRetryBudget] = {}
+        self._warnings = limits.TokenBucket(rate_per_s=_MAX_WARNINGS_PER_S)
 
     def now(self) -> float:
         """Returns the time in seconds."""
@@ -97,10 +106,26 @@
                 port=endpoint.record.port,
                 connect_timeout_s=self.settings.connect_timeout_s,
                 on_activity=lambda: endpoint.health.record_activity(self.now()),
+                bounds=self.read_bounds,
+                on_exceeded=lambda kind: self._record_exceeded(endpoint, kind),
             )
             self._pools[endpoint] = pool
         return pool
 
+    def _record_exceeded(
+        self, endpoint: dispatch.Endpoint, kind: web.ReadKind
+    ) -> None:
+        """Logs and counts that an endpoint has sent more than a bound."""
+        self.metrics.reads_too_large.labels(kind).inc()
+        if self._warnings.take(1, self.now()):
+            _LOG.warning(
+                "read: endpoint %s sent more than %d bytes of %s.",
+                endpoint.name,
+                self.read_bounds.get(kind),
+                kind,
+                extra={"endpoint": endpoint.name, "outcome": kind.value},
+            )
+
     def drop_endpoint(self, endpoint: dispatch.Endpoint) -> None:
         """Closes the idle connections to an endpoint that was removed."""
         pool = self._pools.pop(endpoint, None)
--- a/sassafrasstile/forwarding/_control_calls.py
+++ b/sassafrasstile/forwarding/_control_calls.py
@@ -67,7 +67,10 @@
                 fresh=fresh,
             )
             head = await _sends.read_head(context, endpoint, reply)
-            body = await reply.read_body()
+            body = await reply.read_body(web.ReadKind.CONTROL)
+        except web.BoundExceededError:
+            endpoint.health.record_failure(context.now())
+            raise
         finally:
             if reply is not None:
                 reply.close()
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -5,6 +5,7 @@
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import verdicts
+from sassafrasstile import web
 from sassafrasstile.forwarding import _attempts
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
@@ -122,7 +123,7 @@
     ) -> _base.KvHandle | None:
         context = self._context
         try:
-            body = await answered.reply.read_body()
+            body = await answered.reply.read_body(web.ReadKind.CONTROL)
             if answered.kind is not _base.AnswerKind.SUCCESS:
                 raise errors.Error(
                     code=errors.Code.ENGINE_FAILED,
--- a/sassafrasstile/platform/_gateway.py
+++ b/sassafrasstile/platform/_gateway.py
@@ -45,6 +45,7 @@
                 host=settings.store_host,
                 port=settings.store_port,
                 metrics=metrics,
+                bounds=settings.read_bounds,
             ),
             record_decoder=_records.PlatformRecordDecoder(),
             codec=_codec.PlatformCodec(),
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -7,6 +7,7 @@
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import router
+from sassafrasstile import web
 from sassafrasstile.platform import _addresses
 from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
@@ -31,6 +32,16 @@
     address: str
 
 
+class _ReadBounds(_models.Document):
+    """Bounds in bytes on what is read from endpoints and the store."""
+
+    head_bytes: int = web.ReadBounds.head_bytes
+    control_bytes: int = web.ReadBounds.control_bytes
+    answer_bytes: int = web.ReadBounds.answer_bytes
+    event_bytes: int = web.ReadBounds.event_bytes
+    store_bytes: int = web.ReadBounds.store_bytes
+
+
 class _SettingsDocument(_models.Document):
     node_name: str
     zone: str
@@ -41,6 +52,7 @@
     heartbeat_ms: float = 1200.0
     bounds: _Bounds = _Bounds()
     platform: _Store
+    read_bounds: _ReadBounds = _ReadBounds()
 
 
 class SettingsFile(router.SettingsSource):
@@ -116,4 +128,5 @@
             retry_slack=document.bounds.budget_slack,
             retry_window_s=document.bounds.retry_window_s,
         ),
+        read_bounds=web.ReadBounds(**document.read_bounds.model_dump()),
     )
--- a/sassafrasstile/platform/_store.py
+++ b/sassafrasstile/platform/_store.py
@@ -26,6 +26,9 @@
 # The epoch rises by one at each restore, so that longer numbers are malformed.
 _MAX_EPOCH_DIGITS = 6
 _MAX_WARNINGS_PER_S = 0.2
+# Records that are asked for when a page of the usual number is too large; with
+# records of the largest size they stay within the bound.
+_SHORT_PAGE_RECORDS = 8
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -83,10 +86,17 @@
         host: The store's IP address.
         port: The store's port.
         metrics: Counts the calls by outcome.
+        bounds: Bounds on what is read.
     """
 
     def __init__(
-        self, *, reactor, host: str, port: int, metrics: telemetry.RouterMetrics
+        self,
+        *,
+        reactor,
+        host: str,
+        port: int,
+        metrics: telemetry.RouterMetrics,
+        bounds: web.ReadBounds = web.DEFAULT_BOUNDS,
     ):
         self._reactor = reactor
         self._metrics = metrics
@@ -96,6 +106,8 @@
             host=host,
             port=port,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
+            bounds=bounds,
+            on_exceeded=self._record_exceeded,
         )
         self._warnings = limits.TokenBucket(rate_per_s=_MAX_WARNINGS_PER_S)
 
@@ -166,9 +178,7 @@
             "from": offset,
             "waitMs": int(wait_s * 1000),
         }
-        answer = await self._get(
-            _names.READ_PATH, query, wait_s + _CALL_TIMEOUT_S
-        )
+        answer = await self._read_page(query, wait_s + _CALL_TIMEOUT_S)
         try:
             _HEADER.unpack_from(answer.body)
             changes = _decode_records(answer.body, offset=offset)
@@ -182,6 +192,16 @@
             epoch=answer.epoch,
         )
 
+    async def _read_page(self, query: dict, timeout_s: float) -> _Answer:
+        """Reads records; fewer at once if a page of them is too large."""
+        try:
+            return await self._get(_names.READ_PATH, query, timeout_s)
+        except stores.StoreError as reason:
+            if reason.code != errors.Code.ANSWER_TOO_LARGE:
+                raise
+        query = {**query, "maxSize": _SHORT_PAGE_RECORDS}
+        return await self._get(_names.READ_PATH, query, timeout_s)
+
     async def _put(
         self, topic: str, key: str, value: bytes, at: int | None
     ) -> stores.AppendedRecord:
@@ -217,7 +237,10 @@
         try:
             head, content = await calling
         except web.ExchangeError as reason:
-            raise self._make_error(reason.detail) from reason
+            code = errors.Code.STORE_UNAVAILABLE
+            if isinstance(reason, web.BoundExceededError):
+                code = reason.code
+            raise self._make_error(reason.detail, code=code) from reason
         except defer.TimeoutError as reason:
             raise self._make_error("no response before the timeout") from reason
         epoch = self._read_epoch(head)
@@ -261,10 +284,15 @@
         )
         try:
             head = await reply.read_head()
-            return head, await reply.read_body()
+            return head, await reply.read_body(web.ReadKind.STORE)
         finally:
             reply.close()
 
+    def _record_exceeded(self, kind: web.ReadKind) -> None:
+        self._metrics.reads_too_large.labels(kind).inc()
+        if self._warnings.take(1, self._reactor.seconds()):
+            _LOG.warning("store: sent more than the bound on its %s.", kind)
+
     def _make_error(
         self,
         detail: str,
--- a/sassafrasstile/platform/tests/test_settings.py
+++ b/sassafrasstile/platform/tests/test_settings.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from sassafrasstile import errors
+from sassafrasstile import web
 from sassafrasstile.platform import _names
 from sassafrasstile.platform import _settings
 
@@ -57,6 +58,15 @@
             _settings.SettingsFile().read().propagation_limit_s, 3.0
         )
 
+    def test_bounds_on_reads(self):
+        self.write(_GOOD + "readBounds: {answerBytes: 70000}\n")
+        bounds = _settings.SettingsFile().read().read_bounds
+        self.assertEqual(bounds, web.ReadBounds(answer_bytes=70000))
+        self.write(_GOOD + "readBounds: {answerBytes: 0}\n")
+        with self.assertRaises(errors.ConfigurationError) as caught:
+            _settings.SettingsFile().read()
+        self.assertIn("answer_bytes", caught.exception.detail)
+
     def test_errors_have_a_code_and_name_the_file(self):
         cases = {
             errors.Code.CONFIG_SYNTAX: "a: [",
--- a/sassafrasstile/platform/tests/test_store.py
+++ b/sassafrasstile/platform/tests/test_store.py
@@ -3,15 +3,16 @@
 from sassafrasstile import stores
 from sassafrasstile import telemetry
 from sassafrasstile import testing
+from sassafrasstile import web
 from sassafrasstile.platform import _store
 
 _TOPIC = "keyed.t"
 
 
-class StoreEpochTest(testing.ReactorTestCase):
-    """The epoch of the store in the results and errors of its calls."""
+class StoreTestCase(testing.ReactorTestCase):
+    """Starts a store and its client."""
 
-    async def start(self):
+    async def start(self, **options):
         self.server = standins.PlatformStoreServer(reactor=self.reactor)
         self.server.start()
         self.client = _store.PlatformStore(
@@ -19,6 +20,7 @@
             host=self.server.host,
             port=self.server.port,
             metrics=telemetry.RouterMetrics(),
+            **options,
         )
 
     async def close(self):
@@ -35,6 +37,10 @@
             return reason
         raise AssertionError("the call has succeeded")
 
+
+class StoreEpochTest(StoreTestCase):
+    """The epoch of the store in the results and errors of its calls."""
+
     # Who compares the epochs must see them in every kind of result.
     @testing.on_reactor
     async def test_results_have_the_epoch(self):
@@ -83,3 +89,33 @@
         self.server.store.stated_era = ""
         self.assertIsNone((await self.put()).epoch)
         await self.close()
+
+
+class StoreBoundTest(StoreTestCase):
+    """Answers of the store that are larger than a bound."""
+
+    @testing.on_reactor
+    async def test_records_are_read_in_short_pages_if_a_page_is_too_large(self):
+        await self.start(bounds=web.ReadBounds(store_bytes=2000))
+        for _ in range(20):
+            await self.client.put(_TOPIC, key="k", value=b"v" * 200)
+        offsets = []
+        while len(offsets) < 20:
+            page = await self.client.follow(
+                _TOPIC, offset=len(offsets), wait_s=0.0
+            )
+            offsets += [change.offset for change in page.changes]
+        await self.close()
+        self.assertEqual(offsets, list(range(20)))
+
+    @testing.on_reactor
+    async def test_too_large_answer_is_an_error(self):
+        await self.start(bounds=web.ReadBounds(store_bytes=100))
+        await self.client.put(_TOPIC, key="k", value=b"v" * 200)
+        failures = [
+            await self.fail(self.client.load(_TOPIC)),
+            await self.fail(self.client.follow(_TOPIC, offset=0, wait_s=0.0)),
+        ]
+        await self.close()
+        codes = {failure.code for failure in failures}
+        self.assertEqual(codes, {errors.Code.ANSWER_TOO_LARGE})
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -168,6 +168,7 @@
             generator=self._generator,
             origins=self._origins,
             versions=self._versions,
+            read_bounds=self.settings.read_bounds,
         )
 
     def _make_records(self, record_decoder) -> _store_records.StoreRecords:
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from sassafrasstile import dispatch
+from sassafrasstile import web
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -29,6 +30,7 @@
         lease_s: Minimum time between role change orders of two different
             gateways, in seconds.
         dispatch: Settings of load balancing, retries and health checks.
+        read_bounds: Bounds on what is read from endpoints and the store.
     """
 
     name: str
@@ -46,6 +48,7 @@
     heartbeat_s: float
     lease_s: float
     dispatch: dispatch.DispatchSettings
+    read_bounds: web.ReadBounds = web.DEFAULT_BOUNDS
 
 
 class SettingsSource(abc.ABC):
--- a/sassafrasstile/standins/_platform_store.py
+++ b/sassafrasstile/standins/_platform_store.py
@@ -11,6 +11,7 @@
 
 from sassafrasstile.standins import _http_base
 
+_MAX_PAGE_RECORDS = 1024
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
 _ERA_HEADER = b"Store-Era"
@@ -194,7 +195,7 @@
             )
         wait_s = int(self._get_argument(request, "waitMs") or 0) / 1000
         if start < topic.end_offset or not wait_s:
-            return self._encode_records(topic, start)
+            return self._encode_records(request, topic, start)
         entry = (request, start)
         topic.pending_reads.append(entry)
         _http_base.track_disconnect(request)
@@ -240,10 +241,11 @@
     def _get_argument(request, name: str) -> str:
         return request.args.get(name.encode(), [b""])[0].decode()
 
-    @staticmethod
-    def _encode_records(topic: _Topic, start: int) -> bytes:
+    def _encode_records(self, request, topic: _Topic, start: int) -> bytes:
+        count = int(self._get_argument(request, "maxSize") or _MAX_PAGE_RECORDS)
+        first = start - topic.first_offset
         data = _READ_HEADER.pack(topic.end_offset, topic.first_offset)
-        for key, value in topic.records[start - topic.first_offset :]:
+        for key, value in topic.records[first : first + count]:
             name = key.encode()
             record = bytes((len(name),)) + name + value
             data += _RECORD_LENGTH.pack(len(record)) + record
@@ -251,7 +253,7 @@
 
     def _finish_read(self, request, topic: _Topic, start: int) -> None:
         if not request.is_disconnected:
-            request.write(self._encode_records(topic, start))
+            request.write(self._encode_records(request, topic, start))
             request.finish()
 
 
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -109,6 +109,11 @@
             "Requests not sent, since the endpoint wants none, by reason.",
             ("reason",),
         )
+        self.reads_too_large = self._make_counter(
+            "reads_too_large",
+            "Answers cut off at a bound on what is read, by bound.",
+            ("bound",),
+        )
         self.endpoints_leaving = self._make_gauge(
             "endpoints_leaving", "Endpoints that have announced to leave."
         )
--- a/sassafrasstile/web/__init__.py
+++ b/sassafrasstile/web/__init__.py
@@ -1,6 +1,7 @@
 """HTTP servers and connections on Twisted, shared by the other packages."""
 
 from sassafrasstile.web._admin import AdminPages
+from sassafrasstile.web._bounds import DEFAULT_BOUNDS, ReadBounds, ReadKind
 from sassafrasstile.web._ingress import (
     CallerRequest,
     IngressFactory,
@@ -10,6 +11,7 @@
 from sassafrasstile.web._linger import end_and_linger
 from sassafrasstile.web._pool import ConnectionPool
 from sassafrasstile.web._reply import (
+    BoundExceededError,
     ExchangeError,
     Headers,
     Reply,
@@ -18,12 +20,16 @@
 
 __all__ = [
     "AdminPages",
+    "BoundExceededError",
     "CallerRequest",
     "ConnectionPool",
+    "DEFAULT_BOUNDS",
     "ExchangeError",
     "Headers",
     "IngressFactory",
     "IngressRequest",
+    "ReadBounds",
+    "ReadKind",
     "Reply",
     "ResponseHead",
     "drop_hop_by_hop_headers",
--- a/sassafrasstile/web/_connection.py
+++ b/sassafrasstile/web/_connection.py
@@ -15,9 +15,11 @@
 from twisted.python import failure
 
 from sassafrasstile import errors
+from sassafrasstile.web import _bounds
 from sassafrasstile.web import _reply
 
-_MAX_HEAD_BYTES = 65536
+# With this status h11 marks an unfinished part that has become too long.
+_TOO_LONG_STATUS = 431
 # A connection to an unresponsive peer is lost after about three seconds.
 _TCP_KEEPIDLE_S = 1
 _TCP_KEEPINTVL_S = 1
@@ -89,6 +91,8 @@
         on_idle: Called when the connection may carry another request.
         on_lost: Called once when the connection is lost.
         on_activity: Called whenever bytes arrive from the server.
+        bounds: Bounds on what is read.
+        on_exceeded: Called with the kind of a bound that was exceeded.
 
     Attributes:
         is_open: True while the connection is open.
@@ -102,22 +106,25 @@
         on_idle: Callable[["HttpConnection"], None],
         on_lost: Callable[["HttpConnection"], None],
         on_activity: Callable[[], None],
+        bounds: _bounds.ReadBounds,
+        on_exceeded: Callable[[_bounds.ReadKind], None],
     ):
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._on_activity = on_activity
-        self._parser = self._make_parser()
+        self._bounds = bounds
+        self._on_exceeded = on_exceeded
+        self._parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=bounds.head_bytes
+        )
+        # Bytes received of the response, while its head is incomplete.
+        self._head_size = 0
+        self._has_head = False
         self._reply: _reply.Reply | None = None
         self.is_open = False
         self.keep_alive_s = _DEFAULT_KEEP_ALIVE_S
         self.idle_since = 0.0
 
-    @staticmethod
-    def _make_parser() -> h11.Connection:
-        return h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
-        )
-
     def connectionMade(self) -> None:  # noqa: N802
         """Handles the start of the connection."""
         self.is_open = True
@@ -154,7 +161,13 @@
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             fields.append((b"Content-Length", str(len(body)).encode()))
         request = h11.Request(method=method, target=target, headers=fields)
-        self._reply = _reply.Reply(abort=self.abort)
+        self._reply = _reply.Reply(
+            abort=self.abort,
+            bounds=self._bounds,
+            on_exceeded=self._on_exceeded,
+        )
+        self._head_size = 0
+        self._has_head = False
         data = self._parser.send(request)
         if body:
             data += self._parser.send(h11.Data(data=body))
@@ -175,12 +188,15 @@
             # No request is in flight that these bytes could answer.
             self.abort()
             return
+        if not self._has_head:
+            self._head_size += len(data)
         try:
             self._parser.receive_data(data)
             self._handle_events()
         except h11.RemoteProtocolError as reason:
-            self._fail(errors.Code.BAD_ANSWER, str(reason))
-            self.abort()
+            self._handle_protocol_error(reason)
+        if not self._has_head and self._head_size > self._bounds.head_bytes:
+            self._exceed(_bounds.ReadKind.HEAD)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -196,6 +212,21 @@
         self._fail(errors.Code.ENDPOINT_LOST, reason.getErrorMessage())
         self._on_lost(self)
 
+    def _handle_protocol_error(self, reason: h11.RemoteProtocolError) -> None:
+        if reason.error_status_hint == _TOO_LONG_STATUS:
+            has_head = self._has_head
+            kind = _bounds.ReadKind
+            self._exceed(kind.FRAMING if has_head else kind.HEAD)
+            return
+        self._fail(errors.Code.BAD_ANSWER, str(reason))
+        self.abort()
+
+    def _exceed(self, kind: _bounds.ReadKind) -> None:
+        """Fails the response, since the server sends more than is allowed."""
+        reply, self._reply = self._reply, None
+        if reply is not None:
+            reply.fail(reply.exceed(kind))
+
     def _fail(self, code: errors.Code, detail: str) -> None:
         reply, self._reply = self._reply, None
         if reply is not None:
@@ -219,6 +250,7 @@
                     return
 
     def _handle_head(self, event: h11.Response) -> None:
+        self._has_head = True
         headers = tuple(event.headers)
         head = _reply.ResponseHead(
             status=event.status_code, reason=event.reason, headers=headers
--- a/sassafrasstile/web/_pool.py
+++ b/sassafrasstile/web/_pool.py
@@ -8,6 +8,7 @@
 from twisted.internet import protocol
 
 from sassafrasstile import errors
+from sassafrasstile.web import _bounds
 from sassafrasstile.web import _connection
 from sassafrasstile.web import _reply
 
@@ -21,6 +22,9 @@
         port: The server's port.
         connect_timeout_s: Seconds until a connection attempt times out.
         on_activity: Called whenever bytes arrive from the server.
+        bounds: Bounds on what is read.
+        on_exceeded: Called with the kind of a bound that was exceeded; the
+            connection is closed then.
 
     Attributes:
         opened_count: Number of connections opened so far.
@@ -34,8 +38,12 @@
         port: int,
         connect_timeout_s: float,
         on_activity: Callable[[], None] = lambda: None,
+        bounds: _bounds.ReadBounds = _bounds.DEFAULT_BOUNDS,
+        on_exceeded: Callable[[_bounds.ReadKind], None] = lambda _kind: None,
     ):
         self._reactor = reactor
+        self._bounds = bounds
+        self._on_exceeded = on_exceeded
         self._on_activity = on_activity
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, host, port, timeout=connect_timeout_s
@@ -135,6 +143,8 @@
             on_idle=self._add_idle,
             on_lost=self._remove,
             on_activity=self._on_activity,
+            bounds=self._bounds,
+            on_exceeded=self._on_exceeded,
         )
 
     def _add_idle(self, connection: _connection.HttpConnection) -> None:
--- a/sassafrasstile/web/_reply.py
+++ b/sassafrasstile/web/_reply.py
@@ -1,12 +1,12 @@
 """The response to one request, read chunk by chunk."""
 
-import collections
 from collections.abc import Callable, Sequence
 import dataclasses
 
 from twisted.internet import defer
 
 from sassafrasstile import errors
+from sassafrasstile.web import _bounds
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -57,17 +57,43 @@
         self.was_sent = was_sent
 
 
+class BoundExceededError(ExchangeError):
+    """A server has sent more than a bound allows.
+
+    Attributes:
+        kind: What the bound is on.
+    """
+
+    def __init__(self, *, kind: _bounds.ReadKind, max_bytes: int):
+        super().__init__(
+            code=errors.Code.ANSWER_TOO_LARGE,
+            detail=f"more than {max_bytes} bytes of {kind}",
+            was_sent=True,
+        )
+        self.kind = kind
+
+
 class Reply:
     """The response to one request, filled in by its connection.
 
     Args:
         abort: Closes the connection that the response is read from.
+        bounds: Bounds on what is read.
+        on_exceeded: Called with the kind of a bound that was exceeded.
     """
 
-    def __init__(self, *, abort: Callable[[], None]):
+    def __init__(
+        self,
+        *,
+        abort: Callable[[], None],
+        bounds: _bounds.ReadBounds,
+        on_exceeded: Callable[[_bounds.ReadKind], None],
+    ):
         self._abort = abort
+        self._bounds = bounds
+        self._on_exceeded = on_exceeded
         self._head: ResponseHead | None = None
-        self._chunks: collections.deque[bytes] = collections.deque()
+        self._unread = bytearray()
         self._is_complete = False
         self._error: ExchangeError | None = None
         self._waiter: defer.Deferred | None = None
@@ -84,31 +110,60 @@
         return self._head
 
     async def read_chunk(self) -> bytes | None:
-        """Waits for the next chunk of the body.
+        """Waits for further bytes of the body.
 
         Returns:
-            The chunk, or None when the body is complete.
+            All bytes that have arrived, or None when the body is complete.
 
         Raises:
             ExchangeError: The body is incomplete.
         """
         while True:
-            if self._chunks:
-                return self._chunks.popleft()
+            if self._unread:
+                chunk = bytes(self._unread)
+                self._unread.clear()
+                return chunk
             if self._is_complete:
                 return None
             await self._wait()
 
-    async def read_body(self) -> bytes:
+    async def read_body(
+        self, kind: _bounds.ReadKind = _bounds.ReadKind.ANSWER
+    ) -> bytes:
         """Waits for the complete body.
 
+        Args:
+            kind: The kind of the body; its bound applies.
+
         Raises:
+            BoundExceededError: The body is too long.
             ExchangeError: The body is incomplete.
         """
-        chunks = []
+        max_bytes = self._bounds.get(kind)
+        body = bytearray()
         while (chunk := await self.read_chunk()) is not None:
-            chunks.append(chunk)
-        return b"".join(chunks)
+            body += chunk
+            if len(body) > max_bytes:
+                raise self.exceed(kind)
+        return bytes(body)
+
+    def exceed(self, kind: _bounds.ReadKind) -> BoundExceededError:
+        """Gives the response up, since a bound is exceeded.
+
+        Its connection is closed, unless the response is complete: then the
+        connection may carry another one by now.
+
+        Args:
+            kind: The kind of the bound.
+
+        Returns:
+            The error, for the caller to raise.
+        """
+        reason = BoundExceededError(kind=kind, max_bytes=self._bounds.get(kind))
+        self._unread.clear()
+        self.close()
+        self._on_exceeded(kind)
+        return reason
 
     def close(self) -> None:
         """Closes the connection unless the response is complete."""
@@ -135,7 +190,7 @@
 
     def add_chunk(self, chunk: bytes) -> None:
         """Adds a chunk of the body."""
-        self._chunks.append(chunk)
+        self._unread += chunk
         self._wake()
 
     def end(self) -> None:
