Events: each byte is searched once, and an event has a bound

Callers saw: all callers of a gateway waited while one stream without an event's end was searched; that stream was cut only at its deadline.

Cause: `EventSplitter` kept the unfinished event without bound and searched it from its start, twice, at each chunk.

An unfinished or complete event beyond `eventBytes` ends the stream after the events before it, with the connection closed and no last chunk to the caller.

--- a/sassafrasstile/forwarding/_events.py
+++ b/sassafrasstile/forwarding/_events.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 _ID_FIELD = b"id:"
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -21,7 +22,14 @@
 class EventSplitter:
     r"""Buffers bytes and returns complete events.
 
-    >>> splitter = EventSplitter()
+    Args:
+        max_event_bytes: The largest event that is returned.
+
+    Attributes:
+        is_exceeded: True once an event has become too large. That event isn't
+            returned, and neither is anything after it.
+
+    >>> splitter = EventSplitter(max_event_bytes=100)
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     [Event(data=b'id: 1\ndata: a\n\n', event_id='1')]
     >>> splitter.feed(b"ta: b\n\n")[0].event_id
@@ -30,8 +38,12 @@
     True
     """
 
-    def __init__(self):
-        self._buffer = b""
+    def __init__(self, *, max_event_bytes: int):
+        self._max_event_bytes = max_event_bytes
+        self._buffer = bytearray()
+        # The buffer is searched for line ends from here on.
+        self._position = 0
+        self.is_exceeded = False
 
     @property
     def is_empty(self) -> bool:
@@ -40,20 +52,39 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Adds bytes and returns the events that are now complete."""
+        if self.is_exceeded:
+            return []
         self._buffer += data
         events = []
-        while (end := self._find_end()) > 0:
-            block, self._buffer = self._buffer[:end], self._buffer[end:]
+        begin = 0
+        while (end := self._find_end(begin)) > 0:
+            if end - begin > self._max_event_bytes:
+                break
+            block = bytes(self._buffer[begin:end])
             events.append(Event(data=block, event_id=_find_id(block)))
+            begin = end
+        del self._buffer[:begin]
+        self._position -= begin
+        self.is_exceeded = len(self._buffer) > self._max_event_bytes
+        if self.is_exceeded:
+            self._buffer.clear()
         return events
 
-    def _find_end(self) -> int:
-        ends = [
-            index + len(separator)
-            for separator in (b"\n\n", b"\r\n\r\n")
-            if (index := self._buffer.find(separator)) >= 0
-        ]
-        return min(ends, default=-1)
+    def _find_end(self, begin: int) -> int:
+        """Returns where the event that begins there ends, or -1."""
+        while True:
+            line_end = _find_line_end(self._buffer, self._position)
+            if line_end < 0:
+                self._position = len(self._buffer)
+                return -1
+            self._position = line_end
+            if self._buffer.endswith(_EVENT_ENDS, begin, line_end):
+                return line_end
+
+
+def _find_line_end(data: bytearray, begin: int) -> int:
+    """Returns the position after the next line, or -1 if it is incomplete."""
+    return data.find(b"\n", begin) + 1 or -1
 
 
 def _find_id(data: bytes) -> str | None:
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -83,7 +83,9 @@
         Returns:
             None once the caller has the complete answer, else the verdict.
         """
-        splitter = _events.EventSplitter()
+        splitter = _events.EventSplitter(
+            max_event_bytes=self._context.read_bounds.event_bytes
+        )
         try:
             while True:
                 chunk = await self._read_chunk(
@@ -97,6 +99,8 @@
                         task, attempt, answered, event, progress
                     )
                 grant.update_output_tokens(self.count_tokens(task, progress))
+                if splitter.is_exceeded:
+                    raise answered.reply.exceed(web.ReadKind.EVENT)
             _check_end(splitter, progress)
         except web.ExchangeError as reason:
             return _record_break(task, attempt, progress, reason)
--- a/sassafrasstile/router/tests/test_endless_answers.py
+++ b/sassafrasstile/router/tests/test_endless_answers.py
@@ -40,6 +40,15 @@
     return standins.EndpointAnswer(segments=segments)
 
 
+def _endless_event(request):
+    """Returns a stream whose third event doesn't end."""
+    complete = standins.make_stream(request, count=2)
+    chunk = b"%x\r\n%b\r\n" % (len(_PART), _PART)
+    segments = complete.segments[:-1]
+    segments += [standins.Segment(data=chunk) for _ in range(_PARTS)]
+    return standins.EndpointAnswer(segments=segments)
+
+
 class EndlessAnswerTest(testing.PlatformTestCase):
     """They are cut off at a bound and not at the caller's deadline."""
 
@@ -119,3 +128,16 @@
         await self.close_sites()
         self.assertEqual(answer.status, 503)
         self.assertIn(b'"not_run"', answer.body)
+
+    @testing.on_reactor
+    async def test_event_without_end_breaks_the_stream_off(self):
+        site = await self.start_site(
+            "streaming", _endless_event, service="writer", targetGapMs=300
+        )
+        answer = await site.call("/a/", headers=("X-Token-Count: 9,9",))
+        await self.wait_until_disconnected(site)
+        await self.close_sites()
+        self.assertEqual(answer.data.count(b"data: token"), 2)
+        self.assertNotIn(b"xxx", answer.data)
+        self.assertFalse(answer.is_complete_stream)
+        self.assertEqual(self.count(site, "event"), 1)
