Flow control from callers to engines

Callers saw: nothing; a gateway kept all that an engine sent to a caller that doesn't read, and would be killed for its memory with all its callers' requests.

Cause: events were written to the caller's transport whatever waited there, and nothing paused the engine's connection.

Why the fix works: twisted.web's channel is the producer of its transport; it tells the request when the caller has read. The stream waits there and not in the read that is watched for silence, and an unread reply pauses its connection. A caller with a full buffer whose unsent and unacknowledged bytes don't change for `callerStallMs` is disconnected; this covers whole answers too.

--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -101,6 +101,9 @@
                 grant.update_output_tokens(self.count_tokens(task, progress))
                 if splitter.is_exceeded:
                     raise answered.reply.exceed(web.ReadKind.EVENT)
+                # Meanwhile nothing is read from the engine, and it isn't
+                # watched for silence.
+                await task.exchange.wait_until_writable()
             _check_end(splitter, progress)
         except web.ExchangeError as reason:
             return _record_break(task, attempt, progress, reason)
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -2,6 +2,7 @@
 
 import os
 
+import pydantic
 import yaml
 
 from sassafrasstile import dispatch
@@ -42,6 +43,9 @@
     store_bytes: int = web.ReadBounds.store_bytes
 
 
+_DEFAULT_CALLER_STALL_MS = web.DEFAULT_CALLER_STALL_S * _models.MS_PER_S
+
+
 class _SettingsDocument(_models.Document):
     node_name: str
     zone: str
@@ -53,6 +57,9 @@
     bounds: _Bounds = _Bounds()
     platform: _Store
     read_bounds: _ReadBounds = _ReadBounds()
+    caller_stall_ms: float = pydantic.Field(
+        default=_DEFAULT_CALLER_STALL_MS, gt=0
+    )
 
 
 class SettingsFile(router.SettingsSource):
@@ -128,5 +135,6 @@
             retry_slack=document.bounds.budget_slack,
             retry_window_s=document.bounds.retry_window_s,
         ),
+        caller_stall_s=document.caller_stall_ms / _models.MS_PER_S,
         read_bounds=web.ReadBounds(**document.read_bounds.model_dump()),
     )
--- a/sassafrasstile/platform/tests/test_settings.py
+++ b/sassafrasstile/platform/tests/test_settings.py
@@ -67,6 +67,13 @@
             _settings.SettingsFile().read()
         self.assertIn("answer_bytes", caught.exception.detail)
 
+    def test_time_for_callers_that_read_nothing(self):
+        self.write(_GOOD + "callerStallMs: 1500\n")
+        self.assertEqual(_settings.SettingsFile().read().caller_stall_s, 1.5)
+        self.write(_GOOD + "callerStallMs: 0\n")
+        with self.assertRaises(errors.ConfigurationError):
+            _settings.SettingsFile().read()
+
     def test_errors_have_a_code_and_name_the_file(self):
         cases = {
             errors.Code.CONFIG_SYNTAX: "a: [",
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -14,6 +14,7 @@
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import forwarding
+from sassafrasstile import limits
 from sassafrasstile import membership
 from sassafrasstile import peers
 from sassafrasstile import roles
@@ -41,6 +42,7 @@
 # Queued generations use capacity freed by a peer after a random delay of up to
 # this time for each live peer.
 _ADMISSION_JITTER_PER_PEER_S = 0.01
+_MAX_STALL_WARNINGS_PER_S = 1.0
 # Upper bound of this delay, however many peers are live.
 _MAX_ADMISSION_JITTER_S = 0.25
 
@@ -97,8 +99,14 @@
         self._context = self._make_context(codec)
         self._router = forwarding.Router(context=self._context)
         self._prober = forwarding.Prober(context=self._context)
+        self._stall_warnings = limits.TokenBucket(
+            rate_per_s=_MAX_STALL_WARNINGS_PER_S
+        )
         self._ingress = web.IngressFactory(
-            reactor=reactor, handler=self._router.handle
+            reactor=reactor,
+            handler=self._router.handle,
+            caller_stall_s=settings.caller_stall_s,
+            on_stall=self._record_stall,
         )
         self._topic_sharing = _topics.TopicSharing(
             reactor=reactor, name=settings.name
@@ -187,6 +195,11 @@
             on_progress=self._accept_callers_if_ready,
         )
 
+    def _record_stall(self) -> None:
+        self._metrics.callers_stalled.inc()
+        if self._stall_warnings.take(1, self._now()):
+            _LOG.warning("caller: disconnected, since it read nothing.")
+
     def _apply_limits(self, configuration: routes.Configuration) -> None:
         self._ingress.limits = configuration.limits
 
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -31,6 +31,8 @@
             gateways, in seconds.
         dispatch: Settings of load balancing, retries and health checks.
         read_bounds: Bounds on what is read from endpoints and the store.
+        caller_stall_s: Seconds after which a caller is disconnected that reads
+            nothing of what waits for it.
     """
 
     name: str
@@ -49,6 +51,7 @@
     lease_s: float
     dispatch: dispatch.DispatchSettings
     read_bounds: web.ReadBounds = web.DEFAULT_BOUNDS
+    caller_stall_s: float = web.DEFAULT_CALLER_STALL_S
 
 
 class SettingsSource(abc.ABC):
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -114,6 +114,10 @@
             "Answers cut off at a bound on what is read, by bound.",
             ("bound",),
         )
+        self.callers_stalled = self._make_counter(
+            "callers_stalled",
+            "Callers disconnected, since they read nothing.",
+        )
         self.endpoints_leaving = self._make_gauge(
             "endpoints_leaving", "Endpoints that have announced to leave."
         )
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -246,6 +246,7 @@
             are in another availability zone than the gateway.
         retry_slack: Retries that the budget allows beyond its share of the
             requests.
+        **settings: Further settings of the gateways.
 
     Attributes:
         daemon: The first gateway.
@@ -260,7 +261,9 @@
         listener: socket.socket | None = None,
         other_gateways: int = 0,
         retry_slack: float = 20.0,
+        **settings,
     ):
+        self._settings = settings
         self._retry_slack = retry_slack
         self._other_gateways = other_gateways
         self._reactor = reactor
@@ -354,6 +357,7 @@
             heartbeat_s=1.2,
             lease_s=3.0,
             dispatch=dispatch.DispatchSettings(retry_slack=self._retry_slack),
+            **self._settings,
         )
 
     def add_endpoint(
--- a/sassafrasstile/web/__init__.py
+++ b/sassafrasstile/web/__init__.py
@@ -3,6 +3,7 @@
 from sassafrasstile.web._admin import AdminPages
 from sassafrasstile.web._bounds import DEFAULT_BOUNDS, ReadBounds, ReadKind
 from sassafrasstile.web._ingress import (
+    DEFAULT_CALLER_STALL_S,
     CallerRequest,
     IngressFactory,
     IngressRequest,
@@ -24,6 +25,7 @@
     "CallerRequest",
     "ConnectionPool",
     "DEFAULT_BOUNDS",
+    "DEFAULT_CALLER_STALL_S",
     "ExchangeError",
     "Headers",
     "IngressFactory",
--- a/sassafrasstile/web/_connection.py
+++ b/sassafrasstile/web/_connection.py
@@ -163,6 +163,7 @@
         request = h11.Request(method=method, target=target, headers=fields)
         self._reply = _reply.Reply(
             abort=self.abort,
+            set_paused=self._set_paused,
             bounds=self._bounds,
             on_exceeded=self._on_exceeded,
         )
@@ -181,6 +182,15 @@
             self.is_open = False
             self.transport.abortConnection()
 
+    def _set_paused(self, is_paused: bool) -> None:
+        """Stops reading while the response isn't read, or goes on."""
+        if not self.is_open:
+            return
+        if is_paused:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handles bytes from the server."""
         self._on_activity()
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 import dataclasses
 
+from twisted.internet import defer
 from twisted.web import http
 
 from sassafrasstile import routes
 from sassafrasstile.web import _connection
 from sassafrasstile.web import _linger
 from sassafrasstile.web import _reply
+from sassafrasstile.web import _stalls
 
 # Headers that apply to a single connection and aren't forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -31,6 +33,8 @@
 _ABORT_LINGER_S = 2.0
 # A caller sends its first request within this time after it has connected.
 _FIRST_REQUEST_WAIT_S = 0.5
+# At a closed window the kernel also gives up after TCP_USER_TIMEOUT.
+DEFAULT_CALLER_STALL_S = 3.0
 _PAYLOAD_TOO_LARGE = b"HTTP/1.1 413 Payload Too Large\r\n"
 _BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n"
 _HEADERS_TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -100,6 +104,7 @@
         super().__init__(channel)
         self._body_chunks: list[bytes] = []
         self._body_size = 0
+        self._waiter: defer.Deferred | None = None
         self.is_disconnected = False
         self.has_begun = False
 
@@ -191,6 +196,18 @@
         if not self.is_disconnected:
             self.write(data)
 
+    async def wait_until_writable(self) -> None:
+        """Waits while the caller hasn't read enough of what was sent."""
+        while not self.is_disconnected and self.channel.is_full:
+            self._waiter = defer.Deferred()
+            await self._waiter
+
+    def wake_writer(self) -> None:
+        """Called when the caller has read what was sent."""
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.called:
+            waiter.callback(None)
+
     def complete(self) -> None:
         """Ends the response."""
         if self.is_disconnected:
@@ -223,6 +240,7 @@
 
     Attributes:
         is_refused: True once a request has been refused.
+        is_full: True while as much waits for the caller as may be buffered.
     """
 
     requestFactory = IngressRequest  # noqa: N815
@@ -236,6 +254,8 @@
         self._header_timer = None
         self._accepted_at = 0.0
         self._is_unused = True
+        self._stall_watch: _stalls.StallWatch | None = None
+        self.is_full = False
 
     @property
     def totalHeadersSize(self) -> int:  # noqa: N802
@@ -283,6 +303,7 @@
         """Handles the end of the connection."""
         self.factory.channels.discard(self)
         self._stop_header_timer()
+        self._stop_stall_watch()
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -296,6 +317,36 @@
             )
         super().dataReceived(data)
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Called when as much waits for the caller as may be buffered."""
+        super().pauseProducing()
+        self.is_full = True
+        if self._stall_watch is None:
+            self._stall_watch = _stalls.StallWatch(
+                reactor=self.factory.reactor,
+                transport=self.transport,
+                stall_s=self.factory.caller_stall_s,
+                on_stall=self._end_stalled,
+            )
+            self._stall_watch.start()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Called when the caller has read what was buffered."""
+        super().resumeProducing()
+        self.is_full = False
+        self._stop_stall_watch()
+        for request in list(self.requests):
+            request.wake_writer()
+
+    def _end_stalled(self) -> None:
+        self.factory.on_stall()
+        self.transport.abortConnection()
+
+    def _stop_stall_watch(self) -> None:
+        watch, self._stall_watch = self._stall_watch, None
+        if watch is not None:
+            watch.close()
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Handles a line, unless the request has been refused."""
         if not self.is_refused:
@@ -345,6 +396,9 @@
     Args:
         reactor: The reactor.
         handler: Called with a `CallerRequest` and its `IngressRequest`.
+        caller_stall_s: Seconds after which a caller is disconnected that
+            reads nothing of what waits for it.
+        on_stall: Called before such a caller is disconnected.
 
     Attributes:
         limits: Limits of callers' requests.
@@ -360,8 +414,12 @@
         *,
         reactor,
         handler: Callable[[CallerRequest, IngressRequest], None],
+        caller_stall_s: float = DEFAULT_CALLER_STALL_S,
+        on_stall: Callable[[], None] = lambda: None,
     ):
         super().__init__(reactor=reactor)
+        self.caller_stall_s = caller_stall_s
+        self.on_stall = on_stall
         self.reactor = reactor
         self.handler = handler
         self.limits = routes.CallerLimits()
--- a/sassafrasstile/web/_reply.py
+++ b/sassafrasstile/web/_reply.py
@@ -8,6 +8,8 @@
 from sassafrasstile import errors
 from sassafrasstile.web import _bounds
 
+# While more than this waits to be read, nothing is read from the connection.
+_MAX_UNREAD_BYTES = 16384
 Headers = Sequence[tuple[bytes, bytes]]
 
 
@@ -78,6 +80,7 @@
 
     Args:
         abort: Closes the connection that the response is read from.
+        set_paused: Stops reading from the connection, or goes on.
         bounds: Bounds on what is read.
         on_exceeded: Called with the kind of a bound that was exceeded.
     """
@@ -86,14 +89,17 @@
         self,
         *,
         abort: Callable[[], None],
+        set_paused: Callable[[bool], None],
         bounds: _bounds.ReadBounds,
         on_exceeded: Callable[[_bounds.ReadKind], None],
     ):
         self._abort = abort
+        self._set_paused = set_paused
         self._bounds = bounds
         self._on_exceeded = on_exceeded
         self._head: ResponseHead | None = None
         self._unread = bytearray()
+        self._is_paused = False
         self._is_complete = False
         self._error: ExchangeError | None = None
         self._waiter: defer.Deferred | None = None
@@ -122,6 +128,7 @@
             if self._unread:
                 chunk = bytes(self._unread)
                 self._unread.clear()
+                self._resume()
                 return chunk
             if self._is_complete:
                 return None
@@ -176,6 +183,11 @@
         self._waiter = defer.Deferred()
         await self._waiter
 
+    def _resume(self) -> None:
+        if self._is_paused:
+            self._is_paused = False
+            self._set_paused(False)
+
     def _wake(self) -> None:
         waiter, self._waiter = self._waiter, None
         if waiter is not None and not waiter.called:
@@ -192,10 +204,15 @@
         """Adds a chunk of the body."""
         self._unread += chunk
         self._wake()
+        if len(self._unread) > _MAX_UNREAD_BYTES and not self._is_paused:
+            self._is_paused = True
+            self._set_paused(True)
 
     def end(self) -> None:
         """Marks the body as complete."""
         self._is_complete = True
+        # The connection may carry another response next.
+        self._resume()
         self._wake()
 
     def fail(self, reason: ExchangeError) -> None:
