HTTP client of the adapters: bounds on heads, bodies and lines

Seen: a sidecar or gateway whose engine, service, log or list of VMs answers without end keeps all of it, or waits without end for a head's end.

Cause: twisted.web's client bounds one line of a head but not their number, nor the number of informational heads, and `readBody` has no bound.

Why the fix works: the connection counts what arrives while a head is incomplete, and `httpclient.read_body` collects at most the bound (4 MiB; 16 MiB for pages of the log, which has no smaller pages). The connection is closed, and adapters report what they report for a lost one.

--- a/sassafrasstile/engines/_openai.py
+++ b/sassafrasstile/engines/_openai.py
@@ -10,7 +10,6 @@
 
 from twisted.internet import defer
 from twisted.internet import error
-from twisted.web import client
 
 from sassafrasstile import errors
 from sassafrasstile import httpclient
@@ -147,7 +146,7 @@
             self._fail(work_id, errors.Code.ENGINE_FAILED, started=True)
             return
         if response.code != _HTTP_OK:
-            await client.readBody(response)
+            await httpclient.read_body(response)
             self._fail_by_status(work_id, response.code)
             return
         stream = _TokenStream(
--- a/sassafrasstile/httpclient/_client.py
+++ b/sassafrasstile/httpclient/_client.py
@@ -14,6 +14,8 @@
 from twisted.web import iweb
 from zope import interface
 
+from sassafrasstile.httpclient import _bounds
+
 # Connecting failed, so no byte of the request was sent.
 CONNECT_ERRORS = (error.ConnectError,)
 _CONNECT_TIMEOUT_S = 2.0
@@ -29,7 +31,7 @@
     """
 
     delimiter = b"\n"
-    MAX_LENGTH = 1 << 20
+    MAX_LENGTH = 65536
 
     def __init__(
         self,
@@ -86,6 +88,7 @@
     def __init__(self, *, reactor, base_url: str):
         self.base_url = base_url
         self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool._factory = _bounds.BoundedFactory
         self._pool.maxPersistentPerHost = _MAX_IDLE_CONNECTIONS
         # The pool must not resend a request when a reused connection breaks:
         # the kernel decides whether the request may be repeated.
@@ -132,8 +135,11 @@
 
         Returns:
             The HTTP status and the decoded body.
+
+        Raises:
+            BodyTooLargeError: The body is larger than `MAX_BODY_BYTES`.
         """
         data = None if body is None else json.dumps(body).encode()
         response = await self.request(method, path, body=data)
-        content = await client.readBody(response)
+        content = await _bounds.read_body(response)
         return response.code, json.loads(content) if content else None
--- a/sassafrasstile/logs/_http.py
+++ b/sassafrasstile/logs/_http.py
@@ -4,7 +4,6 @@
 import json
 
 from twisted.internet import defer
-from twisted.web import client
 
 from sassafrasstile import errors
 from sassafrasstile import httpclient
@@ -14,6 +13,8 @@
 
 _HTTP_OK = 200
 _RESPONSE_TIMEOUT_S = 2.0
+# All records that the log of a service keeps take less (docs/CAPACITY.md).
+_MAX_PAGE_BYTES = 16777216
 
 
 @plugins.register(plugins.Kind.LOG, "http")
@@ -99,7 +100,7 @@
         )
         request.addTimeout(timeout_s, self._reactor)
         response = await request
-        body_read = client.readBody(response)
+        body_read = httpclient.read_body(response, max_bytes=_MAX_PAGE_BYTES)
         body_read.addTimeout(timeout_s, self._reactor)
         content = await body_read
         return response.code, json.loads(content)
--- a/sassafrasstile/services/_http.py
+++ b/sassafrasstile/services/_http.py
@@ -3,7 +3,6 @@
 import logging
 
 from twisted.internet import defer
-from twisted.web import client
 
 from sassafrasstile import httpclient
 from sassafrasstile import messages
@@ -58,7 +57,7 @@
             request.addTimeout(call.limit_s, self._reactor)
         try:
             response = await request
-            body_read = client.readBody(response)
+            body_read = httpclient.read_body(response)
             if call.limit_s > 0:
                 body_read.addTimeout(call.limit_s, self._reactor)
             body = await body_read
