A limit on the bytes that a gateway buffers for all its requests

Callers saw: nothing yet; bounds on each request alone leave the sum open, and a process beyond its VM's memory is killed with all its callers' requests.

Cause: nothing counted what is buffered.

At the limit, a fifth of `limits.memoryMb`, the router refuses new requests with 503, `memory_limit` and Retry-After before an endpoint gets them, and a large body that still arrives is refused too. What has begun goes on.

--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -65,6 +65,7 @@
     BAD_ANSWER = "bad_answer"
     ANSWER_TOO_LARGE = "answer_too_large"
     CALLER_GONE = "caller_gone"
+    MEMORY_LIMIT = "memory_limit"
     STORE_UNAVAILABLE = "store_unavailable"
     CONFLICT = "conflict"
     HISTORY_GONE = "history_gone"
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -40,6 +40,7 @@
         origins: Knows where the streams of all gateways began, or None where
             no caller takes a stream up again.
         versions: The software versions that endpoints have had.
+        meter: Counts what is buffered for all requests.
         read_bounds: Bounds on what is read from endpoints.
         confirm_endpoints: Returns whether the known endpoints are those that
             the store lists, as of a time in seconds or later.
@@ -66,6 +67,7 @@
     versions: streams.VersionHistory = dataclasses.field(
         default_factory=streams.VersionHistory
     )
+    meter: web.BufferMeter = dataclasses.field(default_factory=web.BufferMeter)
     read_bounds: web.ReadBounds = web.DEFAULT_BOUNDS
     confirm_endpoints: Callable[[float], Awaitable[bool]] | None = None
 
@@ -106,6 +108,7 @@
                 port=endpoint.record.port,
                 connect_timeout_s=self.settings.connect_timeout_s,
                 on_activity=lambda: endpoint.health.record_activity(self.now()),
+                meter=self.meter,
                 bounds=self.read_bounds,
                 on_exceeded=lambda kind: self._record_exceeded(endpoint, kind),
             )
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -56,6 +56,9 @@
         if self._context.active_configuration.current is None:
             self._refuse(exchange, 503, errors.Code.NOT_CONFIGURED)
             return
+        if self._context.meter.is_full:
+            self._refuse(exchange, 503, errors.Code.MEMORY_LIMIT)
+            return
         try:
             task = self._make_task(request, exchange)
         except errors.RequestError as reason:
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -13,6 +13,10 @@
 from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
 
+_BYTES_PER_MB = 1000000
+# Most of a VM's memory is taken by the process itself.
+_BUFFERED_MEMORY_SHARE = 0.2
+
 
 class _Listen(_models.Document):
     frontend: str
@@ -46,6 +50,10 @@
 _DEFAULT_CALLER_STALL_MS = web.DEFAULT_CALLER_STALL_S * _models.MS_PER_S
 
 
+class _Limits(_models.Document):
+    memory_mb: float = pydantic.Field(default=0.0, ge=0)
+
+
 class _SettingsDocument(_models.Document):
     node_name: str
     zone: str
@@ -57,6 +65,9 @@
     bounds: _Bounds = _Bounds()
     platform: _Store
     read_bounds: _ReadBounds = _ReadBounds()
+    limits: _Limits = _Limits()
+    # Computed from the VM's memory unless it is set.
+    max_buffered_bytes: int | None = pydantic.Field(default=None, gt=0)
     caller_stall_ms: float = pydantic.Field(
         default=_DEFAULT_CALLER_STALL_MS, gt=0
     )
@@ -107,6 +118,14 @@
         return status.st_ino, status.st_mtime_ns, status.st_size
 
 
+def _choose_max_buffered_bytes(document: _SettingsDocument) -> int:
+    if document.max_buffered_bytes is not None:
+        return document.max_buffered_bytes
+    memory_bytes = document.limits.memory_mb * _BYTES_PER_MB
+    share = int(_BUFFERED_MEMORY_SHARE * memory_bytes)
+    return share or web.DEFAULT_MAX_BUFFERED_BYTES
+
+
 def _decode(raw: object, *, metrics_port: int) -> router.RouterSettings:
     document = _SettingsDocument.model_validate(raw)
     _, port = _addresses.split_address(document.listen.frontend)
@@ -135,6 +154,7 @@
             retry_slack=document.bounds.budget_slack,
             retry_window_s=document.bounds.retry_window_s,
         ),
+        max_buffered_bytes=_choose_max_buffered_bytes(document),
         caller_stall_s=document.caller_stall_ms / _models.MS_PER_S,
         read_bounds=web.ReadBounds(**document.read_bounds.model_dump()),
     )
--- a/sassafrasstile/platform/tests/test_settings.py
+++ b/sassafrasstile/platform/tests/test_settings.py
@@ -74,6 +74,17 @@
         with self.assertRaises(errors.ConfigurationError):
             _settings.SettingsFile().read()
 
+    def test_buffered_bytes_follow_from_the_memory(self):
+        for text, expected in (
+            ("", web.DEFAULT_MAX_BUFFERED_BYTES),
+            ("limits: {memoryMb: 100}", 20000000),
+            ("limits: {memoryMb: 100}\nmaxBufferedBytes: 70000", 70000),
+        ):
+            with self.subTest(text=text):
+                self.write(_GOOD + text)
+                settings = _settings.SettingsFile().read()
+                self.assertEqual(settings.max_buffered_bytes, expected)
+
     def test_errors_have_a_code_and_name_the_file(self):
         cases = {
             errors.Code.CONFIG_SYNTAX: "a: [",
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -96,6 +96,8 @@
         )
         self._origins = streams.OriginDirectory(reactor=reactor)
         self._versions = streams.VersionHistory()
+        self._meter = web.BufferMeter(max_bytes=settings.max_buffered_bytes)
+        metrics.buffered_bytes.set_function(lambda: self._meter.used_bytes)
         self._context = self._make_context(codec)
         self._router = forwarding.Router(context=self._context)
         self._prober = forwarding.Prober(context=self._context)
@@ -107,6 +109,7 @@
             handler=self._router.handle,
             caller_stall_s=settings.caller_stall_s,
             on_stall=self._record_stall,
+            meter=self._meter,
         )
         self._topic_sharing = _topics.TopicSharing(
             reactor=reactor, name=settings.name
@@ -176,6 +179,7 @@
             generator=self._generator,
             origins=self._origins,
             versions=self._versions,
+            meter=self._meter,
             read_bounds=self.settings.read_bounds,
         )
 
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -31,6 +31,8 @@
             gateways, in seconds.
         dispatch: Settings of load balancing, retries and health checks.
         read_bounds: Bounds on what is read from endpoints and the store.
+        max_buffered_bytes: Bytes buffered for all requests from which new ones
+            are refused.
         caller_stall_s: Seconds after which a caller is disconnected that reads
             nothing of what waits for it.
     """
@@ -51,6 +53,7 @@
     lease_s: float
     dispatch: dispatch.DispatchSettings
     read_bounds: web.ReadBounds = web.DEFAULT_BOUNDS
+    max_buffered_bytes: int = web.DEFAULT_MAX_BUFFERED_BYTES
     caller_stall_s: float = web.DEFAULT_CALLER_STALL_S
 
 
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -118,6 +118,9 @@
             "callers_stalled",
             "Callers disconnected, since they read nothing.",
         )
+        self.buffered_bytes = self._make_gauge(
+            "buffered_bytes", "Bytes buffered for all requests."
+        )
         self.endpoints_leaving = self._make_gauge(
             "endpoints_leaving", "Endpoints that have announced to leave."
         )
--- a/sassafrasstile/web/__init__.py
+++ b/sassafrasstile/web/__init__.py
@@ -10,6 +10,7 @@
     drop_hop_by_hop_headers,
 )
 from sassafrasstile.web._linger import end_and_linger
+from sassafrasstile.web._meter import DEFAULT_MAX_BUFFERED_BYTES, BufferMeter
 from sassafrasstile.web._pool import ConnectionPool
 from sassafrasstile.web._reply import (
     BoundExceededError,
@@ -22,10 +23,12 @@
 __all__ = [
     "AdminPages",
     "BoundExceededError",
+    "BufferMeter",
     "CallerRequest",
     "ConnectionPool",
     "DEFAULT_BOUNDS",
     "DEFAULT_CALLER_STALL_S",
+    "DEFAULT_MAX_BUFFERED_BYTES",
     "ExchangeError",
     "Headers",
     "IngressFactory",
--- a/sassafrasstile/web/_connection.py
+++ b/sassafrasstile/web/_connection.py
@@ -16,6 +16,7 @@
 
 from sassafrasstile import errors
 from sassafrasstile.web import _bounds
+from sassafrasstile.web import _meter
 from sassafrasstile.web import _reply
 
 # With this status h11 marks an unfinished part that has become too long.
@@ -93,6 +94,7 @@
         on_activity: Called whenever bytes arrive from the server.
         bounds: Bounds on what is read.
         on_exceeded: Called with the kind of a bound that was exceeded.
+        meter: Counts what is buffered.
 
     Attributes:
         is_open: True while the connection is open.
@@ -108,7 +110,9 @@
         on_activity: Callable[[], None],
         bounds: _bounds.ReadBounds,
         on_exceeded: Callable[[_bounds.ReadKind], None],
+        meter: _meter.BufferMeter,
     ):
+        self._meter = meter
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._on_activity = on_activity
@@ -166,6 +170,7 @@
             set_paused=self._set_paused,
             bounds=self._bounds,
             on_exceeded=self._on_exceeded,
+            meter=self._meter,
         )
         self._head_size = 0
         self._has_head = False
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -9,6 +9,7 @@
 from sassafrasstile import routes
 from sassafrasstile.web import _connection
 from sassafrasstile.web import _linger
+from sassafrasstile.web import _meter
 from sassafrasstile.web import _reply
 from sassafrasstile.web import _stalls
 
@@ -38,6 +39,9 @@
 _PAYLOAD_TOO_LARGE = b"HTTP/1.1 413 Payload Too Large\r\n"
 _BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n"
 _HEADERS_TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+_UNAVAILABLE = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+# A body is refused while it arrives only if it is larger than this.
+_LARGE_BODY_BYTES = 65536
 _REQUEST_TIMEOUT = b"HTTP/1.1 408 Request Timeout\r\n"
 _CLOSE_HEADERS = b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 
@@ -104,6 +108,7 @@
         super().__init__(channel)
         self._body_chunks: list[bytes] = []
         self._body_size = 0
+        self._share = _meter.BufferShare(meter=channel.factory.meter)
         self._waiter: defer.Deferred | None = None
         self.is_disconnected = False
         self.has_begun = False
@@ -120,9 +125,29 @@
         """Adds a chunk of the body, or refuses a body that is too large."""
         self._body_size += len(data)
         if self._body_size > self.channel.factory.limits.body_bytes:
-            self.channel.refuse(_PAYLOAD_TOO_LARGE)
+            self._refuse_body(_PAYLOAD_TOO_LARGE)
+            return
+        is_large = self._body_size > _LARGE_BODY_BYTES
+        if is_large and self.channel.factory.meter.is_full:
+            self._refuse_body(_UNAVAILABLE)
             return
         self._body_chunks.append(data)
+        self._share.set(self._body_size)
+
+    def _refuse_body(self, status_line: bytes) -> None:
+        self._body_chunks = []
+        self._share.set(0)
+        self.channel.refuse(status_line)
+
+    def finish(self) -> None:
+        """Ends the response."""
+        self._share.set(0)
+        super().finish()
+
+    def connectionLost(self, reason) -> None:  # noqa: N802
+        """Handles the end of the connection."""
+        self._share.set(0)
+        super().connectionLost(reason)
 
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
@@ -195,6 +220,7 @@
         """Sends a chunk of the body."""
         if not self.is_disconnected:
             self.write(data)
+            self.channel.count_buffered()
 
     async def wait_until_writable(self) -> None:
         """Waits while the caller hasn't read enough of what was sent."""
@@ -254,6 +280,7 @@
         self._header_timer = None
         self._accepted_at = 0.0
         self._is_unused = True
+        self._share = _meter.BufferShare(meter=factory.meter)
         self._stall_watch: _stalls.StallWatch | None = None
         self.is_full = False
 
@@ -304,6 +331,8 @@
         self.factory.channels.discard(self)
         self._stop_header_timer()
         self._stop_stall_watch()
+        self.is_full = False
+        self._share.set(0)
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -321,6 +350,7 @@
         """Called when as much waits for the caller as may be buffered."""
         super().pauseProducing()
         self.is_full = True
+        self.count_buffered()
         if self._stall_watch is None:
             self._stall_watch = _stalls.StallWatch(
                 reactor=self.factory.reactor,
@@ -334,10 +364,16 @@
         """Called when the caller has read what was buffered."""
         super().resumeProducing()
         self.is_full = False
+        self._share.set(0)
         self._stop_stall_watch()
         for request in list(self.requests):
             request.wake_writer()
 
+    def count_buffered(self) -> None:
+        """Counts what waits for a caller who doesn't read."""
+        if self.is_full:
+            self._share.set(_stalls.count_buffered(self.transport))
+
     def _end_stalled(self) -> None:
         self.factory.on_stall()
         self.transport.abortConnection()
@@ -399,6 +435,7 @@
         caller_stall_s: Seconds after which a caller is disconnected that
             reads nothing of what waits for it.
         on_stall: Called before such a caller is disconnected.
+        meter: Counts what is buffered, or None.
 
     Attributes:
         limits: Limits of callers' requests.
@@ -416,10 +453,12 @@
         handler: Callable[[CallerRequest, IngressRequest], None],
         caller_stall_s: float = DEFAULT_CALLER_STALL_S,
         on_stall: Callable[[], None] = lambda: None,
+        meter: _meter.BufferMeter | None = None,
     ):
         super().__init__(reactor=reactor)
         self.caller_stall_s = caller_stall_s
         self.on_stall = on_stall
+        self.meter = meter or _meter.BufferMeter()
         self.reactor = reactor
         self.handler = handler
         self.limits = routes.CallerLimits()
--- a/sassafrasstile/web/_pool.py
+++ b/sassafrasstile/web/_pool.py
@@ -10,6 +10,7 @@
 from sassafrasstile import errors
 from sassafrasstile.web import _bounds
 from sassafrasstile.web import _connection
+from sassafrasstile.web import _meter
 from sassafrasstile.web import _reply
 
 
@@ -25,6 +26,7 @@
         bounds: Bounds on what is read.
         on_exceeded: Called with the kind of a bound that was exceeded; the
             connection is closed then.
+        meter: Counts what is buffered, or None.
 
     Attributes:
         opened_count: Number of connections opened so far.
@@ -40,7 +42,9 @@
         on_activity: Callable[[], None] = lambda: None,
         bounds: _bounds.ReadBounds = _bounds.DEFAULT_BOUNDS,
         on_exceeded: Callable[[_bounds.ReadKind], None] = lambda _kind: None,
+        meter: _meter.BufferMeter | None = None,
     ):
+        self._meter = meter or _meter.BufferMeter()
         self._reactor = reactor
         self._bounds = bounds
         self._on_exceeded = on_exceeded
@@ -145,6 +149,7 @@
             on_activity=self._on_activity,
             bounds=self._bounds,
             on_exceeded=self._on_exceeded,
+            meter=self._meter,
         )
 
     def _add_idle(self, connection: _connection.HttpConnection) -> None:
--- a/sassafrasstile/web/_reply.py
+++ b/sassafrasstile/web/_reply.py
@@ -7,6 +7,7 @@
 
 from sassafrasstile import errors
 from sassafrasstile.web import _bounds
+from sassafrasstile.web import _meter
 
 # While more than this waits to be read, nothing is read from the connection.
 _MAX_UNREAD_BYTES = 16384
@@ -83,6 +84,7 @@
         set_paused: Stops reading from the connection, or goes on.
         bounds: Bounds on what is read.
         on_exceeded: Called with the kind of a bound that was exceeded.
+        meter: Counts what is buffered.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         set_paused: Callable[[bool], None],
         bounds: _bounds.ReadBounds,
         on_exceeded: Callable[[_bounds.ReadKind], None],
+        meter: _meter.BufferMeter,
     ):
         self._abort = abort
         self._set_paused = set_paused
@@ -99,6 +102,8 @@
         self._on_exceeded = on_exceeded
         self._head: ResponseHead | None = None
         self._unread = bytearray()
+        self._body = bytearray()
+        self._share = _meter.BufferShare(meter=meter)
         self._is_paused = False
         self._is_complete = False
         self._error: ExchangeError | None = None
@@ -128,6 +133,7 @@
             if self._unread:
                 chunk = bytes(self._unread)
                 self._unread.clear()
+                self._count()
                 self._resume()
                 return chunk
             if self._is_complete:
@@ -147,12 +153,16 @@
             ExchangeError: The body is incomplete.
         """
         max_bytes = self._bounds.get(kind)
-        body = bytearray()
-        while (chunk := await self.read_chunk()) is not None:
-            body += chunk
-            if len(body) > max_bytes:
-                raise self.exceed(kind)
-        return bytes(body)
+        try:
+            while (chunk := await self.read_chunk()) is not None:
+                self._body += chunk
+                self._count()
+                if len(self._body) > max_bytes:
+                    raise self.exceed(kind)
+            return bytes(self._body)
+        finally:
+            self._body = bytearray()
+            self._count()
 
     def exceed(self, kind: _bounds.ReadKind) -> BoundExceededError:
         """Gives the response up, since a bound is exceeded.
@@ -167,13 +177,14 @@
             The error, for the caller to raise.
         """
         reason = BoundExceededError(kind=kind, max_bytes=self._bounds.get(kind))
-        self._unread.clear()
         self.close()
         self._on_exceeded(kind)
         return reason
 
     def close(self) -> None:
-        """Closes the connection unless the response is complete."""
+        """Drops what is unread; closes an incomplete response's connection."""
+        self._unread.clear()
+        self._count()
         if not self._is_complete:
             self._abort()
 
@@ -183,6 +194,9 @@
         self._waiter = defer.Deferred()
         await self._waiter
 
+    def _count(self) -> None:
+        self._share.set(len(self._unread) + len(self._body))
+
     def _resume(self) -> None:
         if self._is_paused:
             self._is_paused = False
@@ -203,6 +217,7 @@
     def add_chunk(self, chunk: bytes) -> None:
         """Adds a chunk of the body."""
         self._unread += chunk
+        self._count()
         self._wake()
         if len(self._unread) > _MAX_UNREAD_BYTES and not self._is_paused:
             self._is_paused = True
--- a/sassafrasstile/web/_stalls.py
+++ b/sassafrasstile/web/_stalls.py
@@ -23,6 +23,12 @@
     return buffered, _QUEUE_SIZE.unpack(queued)[0]
 
 
+def count_buffered(transport) -> int:
+    """Returns the bytes that wait in this process to be sent."""
+    buffered = len(transport.dataBuffer) - transport.offset
+    return buffered + transport._tempDataLen
+
+
 class StallWatch:
     """Calls a function when nothing has been sent for some time.
 
