The largest buffers are given up when refusing new work isn't enough

Cause: the limit on all buffers only refused new requests.

Why the fix works: from one and a half times the limit on, the largest incomplete answer, or the caller with the largest full buffer, is ended as at any other bound. A complete answer isn't dropped before it is passed on, so that nothing cut looks whole. The tests of the limit itself switch this off, since their answers are larger than their limit by design. The limit is now 15% of the VM's memory instead of 20%.

--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -122,9 +122,8 @@
         self.metrics.reads_too_large.labels(kind).inc()
         if self._warnings.take(1, self.now()):
             _LOG.warning(
-                "read: endpoint %s sent more than %d bytes of %s.",
+                "read: endpoint %s sent more than the bound on %s.",
                 endpoint.name,
-                self.read_bounds.get(kind),
                 kind,
                 extra={"endpoint": endpoint.name, "outcome": kind.value},
             )
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -15,7 +15,7 @@
 
 _BYTES_PER_MB = 1000000
 # Most of a VM's memory is taken by the process itself.
-_BUFFERED_MEMORY_SHARE = 0.2
+_BUFFERED_MEMORY_SHARE = 0.15
 
 
 class _Listen(_models.Document):
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -96,7 +96,10 @@
         )
         self._origins = streams.OriginDirectory(reactor=reactor)
         self._versions = streams.VersionHistory()
-        self._meter = web.BufferMeter(max_bytes=settings.max_buffered_bytes)
+        self._meter = web.BufferMeter(
+            max_bytes=settings.max_buffered_bytes,
+            on_drop=metrics.buffers_dropped.inc,
+        )
         metrics.buffered_bytes.set_function(lambda: self._meter.used_bytes)
         self._context = self._make_context(codec)
         self._router = forwarding.Router(context=self._context)
--- a/sassafrasstile/router/tests/test_buffer_limit.py
+++ b/sassafrasstile/router/tests/test_buffer_limit.py
@@ -1,7 +1,10 @@
 """The limit on what a gateway buffers for all its requests."""
 
+from unittest import mock
+
 from sassafrasstile import standins
 from sassafrasstile import testing
+from sassafrasstile.web import _meter
 
 _MAX_BUFFERED_BYTES = 300000
 _UNAVAILABLE = 503
@@ -9,6 +12,7 @@
 # More than the buffers of the kernel take.
 _HUGE = b"x" * 4000000
 _CALLERS = 3
+_SMALL_BYTES = 100000
 _FIRST_BYTES = 400000
 
 
@@ -25,6 +29,12 @@
         await self.wait_until_ready(site)
         return site
 
+    def drop_nothing(self):
+        """Lets answers be much larger than the limit."""
+        patch = mock.patch.object(_meter, "_DROP_FACTOR", 100.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+
     def is_full(self, site):
         return site.daemon._meter.is_full
 
@@ -52,6 +62,7 @@
             body = _HUGE if is_large else b"ok"
             return standins.make_answer(request, body=body)
 
+        self.drop_nothing()
         site = await self.start_site(script)
         callers = [await site.connect() for _ in range(_CALLERS)]
         for number, caller in enumerate(callers):
@@ -81,6 +92,7 @@
                 ]
             )
 
+        self.drop_nothing()
         site = await self.start_site(script)
         caller = await site.connect()
         caller.send(testing.make_request("/a/large"))
@@ -90,6 +102,37 @@
         self.assertEqual(answer.body, _LARGE)
         await self.check_served(site)
 
+    # All calls began before anything was buffered, so that none was refused.
+    @testing.on_reactor
+    async def test_largest_answers_are_given_up(self):
+        def script(request):
+            if request.target != "/a/large":
+                return standins.make_answer(request)
+            data = standins.make_answer(request, body=_LARGE).segments[0].data
+            size = _FIRST_BYTES if request.request_id == "r0" else _SMALL_BYTES
+            return standins.EndpointAnswer(
+                segments=[
+                    standins.Segment(data=data[:size], after_s=0.2),
+                    standins.Segment(data=data[size:], after_s=1.0),
+                ]
+            )
+
+        site = await self.start_site(script)
+        callers = [await site.connect() for _ in range(_CALLERS)]
+        for number, caller in enumerate(callers):
+            caller.send(
+                testing.make_request("/a/large", request_id=f"r{number}")
+            )
+        first = await callers[0].read_all()
+        self.assertEqual(first.status, 502)
+        self.assertIn(b"answer_too_large", first.body)
+        self.assertLessEqual(
+            site.daemon._meter.used_bytes, 1.5 * _MAX_BUFFERED_BYTES
+        )
+        for caller in callers[1:]:
+            await caller.read_all()
+        await self.check_served(site)
+
     @testing.on_reactor
     async def test_bodies_of_requests(self):
         site = await self.start_site(maxBodyBytes=2 * len(_LARGE))
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -121,6 +121,10 @@
         self.buffered_bytes = self._make_gauge(
             "buffered_bytes", "Bytes buffered for all requests."
         )
+        self.buffers_dropped = self._make_counter(
+            "buffers_dropped",
+            "Answers and callers given up, since too much was buffered.",
+        )
         self.endpoints_leaving = self._make_gauge(
             "endpoints_leaving", "Endpoints that have announced to leave."
         )
--- a/sassafrasstile/web/_bounds.py
+++ b/sassafrasstile/web/_bounds.py
@@ -15,6 +15,7 @@
         ANSWER: The body of an answer that is meant for a caller.
         EVENT: One event of a stream.
         STORE: The body of an answer of the store.
+        TOTAL: What is buffered for all requests together.
     """
 
     HEAD = "head"
@@ -23,6 +24,7 @@
     ANSWER = "answer"
     EVENT = "event"
     STORE = "store"
+    TOTAL = "total"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -68,6 +70,9 @@
                 return self.event_bytes
             case ReadKind.STORE:
                 return self.store_bytes
+            case ReadKind.TOTAL:
+                # Whoever buffers for all requests has its own limit.
+                return 0
 
 
 DEFAULT_BOUNDS = ReadBounds()
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -280,7 +280,7 @@
         self._header_timer = None
         self._accepted_at = 0.0
         self._is_unused = True
-        self._share = _meter.BufferShare(meter=factory.meter)
+        self._share = _meter.BufferShare(meter=factory.meter, drop=self._drop)
         self._stall_watch: _stalls.StallWatch | None = None
         self.is_full = False
 
@@ -374,6 +374,10 @@
         if self.is_full:
             self._share.set(_stalls.count_buffered(self.transport))
 
+    def _drop(self) -> None:
+        """Disconnects a caller, since too much is buffered in all."""
+        self.transport.abortConnection()
+
     def _end_stalled(self) -> None:
         self.factory.on_stall()
         self.transport.abortConnection()
--- a/sassafrasstile/web/_reply.py
+++ b/sassafrasstile/web/_reply.py
@@ -103,7 +103,8 @@
         self._head: ResponseHead | None = None
         self._unread = bytearray()
         self._body = bytearray()
-        self._share = _meter.BufferShare(meter=meter)
+        self._is_closed = False
+        self._share = _meter.BufferShare(meter=meter, drop=self._drop)
         self._is_paused = False
         self._is_complete = False
         self._error: ExchangeError | None = None
@@ -183,6 +184,7 @@
 
     def close(self) -> None:
         """Drops what is unread; closes an incomplete response's connection."""
+        self._is_closed = True
         self._unread.clear()
         self._count()
         if not self._is_complete:
@@ -194,6 +196,10 @@
         self._waiter = defer.Deferred()
         await self._waiter
 
+    def _drop(self) -> None:
+        """Gives the response up, since too much is buffered in all."""
+        self.fail(self.exceed(_bounds.ReadKind.TOTAL))
+
     def _count(self) -> None:
         self._share.set(len(self._unread) + len(self._body))
 
@@ -216,6 +222,8 @@
 
     def add_chunk(self, chunk: bytes) -> None:
         """Adds a chunk of the body."""
+        if self._is_closed:
+            return
         self._unread += chunk
         self._count()
         self._wake()
@@ -226,6 +234,9 @@
     def end(self) -> None:
         """Marks the body as complete."""
         self._is_complete = True
+        # What has arrived completely can be passed on, which frees it.
+        self._share.drop = None
+        self._count()
         # The connection may carry another response next.
         self._resume()
         self._wake()
