Fault soak: answers without end, and a bound on gateways' memory

With `--endless`, endpoints answer for up to a second with a body, an event, a head or informational heads of 26 MB that don't end; random numbers of their own keep the seeds' other faults. No gateway may grow by more than twice one and a half times what it may buffer.

--- a/sassafrasstile/faultsoak/__main__.py
+++ b/sassafrasstile/faultsoak/__main__.py
@@ -21,6 +21,7 @@
     seeds: int = 1,
     seconds: float = 30.0,
     faults: bool = True,
+    endless: bool = False,
 ) -> int:
     """Run one seed after another; exit 1 when a guarantee was violated.
 
@@ -29,6 +30,7 @@
         seeds: The number of seeds.
         seconds: How long callers send requests, per seed.
         faults: Inject faults; `make demo-platform` uses `--no-faults`.
+        endless: Let answers of endpoints have no end.
     """
     failed_seeds = 0
     for run_seed in range(seed, seed + seeds):
@@ -39,6 +41,7 @@
             faults=faults,
             notices=faults,
             silences=faults,
+            endless=endless,
         )
         report = testing.run(run.run)
         failed_seeds += bool(report.violations)
--- a/sassafrasstile/faultsoak/_endpoints.py
+++ b/sassafrasstile/faultsoak/_endpoints.py
@@ -1,6 +1,7 @@
 """Scripted endpoints that count executions."""
 
 import collections
+from collections.abc import Callable
 import json
 import random
 
@@ -41,6 +42,7 @@
     Attributes:
         is_leaving: True while its answers are drain notices.
         is_shedding: True while it refuses everything and asks for a back-off.
+        replace_answer: Returns its answers to requests that it runs, or None.
     """
 
     def __init__(
@@ -62,6 +64,9 @@
         self.name = name
         self.is_leaving = False
         self.is_shedding = False
+        self.replace_answer: (
+            Callable[[standins.EndpointRequest], standins.EndpointAnswer] | None
+        ) = None
         self.stage = stage
         self.failure_probability = 0.0
         self.server = standins.PlatformEndpoint(
@@ -132,6 +137,8 @@
         if self._generator.random() < 0.03:
             return standins.make_refusal(request)
         self._execution_log.counts[request.request_id] += 1
+        if self.replace_answer is not None:
+            return self.replace_answer(request)
         if self._generator.random() < self.failure_probability:
             return self._fail(request)
         if self.stage == "decode":
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -14,6 +14,7 @@
 from sassafrasstile import standins
 from sassafrasstile import testing
 from sassafrasstile.faultsoak import _callers
+from sassafrasstile.faultsoak import _endless
 from sassafrasstile.faultsoak import _endpoints
 from sassafrasstile.faultsoak import _gateways
 from sassafrasstile.faultsoak import _notice_faults
@@ -71,6 +72,7 @@
         faults: Whether to disturb processes, links and the store.
         notices: Whether endpoints leave and shed load.
         silences: Whether engines fall silent for about a second and go on.
+        endless: Whether answers of endpoints have no end.
         arguments: The interpreter's arguments that start a gateway.
         states_epoch: Whether the store's answers show when it was restored.
     """
@@ -85,6 +87,7 @@
         faults: bool = True,
         notices: bool = True,
         silences: bool = True,
+        endless: bool = False,
         arguments: Sequence[str] = _gateways.ARGUMENTS,
         states_epoch: bool = True,
     ):
@@ -95,6 +98,7 @@
         self._has_faults = faults
         self._has_notices = notices
         self._has_silences = silences
+        self._has_endless = endless
         self._generator = random.Random(seed)
         self._notice_generator = random.Random(f"notices {seed}")
         self._notice_log = _notice_log.NoticeLog()
@@ -111,6 +115,7 @@
         self._returning = _versions.ReturningCallers(
             reactor=reactor, gateways=self.gateways, seed=seed
         )
+        self._endless_faults: _endless.EndlessFaults | None = None
         self._fault_counts: collections.Counter[str] = collections.Counter()
         self._running_faults: list[defer.Deferred] = []
         self._restores = _restores.StoreRestores(
@@ -147,6 +152,10 @@
             self._start_restores(callers.stop_sending_at)
         if self._has_notices:
             self._running_faults.append(self._start_notice_faults(callers))
+        if self._has_endless:
+            self._running_faults.append(
+                self._start_endless_faults(callers.stop_sending_at)
+            )
         if self._has_silences:
             silencing = silent_engines.run(callers.stop_sending_at)
             self._running_faults.append(testing.spawn(silencing))
@@ -183,6 +192,11 @@
                 *self._returning.violations,
                 *silent_engines.violations,
                 *self._restores.violations,
+                *(
+                    self._endless_faults.violations
+                    if self._endless_faults
+                    else ()
+                ),
             ],
         )
 
@@ -369,6 +383,16 @@
         )
         return testing.spawn(faults.run(callers.stop_sending_at))
 
+    def _start_endless_faults(self, until: float) -> defer.Deferred:
+        self._endless_faults = _endless.EndlessFaults(
+            reactor=self._reactor,
+            endpoints=self.endpoints,
+            gateways=self.gateways,
+            generator=random.Random(f"endless {self._seed}"),
+            counts=self._fault_counts,
+        )
+        return testing.spawn(self._endless_faults.run(until))
+
     def _disturb(self, name: str) -> _notice_log.Disturbance:
         """Records that a gateway or link can't be expected to work."""
         return self._notice_log.disturb(name, self._reactor.seconds())
