--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -88,7 +88,9 @@
         Returns:
             None once the caller has the complete answer, else the verdict.
         """
-        splitter = _events.EventSplitter()
+        splitter = _events.EventSplitter(
+            max_event_bytes=self._context.read_bounds.event_bytes
+        )
         try:
             while True:
                 chunk = await self._read_chunk(
@@ -103,6 +105,11 @@
                     )
                     run_watch.record_event(progress.sent_at)
                 grant.update_output_tokens(self.count_tokens(task, progress))
+                if splitter.is_exceeded:
+                    raise answered.reply.exceed(web.ReadKind.EVENT)
+                # Meanwhile nothing is read from the engine, and it isn't
+                # watched for silence.
+                await task.exchange.wait_until_writable()
             _check_end(splitter, progress)
         except web.ExchangeError as reason:
             if reason.code in _LOSS_CODES:
--- a/sassafrasstile/platform/tests/test_settings.py
+++ b/sassafrasstile/platform/tests/test_settings.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from sassafrasstile import errors
+from sassafrasstile import web
 from sassafrasstile.platform import _names
 from sassafrasstile.platform import _settings
 
@@ -57,6 +58,33 @@
             _settings.SettingsFile().read().propagation_limit_s, 3.0
         )
 
+    def test_bounds_on_reads(self):
+        self.write(_GOOD + "readBounds: {answerBytes: 70000}\n")
+        bounds = _settings.SettingsFile().read().read_bounds
+        self.assertEqual(bounds, web.ReadBounds(answer_bytes=70000))
+        self.write(_GOOD + "readBounds: {answerBytes: 0}\n")
+        with self.assertRaises(errors.ConfigurationError) as caught:
+            _settings.SettingsFile().read()
+        self.assertIn("answer_bytes", caught.exception.detail)
+
+    def test_time_for_callers_that_read_nothing(self):
+        self.write(_GOOD + "callerStallMs: 1500\n")
+        self.assertEqual(_settings.SettingsFile().read().caller_stall_s, 1.5)
+        self.write(_GOOD + "callerStallMs: 0\n")
+        with self.assertRaises(errors.ConfigurationError):
+            _settings.SettingsFile().read()
+
+    def test_buffered_bytes_follow_from_the_memory(self):
+        for text, expected in (
+            ("", web.DEFAULT_MAX_BUFFERED_BYTES),
+            ("limits: {memoryMb: 100}", 15000000),
+            ("limits: {memoryMb: 100}\nmaxBufferedBytes: 70000", 70000),
+        ):
+            with self.subTest(text=text):
+                self.write(_GOOD + text)
+                settings = _settings.SettingsFile().read()
+                self.assertEqual(settings.max_buffered_bytes, expected)
+
     def test_errors_have_a_code_and_name_the_file(self):
         cases = {
             errors.Code.CONFIG_SYNTAX: "a: [",
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -14,6 +14,7 @@
 from sassafrasstile import dispatch
 from sassafrasstile import errors
 from sassafrasstile import forwarding
+from sassafrasstile import limits
 from sassafrasstile import membership
 from sassafrasstile import peers
 from sassafrasstile import quarantine
@@ -42,6 +43,7 @@
 # Queued generations use capacity freed by a peer after a random delay of up to
 # this time for each live peer.
 _ADMISSION_JITTER_PER_PEER_S = 0.01
+_MAX_STALL_WARNINGS_PER_S = 1.0
 # Upper bound of this delay, however many peers are live.
 _MAX_ADMISSION_JITTER_S = 0.25
 
@@ -98,11 +100,23 @@
         self._quarantine = quarantine.Quarantine(
             reactor=reactor, generator=self._generator
         )
+        self._meter = web.BufferMeter(
+            max_bytes=settings.max_buffered_bytes,
+            on_drop=metrics.buffers_dropped.inc,
+        )
+        metrics.buffered_bytes.set_function(lambda: self._meter.used_bytes)
         self._context = self._make_context(codec)
         self._router = forwarding.Router(context=self._context)
         self._prober = forwarding.Prober(context=self._context)
+        self._stall_warnings = limits.TokenBucket(
+            rate_per_s=_MAX_STALL_WARNINGS_PER_S
+        )
         self._ingress = web.IngressFactory(
-            reactor=reactor, handler=self._router.handle
+            reactor=reactor,
+            handler=self._router.handle,
+            caller_stall_s=settings.caller_stall_s,
+            on_stall=self._record_stall,
+            meter=self._meter,
         )
         self._topic_sharing = _topics.TopicSharing(
             reactor=reactor, name=settings.name
@@ -175,6 +189,8 @@
             prompts=self._quarantine,
             origins=self._origins,
             versions=self._versions,
+            meter=self._meter,
+            read_bounds=self.settings.read_bounds,
         )
 
     def _make_records(self, record_decoder) -> _store_records.StoreRecords:
@@ -193,6 +209,11 @@
             on_progress=self._accept_callers_if_ready,
         )
 
+    def _record_stall(self) -> None:
+        self._metrics.callers_stalled.inc()
+        if self._stall_warnings.take(1, self._now()):
+            _LOG.warning("caller: disconnected, since it read nothing.")
+
     def _apply_limits(self, configuration: routes.Configuration) -> None:
         self._ingress.limits = configuration.limits
 
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from sassafrasstile import dispatch
+from sassafrasstile import web
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -29,6 +30,11 @@
         lease_s: Minimum time between role change orders of two different
             gateways, in seconds.
         dispatch: Settings of load balancing, retries and health checks.
+        read_bounds: Bounds on what is read from endpoints and the store.
+        max_buffered_bytes: Bytes buffered for all requests from which new ones
+            are refused.
+        caller_stall_s: Seconds after which a caller is disconnected that reads
+            nothing of what waits for it.
     """
 
     name: str
@@ -46,6 +52,9 @@
     heartbeat_s: float
     lease_s: float
     dispatch: dispatch.DispatchSettings
+    read_bounds: web.ReadBounds = web.DEFAULT_BOUNDS
+    max_buffered_bytes: int = web.DEFAULT_MAX_BUFFERED_BYTES
+    caller_stall_s: float = web.DEFAULT_CALLER_STALL_S
 
 
 class SettingsSource(abc.ABC):
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -109,6 +109,22 @@
             "Requests not sent, since the endpoint wants none, by reason.",
             ("reason",),
         )
+        self.reads_too_large = self._make_counter(
+            "reads_too_large",
+            "Answers cut off at a bound on what is read, by bound.",
+            ("bound",),
+        )
+        self.callers_stalled = self._make_counter(
+            "callers_stalled",
+            "Callers disconnected, since they read nothing.",
+        )
+        self.buffered_bytes = self._make_gauge(
+            "buffered_bytes", "Bytes buffered for all requests."
+        )
+        self.buffers_dropped = self._make_counter(
+            "buffers_dropped",
+            "Answers and callers given up, since too much was buffered.",
+        )
         self.endpoints_leaving = self._make_gauge(
             "endpoints_leaving", "Endpoints that have announced to leave."
         )
--- a/sassafrasstile/web/__init__.py
+++ b/sassafrasstile/web/__init__.py
@@ -1,15 +1,19 @@
 """HTTP servers and connections on Twisted, shared by the other packages."""
 
 from sassafrasstile.web._admin import AdminPages
+from sassafrasstile.web._bounds import DEFAULT_BOUNDS, ReadBounds, ReadKind
 from sassafrasstile.web._ingress import (
+    DEFAULT_CALLER_STALL_S,
     CallerRequest,
     IngressFactory,
     IngressRequest,
     drop_hop_by_hop_headers,
 )
 from sassafrasstile.web._linger import end_and_linger
+from sassafrasstile.web._meter import DEFAULT_MAX_BUFFERED_BYTES, BufferMeter
 from sassafrasstile.web._pool import ConnectionPool
 from sassafrasstile.web._reply import (
+    BoundExceededError,
     ExchangeError,
     Headers,
     Reply,
@@ -18,12 +22,19 @@
 
 __all__ = [
     "AdminPages",
+    "BoundExceededError",
+    "BufferMeter",
     "CallerRequest",
     "ConnectionPool",
+    "DEFAULT_BOUNDS",
+    "DEFAULT_CALLER_STALL_S",
+    "DEFAULT_MAX_BUFFERED_BYTES",
     "ExchangeError",
     "Headers",
     "IngressFactory",
     "IngressRequest",
+    "ReadBounds",
+    "ReadKind",
     "Reply",
     "ResponseHead",
     "drop_hop_by_hop_headers",
--- a/sassafrasstile/web/_connection.py
+++ b/sassafrasstile/web/_connection.py
@@ -15,11 +15,14 @@
 from twisted.python import failure
 
 from sassafrasstile import errors
+from sassafrasstile.web import _bounds
+from sassafrasstile.web import _meter
 from sassafrasstile.web import _reply
 
-_MAX_HEAD_BYTES = 65536
 # A connection to an unresponsive peer is lost after about this time.
 LOSS_TIMEOUT_S = 3.0
+# With this status h11 marks an unfinished part that has become too long.
+_TOO_LONG_STATUS = 431
 _TCP_KEEPIDLE_S = 1
 _TCP_KEEPINTVL_S = 1
 _MS_PER_S = 1000
@@ -103,6 +106,9 @@
         on_activity: Called whenever bytes arrive from the server.
         loss_timeout_s: Seconds without a sign of life after which the
             connection is lost while it carries a request.
+        bounds: Bounds on what is read.
+        on_exceeded: Called with the kind of a bound that was exceeded.
+        meter: Counts what is buffered.
 
     Attributes:
         is_open: True while the connection is open.
@@ -116,24 +122,29 @@
         on_idle: Callable[["HttpConnection"], None],
         on_lost: Callable[["HttpConnection"], None],
         on_activity: Callable[[], None],
+        bounds: _bounds.ReadBounds,
+        on_exceeded: Callable[[_bounds.ReadKind], None],
+        meter: _meter.BufferMeter,
         loss_timeout_s: float = LOSS_TIMEOUT_S,
     ):
         self._loss_timeout_s = loss_timeout_s
+        self._meter = meter
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._on_activity = on_activity
-        self._parser = self._make_parser()
+        self._bounds = bounds
+        self._on_exceeded = on_exceeded
+        self._parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=bounds.head_bytes
+        )
+        # Bytes received of the response, while its head is incomplete.
+        self._head_size = 0
+        self._has_head = False
         self._reply: _reply.Reply | None = None
         self.is_open = False
         self.keep_alive_s = _DEFAULT_KEEP_ALIVE_S
         self.idle_since = 0.0
 
-    @staticmethod
-    def _make_parser() -> h11.Connection:
-        return h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
-        )
-
     def connectionMade(self) -> None:  # noqa: N802
         """Handles the start of the connection."""
         self.is_open = True
@@ -170,8 +181,16 @@
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             fields.append((b"Content-Length", str(len(body)).encode()))
         request = h11.Request(method=method, target=target, headers=fields)
-        self._reply = _reply.Reply(abort=self.abort)
         self._change_loss_timeout(self._loss_timeout_s)
+        self._reply = _reply.Reply(
+            abort=self.abort,
+            set_paused=self._set_paused,
+            bounds=self._bounds,
+            on_exceeded=self._on_exceeded,
+            meter=self._meter,
+        )
+        self._head_size = 0
+        self._has_head = False
         data = self._parser.send(request)
         if body:
             data += self._parser.send(h11.Data(data=body))
@@ -185,6 +204,15 @@
             self.is_open = False
             self.transport.abortConnection()
 
+    def _set_paused(self, is_paused: bool) -> None:
+        """Stops reading while the response isn't read, or goes on."""
+        if not self.is_open:
+            return
+        if is_paused:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handles bytes from the server."""
         self._on_activity()
@@ -192,12 +220,15 @@
             # No request is in flight that these bytes could answer.
             self.abort()
             return
+        if not self._has_head:
+            self._head_size += len(data)
         try:
             self._parser.receive_data(data)
             self._handle_events()
         except h11.RemoteProtocolError as reason:
-            self._fail(errors.Code.BAD_ANSWER, str(reason))
-            self.abort()
+            self._handle_protocol_error(reason)
+        if not self._has_head and self._head_size > self._bounds.head_bytes:
+            self._exceed(_bounds.ReadKind.HEAD)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -213,6 +244,21 @@
         self._fail(errors.Code.ENDPOINT_LOST, reason.getErrorMessage())
         self._on_lost(self)
 
+    def _handle_protocol_error(self, reason: h11.RemoteProtocolError) -> None:
+        if reason.error_status_hint == _TOO_LONG_STATUS:
+            has_head = self._has_head
+            kind = _bounds.ReadKind
+            self._exceed(kind.FRAMING if has_head else kind.HEAD)
+            return
+        self._fail(errors.Code.BAD_ANSWER, str(reason))
+        self.abort()
+
+    def _exceed(self, kind: _bounds.ReadKind) -> None:
+        """Fails the response, since the server sends more than is allowed."""
+        reply, self._reply = self._reply, None
+        if reply is not None:
+            reply.fail(reply.exceed(kind))
+
     def _fail(self, code: errors.Code, detail: str) -> None:
         reply, self._reply = self._reply, None
         if reply is not None:
@@ -236,6 +282,7 @@
                     return
 
     def _handle_head(self, event: h11.Response) -> None:
+        self._has_head = True
         headers = tuple(event.headers)
         head = _reply.ResponseHead(
             status=event.status_code, reason=event.reason, headers=headers
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -3,12 +3,15 @@
 from collections.abc import Callable
 import dataclasses
 
+from twisted.internet import defer
 from twisted.web import http
 
 from sassafrasstile import routes
 from sassafrasstile.web import _connection
 from sassafrasstile.web import _linger
+from sassafrasstile.web import _meter
 from sassafrasstile.web import _reply
+from sassafrasstile.web import _stalls
 
 # Headers that apply to a single connection and aren't forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -31,9 +34,14 @@
 _ABORT_LINGER_S = 2.0
 # A caller sends its first request within this time after it has connected.
 _FIRST_REQUEST_WAIT_S = 0.5
+# At a closed window the kernel also gives up after TCP_USER_TIMEOUT.
+DEFAULT_CALLER_STALL_S = 3.0
 _PAYLOAD_TOO_LARGE = b"HTTP/1.1 413 Payload Too Large\r\n"
 _BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n"
 _HEADERS_TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+_UNAVAILABLE = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+# A body is refused while it arrives only if it is larger than this.
+_LARGE_BODY_BYTES = 65536
 _REQUEST_TIMEOUT = b"HTTP/1.1 408 Request Timeout\r\n"
 _CLOSE_HEADERS = b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 
@@ -100,6 +108,8 @@
         super().__init__(channel)
         self._body_chunks: list[bytes] = []
         self._body_size = 0
+        self._share = _meter.BufferShare(meter=channel.factory.meter)
+        self._waiter: defer.Deferred | None = None
         self.is_disconnected = False
         self.has_begun = False
 
@@ -115,9 +125,29 @@
         """Adds a chunk of the body, or refuses a body that is too large."""
         self._body_size += len(data)
         if self._body_size > self.channel.factory.limits.body_bytes:
-            self.channel.refuse(_PAYLOAD_TOO_LARGE)
+            self._refuse_body(_PAYLOAD_TOO_LARGE)
+            return
+        is_large = self._body_size > _LARGE_BODY_BYTES
+        if is_large and self.channel.factory.meter.is_full:
+            self._refuse_body(_UNAVAILABLE)
             return
         self._body_chunks.append(data)
+        self._share.set(self._body_size)
+
+    def _refuse_body(self, status_line: bytes) -> None:
+        self._body_chunks = []
+        self._share.set(0)
+        self.channel.refuse(status_line)
+
+    def finish(self) -> None:
+        """Ends the response."""
+        self._share.set(0)
+        super().finish()
+
+    def connectionLost(self, reason) -> None:  # noqa: N802
+        """Handles the end of the connection."""
+        self._share.set(0)
+        super().connectionLost(reason)
 
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
@@ -190,6 +220,19 @@
         """Sends a chunk of the body."""
         if not self.is_disconnected:
             self.write(data)
+            self.channel.count_buffered()
+
+    async def wait_until_writable(self) -> None:
+        """Waits while the caller hasn't read enough of what was sent."""
+        while not self.is_disconnected and self.channel.is_full:
+            self._waiter = defer.Deferred()
+            await self._waiter
+
+    def wake_writer(self) -> None:
+        """Called when the caller has read what was sent."""
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.called:
+            waiter.callback(None)
 
     def complete(self) -> None:
         """Ends the response."""
@@ -223,6 +266,7 @@
 
     Attributes:
         is_refused: True once a request has been refused.
+        is_full: True while as much waits for the caller as may be buffered.
     """
 
     requestFactory = IngressRequest  # noqa: N815
@@ -236,6 +280,9 @@
         self._header_timer = None
         self._accepted_at = 0.0
         self._is_unused = True
+        self._share = _meter.BufferShare(meter=factory.meter, drop=self._drop)
+        self._stall_watch: _stalls.StallWatch | None = None
+        self.is_full = False
 
     @property
     def totalHeadersSize(self) -> int:  # noqa: N802
@@ -313,6 +360,9 @@
         """Handles the end of the connection."""
         self.factory.channels.discard(self)
         self._stop_header_timer()
+        self._stop_stall_watch()
+        self.is_full = False
+        self._share.set(0)
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -326,6 +376,47 @@
             )
         super().dataReceived(data)
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Called when as much waits for the caller as may be buffered."""
+        super().pauseProducing()
+        self.is_full = True
+        self.count_buffered()
+        if self._stall_watch is None:
+            self._stall_watch = _stalls.StallWatch(
+                reactor=self.factory.reactor,
+                transport=self.transport,
+                stall_s=self.factory.caller_stall_s,
+                on_stall=self._end_stalled,
+            )
+            self._stall_watch.start()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Called when the caller has read what was buffered."""
+        super().resumeProducing()
+        self.is_full = False
+        self._share.set(0)
+        self._stop_stall_watch()
+        for request in list(self.requests):
+            request.wake_writer()
+
+    def count_buffered(self) -> None:
+        """Counts what waits for a caller who doesn't read."""
+        if self.is_full:
+            self._share.set(_stalls.count_buffered(self.transport))
+
+    def _drop(self) -> None:
+        """Disconnects a caller, since too much is buffered in all."""
+        self.transport.abortConnection()
+
+    def _end_stalled(self) -> None:
+        self.factory.on_stall()
+        self.transport.abortConnection()
+
+    def _stop_stall_watch(self) -> None:
+        watch, self._stall_watch = self._stall_watch, None
+        if watch is not None:
+            watch.close()
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Handles a line, unless the request has been refused."""
         if not self.is_refused:
@@ -375,6 +466,10 @@
     Args:
         reactor: The reactor.
         handler: Called with a `CallerRequest` and its `IngressRequest`.
+        caller_stall_s: Seconds after which a caller is disconnected that
+            reads nothing of what waits for it.
+        on_stall: Called before such a caller is disconnected.
+        meter: Counts what is buffered, or None.
 
     Attributes:
         channels: The open connections.
@@ -389,8 +484,14 @@
         *,
         reactor,
         handler: Callable[[CallerRequest, IngressRequest], None],
+        caller_stall_s: float = DEFAULT_CALLER_STALL_S,
+        on_stall: Callable[[], None] = lambda: None,
+        meter: _meter.BufferMeter | None = None,
     ):
         super().__init__(reactor=reactor)
+        self.caller_stall_s = caller_stall_s
+        self.on_stall = on_stall
+        self.meter = meter or _meter.BufferMeter()
         self.reactor = reactor
         self.handler = handler
         self.channels: set[IngressChannel] = set()
--- a/sassafrasstile/web/_pool.py
+++ b/sassafrasstile/web/_pool.py
@@ -8,7 +8,9 @@
 from twisted.internet import protocol
 
 from sassafrasstile import errors
+from sassafrasstile.web import _bounds
 from sassafrasstile.web import _connection
+from sassafrasstile.web import _meter
 from sassafrasstile.web import _reply
 
 
@@ -23,6 +25,10 @@
         on_activity: Called whenever bytes arrive from the server.
         loss_timeout_s: Seconds without a sign of life after which a
             connection is lost while it carries a request.
+        bounds: Bounds on what is read.
+        on_exceeded: Called with the kind of a bound that was exceeded; the
+            connection is closed then.
+        meter: Counts what is buffered, or None.
 
     Attributes:
         opened_count: Number of connections opened so far.
@@ -37,9 +43,15 @@
         connect_timeout_s: float,
         on_activity: Callable[[], None] = lambda: None,
         loss_timeout_s: float = _connection.LOSS_TIMEOUT_S,
+        bounds: _bounds.ReadBounds = _bounds.DEFAULT_BOUNDS,
+        on_exceeded: Callable[[_bounds.ReadKind], None] = lambda _kind: None,
+        meter: _meter.BufferMeter | None = None,
     ):
+        self._meter = meter or _meter.BufferMeter()
         self._reactor = reactor
         self._loss_timeout_s = loss_timeout_s
+        self._bounds = bounds
+        self._on_exceeded = on_exceeded
         self._on_activity = on_activity
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, host, port, timeout=connect_timeout_s
@@ -140,6 +152,9 @@
             on_lost=self._remove,
             on_activity=self._on_activity,
             loss_timeout_s=self._loss_timeout_s,
+            bounds=self._bounds,
+            on_exceeded=self._on_exceeded,
+            meter=self._meter,
         )
 
     def _add_idle(self, connection: _connection.HttpConnection) -> None:
