Soak: sidecars lost in an outage beside callers that send twice

A directed fault, crash_beside_waiting_calls: in an outage of the log one gateway is cut off from a service's sidecar, callers send bookings twice, and the sidecar is killed or loses its VM shortly before the log is back.

--- a/sassafrasstile/commands/_main.py
+++ b/sassafrasstile/commands/_main.py
@@ -155,7 +155,12 @@
     from sassafrasstile import soak as soaks
 
     telemetry.configure_logs(level="error", style="text")
-    names = _parse_names(faults, soaks.FAULT_NAMES, flag="--faults")
+    names = _parse_names(
+        faults,
+        soaks.FAULT_NAMES,
+        flag="--faults",
+        more=soaks.DIRECTED_FAULT_NAMES,
+    )
     report, _ = soaks.run_soak(
         site=site, seed=seed, minutes=minutes, faults=names, load=load
     )
@@ -311,8 +316,20 @@
 
 
 def _parse_names(
-    text: str, allowed: tuple[str, ...], *, flag: str
+    text: str,
+    allowed: tuple[str, ...],
+    *,
+    flag: str,
+    more: tuple[str, ...] = (),
 ) -> tuple[str, ...]:
+    """Returns the names in an argument.
+
+    Args:
+        text: The argument: `all`, `none` or comma-separated names.
+        allowed: The names that `all` stands for.
+        flag: The argument's name, for errors.
+        more: Other names that are allowed too.
+    """
     match text:
         case "all":
             return allowed
@@ -320,12 +337,12 @@
             return ()
     names = tuple(text.split(","))
     for name in names:
-        if name not in allowed:
+        if name not in allowed + more:
             raise errors.Error(
                 code=errors.Code.BAD_VALUE,
                 detail=(
                     f"{flag} has {name!r}; allowed are all, none and "
-                    f"{list(allowed)}"
+                    f"{list(allowed + more)}"
                 ),
             )
     return names
--- a/sassafrasstile/soak/_callers.py
+++ b/sassafrasstile/soak/_callers.py
@@ -291,10 +291,16 @@
     Args:
         site: The site.
         name: The idempotency key.
+        sends_twice: True if it never waits for the first call's answer.
+        declares_again: True if it declares a call the first of its key again
+            while each earlier one was refused as not run.
     """
 
-    def __init__(self, *, site, name):
+    def __init__(self, *, site, name, sends_twice=False, declares_again=False):
         super().__init__(site=site, name=name)
+        self.sends_twice = sends_twice
+        self.declares_again = declares_again
+        self.refused_not_run = 0
         self.attempts = 0
         self.open_exchanges = 0
         self._serials = itertools.count(1)
@@ -303,7 +309,7 @@
         """Sends the booking, sometimes twice."""
         self.send()
         world = self.site.world
-        if world.generator.random() < _DOUBLE_SEND_SHARE:
+        if self.sends_twice or world.generator.random() < _DOUBLE_SEND_SHARE:
             world.call_later(world.generator.expovariate(2.0), self.send)
 
     def send(self) -> None:
@@ -314,6 +320,8 @@
         if node is None:
             self.site.world.call_later(0.5, self.send)
             return
+        refused = self.refused_not_run if self.declares_again else 0
+        is_first = self.attempts == refused
         self.attempts += 1
         request = gateway.CallRequest(
             request_id=f"{self.name}#{next(self._serials)}",
@@ -324,7 +332,7 @@
             path="/bookings",
             repeatable=False,
             digest="same",
-            first=self.attempts == 1,
+            first=is_first,
             runs_unlogged=self.site.shape.runs_unlogged,
         )
         exchange = Exchange(caller=self, node=node, request=request)
@@ -368,6 +376,7 @@
                 self.site.oracle.record_call_not_run(
                     effect.request_id, self.name
                 )
+                self.refused_not_run += 1
                 self._retry("refused_not_run")
             case gateway.Refuse():
                 self._retry("may_have_run")
--- a/sassafrasstile/soak/_faults.py
+++ b/sassafrasstile/soak/_faults.py
@@ -2,10 +2,13 @@
 
 from collections.abc import Callable
 
+from sassafrasstile.soak import _callers
 from sassafrasstile.soak import _world
 
 # The default of `GatewaySettings.lease_s`.
 _LEASE_S = 2.5
+# Callers that send twice in an outage of `crash_beside_waiting_calls`.
+_CALLERS_IN_OUTAGE = 12
 
 
 def _choose(world: _world.World, nodes):
@@ -102,13 +105,44 @@
     outage_s = site.world.generator.uniform(2.0, 8.0)
     lead_s = site.world.generator.uniform(0.1, 1.0)
     node = _choose(site.world, site.services)
+    _lose_later(site, node, outage_s - lead_s, _kill_and_restart)
+    _stop_log_for(site, outage_s)
+
 
-    def crash():
+def _lose_later(site, node, delay_s: float, lose: Callable) -> None:
+    def lose_if_alive():
         if node.is_alive:
-            _kill_and_restart(site, node)
+            lose(site, node)
+
+    site.world.call_later(delay_s, lose_if_alive)
+
+
+def crash_beside_waiting_calls(site) -> None:
+    """Does the same while callers send twice and their first calls wait.
 
-    site.world.call_later(outage_s - lead_s, crash)
+    One gateway doesn't reach the sidecar, so the calls sent there wait. Second
+    calls with their keys run at the sidecar without a claim. Instead of being
+    killed, the sidecar may lose its VM.
+    """
+    generator = site.world.generator
+    outage_s = generator.uniform(2.5, 8.0)
+    node = _choose(site.world, site.services)
     _stop_log_for(site, outage_s)
+    cut_off = _choose(site.world, site.gateways)
+    cut_off.links[node.name].cut(outage_s)
+    for index in range(_CALLERS_IN_OUTAGE):
+        name = f"d{site.world.now:.3f}-{index}"
+        site.report.requests += 1
+        caller = _callers.BookingCaller(
+            site=site,
+            name=name,
+            sends_twice=True,
+            declares_again=index % 2 == 0,
+        )
+        site.world.call_later(generator.uniform(0.5, 1.0), caller.start)
+    lose = generator.choice((_kill_and_restart, _lose_vm))
+    lead_s = generator.uniform(0.1, 1.0)
+    _lose_later(site, node, outage_s - lead_s, lose)
 
 
 def lose_answers(site) -> None:
@@ -142,8 +176,11 @@
 def lose_vm(site) -> None:
     """Removes a service's VM for good and replaces it by a new one."""
     node = _choose(site.world, site.services)
-    if not node.is_alive:
-        return
+    if node.is_alive:
+        _lose_vm(site, node)
+
+
+def _lose_vm(site, node) -> None:
     site.world.add_trace_line(f"{node.vm} of {node.name} is lost")
     node.kill()
     site.vms.remove(node.vm)
@@ -168,8 +205,13 @@
     "drain_endpoint": (drain_endpoint, 40.0),
     "drain_gateway": (drain_gateway, 60.0),
     "lose_vm": (lose_vm, 150.0),
+    "crash_beside_waiting_calls": (crash_beside_waiting_calls, 20.0),
 }
-FAULT_NAMES = tuple(_FAULTS)
+# Aimed at one order of events, and injected only where they are named.
+DIRECTED_FAULT_NAMES = ("crash_beside_waiting_calls",)
+FAULT_NAMES = tuple(
+    name for name in _FAULTS if name not in DIRECTED_FAULT_NAMES
+)
 
 
 def schedule_faults(site, names: tuple[str, ...], *, end: float) -> None:
@@ -177,7 +219,7 @@
 
     Args:
         site: The site.
-        names: The faults, some of `FAULT_NAMES`.
+        names: The faults, some of `FAULT_NAMES` or `DIRECTED_FAULT_NAMES`.
         end: The time after which no fault is injected.
     """
     for name in names:
--- a/sassafrasstile/soak/tests/test_broken_variants.py
+++ b/sassafrasstile/soak/tests/test_broken_variants.py
@@ -15,6 +15,7 @@
 from sassafrasstile.gateway import _generation
 from sassafrasstile.gateway import _generation_table
 from sassafrasstile.ownership import _replay
+from sassafrasstile.sidecar import _claims
 from sassafrasstile.sidecar import _engine
 from sassafrasstile.sidecar import _leases
 from sassafrasstile.sidecar import _service
@@ -99,6 +100,16 @@
             seeds=range(1, 7),
         )
 
+    def test_running_first_calls_older_than_a_loss_is_detected(self):
+        self.assert_detected(
+            _claims.ClaimManager,
+            "precedes_loss",
+            lambda self, key, known_loss_offset: False,
+            "executed_twice",
+            minutes=1.0,
+            faults=soak.DIRECTED_FAULT_NAMES,
+        )
+
     def test_refusals_without_proof_are_detected(self):
         self.assert_detected(
             _generation.Generation,
--- a/sassafrasstile/soak/tests/test_soak.py
+++ b/sassafrasstile/soak/tests/test_soak.py
@@ -17,6 +17,13 @@
                     self.assertEqual(report.violations, [])
                     self.assertGreater(report.complete, 100)
 
+    # Bookings ran twice: seeds 1, 3 and 4 before ba93e93.
+    def test_no_violations_when_sidecars_crash_beside_waiting_calls(self):
+        run = {"site": "fellesvarsel", "faults": soak.DIRECTED_FAULT_NAMES}
+        for seed in (1, 3, 4):
+            report, _ = soak.run_soak(seed=seed, minutes=1.0, **run)
+            self.assertEqual(report.violations, [])
+
     def test_without_faults_every_request_completes_unless_cancelled(self):
         for site in soak.SITES:
             report, _ = soak.run_soak(site=site, seed=1, minutes=1.0, faults=())
