Fault soak: engines that crash under prompts with one part

Five engines of a service of their own write the head of an answer and close when the prompt holds the deadly part, refuse connections for about a second and come back with a new `born`. Callers send sound prompts, and deadly ones that share their parts, at any gateway, beside all other faults and 8 s beyond.

Checked, with bounds from the users' rules for a `stableWindowMs` of 5,000: at most three arrivals later than 5 s after the fifth crash from gateways that were undisturbed for 5 s; from 10 s after the fifth crash (the last, if there are fewer) sound requests begin at least half as often as before the first crash, with 20 or more of each; a 503 means that no engine saw the request.

The notice checks' test for disturbances is now shared with these checks; what it excuses is the same.

--- a/sassafrasstile/faultsoak/__init__.py
+++ b/sassafrasstile/faultsoak/__init__.py
@@ -6,7 +6,8 @@
 stand-ins, loopback proxies and callers run in this process. Signals stop,
 suspend and kill the gateways, connections are reset, delayed or silenced,
 endpoints and the store fail, and endpoints announce that they leave or ask for
-a back-off. The store is also restored from older copies while versions of the
+a back-off. Engines of one service crash under prompts with one part. The store
+is also restored from older copies while versions of the
 configuration are published. Answers, executions and what endpoints were sent
 are checked against the guarantees of the router.
 """
--- a/sassafrasstile/faultsoak/__main__.py
+++ b/sassafrasstile/faultsoak/__main__.py
@@ -39,6 +39,7 @@
             faults=faults,
             notices=faults,
             silences=faults,
+            crashes=faults,
         )
         report = testing.run(run.run)
         failed_seeds += bool(report.violations)
--- a/sassafrasstile/faultsoak/_notice_log.py
+++ b/sassafrasstile/faultsoak/_notice_log.py
@@ -1,6 +1,6 @@
 """What endpoints announced, and what they were sent afterwards."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 import dataclasses
 
 from sassafrasstile.faultsoak import _callers
@@ -115,17 +115,21 @@
             if item.endpoint == notice.endpoint
             and item.request_id in outcomes
             and outcomes[item.request_id].gateway == answered.gateway
-            and not self._is_excused(notice, answered.gateway, item.at)
+            and not self.has_disturbance(
+                (answered.gateway, notice.endpoint), notice.at, item.at
+            )
         ]
         if notice.is_leaving:
             yield from self._check_leaving(notice, arrivals, outcomes)
         else:
             yield from self._check_backoff(notice, arrivals)
 
-    def _is_excused(self, notice: Notice, gateway: str, at: float) -> bool:
-        names = (gateway, notice.endpoint)
+    def has_disturbance(
+        self, names: Sequence[str], since: float, until: float
+    ) -> bool:
+        """Returns whether gateways or links were disturbed between times."""
         return any(
-            item.name in names and item.since <= at and item.until >= notice.at
+            item.name in names and item.since <= until and item.until >= since
             for item in self.disturbances
         )
 
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -14,6 +14,7 @@
 from sassafrasstile import standins
 from sassafrasstile import testing
 from sassafrasstile.faultsoak import _callers
+from sassafrasstile.faultsoak import _deadly_prompts
 from sassafrasstile.faultsoak import _endpoints
 from sassafrasstile.faultsoak import _gateways
 from sassafrasstile.faultsoak import _notice_faults
@@ -46,6 +47,8 @@
         notices: The number of answers that restricted what their endpoint may
             be sent.
         silenced: The number of streams that a silence of their engine checked.
+        prompts: How often deadly and sound prompts ended with each status,
+            and how often engines crashed.
         violations: The violated guarantees, one sentence each.
     """
 
@@ -57,6 +60,7 @@
     streams: dict[str, int]
     notices: int
     silenced: int
+    prompts: dict[str, int]
     violations: list[str]
 
 
@@ -71,6 +75,7 @@
         faults: Whether to disturb processes, links and the store.
         notices: Whether endpoints leave and shed load.
         silences: Whether engines fall silent for about a second and go on.
+        crashes: Whether engines crash under some prompts.
         arguments: The interpreter's arguments that start a gateway.
         states_epoch: Whether the store's answers show when it was restored.
     """
@@ -85,6 +90,7 @@
         faults: bool = True,
         notices: bool = True,
         silences: bool = True,
+        crashes: bool = True,
         arguments: Sequence[str] = _gateways.ARGUMENTS,
         states_epoch: bool = True,
     ):
@@ -95,6 +101,7 @@
         self._has_faults = faults
         self._has_notices = notices
         self._has_silences = silences
+        self._has_crashes = crashes
         self._generator = random.Random(seed)
         self._notice_generator = random.Random(f"notices {seed}")
         self._notice_log = _notice_log.NoticeLog()
@@ -111,6 +118,12 @@
         self._returning = _versions.ReturningCallers(
             reactor=reactor, gateways=self.gateways, seed=seed
         )
+        self._deadly_prompts = _deadly_prompts.DeadlyPrompts(
+            reactor=reactor,
+            gateways=self.gateways,
+            notices=self._notice_log,
+            seed=seed,
+        )
         self._fault_counts: collections.Counter[str] = collections.Counter()
         self._running_faults: list[defer.Deferred] = []
         self._restores = _restores.StoreRestores(
@@ -150,6 +163,11 @@
         if self._has_silences:
             silencing = silent_engines.run(callers.stop_sending_at)
             self._running_faults.append(testing.spawn(silencing))
+        # These go on after the end of the other faults.
+        prompting = defer.succeed(None)
+        if self._has_crashes:
+            ends_at = callers.stop_sending_at + _SETTLE_WAIT_S
+            prompting = testing.spawn(self._deadly_prompts.run(ends_at))
         while self._reactor.seconds() < callers.stop_sending_at:
             await self._sleep(0.2 + self._generator.random())
             if self._has_faults:
@@ -158,6 +176,7 @@
         await returning
         await defer.gatherResults(self._running_faults, consumeErrors=False)
         await self._sleep(_SETTLE_WAIT_S)
+        await prompting
         callers.check_executions(self._execution_log.counts)
         callers.violations.extend(self._notice_log.check(callers.outcomes))
         await self._restores.publish_at_reused_offsets("/new/")
@@ -178,11 +197,13 @@
             streams=dict(self._returning.counts),
             notices=len(self._notice_log.notices),
             silenced=silent_engines.checked,
+            prompts=dict(self._deadly_prompts.count()),
             violations=[
                 *callers.violations,
                 *self._returning.violations,
                 *silent_engines.violations,
                 *self._restores.violations,
+                *self._deadly_prompts.check(),
             ],
         )
 
@@ -222,6 +243,7 @@
             for number in range(2):
                 self._add_endpoint(f"{kind}{number}", stage)
         self._returning.start(self._store_server)
+        self._deadly_prompts.start(self._store_server)
         self._restores.start()
         self._silent_engines = _silences.SilentEngines(
             reactor=self._reactor,
@@ -302,13 +324,16 @@
             testing.make_platform_route(
                 "/gen/", "writer", "streaming", targetGapMs=300
             ),
-            testing.make_platform_route(
-                _versions.PATH,
-                _versions.SERVICE,
-                "streaming",
-                targetGapMs=300,
-                resumable=True,
-                maxAttempts=3,
+            *(
+                testing.make_platform_route(
+                    module.PATH,
+                    module.SERVICE,
+                    "streaming",
+                    targetGapMs=300,
+                    resumable=True,
+                    maxAttempts=3,
+                )
+                for module in (_versions, _deadly_prompts)
             ),
             testing.make_platform_route(
                 _restores.SPARE_PATH, _restores.SPARE_SERVICE, "safe"
@@ -339,9 +364,14 @@
         (writer,) = (
             item for item in document["services"] if item["name"] == "writer"
         )
-        document["services"].append({**writer, "name": _versions.SERVICE})
-        single = {**writer, "name": _silences.SINGLE_SERVICE}
-        document["services"].append(single)
+        document["services"].extend(
+            {**writer, "name": name}
+            for name in (
+                _versions.SERVICE,
+                _silences.SINGLE_SERVICE,
+                _deadly_prompts.SERVICE,
+            )
+        )
         self._store_server.store.put_json("keyed.op", "config", document)
 
     async def close(self) -> None:
@@ -353,6 +383,7 @@
         for endpoint in self.endpoints.values():
             await defer.maybeDeferred(endpoint.server.close)
         await self._returning.close()
+        await self._deadly_prompts.close()
         await self._restores.close()
         await self._silent_engines.close()
         await defer.maybeDeferred(self._store_server.close)
--- a/sassafrasstile/faultsoak/tests/deaf_gateway.py
+++ b/sassafrasstile/faultsoak/tests/deaf_gateway.py
@@ -1,4 +1,4 @@
-"""Gateways that ignore one kind of notice, for tests of the soak's checks.
+"""Gateways that ignore what they learn, for tests of the soak's checks.
 
 python -m sassafrasstile.faultsoak.tests.deaf_gateway leaving
 """
@@ -7,12 +7,18 @@
 import sys
 
 from sassafrasstile import dispatch
+from sassafrasstile import quarantine
 from sassafrasstile.platform import __main__ as platform_main
 
 _WITHOUT = {
     "leaving": {"is_leaving": False},
     "backoff": {"backoff_s": None},
 }
+_FIND = {
+    "crashes": lambda self, prompt: None,
+    # Refuses every prompt once any is refused.
+    "answers": lambda self, prompt: next(iter(self._active), None),
+}
 
 
 def _ignore(kind: str) -> None:
@@ -27,5 +33,8 @@
 
 
 if __name__ == "__main__":
-    _ignore(sys.argv[1])
+    if sys.argv[1] in _FIND:
+        quarantine.Quarantine.find = _FIND[sys.argv[1]]
+    else:
+        _ignore(sys.argv[1])
     sys.exit(platform_main.main())
--- a/sassafrasstile/faultsoak/tests/test_faultsoak.py
+++ b/sassafrasstile/faultsoak/tests/test_faultsoak.py
@@ -54,3 +54,17 @@
                 report = testing.run(run.run)
                 self.assertEqual(report.violations, [])
                 self.assertGreater(report.silenced, 0)
+
+    # Without another fault, each crash is one of a prompt.
+    def test_deadly_prompts_are_refused(self):
+        run = faultsoak.SoakRun(
+            reactor=testing.reactor,
+            seed=1,
+            seconds=_SECONDS,
+            faults=False,
+            notices=False,
+            silences=False,
+        )
+        report = testing.run(run.run)
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.prompts["deadly: 503"], 0)
--- a/sassafrasstile/faultsoak/tests/test_notice_variants.py
+++ b/sassafrasstile/faultsoak/tests/test_notice_variants.py
@@ -9,7 +9,7 @@
 
 
 class NoticeVariantTest(unittest.TestCase):
-    """The soak catches gateways that ignore what endpoints announce."""
+    """The soak catches gateways that ignore notices, crashes or answers."""
 
     def find_violations(self, ignored):
         run = faultsoak.SoakRun(
@@ -34,3 +34,11 @@
     def test_ignored_backoffs_are_caught(self):
         violations = self.find_violations("backoff")
         self.assertTrue(any("back-off" in item for item in violations))
+
+    def test_ignored_crashes_are_caught(self):
+        violations = self.find_violations("crashes")
+        self.assertTrue(any("engines late" in item for item in violations))
+
+    def test_refused_sound_prompts_are_caught(self):
+        violations = self.find_violations("answers")
+        self.assertTrue(any("too seldom" in item for item in violations))
