Known red: crashes while the store is away count once for each engine

A crash is keyed by the engine's id and start time from its membership record. While the store is away a restart isn't told, so every further crash of the engine is taken for the first one. With two engines there are two crashes forever, and a part is refused after three. With the store, the same site refuses after the third.

--- a/sassafrasstile/router/tests/test_deadly_prompts.py
+++ b/sassafrasstile/router/tests/test_deadly_prompts.py
@@ -282,3 +282,13 @@
         await self.close_sites()
         self.assertEqual(answer.status, 503)
         self.assertIn(b"prompt_refused", answer.data)
+
+    # Guards against crashes that count once, since nobody is told that their
+    # engine has restarted while the store is away.
+    @testing.on_reactor
+    async def test_deadly_part_is_refused_while_the_store_is_away(self):
+        site = await self.start_site(engines=2)
+        site.store.outage = "busy"
+        await self.crash_until_refused(site)
+        await self.close_sites()
+        self.assertLessEqual(len(_list_runs(site.endpoints, _BAD)), 8)
