--- a/sassafrasstile/faultsoak/__main__.py
+++ b/sassafrasstile/faultsoak/__main__.py
@@ -42,6 +42,7 @@
             notices=faults,
             silences=faults,
             endless=endless,
+            crashes=faults,
         )
         report = testing.run(run.run)
         failed_seeds += bool(report.violations)
