Quarantine: an engine that is lost again later has crashed again

Callers kept losing engines while the store was away: a crash was known by its engine's id and start, and a new start isn't told without the store, so all crashes of an engine counted as one. With two engines no part was ever found (20 of 20 deadly prompts reached engines). Class: an identity that only an outside list renews.

Now losses of one incarnation within a second are one crash, and later ones are others.

--- a/sassafrasstile/quarantine/_base.py
+++ b/sassafrasstile/quarantine/_base.py
@@ -93,13 +93,13 @@
             it concerns one prompt alone.
         identity: The identity of that prompt; empty if it concerns all with
             the parts.
-        engines: The keys of the engines that were lost.
+        crashes: The keys of the crashes.
         until: When such prompts are let through again, in seconds.
     """
 
     parts: frozenset[str] = frozenset()
     identity: str = ""
-    engines: frozenset[str]
+    crashes: frozenset[str]
     until: float
 
     def concerns(self, prompt: Prompt) -> bool:
--- a/sassafrasstile/quarantine/_common_parts.py
+++ b/sassafrasstile/quarantine/_common_parts.py
@@ -19,10 +19,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Loss:
-    """An engine that was lost.
+    """What is known of a crash.
 
     Attributes:
-        at: When it was lost, in seconds.
+        at: When the engine was lost, in seconds.
         suspects: The parts of each prompt that may have caused it, by the
             prompt's identity.
     """
@@ -36,12 +36,12 @@
     """A part that may be deadly.
 
     Attributes:
-        engines: The engines that were lost under it.
+        crashes: The keys of the crashes that it was at.
         prompts: The identities of the prompts that had it there.
         companions: The parts that all these prompts have, itself included.
     """
 
-    engines: set[str]
+    crashes: set[str]
     prompts: set[str]
     companions: frozenset[str]
 
@@ -52,11 +52,11 @@
 
     Attributes:
         parts: The keys of the parts.
-        engines: The engines that were lost under prompts with all of them.
+        crashes: The keys of the crashes that prompts with all of them were at.
     """
 
     parts: frozenset[str]
-    engines: frozenset[str]
+    crashes: frozenset[str]
 
 
 def find_common_parts(losses: Mapping[str, Loss]) -> list[CommonParts]:
@@ -68,36 +68,36 @@
     explains them. Sets that explain the same crashes can't be told apart.
 
     Args:
-        losses: The losses by the key of the engine's incarnation.
+        losses: The losses by the key of the crash.
     """
     times = _number_times(losses)
     sets = _drop_explained(_list_sets(losses, times), times)
-    sets.sort(key=lambda item: len(item.engines), reverse=True)
+    sets.sort(key=lambda item: len(item.crashes), reverse=True)
     found: list[CommonParts] = []
     for item in sets:
-        explained = set().union(*(other.engines for other in found))
-        is_tie = any(item.engines == other.engines for other in found)
-        unexplained = _count_times(item.engines - explained, times)
+        explained = set().union(*(other.crashes for other in found))
+        is_tie = any(item.crashes == other.crashes for other in found)
+        unexplained = _count_times(item.crashes - explained, times)
         if is_tie or unexplained >= _MIN_CRASHES or not found:
             found.append(item)
     return found
 
 
 def _number_times(losses: Mapping[str, Loss]) -> dict[str, int]:
-    """Returns a number for each engine, the same for those lost together."""
+    """Returns a number for each crash, the same for those at the same time."""
     numbers: dict[str, int] = {}
     number = 0
     began_at = float("-inf")
-    for engine in sorted(losses, key=lambda engine: losses[engine].at):
-        if losses[engine].at - began_at > _SAME_TIME_S:
+    for key in sorted(losses, key=lambda key: losses[key].at):
+        if losses[key].at - began_at > _SAME_TIME_S:
             number += 1
-            began_at = losses[engine].at
-        numbers[engine] = number
+            began_at = losses[key].at
+        numbers[key] = number
     return numbers
 
 
-def _count_times(engines: Iterable[str], times: Mapping[str, int]) -> int:
-    return len({times[engine] for engine in engines})
+def _count_times(crashes: Iterable[str], times: Mapping[str, int]) -> int:
+    return len({times[key] for key in crashes})
 
 
 def _list_sets(
@@ -106,10 +106,10 @@
     """Returns what is in common to the prompts with each eligible part."""
     sets = {
         item.companions: CommonParts(
-            parts=item.companions, engines=frozenset(item.engines)
+            parts=item.companions, crashes=frozenset(item.crashes)
         )
         for item in _list_candidates(losses)
-        if _count_times(item.engines, times) >= _MIN_CRASHES
+        if _count_times(item.crashes, times) >= _MIN_CRASHES
         and len(item.prompts) >= _MIN_PROMPTS
     }
     return list(sets.values())
@@ -117,15 +117,15 @@
 
 def _list_candidates(losses: Mapping[str, Loss]) -> Iterable[_Candidate]:
     candidates: dict[str, _Candidate] = {}
-    for engine, loss in losses.items():
+    for key, loss in losses.items():
         for identity, parts in loss.suspects.items():
             for part in parts:
                 candidate = candidates.get(part)
                 if candidate is None:
                     candidate = candidates[part] = _Candidate(
-                        engines=set(), prompts=set(), companions=parts
+                        crashes=set(), prompts=set(), companions=parts
                     )
-                candidate.engines.add(engine)
+                candidate.crashes.add(key)
                 candidate.prompts.add(identity)
                 candidate.companions &= parts
     return candidates.values()
@@ -138,9 +138,9 @@
     kept = []
     for item in sets:
         larger = [other for other in sets if item.parts < other.parts]
-        explained = set().union(*(other.engines for other in larger))
-        unexplained = _count_times(item.engines - explained, times)
-        is_frequent = _count_times(item.engines, times) >= _MANY_CRASHES
+        explained = set().union(*(other.crashes for other in larger))
+        unexplained = _count_times(item.crashes - explained, times)
+        is_frequent = _count_times(item.crashes, times) >= _MANY_CRASHES
         needed = _MIN_UNEXPLAINED if is_frequent else _MIN_CRASHES
         if unexplained >= needed:
             kept.append(item)
--- a/sassafrasstile/quarantine/_evidence.py
+++ b/sassafrasstile/quarantine/_evidence.py
@@ -1,6 +1,7 @@
 """Remembers crashes, and decides which prompts not to send again."""
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 
 from sassafrasstile.quarantine import _base
@@ -17,7 +18,10 @@
 # An answer speaks for the parts of its prompt at crashes up to this much later;
 # after that the engines may run another software version.
 ANSWER_VALIDITY_S = 60.0
-_MAX_ENGINES = 64
+# Losses of an engine that are further apart than this are different crashes.
+# While the store is away, a new start of an engine isn't known.
+_SAME_CRASH_S = 1.0
+_MAX_CRASHES = 64
 _MAX_SUSPECTS = 512
 _MAX_SUSPECTS_OF_CRASH = 64
 _MAX_ANSWERED_PARTS = 4096
@@ -28,12 +32,14 @@
     """A crash that is remembered.
 
     Attributes:
+        engine: The key of the engine's incarnation.
         at: When the engine was lost, in seconds.
         suspects: The parts of each prompt that may have caused it, by the
             prompt's identity.
         answered: The identities of prompts that it wasn't.
     """
 
+    engine: str
     at: float
     suspects: dict[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
@@ -63,7 +69,7 @@
     >>> len(log.record_answer(answered, now=3.0))
     3
     >>> refused = _base.make_prompt("s", ("other", "bad", "y"))
-    >>> len(log.find(refused, 3.0).engines)
+    >>> len(log.find(refused, 3.0).crashes)
     3
     >>> log.find(answered, 3.0)
     """
@@ -76,6 +82,7 @@
             collections.OrderedDict()
         )
         self._suspicions: tuple[_base.Suspicion, ...] | None = None
+        self._added = 0
 
     @property
     def is_empty(self) -> bool:
@@ -93,9 +100,11 @@
             True if anything wasn't known before.
         """
         at = now - crash.age_s
-        entry = self._entries.get(crash.engine)
+        entry = self._find_entry(crash.engine, at)
         if entry is None:
-            entry = self._entries[crash.engine] = _Entry(at=at)
+            entry = _Entry(engine=crash.engine, at=at)
+            self._added += 1
+            self._entries[f"{crash.engine}#{self._added}"] = entry
         # The first gateway that notices is closest to the truth.
         entry.at = min(entry.at, at)
         is_new = self._mark_answered(entry, crash.answered)
@@ -106,7 +115,9 @@
             self._suspicions = None
         return is_new
 
-    def record_answer(self, prompt: _base.Prompt, *, now: float) -> list[str]:
+    def record_answer(
+        self, prompt: _base.Prompt, *, now: float
+    ) -> list[_base.Crash]:
         """Records that an engine has answered a prompt.
 
         Args:
@@ -114,7 +125,7 @@
             now: The time in seconds.
 
         Returns:
-            The engines at whose crashes it, or a part of it, was suspected.
+            The crashes at which it, or a part of it, was suspected.
         """
         for part in prompt.shared:
             self._answered_at[part] = now
@@ -122,21 +133,31 @@
         while len(self._answered_at) > _MAX_ANSWERED_PARTS:
             self._answered_at.popitem(last=False)
         changed = [
-            engine
-            for engine, entry in self._entries.items()
+            entry
+            for entry in self._entries.values()
             if self._clear(entry, prompt)
         ]
         if changed:
             self._suspicions = None
-        return changed
+        return [self._describe(entry, now) for entry in changed]
+
+    def describe(self, crash: _base.Crash, now: float) -> _base.Crash | None:
+        """Returns what is known here of a crash, or None."""
+        entry = self._find_entry(crash.engine, now - crash.age_s)
+        return None if entry is None else self._describe(entry, now)
+
+    def _find_entry(self, engine: str, at: float) -> _Entry | None:
+        """Returns the crash of an engine at about a time, or None."""
+        for entry in self._entries.values():
+            is_same_time = abs(entry.at - at) <= _SAME_CRASH_S
+            if entry.engine == engine and is_same_time:
+                return entry
+        return None
 
-    def describe(self, engine: str, now: float) -> _base.Crash | None:
-        """Returns what is known of an engine's crash, or None."""
-        entry = self._entries.get(engine)
-        if entry is None:
-            return None
+    @staticmethod
+    def _describe(entry: _Entry, now: float) -> _base.Crash:
         return _base.Crash(
-            engine=engine,
+            engine=entry.engine,
             age_s=max(0.0, now - entry.at),
             suspects=frozenset(
                 _base.Prompt(identity=identity, shared=parts)
@@ -152,12 +173,12 @@
         """
         self._forget_old(now)
         suspicious = {
-            engine for item in self.list_active(now) for engine in item.engines
+            key for item in self.list_active(now) for key in item.crashes
         }
         crashes = [
-            self.describe(engine, now)
-            for engine, entry in self._entries.items()
-            if engine in suspicious or now - entry.at < PROMPT_REFUSAL_S
+            self._describe(entry, now)
+            for key, entry in self._entries.items()
+            if key in suspicious or now - entry.at < PROMPT_REFUSAL_S
         ]
         return sorted(crashes, key=lambda crash: crash.age_s)
 
@@ -220,18 +241,18 @@
     def _limit(self) -> None:
         """Forgets the crashes that were added first where there are many."""
         total = sum(len(entry.suspects) for entry in self._entries.values())
-        while len(self._entries) > _MAX_ENGINES or total > _MAX_SUSPECTS:
+        while len(self._entries) > _MAX_CRASHES or total > _MAX_SUSPECTS:
             _, entry = self._entries.popitem(last=False)
             total -= len(entry.suspects)
 
     def _forget_old(self, now: float) -> None:
         old = [
-            engine
-            for engine, entry in self._entries.items()
+            key
+            for key, entry in self._entries.items()
             if now - entry.at >= MEMORY_S
         ]
-        for engine in old:
-            del self._entries[engine]
+        for key in old:
+            del self._entries[key]
             self._suspicions = None
 
     def _list_suspicions(self, now: float) -> tuple[_base.Suspicion, ...]:
@@ -245,34 +266,34 @@
 
     def _suspect_prompts(self) -> list[_base.Suspicion]:
         """Returns a suspicion for each prompt that was at several crashes."""
-        engines: dict[str, set[str]] = {}
-        for engine, entry in self._entries.items():
+        crashes: dict[str, set[str]] = {}
+        for key, entry in self._entries.items():
             for identity in entry.suspects:
-                engines.setdefault(identity, set()).add(engine)
+                crashes.setdefault(identity, set()).add(key)
         return [
             _base.Suspicion(
                 identity=identity,
-                engines=frozenset(names),
-                until=self._find_last(names) + PROMPT_REFUSAL_S,
+                crashes=frozenset(keys),
+                until=self._find_last(keys) + PROMPT_REFUSAL_S,
             )
-            for identity, names in engines.items()
-            if len(names) >= _MAX_CRASHES_OF_PROMPT
+            for identity, keys in crashes.items()
+            if len(keys) >= _MAX_CRASHES_OF_PROMPT
         ]
 
     def _suspect_parts(self) -> list[_base.Suspicion]:
         """Returns a suspicion for each set of parts common to crashes."""
         losses = {
-            engine: _common_parts.Loss(at=entry.at, suspects=entry.suspects)
-            for engine, entry in self._entries.items()
+            key: _common_parts.Loss(at=entry.at, suspects=entry.suspects)
+            for key, entry in self._entries.items()
         }
         return [
             _base.Suspicion(
                 parts=item.parts,
-                engines=item.engines,
-                until=self._find_last(item.engines) + REFUSAL_S,
+                crashes=item.crashes,
+                until=self._find_last(item.crashes) + REFUSAL_S,
             )
             for item in _common_parts.find_common_parts(losses)
         ]
 
-    def _find_last(self, engines) -> float:
-        return max(self._entries[engine].at for engine in engines)
+    def _find_last(self, keys: Iterable[str]) -> float:
+        return max(self._entries[key].at for key in keys)
--- a/sassafrasstile/quarantine/_quarantine.py
+++ b/sassafrasstile/quarantine/_quarantine.py
@@ -1,6 +1,7 @@
 """Collects evidence on crashes from all gateways and refuses deadly prompts."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
+import dataclasses
 import logging
 import random
 
@@ -140,8 +141,7 @@
     ) -> None:
         """Answers a gateway that suspects more than is known here."""
         known = [
-            self._crashes.describe(crash.engine, self._now())
-            for crash in crashes
+            self._crashes.describe(crash, self._now()) for crash in crashes
         ]
         cleared = [
             mine
@@ -184,7 +184,7 @@
                 },
             )
         if is_new:
-            self._tell_all([crash.engine])
+            self._tell_all([crash])
             self._announce_changes()
 
     def _announce_changes(self) -> None:
@@ -199,7 +199,7 @@
             _LOG.warning(
                 "quarantine: prompts begin to be refused. Reason: %d engines "
                 "were lost under them.",
-                len(item.engines),
+                len(item.crashes),
                 extra=_describe(item),
             )
         for key in before.keys() - active.keys():
@@ -220,13 +220,17 @@
         count = min(_REPEAT_COUNT, len(names))
         self._send(self._generator.sample(names, count), crashes)
 
-    def _tell_all(self, engines: Collection[str]) -> None:
+    def _tell_all(self, crashes: Iterable[_base.Crash]) -> None:
         """Tells all other gateways of crashes, now and once more."""
+        told_at = self._now()
 
         def tell() -> None:
             now = self._now()
-            crashes = [self._crashes.describe(item, now) for item in engines]
-            known = [item for item in crashes if item is not None]
+            known = []
+            for crash in crashes:
+                age_s = crash.age_s + now - told_at
+                aged = dataclasses.replace(crash, age_s=age_s)
+                known.append(self._crashes.describe(aged, now) or aged)
             self._send(list(self.transport.list_zones()), known)
 
         def tell_again() -> None:
@@ -262,5 +266,5 @@
     return {
         "parts": sorted(item.parts),
         "prompt": item.identity,
-        "engines": sorted(item.engines),
+        "crashes": sorted(item.crashes),
     }
