--- a/sassafrasstile/quarantine/_evidence.py
+++ b/sassafrasstile/quarantine/_evidence.py
@@ -20,7 +20,7 @@
 ANSWER_VALIDITY_S = 60.0
 # Losses of an engine that are further apart than this are different crashes.
 # While the store is away, a new start of an engine isn't known.
-_SAME_CRASH_S = 1.0
+_SAME_CRASH_S = 0.3
 _MAX_CRASHES = 64
 _MAX_SUSPECTS = 512
 _MAX_SUSPECTS_OF_CRASH = 64
