Known red: a restore delays the first read of the peers' addresses

A gateway that starts while the store is away tries again after a second. When the store answers in a new epoch meanwhile, `start_epoch` resets that timer to up to 4 s, for gateways that know each other already; this one knows nobody.

--- a/sassafrasstile/peers/tests/test_directory.py
+++ b/sassafrasstile/peers/tests/test_directory.py
@@ -99,6 +99,30 @@
         self.advance(6.0)
         self.assertEqual((self.store.puts, self.store.loads), (1, 2))
 
+    # Guards against a gateway that is told of no crash for seconds, since a
+    # restore delays its first read of the addresses.
+    def test_restore_does_not_delay_the_first_read(self):
+        self.directory.close()
+        for seed in range(20):
+            self.directory = peers.PeerDirectory(
+                reactor=self.clock,
+                store=self.store,
+                topic="t",
+                address=peers.PeerAddress(name="a", host="h", port=1, zone="z"),
+                channel=self.channel,
+                generator=random.Random(seed),
+            )
+            self.store.is_down = True
+            self.directory.start()
+            self.advance(0.2)
+            self.store.is_down = False
+            self.directory.start_epoch(2)
+            # The longest wait for another try without a restore is 1.25 s.
+            self.advance(1.5)
+            with self.subTest(seed=seed):
+                self.assertTrue(self.directory.is_loaded)
+            self.directory.close()
+
     def test_address_is_written_after_an_outage(self):
         self.advance(1.0)
         self.store.records.clear()
