--- a/sassafrasstile/peers/_directory.py
+++ b/sassafrasstile/peers/_directory.py
@@ -75,8 +75,12 @@
 
     def start_epoch(self, _epoch: int) -> None:
         """Reads the topic soon, since the store was restored from a copy."""
-        if self._timer is not None and self._timer.active():
-            self._timer.reset(_RESTORE_DELAY_S * self._generator.random())
+        if self._timer is None or not self._timer.active():
+            return
+        delay_s = _RESTORE_DELAY_S * self._generator.random()
+        # The next try may be due earlier, after one that has failed.
+        if delay_s < self._timer.getTime() - self._reactor.seconds():
+            self._timer.reset(delay_s)
 
     async def _run(self) -> None:
         is_written = False
