One messenger for the messages between gateways

Streams and the quarantine each had a rate limit, repeats and their clean-up; both use peers.Messenger now.

--- a/sassafrasstile/peers/__init__.py
+++ b/sassafrasstile/peers/__init__.py
@@ -12,11 +12,13 @@
 )
 from sassafrasstile.peers._channel import PeerChannel
 from sassafrasstile.peers._directory import PeerDirectory
+from sassafrasstile.peers._messenger import Messenger
 from sassafrasstile.peers._transport import NoTransport, Transport
 
 __all__ = [
     "EndpointLoad",
     "LoadReport",
+    "Messenger",
     "NoTransport",
     "PeerAddress",
     "PeerChannel",
--- a/sassafrasstile/streams/_messenger.py
+++ b/sassafrasstile/peers/_messenger.py
@@ -1,22 +1,20 @@
-"""Sends messages about streams to other gateways, within a rate limit."""
+"""Sends messages to other gateways, within a rate limit."""
 
 from collections.abc import Callable, Collection
 
-from sassafrasstile import limits
-from sassafrasstile import peers
-from sassafrasstile.streams import _base
-from sassafrasstile.streams import _codec
+from twisted.internet import interfaces
 
-# Each datagram may be lost, so it is sent again after this time.
-_REPEAT_S = 0.05
-_MAX_DATAGRAMS_PER_S = 400.0
+from sassafrasstile import limits
+from sassafrasstile.peers import _transport
 
 
 class Messenger:
-    """Sends each message twice, since any datagram may be lost.
+    """Sends messages, some of them twice, since any datagram may be lost.
 
     Args:
         reactor: The reactor.
+        max_datagrams_per_s: The rate limit.
+        repeat_s: Seconds after which a message is sent again.
         transport: Sends to the other gateways.
 
     Attributes:
@@ -24,11 +22,19 @@
             them exists.
     """
 
-    def __init__(self, *, reactor, transport: peers.Transport):
+    def __init__(
+        self,
+        *,
+        reactor,
+        max_datagrams_per_s: float,
+        repeat_s: float,
+        transport: _transport.Transport | None = None,
+    ):
+        self.transport = transport or _transport.NoTransport()
         self._reactor = reactor
-        self.transport = transport
-        self._calls: set = set()
-        self._bucket = limits.TokenBucket(rate_per_s=_MAX_DATAGRAMS_PER_S)
+        self._repeat_s = repeat_s
+        self._calls: set[interfaces.IDelayedCall] = set()
+        self._bucket = limits.TokenBucket(rate_per_s=max_datagrams_per_s)
 
     def close(self) -> None:
         """Stops sending."""
@@ -39,7 +45,7 @@
     def send_twice(
         self,
         names: Collection[str],
-        message: _base.Message,
+        payload: bytes,
         *,
         list_repeated: Callable[[], Collection[str]] | None = None,
     ) -> bool:
@@ -47,24 +53,32 @@
 
         Args:
             names: The gateways.
-            message: The message.
+            payload: The message.
             list_repeated: Returns the gateways that need it again; all by
                 default.
 
         Returns:
             False when the rate limit held the first one back.
         """
-        is_sent = self.send(names, message)
+        is_sent = self.send(names, payload)
 
         def repeat():
+            self.send(list_repeated() if list_repeated else names, payload)
+
+        self.call_later(repeat)
+        return is_sent
+
+    def call_later(self, send: Callable[[], None]) -> None:
+        """Calls a function when messages sent now are due to be repeated."""
+
+        def run():
             self._calls.discard(call)
-            self.send(list_repeated() if list_repeated else names, message)
+            send()
 
-        call = self._reactor.callLater(_REPEAT_S, repeat)
+        call = self._reactor.callLater(self._repeat_s, run)
         self._calls.add(call)
-        return is_sent
 
-    def send(self, names: Collection[str], message: _base.Message) -> bool:
+    def send(self, names: Collection[str], payload: bytes) -> bool:
         """Sends a message once.
 
         Returns:
@@ -72,7 +86,6 @@
         """
         if not self._bucket.take(len(names), self._reactor.seconds()):
             return False
-        payload = _codec.encode_message(message)
         for name in names:
             self.transport.send(name, payload)
         return True
--- a/sassafrasstile/quarantine/_messages.py
+++ b/sassafrasstile/quarantine/_messages.py
@@ -1,6 +1,6 @@
 """Distributes crashes over messages that each fit into a datagram."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 import itertools
 
 from sassafrasstile.quarantine import _base
@@ -10,7 +10,7 @@
 _MAX_BYTES = 1200
 
 
-def make_messages(crashes: list[_base.Crash]) -> list[bytes]:
+def make_messages(crashes: Iterable[_base.Crash]) -> list[bytes]:
     """Returns messages that describe crashes.
 
     Args:
--- a/sassafrasstile/quarantine/_quarantine.py
+++ b/sassafrasstile/quarantine/_quarantine.py
@@ -1,11 +1,10 @@
 """Collects evidence on crashes from all gateways and refuses deadly prompts."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 import dataclasses
 import logging
 import random
 
-from twisted.internet import interfaces
 from twisted.internet import task
 
 from sassafrasstile import errors
@@ -42,10 +41,6 @@
         reactor: The reactor.
         generator: The random number generator.
         transport: Sends to the other gateways.
-
-    Attributes:
-        transport: Sends to the other gateways. It is set once the channel to
-            them exists.
     """
 
     def __init__(
@@ -55,18 +50,30 @@
         generator: random.Random,
         transport: peers.Transport | None = None,
     ):
-        self.transport = transport or peers.NoTransport()
         self._reactor = reactor
+        self._messenger = peers.Messenger(
+            reactor=reactor,
+            max_datagrams_per_s=_MAX_DATAGRAMS_PER_S,
+            repeat_s=_REPEAT_NEWS_S,
+            transport=transport,
+        )
         self._generator = generator
         self._crashes = _evidence.CrashLog()
         self._active: frozenset[_base.Suspicion] = frozenset()
         self._subscribers: list[Callable[[], None]] = []
-        self._bucket = limits.TokenBucket(rate_per_s=_MAX_DATAGRAMS_PER_S)
         self._log_bucket = limits.TokenBucket(rate_per_s=_MAX_LOG_LINES_PER_S)
-        self._calls: set[interfaces.IDelayedCall] = set()
         self._loop = task.LoopingCall(self._repeat)
         self._loop.clock = reactor
 
+    @property
+    def transport(self) -> peers.Transport:
+        """Sends to the other gateways; set once the channel to them exists."""
+        return self._messenger.transport
+
+    @transport.setter
+    def transport(self, transport: peers.Transport) -> None:
+        self._messenger.transport = transport
+
     def start(self) -> None:
         """Starts to tell other gateways what is known."""
         self._loop.start(_REPEAT_INTERVAL_S, now=False)
@@ -75,9 +82,7 @@
         """Stops telling other gateways."""
         if self._loop.running:
             self._loop.stop()
-        for call in self._calls:
-            call.cancel()
-        self._calls.clear()
+        self._messenger.close()
 
     def subscribe(self, on_refusal: Callable[[], None]) -> None:
         """Calls a function whenever further prompts begin to be refused."""
@@ -112,7 +117,7 @@
         Args:
             name: The gateway's name.
         """
-        self._send([name], self._crashes.list_relevant(self._now()))
+        self._tell([name], self._crashes.list_relevant(self._now()))
 
     def receive(self, sender: str, payload: bytes) -> None:
         """Handles what another gateway knows of crashes.
@@ -148,7 +153,7 @@
             for theirs, mine in zip(crashes, known, strict=True)
             if mine is not None and _clears_more(mine, theirs)
         ]
-        self._send([sender], cleared)
+        self._tell([sender], cleared)
 
     def _record_answer(self, prompt: _base.Prompt) -> None:
         changed = self._crashes.record_answer(prompt, now=self._now())
@@ -218,37 +223,31 @@
         crashes = self._crashes.list_relevant(self._now())
         names = sorted(self.transport.list_zones())
         count = min(_REPEAT_COUNT, len(names))
-        self._send(self._generator.sample(names, count), crashes)
+        self._tell(self._generator.sample(names, count), crashes)
 
-    def _tell_all(self, crashes: Iterable[_base.Crash]) -> None:
+    def _tell_all(self, crashes: Collection[_base.Crash]) -> None:
         """Tells all other gateways of crashes, now and once more."""
         told_at = self._now()
 
         def tell() -> None:
             now = self._now()
-            known = []
-            for crash in crashes:
-                age_s = crash.age_s + now - told_at
-                aged = dataclasses.replace(crash, age_s=age_s)
-                known.append(self._crashes.describe(aged, now) or aged)
-            self._send(list(self.transport.list_zones()), known)
-
-        def tell_again() -> None:
-            self._calls.discard(call)
-            tell()
+            aged = [
+                dataclasses.replace(item, age_s=item.age_s + now - told_at)
+                for item in crashes
+            ]
+            known = [self._crashes.describe(item, now) for item in aged]
+            # They may be forgotten by now, where there are many.
+            remembered = [item for item in known if item is not None]
+            self._tell(list(self.transport.list_zones()), remembered)
 
         tell()
-        call = self._reactor.callLater(_REPEAT_NEWS_S, tell_again)
-        self._calls.add(call)
+        self._messenger.call_later(tell)
 
-    def _send(self, names: list[str], crashes: list[_base.Crash]) -> None:
-        if not names:
-            return
+    def _tell(
+        self, names: Collection[str], crashes: Iterable[_base.Crash]
+    ) -> None:
         for payload in _messages.make_messages(crashes):
-            if not self._bucket.take(len(names), self._now()):
-                return
-            for name in names:
-                self.transport.send(name, payload)
+            self._messenger.send(names, payload)
 
 
 def _clears_more(mine: _base.Crash, theirs: _base.Crash) -> bool:
--- a/sassafrasstile/streams/_directory.py
+++ b/sassafrasstile/streams/_directory.py
@@ -7,7 +7,6 @@
 from sassafrasstile.streams import _base
 from sassafrasstile.streams import _codec
 from sassafrasstile.streams import _holders
-from sassafrasstile.streams import _messenger
 from sassafrasstile.streams import _prompts
 from sassafrasstile.streams import _questions
 from sassafrasstile.streams import _registry
@@ -20,6 +19,9 @@
 _EXTRA_ASKED = 3
 # Where there are no more other gateways than this, all are asked.
 _FEW_GATEWAYS = 16
+# Each datagram may be lost, so it is sent again after this time.
+_REPEAT_S = 0.05
+_MAX_DATAGRAMS_PER_S = 400.0
 # An origin is kept for this long after its deadline, for late datagrams and
 # late callers.
 _LIFETIME_MARGIN_S = 5.0
@@ -48,8 +50,11 @@
         transport: peers.Transport | None = None,
     ):
         self._reactor = reactor
-        self._messenger = _messenger.Messenger(
-            reactor=reactor, transport=transport or peers.NoTransport()
+        self._messenger = peers.Messenger(
+            reactor=reactor,
+            max_datagrams_per_s=_MAX_DATAGRAMS_PER_S,
+            repeat_s=_REPEAT_S,
+            transport=transport,
         )
         self._registry = _registry.OriginRegistry()
         self._questions: _questions.QuestionTable[_base.StreamOrigin | None] = (
@@ -105,7 +110,9 @@
         announcement = _base.OriginAnnouncement(
             key=key, origin=origin, lifetime_s=lifetime_s
         )
-        is_sent = self._messenger.send_twice(holders, announcement)
+        is_sent = self._messenger.send_twice(
+            holders, _codec.encode_message(announcement)
+        )
         return holders if is_sent else []
 
     async def find(self, stream_id: str) -> _base.Lookup:
@@ -141,7 +148,7 @@
             case _base.Query(key=key):
                 origin = self._registry.find(key, now=self._now())
                 answer = _base.Answer(key=key, origin=origin)
-                self._messenger.send([sender], answer)
+                self._messenger.send([sender], _codec.encode_message(answer))
             case _base.Answer(key=key, origin=origin):
                 self._questions.receive(sender, key, origin)
             case _base.PromptQuery() as query:
--- a/sassafrasstile/streams/_prompts.py
+++ b/sassafrasstile/streams/_prompts.py
@@ -3,9 +3,9 @@
 from collections.abc import Sequence
 import itertools
 
+from sassafrasstile import peers
 from sassafrasstile.streams import _base
 from sassafrasstile.streams import _codec
-from sassafrasstile.streams import _messenger
 from sassafrasstile.streams import _prompt_registry
 from sassafrasstile.streams import _questions
 
@@ -33,7 +33,7 @@
         messenger: Sends to the other gateways.
     """
 
-    def __init__(self, *, reactor, messenger: _messenger.Messenger):
+    def __init__(self, *, reactor, messenger: peers.Messenger):
         self._reactor = reactor
         self._messenger = messenger
         self._registry = _prompt_registry.PromptRegistry(now=reactor.seconds())
@@ -89,7 +89,7 @@
         message = _base.PromptAnswer(
             key=query.key, number=query.number, view=self._view(query.key)
         )
-        self._messenger.send([sender], message)
+        self._messenger.send([sender], _codec.encode_message(message))
 
     def receive_answer(self, sender: str, answer: _base.PromptAnswer) -> None:
         """Handles another gateway's answer."""
--- a/sassafrasstile/streams/_questions.py
+++ b/sassafrasstile/streams/_questions.py
@@ -6,8 +6,9 @@
 
 from twisted.internet import defer
 
+from sassafrasstile import peers
 from sassafrasstile.streams import _base
-from sassafrasstile.streams import _messenger
+from sassafrasstile.streams import _codec
 
 # A caller waits no longer than this for the answers of other gateways.
 _ANSWER_TIMEOUT_S = 0.15
@@ -43,7 +44,7 @@
         self,
         *,
         reactor,
-        messenger: _messenger.Messenger,
+        messenger: peers.Messenger,
         is_enough: Callable[[_Content], bool] = lambda _content: False,
     ):
         self._reactor = reactor
@@ -71,7 +72,7 @@
         question.is_over.addTimeout(_ANSWER_TIMEOUT_S, self._reactor)
         self._messenger.send_twice(
             names,
-            message,
+            _codec.encode_message(message),
             list_repeated=lambda: _list_repeated(question),
         )
         try:
