Metrics: one place makes counters, gauges and histograms

The same arguments stood with each metric of two of the three kinds of process. Names, help texts, labels and buckets compared before and after: the same.

--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -2,12 +2,13 @@
 
 import prometheus_client
 
+_PREFIX = "sassafrasstile_"
 _FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.74, 1, 2, 5, 10, 30, 60)
 _PER_TOKEN_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.3, 1)
 
 
-class GatewayMetrics:
-    """Metrics of a gateway that calls endpoints through sidecars.
+class _ProcessMetrics:
+    """Metrics with a registry of their own.
 
     Attributes:
         registry: The registry that holds only these metrics.
@@ -15,73 +16,94 @@
 
     def __init__(self):
         self.registry = prometheus_client.CollectorRegistry()
-        self.requests = prometheus_client.Counter(
-            "sassafrasstile_requests",
+
+    def _make_counter(
+        self, name: str, description: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            _PREFIX + name, description, labels, registry=self.registry
+        )
+
+    def _make_gauge(
+        self, name: str, description: str
+    ) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            _PREFIX + name, description, registry=self.registry
+        )
+
+    def _make_histogram(
+        self,
+        name: str,
+        description: str,
+        labels: tuple[str, ...] = (),
+        *,
+        buckets: tuple[float, ...],
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            _PREFIX + name,
+            description,
+            labels,
+            buckets=buckets,
+            registry=self.registry,
+        )
+
+
+class GatewayMetrics(_ProcessMetrics):
+    """Metrics of a gateway that calls endpoints through sidecars."""
+
+    def __init__(self):
+        super().__init__()
+        self.requests = self._make_counter(
+            "requests",
             "Requests by kind and outcome.",
             ("kind", "outcome"),
-            registry=self.registry,
         )
-        self.in_flight = prometheus_client.Gauge(
-            "sassafrasstile_requests_in_flight",
+        self.in_flight = self._make_gauge(
+            "requests_in_flight",
             "Requests without a final answer.",
-            registry=self.registry,
         )
-        self.first_token = prometheus_client.Histogram(
-            "sassafrasstile_first_token_seconds",
+        self.first_token = self._make_histogram(
+            "first_token_seconds",
             "Seconds from a request's arrival to its first token.",
             buckets=_FIRST_TOKEN_BUCKETS,
-            registry=self.registry,
         )
-        self.per_token = prometheus_client.Histogram(
-            "sassafrasstile_per_token_seconds",
+        self.per_token = self._make_histogram(
+            "per_token_seconds",
             "Mean seconds a token after a request's first one.",
             buckets=_PER_TOKEN_BUCKETS,
-            registry=self.registry,
         )
-        self.violations = prometheus_client.Counter(
-            "sassafrasstile_invariant_violations",
+        self.violations = self._make_counter(
+            "invariant_violations",
             "Invariants found broken, by name.",
             ("name",),
-            registry=self.registry,
         )
 
 
-class SidecarMetrics:
-    """Metrics of a sidecar.
-
-    Attributes:
-        registry: The registry that holds only these metrics.
-    """
+class SidecarMetrics(_ProcessMetrics):
+    """Metrics of a sidecar."""
 
     def __init__(self):
-        self.registry = prometheus_client.CollectorRegistry()
-        self.held = prometheus_client.Gauge(
-            "sassafrasstile_held",
+        super().__init__()
+        self.held = self._make_gauge(
+            "held",
             "Requests that hold engine memory, or calls that run.",
-            registry=self.registry,
         )
-        self.free_slots = prometheus_client.Gauge(
-            "sassafrasstile_free_slots",
+        self.free_slots = self._make_gauge(
+            "free_slots",
             "Slots without a hold.",
-            registry=self.registry,
         )
-        self.violations = prometheus_client.Counter(
-            "sassafrasstile_invariant_violations",
+        self.violations = self._make_counter(
+            "invariant_violations",
             "Invariants found broken, by name.",
             ("name",),
-            registry=self.registry,
         )
 
 
-class RouterMetrics:
-    """Metrics of a gateway that calls endpoints directly.
-
-    Attributes:
-        registry: The registry that holds only these metrics.
-    """
+class RouterMetrics(_ProcessMetrics):
+    """Metrics of a gateway that calls endpoints directly."""
 
     def __init__(self):
-        self.registry = prometheus_client.CollectorRegistry()
+        super().__init__()
         self.requests = self._make_counter(
             "requests", "Requests by kind and outcome.", ("kind", "outcome")
         )
@@ -151,29 +173,14 @@
         self.log_lines_dropped = self._make_counter(
             "log_lines_dropped", "Log lines dropped to stay within bounds."
         )
-        self.latency = prometheus_client.Histogram(
-            "sassafrasstile_latency_seconds",
+        self.latency = self._make_histogram(
+            "latency_seconds",
             "Seconds from a request's arrival to its end.",
             ("kind",),
             buckets=_FIRST_TOKEN_BUCKETS,
-            registry=self.registry,
         )
-        self.first_token = prometheus_client.Histogram(
-            "sassafrasstile_first_token_seconds",
+        self.first_token = self._make_histogram(
+            "first_token_seconds",
             "Seconds from a request's arrival to its first token.",
             buckets=_FIRST_TOKEN_BUCKETS,
-            registry=self.registry,
-        )
-
-    def _make_counter(self, name: str, description: str, labels: tuple = ()):
-        return prometheus_client.Counter(
-            f"sassafrasstile_{name}",
-            description,
-            labels,
-            registry=self.registry,
-        )
-
-    def _make_gauge(self, name: str, description: str):
-        return prometheus_client.Gauge(
-            f"sassafrasstile_{name}", description, registry=self.registry
         )
