--- a/sassafrasstile/quarantine/_evidence.py
+++ b/sassafrasstile/quarantine/_evidence.py
@@ -22,7 +22,7 @@
 # While the store is away, a new start of an engine isn't known.
 _SAME_CRASH_S = 0.3
 _MAX_CRASHES = 64
-_MAX_SUSPECTS = 512
+_MAX_SUSPECTS = 256
 _MAX_SUSPECTS_OF_CRASH = 64
 _MAX_ANSWERED_PARTS = 4096
 
--- a/sassafrasstile/quarantine/tests/test_evidence.py
+++ b/sassafrasstile/quarantine/tests/test_evidence.py
@@ -186,7 +186,7 @@
         self.assertLessEqual(len(crashes), 64)
         suspects = [len(item.suspects) for item in crashes]
         self.assertLessEqual(max(suspects), 64)
-        self.assertLessEqual(sum(suspects), 512)
+        self.assertLessEqual(sum(suspects), 256)
 
     def test_prompt_has_a_bounded_number_of_parts(self):
         prompt = _make_prompt(*(f"p{number}" for number in range(1000)))
