Name what a newcomer stumbled on: the crash log, the quarantine, its thresholds

Renames and comments only: _evidence becomes _crash_log, context.prompts becomes context.quarantine, and constants whose comments ran on from one to the next have their own.

--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -43,7 +43,7 @@
         refusals: Remembers refused prompts.
         origins: Knows where the streams of all gateways began, or None where
             no caller takes a stream up again.
-        prompts: Knows the prompts that crash engines.
+        quarantine: Knows the prompts that crash engines.
         versions: The software versions that endpoints have had.
         meter: Counts what is buffered for all requests.
         read_bounds: Bounds on what is read from endpoints.
@@ -60,7 +60,7 @@
     settings: dispatch.DispatchSettings
     metrics: telemetry.RouterMetrics
     generator: random.Random
-    prompts: quarantine.Quarantine
+    quarantine: quarantine.Quarantine
     announce: Callable[[], None] = lambda: None
     count_gateways: Callable[[], int | None] = lambda: 1
     lengths: dispatch.OutputLengthEstimator = dataclasses.field(
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -47,11 +47,11 @@
         self._streams = _streams.StreamForwarder(
             context=context, standbys=self._standbys
         )
-        context.prompts.subscribe(self.admission.refuse_deadly)
+        context.quarantine.subscribe(self.admission.refuse_deadly)
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Forwards a generation request and answers its caller."""
-        if self._context.prompts.find(task.prompt) is not None:
+        if self._context.quarantine.find(task.prompt) is not None:
             code = errors.Code.PROMPT_REFUSED
             self._fail(task, verdicts.NotRun(code=code))
             return
@@ -84,7 +84,7 @@
 
     def _choose_retry_after_s(self, task: _task.RequestTask) -> float:
         now = self._context.now()
-        suspicion = self._context.prompts.find(task.prompt)
+        suspicion = self._context.quarantine.find(task.prompt)
         if suspicion is not None:
             return suspicion.until - now
         backoff_s = self._context.placement.measure_decode_backoff_s(
@@ -120,7 +120,7 @@
     def _explain_missing_grant(
         self, task: _task.RequestTask
     ) -> verdicts.NotRun:
-        if self._context.prompts.find(task.prompt) is not None:
+        if self._context.quarantine.find(task.prompt) is not None:
             return verdicts.NotRun(code=errors.Code.PROMPT_REFUSED)
         return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
 
@@ -200,7 +200,7 @@
         self, task: _task.RequestTask, engine: dispatch.Endpoint
     ) -> verdicts.NotRun | None:
         """Returns a verdict if a request may no longer be sent to an engine."""
-        if self._context.prompts.find(task.prompt) is not None:
+        if self._context.quarantine.find(task.prompt) is not None:
             return verdicts.NotRun(code=errors.Code.PROMPT_REFUSED)
         code = engine.find_denial(self._context.now())
         return None if code is None else verdicts.NotRun(code=code)
@@ -245,7 +245,7 @@
             request_id=task.request_id,
             number=task.sends,
         )
-        run_watch = context.prompts.watch(
+        run_watch = context.quarantine.watch(
             task.prompt, engine.record, request_id=task.request_id
         )
         starting = defer.ensureDeferred(
--- a/sassafrasstile/forwarding/tests/test_resumptions.py
+++ b/sassafrasstile/forwarding/tests/test_resumptions.py
@@ -45,7 +45,7 @@
             settings=dispatch.DispatchSettings(),
             metrics=telemetry.RouterMetrics(),
             generator=random.Random(1),
-            prompts=quarantine.Quarantine(
+            quarantine=quarantine.Quarantine(
                 reactor=self.clock, generator=random.Random(1)
             ),
             origins=streams.OriginDirectory(reactor=self.clock),
--- a/sassafrasstile/quarantine/__init__.py
+++ b/sassafrasstile/quarantine/__init__.py
@@ -2,7 +2,7 @@
 
 from sassafrasstile.quarantine._base import Prompt, Suspicion, make_prompt
 from sassafrasstile.quarantine._codec import is_message
-from sassafrasstile.quarantine._evidence import CrashLog
+from sassafrasstile.quarantine._crash_log import CrashLog
 from sassafrasstile.quarantine._quarantine import Quarantine
 from sassafrasstile.quarantine._watch import RunWatch
 
--- a/sassafrasstile/quarantine/_common_parts.py
+++ b/sassafrasstile/quarantine/_common_parts.py
@@ -3,17 +3,18 @@
 from collections.abc import Iterable, Mapping
 import dataclasses
 
-# Engines are lost for other reasons, too. So parts count as deadly only if they
-# were at crashes at this many different times
+# Engines are lost for other reasons, too, so parts count as deadly only after
+# crashes at this many different times.
 _MIN_CRASHES = 3
-# under this many different prompts.
+# As many different prompts must have been at these crashes: one that is sent
+# again and again says nothing about its parts.
 _MIN_PROMPTS = 2
 # Engines that are lost within this time may have a cause of their own in
 # common, such as the loss of a zone.
 _SAME_TIME_S = 0.1
-# Parts at this many crashes count
+# A set of parts counts beside larger ones if it is at this many crashes,
 _MANY_CRASHES = 5
-# if this many of these have no larger set of parts in common.
+# and this many of them aren't explained by the larger ones.
 _MIN_UNEXPLAINED = 2
 
 
--- a/sassafrasstile/quarantine/_evidence.py
+++ b/sassafrasstile/quarantine/_crash_log.py
@@ -11,9 +11,9 @@
 REFUSAL_S = 300.0
 # Crashes are remembered for longer, so that one more is enough then.
 MEMORY_S = 900.0
-# A prompt that was at this many crashes isn't sent again for a while. Its
-# caller has given up by the end of it.
-_MAX_CRASHES_OF_PROMPT = 2
+# A prompt that was at this many crashes isn't sent again for a while.
+_CRASHES_TO_REFUSE_PROMPT = 2
+# Its caller has given up by the end of this time.
 PROMPT_REFUSAL_S = 60.0
 # An answer speaks for the parts of its prompt at crashes up to this much later;
 # after that the engines may run another software version.
@@ -21,7 +21,7 @@
 # Losses of an engine that are further apart than this are different crashes.
 # While the store is away, a new start of an engine isn't known.
 _SAME_CRASH_S = 0.3
-_MAX_CRASHES = 64
+_MAX_REMEMBERED = 64
 _MAX_SUSPECTS = 256
 _MAX_SUSPECTS_OF_CRASH = 64
 _MAX_ANSWERED_PARTS = 4096
@@ -241,7 +241,7 @@
     def _limit(self) -> None:
         """Forgets the crashes that were added first where there are many."""
         total = sum(len(entry.suspects) for entry in self._entries.values())
-        while len(self._entries) > _MAX_CRASHES or total > _MAX_SUSPECTS:
+        while len(self._entries) > _MAX_REMEMBERED or total > _MAX_SUSPECTS:
             _, entry = self._entries.popitem(last=False)
             total -= len(entry.suspects)
 
@@ -277,7 +277,7 @@
                 until=self._find_last(keys) + PROMPT_REFUSAL_S,
             )
             for identity, keys in crashes.items()
-            if len(keys) >= _MAX_CRASHES_OF_PROMPT
+            if len(keys) >= _CRASHES_TO_REFUSE_PROMPT
         ]
 
     def _suspect_parts(self) -> list[_base.Suspicion]:
--- a/sassafrasstile/quarantine/_quarantine.py
+++ b/sassafrasstile/quarantine/_quarantine.py
@@ -13,7 +13,7 @@
 from sassafrasstile import peers
 from sassafrasstile.quarantine import _base
 from sassafrasstile.quarantine import _codec
-from sassafrasstile.quarantine import _evidence
+from sassafrasstile.quarantine import _crash_log
 from sassafrasstile.quarantine import _messages
 from sassafrasstile.quarantine import _watch
 
@@ -58,7 +58,7 @@
             transport=transport,
         )
         self._generator = generator
-        self._crashes = _evidence.CrashLog()
+        self._crashes = _crash_log.CrashLog()
         self._active: frozenset[_base.Suspicion] = frozenset()
         self._subscribers: list[Callable[[], None]] = []
         self._log_bucket = limits.TokenBucket(rate_per_s=_MAX_LOG_LINES_PER_S)
--- a/sassafrasstile/quarantine/tests/test_evidence.py
+++ b/sassafrasstile/quarantine/tests/test_crash_log.py
@@ -2,7 +2,7 @@
 
 from sassafrasstile import quarantine
 from sassafrasstile.quarantine import _base
-from sassafrasstile.quarantine import _evidence
+from sassafrasstile.quarantine import _crash_log
 
 _SERVICE = "writer"
 
@@ -136,7 +136,7 @@
     def test_refusal_ends_and_one_more_crash_renews_it(self):
         for number in range(3):
             self.crash(_make_prompt("bad", f"own {number}"))
-        self.now += _evidence.REFUSAL_S
+        self.now += _crash_log.REFUSAL_S
         self.assertFalse(self.is_refused("bad", "new"))
         self.crash(_make_prompt("bad", "new"))
         self.assertTrue(self.is_refused("bad", "newer"))
@@ -145,7 +145,7 @@
         for number in range(3):
             self.crash(_make_prompt("bad", f"own {number}"))
         suspicion = self.log.find(_make_prompt("bad", "new"), self.now)
-        self.assertEqual(suspicion.until, self.now + _evidence.REFUSAL_S)
+        self.assertEqual(suspicion.until, self.now + _crash_log.REFUSAL_S)
         self.assertEqual(len(suspicion.crashes), 3)
 
     # Guards against a session that stays refused since two of its requests were
@@ -154,13 +154,13 @@
         prompt = _make_prompt("system", "session")
         for _ in range(2):
             self.crash(prompt)
-        self.now += _evidence.PROMPT_REFUSAL_S
+        self.now += _crash_log.PROMPT_REFUSAL_S
         self.assertFalse(self.is_refused("system", "session"))
 
     def test_crashes_are_forgotten(self):
         for number in range(2):
             self.crash(_make_prompt("bad", f"own {number}"))
-        self.now += _evidence.MEMORY_S
+        self.now += _crash_log.MEMORY_S
         self.crash(_make_prompt("bad", "own 2"))
         self.assertFalse(self.is_refused("bad", "new"))
         self.assertEqual(len(self.log.list_relevant(self.now)), 1)
@@ -169,7 +169,7 @@
     # was answered by the former one.
     def test_part_that_was_answered_long_ago_may_be_deadly(self):
         self.answer("bad", "s0")
-        self.now += _evidence.ANSWER_VALIDITY_S
+        self.now += _crash_log.ANSWER_VALIDITY_S
         for number in range(3):
             self.crash(_make_prompt("bad", f"own {number}"))
         self.assertTrue(self.is_refused("bad", "new"))
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -186,7 +186,7 @@
             settings=self.settings.dispatch,
             metrics=self._metrics,
             generator=self._generator,
-            prompts=self._quarantine,
+            quarantine=self._quarantine,
             origins=self._origins,
             versions=self._versions,
             meter=self._meter,
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -108,7 +108,7 @@
             ),
             metrics=None,
             generator=generator,
-            prompts=quarantine.Quarantine(
+            quarantine=quarantine.Quarantine(
                 reactor=self._reactor, generator=generator
             ),
             count_gateways=lambda: self._profile.gateways,
--- a/sassafrasstile/soak/_faults.py
+++ b/sassafrasstile/soak/_faults.py
@@ -118,7 +118,7 @@
 
 
 def crash_beside_waiting_calls(site) -> None:
-    """Does the same while callers send twice and their first calls wait.
+    """Loses a service's sidecar in an outage, beside callers that send twice.
 
     One gateway doesn't reach the sidecar, so the calls sent there wait. Second
     calls with their keys run at the sidecar without a claim. Instead of being
