Take back: an unnamed stream goes on at the version that its prompt began at

Reverts: such callers are refused as not run again. The search itself (streams/_prompts.py) stays, unused by the router, with its tests.

--- a/sassafrasstile/forwarding/_resumptions.py
+++ b/sassafrasstile/forwarding/_resumptions.py
@@ -7,7 +7,6 @@
 from sassafrasstile import routes
 from sassafrasstile import streams
 from sassafrasstile import verdicts
-from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _task
 
@@ -37,17 +36,13 @@
     task.software_version = version
     holders: list[str] = []
     stream_id = details.origin_id if details.is_resumption else task.request_id
-    origin = streams.StreamOrigin(
-        service=task.service.name, software_version=version
-    )
-    deadline = max(task.deadline, task.caller_deadline)
     if context.origins and stream_id and task.route.resumable:
-        holders = context.origins.record(stream_id, origin, deadline=deadline)
-    if context.origins:
-        # Each stream counts, since another one that was overlooked would be
-        # taken for the only one of its prompt.
-        context.origins.prompts.record(
-            details.prompt_id, origin, deadline=deadline
+        holders = context.origins.record(
+            stream_id,
+            streams.StreamOrigin(
+                service=task.service.name, software_version=version
+            ),
+            deadline=max(task.deadline, task.caller_deadline),
         )
     _LOG.info(
         "stream: request %s %s at %s.",
@@ -93,27 +88,16 @@
         return refusal
 
     async def _find(self, task: _task.RequestTask) -> streams.Lookup:
-        lookup = await self._find_begin(task.details)
-        if lookup.origin is not None:
-            return lookup
+        origin_id = task.details.origin_id
+        if origin_id and self._context.origins:
+            lookup = await self._context.origins.find(origin_id)
+            if lookup.origin is not None:
+                return lookup
         origin = await self._find_only_version(task)
         if origin is None:
-            return lookup
+            return streams.Lookup(source=streams.Source.NONE)
         return streams.Lookup(source=streams.Source.ONLY_VERSION, origin=origin)
 
-    async def _find_begin(
-        self, details: _base.RequestDetails
-    ) -> streams.Lookup:
-        """Finds what was recorded when the stream began."""
-        origins = self._context.origins
-        if origins and details.origin_id:
-            return await origins.find(details.origin_id)
-        # Without a deadline it isn't known for how long attempts at the request
-        # may follow each other.
-        if origins and details.timeout_s is not None:
-            return await origins.prompts.find(details.prompt_id)
-        return streams.Lookup(source=streams.Source.NONE)
-
     async def _find_only_version(
         self, task: _task.RequestTask
     ) -> streams.StreamOrigin | None:
@@ -179,7 +163,6 @@
         outcome = refusal.code if refusal else lookup.source.value
         self._context.metrics.resumptions.labels(outcome).inc()
         origin = lookup.origin
-        obstacle = lookup.obstacle
         _LOG.info(
             "resumption: request %s takes up %s: %s.",
             task.request_id,
@@ -190,7 +173,6 @@
                 "origin": task.details.origin_id,
                 "last_event_id": task.details.last_event_id,
                 "source": lookup.source.value,
-                "obstacle": obstacle.value if obstacle else None,
                 "software_version": origin.software_version if origin else None,
                 "waited_ms": round(waited_s * 1000),
                 "outcome": outcome,
