Workspaces: who a request runs as, and whether its key is valid at each send

Interfaces for the parts that follow: the workspaces of a configuration, the access of a request, its check on arrival and in forwarding/_sends.py, the priority of a workspace before its route's, settings for the age of belief in keys and for quotas. The age isn't measured yet, and no quota is kept.

--- a/sassafrasstile/errors/_base.py
+++ b/sassafrasstile/errors/_base.py
@@ -53,6 +53,10 @@
 
     NOT_CONFIGURED = "not_configured"
     UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_KEY = "unknown_key"
+    KEY_WITHDRAWN = "key_withdrawn"
+    KEYS_UNCONFIRMED = "keys_unconfirmed"
+    QUOTA_EXCEEDED = "quota_exceeded"
     VERSION_UNKNOWN = "version_unknown"
     PROMPT_REFUSED = "prompt_refused"
     CALL_REFUSED = "call_refused"
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -182,7 +182,7 @@
                 + (_MIN_RESUMED_WAIT_S if is_resumed else _MIN_WAIT_S),
             ),
             arrived_at=task.arrived_at,
-            priority=task.route.priority,
+            priority=task.priority,
             prefilled_until=handle.expires_at if handle else None,
             prefilled_version=(
                 handle.endpoint.record.software_version if handle else None
--- a/sassafrasstile/forwarding/_answers.py
+++ b/sassafrasstile/forwarding/_answers.py
@@ -9,6 +9,11 @@
 from sassafrasstile.forwarding import _task
 
 _STATUS_NOT_RUN = 503
+# The reasons why nothing ran that have a status of their own.
+_NOT_RUN_STATUSES = {
+    errors.Code.KEY_WITHDRAWN: 401,
+    errors.Code.QUOTA_EXCEEDED: 429,
+}
 _STATUS_MAY_HAVE_RUN = 502
 _STATUS_TIMEOUT = 504
 # Random jitter is added to Retry-After, up to this share of it, so that
@@ -23,14 +28,16 @@
 
     >>> choose_status(verdicts.NotRun(code="no_endpoint"))
     503
+    >>> choose_status(verdicts.NotRun(code=errors.Code.QUOTA_EXCEEDED))
+    429
     >>> choose_status(verdicts.MayHaveRun(code="deadline_exceeded"))
     504
     >>> choose_status(verdicts.MayHaveRun(code="endpoint_lost"))
     502
     """
     match verdict:
-        case verdicts.NotRun():
-            return _STATUS_NOT_RUN
+        case verdicts.NotRun(code=code):
+            return _NOT_RUN_STATUSES.get(code, _STATUS_NOT_RUN)
         case _ if verdict.code == errors.Code.DEADLINE_EXCEEDED:
             return _STATUS_TIMEOUT
         case _:
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -8,6 +8,7 @@
 from sassafrasstile import membership
 from sassafrasstile import routes
 from sassafrasstile import web
+from sassafrasstile import workspaces
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -29,6 +30,9 @@
         origin_id: The id of the attempt that brought the first event of the
             stream that the caller takes up again, or None.
         caller: What identifies the caller among all, or an empty string.
+        key: The key that the caller shows, or None.
+        stated_tokens: The tokens that the request states, prompt and most
+            output together, or None if it states none.
     """
 
     request_id: str
@@ -39,7 +43,9 @@
     last_event_id: str | None
     prompt_parts: tuple[str, ...] = ()
     origin_id: str | None = None
-    caller: str = ""
+    caller: str = dataclasses.field(default="", repr=False)
+    key: str | None = dataclasses.field(default=None, repr=False)
+    stated_tokens: int | None = None
 
     @property
     def prompt_id(self) -> str:
@@ -80,12 +86,14 @@
         target: The path and query string.
         headers: The headers, without those that frame the body.
         body: The body.
+        access: What it runs as; checked when it is sent.
     """
 
     method: bytes
     target: bytes
-    headers: web.Headers = ()
+    headers: web.Headers = dataclasses.field(default=(), repr=False)
     body: bytes = b""
+    access: workspaces.Access = workspaces.ANONYMOUS
 
 
 class AnswerKind(enum.Enum):
@@ -123,6 +131,7 @@
         record: membership.EndpointRecord,
         remaining_s: float,
         priority: int,
+        access: workspaces.Access = workspaces.ANONYMOUS,
         handle: KvHandle | None = None,
         hold: str | None = None,
         last_event_id: str | None = None,
@@ -133,7 +142,8 @@
             request: The caller's request.
             record: The endpoint.
             remaining_s: Seconds until the caller's deadline.
-            priority: The priority of its route; 0 is the most urgent.
+            priority: Its priority; 0 is the most urgent.
+            access: What it runs as.
             handle: The finished prefill to start from, if any.
             hold: The name of the memory that the engine has set aside, if any.
             last_event_id: The id of the last event that the caller has
@@ -148,6 +158,7 @@
         record: membership.EndpointRecord,
         remaining_s: float,
         priority: int,
+        access: workspaces.Access = workspaces.ANONYMOUS,
     ) -> OutgoingRequest:
         """Returns the request that makes an engine only prefill the prompt."""
 
--- a/sassafrasstile/forwarding/_calls.py
+++ b/sassafrasstile/forwarding/_calls.py
@@ -168,7 +168,8 @@
             task.request,
             record=endpoint.record,
             remaining_s=remaining_s,
-            priority=task.route.priority,
+            priority=task.priority,
+            access=task.access,
         )
         task.record_send(endpoint)
         attempt = _attempts.Attempt(
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -14,6 +14,7 @@
 from sassafrasstile import streams
 from sassafrasstile import telemetry
 from sassafrasstile import web
+from sassafrasstile import workspaces
 from sassafrasstile.forwarding import _base
 
 # A connection to an endpoint outlasts the request on it, which has its own
@@ -51,6 +52,7 @@
         read_bounds: Bounds on what is read from endpoints.
         confirm_endpoints: Returns whether the known endpoints are those that
             the store lists, as of a time in seconds or later.
+        access: Decides what each request may run as.
         generator: The random number generator.
     """
 
@@ -79,6 +81,11 @@
     meter: web.BufferMeter = dataclasses.field(default_factory=web.BufferMeter)
     read_bounds: web.ReadBounds = web.DEFAULT_BOUNDS
     confirm_endpoints: Callable[[float], Awaitable[bool]] | None = None
+    access: workspaces.AccessChecker = dataclasses.field(
+        default_factory=lambda: workspaces.AccessChecker(
+            read_directory=lambda: None
+        )
+    )
 
     def __post_init__(self):
         self._pools: dict[dispatch.Endpoint, web.ConnectionPool] = {}
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -225,6 +225,9 @@
         """Returns a verdict if a request may no longer be sent to an engine."""
         if self._context.quarantine.find(task.content) is not None:
             return verdicts.NotRun(code=errors.Code.PROMPT_REFUSED)
+        code = self._context.access.find_denial(task.access)
+        if code is not None:
+            return verdicts.NotRun(code=code)
         code = engine.find_denial(self._context.now(), has_permit=has_permit)
         return None if code is None else verdicts.NotRun(code=code)
 
@@ -255,7 +258,8 @@
             task.request,
             record=engine.record,
             remaining_s=remaining_s,
-            priority=task.route.priority,
+            priority=task.priority,
+            access=task.access,
             handle=progress.handle,
             hold=self._get_hold_token(progress),
             last_event_id=progress.last_event_id if progress.events else None,
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -66,7 +66,8 @@
             task.request,
             record=engine.record,
             remaining_s=remaining_s,
-            priority=task.route.priority,
+            priority=task.priority,
+            access=task.access,
         )
         attempt = _attempts.Attempt(
             context=context,
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -26,6 +26,8 @@
         errors.Code.LEAVING,
         errors.Code.ENDPOINT_BACKOFF,
         errors.Code.ENDPOINT_RATE,
+        errors.Code.KEY_WITHDRAWN,
+        errors.Code.KEYS_UNCONFIRMED,
     )
 )
 
@@ -40,6 +42,7 @@
     HOLDS = "engines were asked for memory as often as allowed"
     MAY_HAVE_RUN = "it may have run, and no other endpoint may run it"
     BUDGET = "the retry budget is spent"
+    ACCESS = "its key isn't valid any more"
     CONTENT = "endpoints were lost under requests like it"
 
 
@@ -104,6 +107,8 @@
         return Obstacle.HANDLE
     if context.quarantine.find(task.content) is not None:
         return Obstacle.CONTENT
+    if context.access.find_denial(task.access) is not None:
+        return Obstacle.ACCESS
     is_proved = isinstance(verdict, verdicts.NotRun)
     if not is_proved and not may_run_elsewhere(task):
         return Obstacle.MAY_HAVE_RUN
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -106,6 +106,7 @@
                 detail=f"no route for host {details.host!r}",
                 status=404,
             )
+        access = context.access.identify(details.key, is_open=route.is_open)
         caller_timeout_s = details.timeout_s
         if caller_timeout_s is None:
             caller_timeout_s = route.timeout_s
@@ -127,6 +128,7 @@
             exchange=exchange,
             deadline=request.received_at + timeout_s,
             caller_deadline=caller_deadline,
+            access=access,
             arrived_at=context.refusals.find_first_arrival(
                 details.prompt_id,
                 arrived_at=request.received_at,
--- a/sassafrasstile/forwarding/_sends.py
+++ b/sassafrasstile/forwarding/_sends.py
@@ -22,6 +22,8 @@
         errors.Code.LEAVING,
         errors.Code.ENDPOINT_BACKOFF,
         errors.Code.ENDPOINT_RATE,
+        errors.Code.KEY_WITHDRAWN,
+        errors.Code.KEYS_UNCONFIRMED,
     )
 )
 
@@ -42,12 +44,12 @@
 
 
 class SendDeniedError(web.ExchangeError):
-    """Nothing was sent, since the endpoint wants no requests now."""
+    """Nothing was sent, since it isn't permitted now."""
 
     def __init__(self, *, code: errors.Code, endpoint: dispatch.Endpoint):
         super().__init__(
             code=code,
-            detail=f"endpoint {endpoint.name} wants no requests",
+            detail=f"a send to endpoint {endpoint.name} isn't permitted",
             was_sent=False,
         )
 
@@ -84,11 +86,15 @@
         The request; the head of its answer is read with `read_head`.
 
     Raises:
-        SendDeniedError: The endpoint wants no requests now.
+        SendDeniedError: The endpoint wants no requests now, or the key that
+            the request shows isn't valid any more.
         web.ExchangeError: No connection could be made; nothing was sent.
     """
 
     def check() -> None:
+        denial = context.access.find_denial(outgoing.access)
+        if denial is not None:
+            deny(denial)
         restrictions = endpoint.restrictions
         find = restrictions.find_denial
         if is_release:
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -9,6 +9,7 @@
 from sassafrasstile import routes
 from sassafrasstile import verdicts
 from sassafrasstile import web
+from sassafrasstile import workspaces
 from sassafrasstile.forwarding import _base
 
 
@@ -28,6 +29,7 @@
             said so. Each attempt at a request has the same.
         arrived_at: When the caller's first attempt arrived at any gateway, in
             seconds; its targets count from then.
+        access: What it runs as.
         sends: How often it was sent to an endpoint to be run.
         hold_attempts: How often an engine was asked to set memory aside.
         prefill_attempts: How often it was sent to a prefill engine.
@@ -52,6 +54,7 @@
     deadline: float
     caller_deadline: float
     arrived_at: float
+    access: workspaces.Access = workspaces.ANONYMOUS
     sends: int = 0
     prefill_attempts: int = 0
     hold_attempts: int = 0
@@ -69,6 +72,14 @@
         """The caller's id for this attempt."""
         return self.details.request_id
 
+    @property
+    def priority(self) -> int:
+        """Its priority: that of its workspace, else that of its route."""
+        workspace = self.access.workspace
+        if workspace is None or workspace.priority is None:
+            return self.route.priority
+        return workspace.priority
+
     @functools.cached_property
     def content(self) -> quarantine.Content:
         """What identifies its content among the requests to its service."""
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -10,6 +10,7 @@
 from sassafrasstile import membership
 from sassafrasstile import routes
 from sassafrasstile import web
+from sassafrasstile import workspaces
 from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
 
@@ -28,6 +29,27 @@
 _NOT_RUN_STATUSES = frozenset((408, 429, 503))
 
 
+# What callers send of these is dropped where the configuration has workspaces.
+_CREDENTIALS = frozenset(
+    (_names.AUTHORIZATION.lower(), _names.WORKSPACE.lower())
+)
+
+
+def _read_key(request: web.CallerRequest) -> str | None:
+    """Returns the key that a caller shows, or None without exactly one."""
+    values = [
+        value
+        for name, value in request.headers
+        if name.lower() == _names.AUTHORIZATION.lower()
+    ]
+    if len(values) != 1:
+        return None
+    scheme, _, key = values[0].strip().partition(b" ")
+    if scheme.lower() != _names.KEY_SCHEME.lower():
+        return None
+    return key.strip().decode("latin-1") or None
+
+
 def _parse_token_count(value: bytes | None) -> tuple[int, int]:
     """Returns the prompt and output tokens of `PROMPT,OUTPUT`."""
     if value is None:
@@ -132,7 +154,13 @@
                 request.get(_names.PROMPT_PARTS.lower())
             ),
             origin_id=origin_id.decode("latin-1") if origin_id else None,
-            caller=(request.get(b"authorization") or b"").decode("latin-1"),
+            caller=(request.get(_names.AUTHORIZATION.lower()) or b"").decode(
+                "latin-1"
+            ),
+            key=_read_key(request),
+            stated_tokens=(
+                None if token_count is None else prompt_tokens + output_tokens
+            ),
         )
 
     def encode_run(
@@ -142,6 +170,7 @@
         record: membership.EndpointRecord,
         remaining_s: float,
         priority: int,
+        access: workspaces.Access = workspaces.ANONYMOUS,
         handle: forwarding.KvHandle | None = None,
         hold: str | None = None,
         last_event_id: str | None = None,
@@ -156,7 +185,7 @@
             extra.append((_names.KV_HOLD, hold.encode()))
         if last_event_id is not None:
             extra.append((_names.LAST_EVENT_ID, last_event_id.encode()))
-        return self._encode_request(request, record, remaining_s, extra)
+        return self._encode_request(request, record, remaining_s, access, extra)
 
     def encode_prefill(
         self,
@@ -165,11 +194,12 @@
         record: membership.EndpointRecord,
         remaining_s: float,
         priority: int,
+        access: workspaces.Access = workspaces.ANONYMOUS,
     ) -> forwarding.OutgoingRequest:
         """Returns the request that makes an engine only prefill."""
         extra = self._encode_priority(record, priority)
         extra.append((_names.STAGE, _names.PREFILL_STAGE))
-        return self._encode_request(request, record, remaining_s, extra)
+        return self._encode_request(request, record, remaining_s, access, extra)
 
     @staticmethod
     def _encode_priority(
@@ -181,20 +211,26 @@
         accepted = min(max(priority, 0), _LOWEST_PRIORITY)
         return [(_names.PRIORITY, str(accepted).encode())]
 
-    def _encode_request(self, request, record, remaining_s, extra):
+    def _encode_request(self, request, record, remaining_s, access, extra):
         replaced = {name.lower() for name, _ in extra} | _names.SYSTEM_HEADERS
+        if access.hides_credentials:
+            replaced |= _CREDENTIALS
         headers = [
             item for item in request.headers if item[0].lower() not in replaced
         ]
         remaining_ms = max(1, int(remaining_s * _models.MS_PER_S))
         headers.append((_names.DEADLINE_MS, str(remaining_ms).encode()))
         headers.append((_names.EXPECT_INSTANCE, record.endpoint_id.encode()))
+        if access.workspace is not None:
+            name = access.workspace.name.encode("latin-1", "replace")
+            headers.append((_names.WORKSPACE, name))
         headers.extend(extra)
         return forwarding.OutgoingRequest(
             method=request.method,
             target=request.target,
             headers=headers,
             body=request.body,
+            access=access,
         )
 
     def decode_handle(self, body: bytes) -> str:
--- a/sassafrasstile/platform/_names.py
+++ b/sassafrasstile/platform/_names.py
@@ -14,6 +14,10 @@
 RESUMES = b"Resumes"
 DEADLINE_MS = b"X-Deadline-Ms"
 
+# Names the caller's key, after a scheme.
+AUTHORIZATION = b"Authorization"
+KEY_SCHEME = b"Token"
+
 # Headers that only gateways may set on requests to endpoints; callers' values
 # are dropped.
 EXPECT_INSTANCE = b"X-Expect-Instance"
@@ -21,6 +25,8 @@
 KV_SOURCE = b"X-Kv-Source"
 KV_HOLD = b"X-Kv-Hold"
 PRIORITY = b"X-Request-Priority"
+# The workspace's name, where the configuration has workspaces.
+WORKSPACE = b"X-Tenant"
 SYSTEM_HEADERS = frozenset(
     name.lower()
     for name in (
--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -9,10 +9,12 @@
 from sassafrasstile import router
 from sassafrasstile import routes
 from sassafrasstile import stores
+from sassafrasstile import workspaces
 from sassafrasstile.platform import _addresses
 from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
 
+_TOKEN_UNIT = "tokens"
 _KINDS = {
     "safe": routes.RouteKind.IDEMPOTENT_CALL,
     "unsafe": routes.RouteKind.NON_IDEMPOTENT_CALL,
@@ -41,6 +43,7 @@
     priority: int = 0
     max_attempts: int = 1
     resumable: bool = False
+    is_open: bool = pydantic.Field(alias="public", default=False)
     # A route has one service, or several with weights.
     service: str | None = None
     weighted_services: list[_WeightedService] = []
@@ -71,11 +74,24 @@
     idle_timeout_ms: float
 
 
+class _Workspace(_models.Document):
+    name: str
+    keys: list[str] = pydantic.Field(alias="apiKeys", default=[], repr=False)
+    priority: int | None = None
+    unit: str = ""
+    # The cost in tokens of a request that states no token count.
+    plain_tokens: float = 1.0
+    # Zero means no limit.
+    rate_per_s: float = pydantic.Field(alias="ratePerS", default=0.0)
+    burst: float = 0.0
+
+
 class _Configuration(_models.Document):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    workspaces: list[_Workspace] = pydantic.Field(alias="tenants", default=[])
 
 
 class _Endpoint(_models.Document):
@@ -113,6 +129,7 @@
         priority=route.priority,
         max_attempts=route.max_attempts,
         resumable=route.resumable,
+        is_open=route.is_open,
     )
 
 
@@ -134,6 +151,26 @@
     )
 
 
+def _make_workspace(workspace: _Workspace) -> workspaces.Workspace:
+    quota = None
+    if workspace.rate_per_s:
+        unit = workspaces.QuotaUnit.REQUESTS
+        if workspace.unit == _TOKEN_UNIT:
+            unit = workspaces.QuotaUnit.TOKENS
+        quota = workspaces.Quota(
+            rate_per_s=workspace.rate_per_s,
+            burst=workspace.burst,
+            unit=unit,
+            unstated_cost=workspace.plain_tokens,
+        )
+    return workspaces.Workspace(
+        name=workspace.name,
+        keys=frozenset(workspace.keys),
+        priority=workspace.priority,
+        quota=quota,
+    )
+
+
 class PlatformRecordDecoder(router.RecordDecoder):
     """Decodes the platform's configuration and endpoint records."""
 
@@ -164,6 +201,7 @@
                     idle_timeout_s=document.limits.idle_timeout_ms
                     / _models.MS_PER_S,
                 ),
+                workspaces=tuple(map(_make_workspace, document.workspaces)),
             )
         except ValueError as reason:
             raise errors.ConfigurationError(
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -31,6 +31,11 @@
     lease_ms: float = 3000.0
     config_apply_ms: float = 2000.0
     drain_ms: float = 2000.0
+    revoke_ms: float = 5000.0
+    revoke_fail_closed: bool = False
+    quota_window_s: float = 0.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
 
 
 class _Store(_models.Document):
@@ -126,6 +131,12 @@
     return share or web.DEFAULT_MAX_BUFFERED_BYTES
 
 
+def _choose_max_key_age_s(bounds: _Bounds) -> float | None:
+    if not bounds.revoke_fail_closed:
+        return None
+    return bounds.revoke_ms / _models.MS_PER_S
+
+
 def _decode(raw: object, *, metrics_port: int) -> router.RouterSettings:
     document = _SettingsDocument.model_validate(raw)
     _, port = _addresses.split_address(document.listen.frontend)
@@ -147,6 +158,12 @@
             document.bounds.config_apply_ms, document.bounds.drain_ms
         )
         / _models.MS_PER_S,
+        max_key_age_s=_choose_max_key_age_s(document.bounds),
+        quota_bounds=router.QuotaBounds(
+            window_s=document.bounds.quota_window_s,
+            overshoot=document.bounds.quota_overshoot,
+            slack=document.bounds.quota_slack,
+        ),
         heartbeat_s=document.heartbeat_ms / _models.MS_PER_S,
         lease_s=document.bounds.lease_ms / _models.MS_PER_S,
         dispatch=dispatch.DispatchSettings(
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -25,6 +25,7 @@
 from sassafrasstile import streams
 from sassafrasstile import telemetry
 from sassafrasstile import web
+from sassafrasstile import workspaces
 from sassafrasstile.router import _caller_port
 from sassafrasstile.router import _confirmation
 from sassafrasstile.router import _record_decoder
@@ -200,6 +201,11 @@
             versions=self._versions,
             meter=self._meter,
             read_bounds=self.settings.read_bounds,
+            access=workspaces.AccessChecker(
+                read_directory=lambda: self._active_configuration.directory,
+                max_age_s=self.settings.max_key_age_s,
+                fresh_age_s=self.settings.propagation_limit_s,
+            ),
         )
 
     def _make_records(self, record_decoder) -> _store_records.StoreRecords:
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -7,6 +7,24 @@
 from sassafrasstile import web
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QuotaBounds:
+    """By how much all gateways together may exceed a quota.
+
+    In any window, a workspace may use (rate x window + burst) x
+    (1 + overshoot) + slack.
+
+    Attributes:
+        window_s: The length of the window in seconds.
+        overshoot: The excess as a share of what the quota allows.
+        slack: The excess beyond that share, in the unit of the quota.
+    """
+
+    window_s: float = 0.0
+    overshoot: float = 0.0
+    slack: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RouterSettings:
     """Addresses, ports and time limits of a gateway process.
@@ -29,6 +47,10 @@
             seconds.
         lease_s: Minimum time between role change orders of two different
             gateways, in seconds.
+        max_key_age_s: Seconds since the configuration was surely the newest
+            one up to which its keys are relied on, or None to rely on the
+            last known ones for good.
+        quota_bounds: By how much quotas may be exceeded.
         dispatch: Settings of load balancing, retries and health checks.
         read_bounds: Bounds on what is read from endpoints and the store.
         max_buffered_bytes: Bytes buffered for all requests from which new ones
@@ -52,6 +74,8 @@
     heartbeat_s: float
     lease_s: float
     dispatch: dispatch.DispatchSettings
+    max_key_age_s: float | None = None
+    quota_bounds: QuotaBounds = QuotaBounds()
     read_bounds: web.ReadBounds = web.DEFAULT_BOUNDS
     max_buffered_bytes: int = web.DEFAULT_MAX_BUFFERED_BYTES
     caller_stall_s: float = web.DEFAULT_CALLER_STALL_S
--- a/sassafrasstile/routes/_active.py
+++ b/sassafrasstile/routes/_active.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from sassafrasstile import workspaces
 from sassafrasstile.routes import _base
 from sassafrasstile.routes import _table
 
@@ -11,6 +12,11 @@
 class ActiveConfiguration:
     """Holds the configuration with the highest version received so far.
 
+    Attributes:
+        current: The configuration in force, or None before the first one.
+        table: Its routes.
+        directory: Its workspaces, or None if it has none.
+
     >>> active = ActiveConfiguration()
     >>> newer = _base.Configuration(version=4, routes=(), services={})
     >>> older = _base.Configuration(version=3, routes=(), services={})
@@ -23,6 +29,7 @@
     def __init__(self):
         self.current: _base.Configuration | None = None
         self.table = _table.RouteTable(routes=())
+        self.directory: workspaces.WorkspaceDirectory | None = None
 
     @property
     def version(self) -> int | None:
@@ -40,6 +47,11 @@
             return False
         self.table = _table.RouteTable(routes=configuration.routes)
         self.current = configuration
+        self.directory = None
+        if configuration.workspaces:
+            self.directory = workspaces.WorkspaceDirectory(
+                workspaces=configuration.workspaces
+            )
         _LOG.info(
             "config: version %s is in force.",
             configuration.version,
@@ -47,6 +59,7 @@
                 "version": configuration.version,
                 "version_before": before,
                 "routes": len(configuration.routes),
+                "workspaces": len(configuration.workspaces),
                 "idle_timeout_s": configuration.limits.idle_timeout_s,
             },
         )
--- a/sassafrasstile/routes/_base.py
+++ b/sassafrasstile/routes/_base.py
@@ -4,6 +4,8 @@
 import dataclasses
 import enum
 
+from sassafrasstile import workspaces
+
 
 class RouteKind(enum.Enum):
     """The kind of requests of a route, and whether they may be repeated."""
@@ -45,6 +47,7 @@
         max_attempts: Maximum number of endpoints that one request may run
             on.
         resumable: True when another endpoint may continue a generation.
+        is_open: True if its requests need no key.
     """
 
     name: str
@@ -58,6 +61,7 @@
     priority: int = 0
     max_attempts: int = 1
     resumable: bool = False
+    is_open: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -132,9 +136,11 @@
         routes: The routes.
         services: The services by name.
         limits: Limits on callers.
+        workspaces: The workspaces; without any, callers need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[workspaces.Workspace, ...] = ()
--- /dev/null
+++ b/sassafrasstile/workspaces/__init__.py
@@ -0,0 +1,21 @@
+"""Workspaces: whose request it is, and whether it may run now."""
+
+from sassafrasstile.workspaces._base import (
+    ANONYMOUS,
+    Access,
+    Quota,
+    QuotaUnit,
+    Workspace,
+)
+from sassafrasstile.workspaces._checker import AccessChecker
+from sassafrasstile.workspaces._directory import WorkspaceDirectory
+
+__all__ = [
+    "ANONYMOUS",
+    "Access",
+    "AccessChecker",
+    "Quota",
+    "QuotaUnit",
+    "Workspace",
+    "WorkspaceDirectory",
+]
