--- a/sassafrasstile/forwarding/tests/test_sends.py
+++ b/sassafrasstile/forwarding/tests/test_sends.py
@@ -10,6 +10,7 @@
 from sassafrasstile import permits
 from sassafrasstile import telemetry
 from sassafrasstile import testing
+from sassafrasstile import workspaces
 from sassafrasstile.forwarding import _sends
 
 _REQUEST = forwarding.OutgoingRequest(method=b"POST", target=b"/")
@@ -40,6 +41,7 @@
         self.pool = _Pool()
         self.metrics = telemetry.RouterMetrics()
         self.context = types.SimpleNamespace(
+            access=workspaces.AccessChecker(read_directory=lambda: None),
             now=lambda: 0.0,
             metrics=self.metrics,
             get_pool=lambda _endpoint: self.pool,
--- a/sassafrasstile/platform/tests/test_attempts.py
+++ b/sassafrasstile/platform/tests/test_attempts.py
@@ -13,6 +13,7 @@
 from sassafrasstile import testing
 from sassafrasstile import verdicts
 from sassafrasstile import web
+from sassafrasstile import workspaces
 from sassafrasstile.forwarding import _attempts
 from sassafrasstile.platform import _codec
 
@@ -56,6 +57,7 @@
         )
         attempt = _attempts.Attempt(
             context=types.SimpleNamespace(
+                access=workspaces.AccessChecker(read_directory=lambda: None),
                 now=clock.seconds,
                 reactor=clock,
                 codec=_codec.PlatformCodec(),
--- a/sassafrasstile/routes/_base.py
+++ b/sassafrasstile/routes/_base.py
@@ -127,6 +127,10 @@
     idle_timeout_s: float = 15.0
 
 
+# In the class body, the attribute hides the module of the same name.
+_Workspaces = tuple[workspaces.Workspace, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Configuration:
     """A complete configuration.
@@ -143,4 +147,4 @@
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: CallerLimits = CallerLimits()
-    workspaces: tuple[workspaces.Workspace, ...] = ()
+    workspaces: _Workspaces = ()
