Workspaces: a gateway knows how old its belief in keys is, and fails closed

Cause: the age was always 0.0, so a key that was withdrawn went on at a gateway that couldn't hear of it. Now a confirmation is as old as the beginning of the call, or as the question to another gateway plus the age that it states. Gateways ask each other along a tree below the two watchers; a question follows the other's own confirmation, so ages hardly add up.

PeerChannel.on_configuration_version names the peer; test_channel follows. ChangePage states where the topic ended, so that a partial page confirms nothing.

--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -83,8 +83,8 @@
             of for the first time.
         read_configuration_version: Returns the version in force here, or None
             before there is one.
-        on_configuration_version: Called with the version that a peer has in
-            force, or None.
+        on_configuration_version: Called with a peer's name and the version
+            that it has in force, or None.
     """
 
     noisy = False
@@ -112,8 +112,8 @@
         on_start: Callable[[str], None] = lambda _name: None,
         read_configuration_version: Callable[[], int | None] = lambda: None,
         on_configuration_version: Callable[
-            [int | None], None
-        ] = lambda _version: None,
+            [str, int | None], None
+        ] = lambda _name, _version: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -305,7 +305,9 @@
         self._on_report(peer.address.name, report.loads, report.is_complete)
         self._on_topics(report.topics)
         self._on_refusals(report.refusals)
-        self._on_configuration_version(report.configuration_version)
+        self._on_configuration_version(
+            peer.address.name, report.configuration_version
+        )
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -67,7 +67,9 @@
                 (name, sender, payload)
             ),
             read_configuration_version=lambda: self.versions[name],
-            on_configuration_version=self.received_versions[name].append,
+            on_configuration_version=lambda _peer, version: (
+                self.received_versions[name].append(version)
+            ),
         )
         channel.transport = self.network
         self.network.channels[("h", port)] = channel
--- a/sassafrasstile/platform/_store.py
+++ b/sassafrasstile/platform/_store.py
@@ -180,7 +180,7 @@
         }
         answer = await self._read_page(query, wait_s + _CALL_TIMEOUT_S)
         try:
-            _HEADER.unpack_from(answer.body)
+            end_offset, _ = _HEADER.unpack_from(answer.body)
             changes = _decode_records(answer.body, offset=offset)
         except (ValueError, struct.error) as reason:
             raise self._make_error(
@@ -190,6 +190,7 @@
             changes=tuple(changes),
             next_offset=offset + len(changes),
             epoch=answer.epoch,
+            end_offset=end_offset,
         )
 
     async def _read_page(self, query: dict, timeout_s: float) -> _Answer:
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -1,6 +1,6 @@
 """Connects configuration, membership, routing and listening ports."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 import logging
 import random
 import secrets
@@ -29,6 +29,7 @@
 from sassafrasstile.router import _caller_port
 from sassafrasstile.router import _confirmation
 from sassafrasstile.router import _record_decoder
+from sassafrasstile.router import _restore_watch
 from sassafrasstile.router import _settings
 from sassafrasstile.router import _start_gate
 from sassafrasstile.router import _store_records
@@ -112,6 +113,13 @@
             on_drop=metrics.buffers_dropped.inc,
         )
         metrics.buffered_bytes.set_function(lambda: self._meter.used_bytes)
+        self._belief = workspaces.KeyBelief(
+            read_version=self._read_configuration_version,
+            may_rely_on_store=lambda: self._restore_watch.may_rely_on_store(),
+            on_confirmed=lambda confirmation: metrics.key_confirmations.labels(
+                confirmation.source
+            ).inc(),
+        )
         self._context = self._make_context(codec)
         self._router = forwarding.Router(context=self._context)
         self._prober = forwarding.Prober(context=self._context)
@@ -128,6 +136,7 @@
         self._topic_sharing = _topics.TopicSharing(
             reactor=reactor, name=settings.name
         )
+        self._exchange = self._make_exchange(record_decoder)
         self._followers = self._make_records(record_decoder).followers
         confirmation = _confirmation.TopicConfirmation(
             reactor=reactor,
@@ -148,10 +157,17 @@
             read_configuration_version=self._read_configuration_version,
             count_gateways=self._count_gateways,
         )
+        self._restore_watch = _restore_watch.RestoreWatch(
+            reactor=reactor,
+            epochs=self._epochs,
+            list_peers=self._list_known_peers,
+            count_lost=lambda: self._channel.count_lost(),
+        )
         self._channel = self._make_channel(address)
         self._origins.transport = self._channel
         self._quarantine.transport = self._channel
         self._permits.transport = self._channel
+        self._exchange.transport = self._channel
         self._topic_sharing.connect(
             channel=self._channel, followers=self._followers
         )
@@ -173,6 +189,7 @@
         metrics.prompts_refused.set_function(self._quarantine.count_active)
         metrics.endpoints_leaving.set_function(self._endpoints.count_leaving)
         metrics.endpoints_with_rate.set_function(self._permits.count_named)
+        metrics.key_belief_age.set_function(self._exchange.measure_age_s)
         metrics.endpoints_backing_off.set_function(
             lambda: self._endpoints.count_backing_off(self._now())
         )
@@ -203,6 +220,7 @@
             read_bounds=self.settings.read_bounds,
             access=workspaces.AccessChecker(
                 read_directory=lambda: self._active_configuration.directory,
+                measure_age_s=self._belief.measure_age_s,
                 max_age_s=self.settings.max_key_age_s,
                 fresh_age_s=self.settings.propagation_limit_s,
             ),
@@ -222,6 +240,21 @@
             versions=self._versions,
             on_configuration=self._apply_limits,
             on_progress=self._accept_callers_if_ready,
+            exchange=self._exchange,
+        )
+
+    def _make_exchange(self, record_decoder) -> workspaces.BeliefExchange:
+        topic = record_decoder.configuration_topic
+        return workspaces.BeliefExchange(
+            reactor=self._reactor,
+            name=self.settings.name,
+            belief=self._belief,
+            max_age_s=self.settings.max_key_age_s,
+            has_keys=lambda: self._active_configuration.directory is not None,
+            is_watcher=self._topic_sharing.is_watcher,
+            read_store=lambda: self._followers[topic].mark_stale(),
+            generator=self._generator,
+            on_lapse=self._router.refuse_denied,
         )
 
     def _record_stall(self) -> None:
@@ -251,9 +284,14 @@
             on_message=self._receive_message,
             on_start=self._tell_starting_peer,
             read_configuration_version=self._read_configuration_version,
-            on_configuration_version=self._start_gate.record_peer_configuration_version,
+            on_configuration_version=self._record_peer_version,
         )
 
+    def _record_peer_version(self, name: str, version: int | None) -> None:
+        self._restore_watch.record_peer(name)
+        self._start_gate.record_peer_configuration_version(version)
+        self._belief.record_peer_version(version)
+
     def _tell_starting_peer(self, name: str) -> None:
         self._quarantine.tell(name)
         self._permits.tell(name)
@@ -263,6 +301,8 @@
             self._quarantine.receive(sender, payload)
         elif permits.is_message(payload):
             self._permits.receive(sender, payload)
+        elif workspaces.is_message(payload):
+            self._exchange.receive(sender, payload)
         else:
             self._origins.receive(sender, payload)
 
@@ -317,6 +357,7 @@
             self._origins,
             self._quarantine,
             self._permits,
+            self._exchange,
             self._directory,
             self._prober,
             self._roles,
@@ -484,6 +525,12 @@
                 self._router.admit_waiting,
             )
 
+    def _list_known_peers(self) -> Collection[str] | None:
+        """Returns the peers, also silent ones; None before they are known."""
+        if not self._directory.is_loaded:
+            return None
+        return self._channel.list_zones().keys()
+
     def _count_peers(self) -> int:
         return len(self._channel.list_live())
 
--- a/sassafrasstile/router/_store_records.py
+++ b/sassafrasstile/router/_store_records.py
@@ -10,6 +10,7 @@
 from sassafrasstile import routes
 from sassafrasstile import stores
 from sassafrasstile import streams
+from sassafrasstile import workspaces
 from sassafrasstile.router import _record_decoder
 from sassafrasstile.router import _topics
 
@@ -33,6 +34,7 @@
         on_configuration: Called with each configuration that is in force now.
         on_progress: Called when a record of the configuration was read, and
             when all endpoints were.
+        exchange: Is told of each call that confirms the configuration.
 
     Attributes:
         followers: The followers by topic.
@@ -53,6 +55,7 @@
         versions: streams.VersionHistory,
         on_configuration: Callable[[routes.Configuration], None],
         on_progress: Callable[[], None],
+        exchange: workspaces.BeliefExchange,
     ):
         self._reactor = reactor
         self._record_decoder = record_decoder
@@ -82,6 +85,9 @@
                 on_page=functools.partial(
                     topic_sharing.relay, configuration_topic
                 ),
+                read_time_s=workspaces.read_boot_time_s,
+                on_confirmed=exchange.record_call,
+                read_max_wait_s=lambda: exchange.max_wait_s,
             ),
             membership_topic: make_follower(
                 topic=membership_topic,
--- a/sassafrasstile/stores/_base.py
+++ b/sassafrasstile/stores/_base.py
@@ -46,11 +46,21 @@
         changes: The records in the order of their offsets.
         next_offset: The offset at which the next page starts.
         epoch: The store's epoch, or None when the answer didn't state it.
+        end_offset: Where the topic ended when the store answered, or None when
+            the answer didn't state it.
     """
 
     changes: tuple[Change, ...]
     next_offset: int
     epoch: int | None = None
+    end_offset: int | None = None
+
+    @property
+    def is_last(self) -> bool:
+        """True if the topic held no further records at the answer."""
+        if self.end_offset is None:
+            return not self.changes
+        return self.next_offset >= self.end_offset
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -58,6 +58,12 @@
         is_watcher: Returns whether this gateway long-polls the topic now.
         on_page: Called with the offset and the records of each page that this
             gateway was the first to read, as far as it knows.
+        read_time_s: Returns the time in seconds on the clock of
+            `on_confirmed`; that of the reactor by default.
+        on_confirmed: Called after each call whose answer shows that nothing
+            newer was in the topic, with the time at which the call was begun.
+        read_max_wait_s: Returns the longest time for which the store may hold
+            a call open, in seconds.
     """
 
     def __init__(
@@ -77,6 +83,9 @@
         on_page: Callable[[int, _base.ChangePage], None] = (
             lambda _offset, _page: None
         ),
+        read_time_s: Callable[[], float] | None = None,
+        on_confirmed: Callable[[float], None] = lambda _begun_at: None,
+        read_max_wait_s: Callable[[], float] = lambda: float("inf"),
     ):
         self._reactor = reactor
         self._store = store
@@ -92,6 +101,9 @@
         self._generator = generator
         self._is_watcher = is_watcher
         self._on_page = on_page
+        self._read_time_s = read_time_s or reactor.seconds
+        self._on_confirmed = on_confirmed
+        self._read_max_wait_s = read_max_wait_s
         self._view = _view.KeyedView()
         self._epoch: int | None = None
         self._peer_epoch = -1
@@ -286,6 +298,7 @@
         while (delay_s := self._load_due_at - self._reactor.seconds()) > 0:
             await self._sleep(delay_s)
         started_at = self._reactor.seconds()
+        begun_at = self._read_time_s()
         drops = self._drops
         snapshot = await self._store.load(self._topic)
         if not self._is_current(snapshot, drops):
@@ -296,6 +309,7 @@
         self._record_contact()
         self._apply_snapshot(snapshot)
         self._update_end(started_at)
+        self._on_confirmed(begun_at)
         return True
 
     def _is_current(self, snapshot: _base.Snapshot, drops: int) -> bool:
@@ -324,6 +338,7 @@
         drops = self._drops
         wait_s = self._choose_wait_s()
         offset = self._offset
+        begun_at = self._read_time_s()
         self._long_poll = self._store.follow(
             self._topic, offset=offset, wait_s=wait_s
         )
@@ -348,6 +363,9 @@
         if self._reported_offset == reported_offset:
             # The call covers everything that was reported before it.
             self._reported_offset = -1
+        if page.is_last:
+            # However long the call was held open, it may prove no more.
+            self._on_confirmed(begun_at)
         return True
 
     def _record_epoch(self, epoch: int | None) -> None:
@@ -364,7 +382,9 @@
         if self._failures:
             # A call without waiting shows early that an outage has ended.
             return 0.0
-        return self._long_poll_s if self._is_watcher() else 0.0
+        if not self._is_watcher():
+            return 0.0
+        return min(self._long_poll_s, self._read_max_wait_s())
 
     def _apply_snapshot(self, snapshot: _base.Snapshot) -> None:
         for change in snapshot.entries:
--- a/sassafrasstile/stores/tests/test_follower.py
+++ b/sassafrasstile/stores/tests/test_follower.py
@@ -62,10 +62,15 @@
             generator=random.Random(1),
             is_watcher=lambda: self.is_watcher,
             on_page=lambda offset, page: self.pages.append((offset, page)),
+            **self.make_options(),
         )
         self.follower.start()
         self.addCleanup(self.follower.close)
 
+    def make_options(self):
+        """Returns further arguments of the follower."""
+        return {}
+
     def load(self, *changes, next_offset=1):
         self.store.loads[-1].callback(
             stores.Snapshot(entries=changes, next_offset=next_offset)
@@ -73,6 +78,54 @@
         self.clock.advance(1.0)
 
 
+class ConfirmationTest(_FollowerTestCase):
+    """Calls that show that nothing newer is in the topic."""
+
+    def setUp(self):
+        self.begun = []
+        self.max_wait_s = 0.4
+        super().setUp()
+
+    def make_options(self):
+        return {
+            "read_time_s": lambda: 1000.0 + self.clock.seconds(),
+            "on_confirmed": self.begun.append,
+            "read_max_wait_s": lambda: self.max_wait_s,
+        }
+
+    def answer(self, *changes, **fields):
+        self.store.follows[-1][0].callback(
+            stores.ChangePage(changes=changes, **fields)
+        )
+
+    def test_calls_confirm_the_time_at_which_they_began(self):
+        self.clock.advance(0.3)
+        self.load(_make_change(0))
+        self.assertEqual(self.begun, [1000.0])
+        self.assertEqual(self.store.follows[-1][2], 0.4)
+        self.clock.advance(0.5)
+        self.answer(next_offset=1)
+        # The load was answered at 0.3, and the next call began when due.
+        self.assertEqual(len(self.begun), 2)
+        self.assertLessEqual(self.begun[1], 1000.0 + self.clock.seconds() - 0.5)
+
+    def test_page_that_is_not_the_last_one_confirms_nothing(self):
+        self.load(_make_change(0))
+        self.answer(_make_change(1), next_offset=2, end_offset=3)
+        self.assertEqual(len(self.begun), 1)
+        self.clock.advance(1.0)
+        self.answer(_make_change(2), next_offset=3, end_offset=3)
+        self.assertEqual(len(self.begun), 2)
+        self.assertEqual(self.changes[-1].offset, 2)
+
+    def test_calls_that_fail_or_are_dropped_confirm_nothing(self):
+        self.load(_make_change(0))
+        _fail(self.store.follows[-1][0])
+        self.clock.advance(1.0)
+        self.follower.start_epoch(2)
+        self.assertEqual(len(self.begun), 1)
+
+
 class FollowerTest(_FollowerTestCase):
     """Following a topic, also across outages."""
 
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -162,6 +162,15 @@
             "prompts_refused",
             "Sets of prompt parts that are refused, since engines were lost.",
         )
+        self.key_belief_age = self._make_gauge(
+            "key_belief_age_seconds",
+            "Seconds since the keys in force were surely the newest ones.",
+        )
+        self.key_confirmations = self._make_counter(
+            "key_confirmations",
+            "Confirmations of the keys in force, by what has confirmed them.",
+            ("source",),
+        )
         self.store_calls = self._make_counter(
             "store_calls", "Calls to the store by outcome.", ("outcome",)
         )
--- a/sassafrasstile/workspaces/__init__.py
+++ b/sassafrasstile/workspaces/__init__.py
@@ -7,15 +7,29 @@
     QuotaUnit,
     Workspace,
 )
+from sassafrasstile.workspaces._belief import (
+    Confirmation,
+    KeyBelief,
+    Source,
+    read_boot_time_s,
+)
 from sassafrasstile.workspaces._checker import AccessChecker
+from sassafrasstile.workspaces._codec import is_message
 from sassafrasstile.workspaces._directory import WorkspaceDirectory
+from sassafrasstile.workspaces._exchange import BeliefExchange
 
 __all__ = [
     "ANONYMOUS",
     "Access",
     "AccessChecker",
+    "BeliefExchange",
+    "Confirmation",
+    "KeyBelief",
     "Quota",
     "QuotaUnit",
+    "Source",
     "Workspace",
     "WorkspaceDirectory",
+    "is_message",
+    "read_boot_time_s",
 ]
