--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -264,13 +264,6 @@
             if is_refused and self._waiting.pop(waiter, None):
                 waiting.decision.callback(None)
 
-    def refuse_denied(self) -> None:
-        """Refuses queued generations that may not be sent with their keys."""
-        for waiter, waiting in list(self._waiting.items()):
-            denial = self._context.access.find_denial(waiting.task.access)
-            if denial is not None and self._waiting.pop(waiter, None):
-                waiting.decision.callback(None)
-
     def _log(
         self, task: _task.RequestTask, grant: dispatch.Grant | None
     ) -> None:
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -122,8 +122,7 @@
     ) -> verdicts.NotRun:
         if self._context.quarantine.find(task.content) is not None:
             return verdicts.NotRun(code=errors.Code.PROMPT_REFUSED)
-        denial = self._context.access.find_denial(task.access)
-        return verdicts.NotRun(code=denial or errors.Code.NO_CAPACITY)
+        return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
 
     async def _acquire(
         self, task: _task.RequestTask, progress: _streams.Progress
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -81,10 +81,6 @@
         """Admits the queued generations that fit now."""
         self._generations.admission.admit()
 
-    def refuse_denied(self) -> None:
-        """Refuses the queued generations whose keys aren't relied on now."""
-        self._generations.admission.refuse_denied()
-
     def begin_shutdown(self, ends_at: float) -> None:
         """Starts to refuse requests that wouldn't be answered in time.
 
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -254,7 +254,7 @@
             is_watcher=self._topic_sharing.is_watcher,
             read_store=lambda: self._followers[topic].mark_stale(),
             generator=self._generator,
-            on_lapse=self._router.refuse_denied,
+            on_lapse=self._router.review_access,
         )
 
     def _record_stall(self) -> None:
