--- a/sassafrasstile/workspaces/_base.py
+++ b/sassafrasstile/workspaces/_base.py
@@ -20,6 +20,15 @@
         burst: The amount that may be used at once after a quiet time.
         unit: What is counted.
         unstated_cost: What a request without a token count costs, in tokens.
+
+    >>> quota = Quota(
+    ...     rate_per_s=10.0,
+    ...     burst=0.0,
+    ...     unit=QuotaUnit.TOKENS,
+    ...     unstated_cost=200.0,
+    ... )
+    >>> quota.measure_cost(1540), quota.measure_cost(None)
+    (1540.0, 200.0)
     """
 
     rate_per_s: float
@@ -33,15 +42,6 @@
         Args:
             tokens: The prompt tokens and the most output tokens together, or
                 None if the request states no count.
-
-        >>> quota = Quota(
-        ...     rate_per_s=10.0,
-        ...     burst=0.0,
-        ...     unit=QuotaUnit.TOKENS,
-        ...     unstated_cost=200.0,
-        ... )
-        >>> quota.measure_cost(1540), quota.measure_cost(None)
-        (1540.0, 200.0)
         """
         match self.unit:
             case QuotaUnit.REQUESTS:
