Workspaces: a request's access is renewed under each configuration, and what is remembered of it is its workspace's

A configuration in force now ends the requests that it doesn't allow and that haven't run (Router.review_access). What isn't sent on behalf of a caller has no access. Another workspace's key in the new version denies; weighed: running it for the new one, which has neither counted nor queued it.

Changed tests: test_resumptions' stand-in for a task has an access, as tasks have.

--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -7,6 +7,7 @@
 from twisted.internet import task as tasks
 
 from sassafrasstile import dispatch
+from sassafrasstile.forwarding import _access
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _task
@@ -257,10 +258,17 @@
             elif waiter.grant is not None:
                 waiter.grant.release()
 
-    def refuse_deadly(self) -> None:
-        """Refuses queued generations whose prompts crash engines."""
+    def refuse_denied(self) -> None:
+        """Refuses queued generations that may not be sent any more.
+
+        Their prompts crash engines, or their keys were withdrawn.
+        """
         for waiter, waiting in list(self._waiting.items()):
-            is_refused = self._context.quarantine.find(waiting.task.content)
+            task = waiting.task
+            is_refused = (
+                self._context.quarantine.find(task.content) is not None
+                or _access.renew(self._context, task) is not None
+            )
             if is_refused and self._waiting.pop(waiter, None):
                 waiting.decision.callback(None)
 
@@ -271,6 +279,8 @@
         waited_s = now - task.request.received_at
         fields = {
             "request": task.request_id,
+            "workspace": task.workspace_name,
+            "priority": task.priority,
             "prompt_tokens": task.size.prompt_tokens,
             "output_tokens": task.size.output_tokens,
             "queued": len(self._queue),
--- a/sassafrasstile/forwarding/_answers.py
+++ b/sassafrasstile/forwarding/_answers.py
@@ -5,13 +5,16 @@
 from sassafrasstile import errors
 from sassafrasstile import verdicts
 from sassafrasstile import web
+from sassafrasstile.forwarding import _access
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _task
 
 _STATUS_NOT_RUN = 503
+_STATUS_UNAUTHORIZED = 401
 # The reasons why nothing ran that have a status of their own.
 _NOT_RUN_STATUSES = {
-    errors.Code.KEY_WITHDRAWN: 401,
+    errors.Code.KEY_WITHDRAWN: _STATUS_UNAUTHORIZED,
+    errors.Code.UNKNOWN_KEY: _STATUS_UNAUTHORIZED,
     errors.Code.QUOTA_EXCEEDED: 429,
 }
 _STATUS_MAY_HAVE_RUN = 502
@@ -75,9 +78,18 @@
         task.outcome += " cut"
         task.exchange.abort()
         return
+    if isinstance(verdict, verdicts.NotRun) and task.access.hides_credentials:
+        _access.record_refusal(
+            context,
+            verdict.code,
+            workspace=task.workspace_name,
+            request_id=task.request_id,
+        )
     headers = [_JSON]
     match verdict:
-        case verdicts.NotRun(retry_after_s=retry_after_s):
+        case verdicts.NotRun(retry_after_s=retry_after_s) if (
+            choose_status(verdict) != _STATUS_UNAUTHORIZED
+        ):
             base_s = retry_after_s or _DEFAULT_RETRY_AFTER_S
             jitter_s = base_s * _RETRY_JITTER_SHARE * context.generator.random()
             headers.extend(context.codec.encode_retry_after(base_s + jitter_s))
--- a/sassafrasstile/forwarding/_attempts.py
+++ b/sassafrasstile/forwarding/_attempts.py
@@ -118,6 +118,7 @@
         self.began_at = context.now()
         self._context = context
         self._request_id = request_id
+        self._workspace_name = ""
         self._number = number
         self._key = f"{request_id}/{number}"
         self._reply: web.Reply | None = None
@@ -147,6 +148,8 @@
             The beginning of the answer, or the verdict when there is none.
         """
         context = self._context
+        if outgoing.access is not None:
+            self._workspace_name = outgoing.access.workspace_name
         context.metrics.attempts.inc()
         result: AttemptResult
         try:
@@ -300,6 +303,7 @@
             outcome,
             extra={
                 "request": self._request_id,
+                "workspace": self._workspace_name,
                 "attempt": self._number,
                 "endpoint": self.endpoint.name,
                 "software_version": self.endpoint.record.software_version,
--- a/sassafrasstile/forwarding/_base.py
+++ b/sassafrasstile/forwarding/_base.py
@@ -86,14 +86,15 @@
         target: The path and query string.
         headers: The headers, without those that frame the body.
         body: The body.
-        access: What it runs as; checked when it is sent.
+        access: What it runs as, checked when it is sent, or None if it isn't
+            on behalf of a caller.
     """
 
     method: bytes
     target: bytes
     headers: web.Headers = dataclasses.field(default=(), repr=False)
     body: bytes = b""
-    access: workspaces.Access = workspaces.ANONYMOUS
+    access: workspaces.Access | None = None
 
 
 class AnswerKind(enum.Enum):
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -23,6 +23,8 @@
 _LOG = logging.getLogger("sassafrasstile.forwarding")
 # Warnings about endpoints that send more than a bound allows.
 _MAX_WARNINGS_PER_S = 1.0
+# Log lines about requests refused for their keys.
+_MAX_KEY_LINES_PER_S = 5.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -90,12 +92,17 @@
     def __post_init__(self):
         self._pools: dict[dispatch.Endpoint, web.ConnectionPool] = {}
         self._budgets: dict[str, dispatch.WindowedRetryBudget] = {}
+        self._key_lines = limits.TokenBucket(rate_per_s=_MAX_KEY_LINES_PER_S)
         self._warnings = limits.TokenBucket(rate_per_s=_MAX_WARNINGS_PER_S)
 
     def now(self) -> float:
         """Returns the time in seconds."""
         return self.reactor.seconds()
 
+    def take_key_line(self) -> bool:
+        """Returns whether a refusal for a key may be logged now."""
+        return self._key_lines.take(1, self.now())
+
     def get_budget(self, service: str) -> dispatch.WindowedRetryBudget:
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -8,6 +8,7 @@
 from sassafrasstile import errors
 from sassafrasstile import verdicts
 from sassafrasstile import web
+from sassafrasstile.forwarding import _access
 from sassafrasstile.forwarding import _admission
 from sassafrasstile.forwarding import _answers
 from sassafrasstile.forwarding import _attempts
@@ -47,7 +48,7 @@
         self._streams = _streams.StreamForwarder(
             context=context, standbys=self._standbys
         )
-        context.quarantine.subscribe(self.admission.refuse_deadly)
+        context.quarantine.subscribe(self.admission.refuse_denied)
 
     async def forward(self, task: _task.RequestTask) -> None:
         """Forwards a generation request and answers its caller."""
@@ -75,7 +76,7 @@
         )
         if isinstance(final, verdicts.NotRun):
             self._context.refusals.record(
-                task.details.prompt_id,
+                task.prompt_id,
                 arrived_at=task.arrived_at,
                 deadline=task.caller_deadline,
                 now=self._context.now(),
@@ -122,7 +123,8 @@
     ) -> verdicts.NotRun:
         if self._context.quarantine.find(task.content) is not None:
             return verdicts.NotRun(code=errors.Code.PROMPT_REFUSED)
-        return verdicts.NotRun(code=errors.Code.NO_CAPACITY)
+        denial = _access.renew(self._context, task)
+        return denial or verdicts.NotRun(code=errors.Code.NO_CAPACITY)
 
     async def _acquire(
         self, task: _task.RequestTask, progress: _streams.Progress
@@ -225,9 +227,9 @@
         """Returns a verdict if a request may no longer be sent to an engine."""
         if self._context.quarantine.find(task.content) is not None:
             return verdicts.NotRun(code=errors.Code.PROMPT_REFUSED)
-        code = self._context.access.find_denial(task.access)
-        if code is not None:
-            return verdicts.NotRun(code=code)
+        denial = _access.renew(self._context, task)
+        if denial is not None:
+            return denial
         code = engine.find_denial(self._context.now(), has_permit=has_permit)
         return None if code is None else verdicts.NotRun(code=code)
 
--- a/sassafrasstile/forwarding/_holds.py
+++ b/sassafrasstile/forwarding/_holds.py
@@ -198,6 +198,7 @@
             outcome,
             extra={
                 "request": task.request_id,
+                "workspace": task.workspace_name,
                 "endpoint": endpoint.name,
                 "reserved_tokens": endpoint.total_reserved_tokens,
                 "outcome": outcome,
--- a/sassafrasstile/forwarding/_resumptions.py
+++ b/sassafrasstile/forwarding/_resumptions.py
@@ -38,7 +38,7 @@
     stream_id = details.origin_id if details.is_resumption else task.request_id
     if context.origins and stream_id and task.route.resumable:
         holders = context.origins.record(
-            stream_id,
+            task.access.qualify(stream_id),
             streams.StreamOrigin(
                 service=task.service.name, software_version=version
             ),
@@ -51,6 +51,7 @@
         endpoint.name,
         extra={
             "request": task.request_id,
+            "workspace": task.workspace_name,
             "endpoint": endpoint.name,
             "software_version": version,
             "origin": stream_id,
@@ -90,7 +91,9 @@
     async def _find(self, task: _task.RequestTask) -> streams.Lookup:
         origin_id = task.details.origin_id
         if origin_id and self._context.origins:
-            lookup = await self._context.origins.find(origin_id)
+            lookup = await self._context.origins.find(
+                task.access.qualify(origin_id)
+            )
             if lookup.origin is not None:
                 return lookup
         origin = await self._find_only_version(task)
@@ -170,6 +173,7 @@
             outcome,
             extra={
                 "request": task.request_id,
+                "workspace": task.workspace_name,
                 "origin": task.details.origin_id,
                 "last_event_id": task.details.last_event_id,
                 "source": lookup.source.value,
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -5,6 +5,7 @@
 
 from sassafrasstile import errors
 from sassafrasstile import verdicts
+from sassafrasstile.forwarding import _access
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _task
 
@@ -94,6 +95,8 @@
         verdict: The verdict on the last send.
         retries: The number of retries that the budget must still allow.
     """
+    if _access.renew(context, task) is not None:
+        return Obstacle.ACCESS
     now = context.now()
     if task.deadline - now < MIN_REMAINING_S:
         return Obstacle.DEADLINE
@@ -107,8 +110,6 @@
         return Obstacle.HANDLE
     if context.quarantine.find(task.content) is not None:
         return Obstacle.CONTENT
-    if context.access.find_denial(task.access) is not None:
-        return Obstacle.ACCESS
     is_proved = isinstance(verdict, verdicts.NotRun)
     if not is_proved and not may_run_elsewhere(task):
         return Obstacle.MAY_HAVE_RUN
@@ -143,6 +144,7 @@
         obstacle.value,
         extra={
             "request": task.request_id,
+            "workspace": task.workspace_name,
             "verdict": verdicts.name_verdict(verdict),
             "code": verdict.code,
             "sends": task.sends,
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -10,6 +10,8 @@
 from sassafrasstile import routes
 from sassafrasstile import verdicts
 from sassafrasstile import web
+from sassafrasstile import workspaces
+from sassafrasstile.forwarding import _access
 from sassafrasstile.forwarding import _answers
 from sassafrasstile.forwarding import _calls
 from sassafrasstile.forwarding import _context
@@ -61,6 +63,9 @@
             return
         try:
             task = self._make_task(request, exchange)
+        except workspaces.AccessError as reason:
+            self._refuse_access(request, exchange, reason)
+            return
         except errors.RequestError as reason:
             self._refuse(exchange, reason.status, reason.code)
             return
@@ -70,7 +75,12 @@
             self._refuse(exchange, 503, errors.Code.INVARIANT_VIOLATED)
             return
         if not self._can_finish_in_time(task):
-            self._refuse(exchange, 503, errors.Code.STOPPING)
+            self._refuse(
+                exchange,
+                503,
+                errors.Code.STOPPING,
+                workspace=task.workspace_name,
+            )
             return
         self._context.get_budget(task.service.name).record_request(
             self._context.now()
@@ -89,6 +99,20 @@
         """
         self._ends_at = ends_at
 
+    def review_access(self) -> None:
+        """Ends the requests that a new configuration doesn't allow to run.
+
+        One that may have run goes on, but is sent nowhere else.
+        """
+        denied = [
+            (task, running)
+            for task, running in self._running.items()
+            if _access.renew(self._context, task) and not task.may_have_run
+        ]
+        for _task_denied, running in denied:
+            running.cancel()
+        self._generations.admission.refuse_denied()
+
     def abort_all(self) -> None:
         """Ends every request immediately, with the verdict on it."""
         for running in list(self._running.values()):
@@ -130,7 +154,7 @@
             caller_deadline=caller_deadline,
             access=access,
             arrived_at=context.refusals.find_first_arrival(
-                details.prompt_id,
+                access.qualify(details.prompt_id),
                 arrived_at=request.received_at,
                 deadline=caller_deadline,
             ),
@@ -154,18 +178,46 @@
             name=chosen.service
         )
 
-    def _refuse(self, exchange, status: int, code: errors.Code) -> None:
+    def _refuse_access(
+        self, request: web.CallerRequest, exchange, reason
+    ) -> None:
+        context = self._context
+        _access.record_refusal(
+            context,
+            reason.code,
+            workspace=reason.workspace,
+            request_id=context.codec.decode_request(request).request_id,
+        )
+        self._refuse(
+            exchange,
+            reason.status,
+            reason.code,
+            retry_after_s=_access.UNCONFIRMED_RETRY_AFTER_S,
+            workspace=reason.workspace,
+        )
+
+    def _refuse(
+        self,
+        exchange,
+        status: int,
+        code: errors.Code,
+        *,
+        retry_after_s: float = _UNAVAILABLE_RETRY_AFTER_S,
+        workspace: str = "",
+    ) -> None:
         headers: web.Headers = ()
         if status == 503:
-            headers = self._context.codec.encode_retry_after(
-                _UNAVAILABLE_RETRY_AFTER_S
-            )
+            headers = self._context.codec.encode_retry_after(retry_after_s)
         self._context.metrics.requests.labels("none", code).inc()
         _LOG.info(
             "request: refused with %d. Reason: %s.",
             status,
             code,
-            extra={"version": self._context.active_configuration.version},
+            extra={
+                "version": self._context.active_configuration.version,
+                "workspace": workspace,
+                "outcome": code.value,
+            },
         )
         _answers.send_refusal(
             exchange, status=status, code=code, headers=headers
@@ -195,7 +247,7 @@
         if reason.check(defer.TimeoutError):
             code = errors.Code.DEADLINE_EXCEEDED
         elif reason.check(defer.CancelledError):
-            code = errors.Code.STOPPING
+            code = task.denial.code if task.denial else errors.Code.STOPPING
         else:
             _LOG.error(
                 "request: %s: internal error: %s",
@@ -228,6 +280,7 @@
             task.outcome,
             extra={
                 "request": task.request_id,
+                "workspace": task.workspace_name,
                 "route": task.route.name,
                 "service": task.service.name,
                 "version": context.active_configuration.version,
--- a/sassafrasstile/forwarding/_sends.py
+++ b/sassafrasstile/forwarding/_sends.py
@@ -92,9 +92,10 @@
     """
 
     def check() -> None:
-        denial = context.access.find_denial(outgoing.access)
-        if denial is not None:
-            deny(denial)
+        if outgoing.access is not None:
+            denial = context.access.find_denial(outgoing.access)
+            if denial is not None:
+                deny(denial)
         restrictions = endpoint.restrictions
         find = restrictions.find_denial
         if is_release:
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -250,6 +250,7 @@
         reason.detail,
         extra={
             "request": task.request_id,
+            "workspace": task.workspace_name,
             "endpoint": attempt.endpoint.name,
             "software_version": attempt.endpoint.record.software_version,
             "code": reason.code,
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -30,6 +30,7 @@
         arrived_at: When the caller's first attempt arrived at any gateway, in
             seconds; its targets count from then.
         access: What it runs as.
+        denial: Why it may not be sent for its key, or None if it may.
         sends: How often it was sent to an endpoint to be run.
         hold_attempts: How often an engine was asked to set memory aside.
         prefill_attempts: How often it was sent to a prefill engine.
@@ -55,6 +56,7 @@
     caller_deadline: float
     arrived_at: float
     access: workspaces.Access = workspaces.ANONYMOUS
+    denial: verdicts.NotRun | None = None
     sends: int = 0
     prefill_attempts: int = 0
     hold_attempts: int = 0
@@ -72,6 +74,16 @@
         """The caller's id for this attempt."""
         return self.details.request_id
 
+    @property
+    def workspace_name(self) -> str:
+        """The name of its workspace, or an empty string for none."""
+        return self.access.workspace_name
+
+    @property
+    def prompt_id(self) -> str:
+        """Identifies a generation's prompt among those of its workspace."""
+        return self.access.qualify(self.details.prompt_id)
+
     @property
     def priority(self) -> int:
         """Its priority: that of its workspace, else that of its route."""
@@ -85,13 +97,20 @@
         """What identifies its content among the requests to its service."""
         service = self.service.name
         if self.route.kind is routes.RouteKind.GENERATION:
-            return quarantine.make_prompt(service, self.details.prompt_parts)
+            return quarantine.make_prompt(
+                service,
+                self.details.prompt_parts,
+                owner=self.workspace_name,
+            )
+        caller = self.details.caller
+        if self.access.hides_credentials:
+            caller = self.workspace_name
         return quarantine.make_call(
             service,
             method=self.request.method,
             host=self.details.host,
             target=self.request.target,
-            caller=self.details.caller,
+            caller=caller,
             body=self.request.body,
         )
 
@@ -127,4 +146,6 @@
         """
         if self.may_have_run:
             return verdicts.MayHaveRun(code=code)
+        if self.denial is not None:
+            return self.denial
         return verdicts.NotRun(code=code, retry_after_s=retry_after_s)
--- a/sassafrasstile/forwarding/tests/test_resumptions.py
+++ b/sassafrasstile/forwarding/tests/test_resumptions.py
@@ -14,6 +14,7 @@
 from sassafrasstile import streams
 from sassafrasstile import telemetry
 from sassafrasstile import testing
+from sassafrasstile import workspaces
 from sassafrasstile.forwarding import _resumptions
 
 _LONG_S = 100.0
@@ -89,6 +90,8 @@
                 origin_id=origin_id, last_event_id="3"
             ),
             route=self.route,
+            access=workspaces.ANONYMOUS,
+            workspace_name="",
             service=routes.Service(name="engine"),
             software_version=None,
         )
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -44,10 +44,13 @@
     ]
     if len(values) != 1:
         return None
-    scheme, _, key = values[0].strip().partition(b" ")
+    scheme, _, key = values[0].strip().replace(b"\t", b" ").partition(b" ")
     if scheme.lower() != _names.KEY_SCHEME.lower():
         return None
-    return key.strip().decode("latin-1") or None
+    try:
+        return key.strip().decode() or None
+    except UnicodeDecodeError:
+        return key.strip().decode("latin-1")
 
 
 def _parse_token_count(value: bytes | None) -> tuple[int, int]:
@@ -222,7 +225,7 @@
         headers.append((_names.DEADLINE_MS, str(remaining_ms).encode()))
         headers.append((_names.EXPECT_INSTANCE, record.endpoint_id.encode()))
         if access.workspace is not None:
-            name = access.workspace.name.encode("latin-1", "replace")
+            name = access.workspace.name.encode()
             headers.append((_names.WORKSPACE, name))
         headers.extend(extra)
         return forwarding.OutgoingRequest(
--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -75,7 +75,10 @@
 
 
 class _Workspace(_models.Document):
-    name: str
+    # It is sent as a header's value.
+    name: str = pydantic.Field(
+        pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$"
+    )
     keys: list[str] = pydantic.Field(alias="apiKeys", default=[], repr=False)
     priority: int | None = None
     unit: str = ""
--- a/sassafrasstile/quarantine/_base.py
+++ b/sassafrasstile/quarantine/_base.py
@@ -45,7 +45,9 @@
     shared: frozenset[str]
 
 
-def make_prompt(service: str, part_ids: tuple[str, ...]) -> Content:
+def make_prompt(
+    service: str, part_ids: tuple[str, ...], *, owner: str = ""
+) -> Content:
     """Returns the content of a generation: its prompt.
 
     The last part belongs to this prompt or to its session.
@@ -53,6 +55,8 @@
     Args:
         service: The name of the service that it is for.
         part_ids: The ids of its parts in order.
+        owner: The workspace that it belongs to, or an empty string for none.
+            Prompts of different ones have nothing in common.
 
     >>> prompt = make_prompt("s", ("system", "session", "turn"))
     >>> len(prompt.identity), sorted(prompt.shared)
@@ -60,6 +64,8 @@
     """
     if not part_ids:
         return Content(identity="", shared=frozenset())
+    if owner:
+        service = _make_digest(f"{service}\0{owner}")
     shared = part_ids[:-1][:MAX_PARTS]
     return Content(
         identity=_make_digest("\0".join((service, *part_ids))),
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -220,7 +220,7 @@
             active_configuration=self._active_configuration,
             roster=self._roster,
             versions=self._versions,
-            on_configuration=self._apply_limits,
+            on_configuration=self._apply_configuration,
             on_progress=self._accept_callers_if_ready,
         )
 
@@ -229,8 +229,9 @@
         if self._stall_warnings.take(1, self._now()):
             _LOG.warning("caller: disconnected, since it read nothing.")
 
-    def _apply_limits(self, configuration: routes.Configuration) -> None:
+    def _apply_configuration(self, configuration: routes.Configuration) -> None:
         self._ingress.limits = configuration.limits
+        self._router.review_access()
 
     def _make_channel(self, address) -> peers.PeerChannel:
         return peers.PeerChannel(
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from sassafrasstile.telemetry import _labels
+
 _PREFIX = "sassafrasstile_"
 _FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.74, 1, 2, 5, 10, 30, 60)
 _PER_TOKEN_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.3, 1)
@@ -100,7 +102,11 @@
 
 
 class RouterMetrics(_ProcessMetrics):
-    """Metrics of a gateway that calls endpoints directly."""
+    """Metrics of a gateway that calls endpoints directly.
+
+    Attributes:
+        workspaces: Chooses the labels of workspaces.
+    """
 
     def __init__(self):
         super().__init__()
@@ -131,6 +137,12 @@
             "Requests not sent, since the endpoint wants none, by reason.",
             ("reason",),
         )
+        self.workspaces = _labels.BoundedLabels()
+        self.workspace_refusals = self._make_counter(
+            "workspace_refusals",
+            "Requests refused as not run, by workspace and reason.",
+            ("workspace", "reason"),
+        )
         self.reads_too_large = self._make_counter(
             "reads_too_large",
             "Answers cut off at a bound on what is read, by bound.",
--- a/sassafrasstile/web/_ingress.py
+++ b/sassafrasstile/web/_ingress.py
@@ -80,8 +80,9 @@
 
     method: bytes
     target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
+    # Some hold secrets.
+    headers: tuple[tuple[bytes, bytes], ...] = dataclasses.field(repr=False)
+    body: bytes = dataclasses.field(repr=False)
     received_at: float
 
     def get(self, name: bytes) -> bytes | None:
--- a/sassafrasstile/workspaces/__init__.py
+++ b/sassafrasstile/workspaces/__init__.py
@@ -2,7 +2,9 @@
 
 from sassafrasstile.workspaces._base import (
     ANONYMOUS,
+    OUTSIDE,
     Access,
+    AccessError,
     Quota,
     QuotaUnit,
     Workspace,
@@ -12,8 +14,10 @@
 
 __all__ = [
     "ANONYMOUS",
+    "OUTSIDE",
     "Access",
     "AccessChecker",
+    "AccessError",
     "Quota",
     "QuotaUnit",
     "Workspace",
--- a/sassafrasstile/workspaces/_base.py
+++ b/sassafrasstile/workspaces/_base.py
@@ -2,6 +2,11 @@
 
 import dataclasses
 import enum
+import hashlib
+
+from sassafrasstile import errors
+
+_DIGEST_BYTES = 12
 
 
 class QuotaUnit(enum.Enum):
@@ -90,6 +95,47 @@
         """The name of its workspace, or an empty string for none."""
         return self.workspace.name if self.workspace else ""
 
+    def qualify(self, name: str) -> str:
+        """Returns the name under which its workspace is remembered to use it.
+
+        Callers choose such names, for example the id of a prompt. What one
+        workspace has left under a name isn't found by others. Without
+        workspaces, and for an empty name, it is the name itself.
+
+        >>> Access().qualify("p1")
+        'p1'
+        >>> one = Access(workspace=Workspace(name="a"), hides_credentials=True)
+        >>> one.qualify("p1") == OUTSIDE.qualify("p1")
+        False
+        """
+        if not self.hides_credentials or not name:
+            return name
+        data = f"{self.workspace_name}\0{name}".encode("utf-8", "surrogatepass")
+        return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).hexdigest()
+
 
 # What requests run as where the configuration has no workspaces.
 ANONYMOUS = Access()
+# What requests without a valid key run as at open routes, where the
+# configuration has workspaces.
+OUTSIDE = Access(hides_credentials=True)
+
+
+class AccessError(errors.RequestError):
+    """A request is refused for its key, or since it shows none.
+
+    Attributes:
+        workspace: The name of the workspace that holds the key, or an empty
+            string if none does.
+    """
+
+    def __init__(
+        self,
+        *,
+        code: errors.Code,
+        detail: str,
+        status: int,
+        workspace: str = "",
+    ):
+        super().__init__(code=code, detail=detail, status=status)
+        self.workspace = workspace
--- a/sassafrasstile/workspaces/_checker.py
+++ b/sassafrasstile/workspaces/_checker.py
@@ -6,8 +6,16 @@
 from sassafrasstile.workspaces import _base
 from sassafrasstile.workspaces import _directory
 
-_UNAUTHORIZED = 401
-_UNAVAILABLE = 503
+_STATUSES = {
+    errors.Code.UNKNOWN_KEY: 401,
+    errors.Code.KEY_WITHDRAWN: 401,
+    errors.Code.KEYS_UNCONFIRMED: 503,
+}
+_DETAILS = {
+    errors.Code.UNKNOWN_KEY: "the request shows no valid key",
+    errors.Code.KEY_WITHDRAWN: "the key isn't valid any more",
+    errors.Code.KEYS_UNCONFIRMED: "it isn't known which keys are valid now",
+}
 
 
 class AccessChecker:
@@ -62,38 +70,82 @@
                 workspace=workspace, key=key, hides_credentials=True
             )
         if is_open:
-            return _base.Access(hides_credentials=True)
+            return _base.OUTSIDE
         if key is not None and (
             not is_relied_on or self._measure_age_s() > self._fresh_age_s
         ):
-            raise errors.RequestError(
-                code=errors.Code.KEYS_UNCONFIRMED,
-                detail="it isn't known which keys are valid now",
-                status=_UNAVAILABLE,
-            )
-        raise errors.RequestError(
-            code=errors.Code.UNKNOWN_KEY,
-            detail="the request shows no valid key",
-            status=_UNAUTHORIZED,
-        )
+            code = errors.Code.KEYS_UNCONFIRMED
+        else:
+            code = errors.Code.UNKNOWN_KEY
+        raise _make_error(code, workspace)
+
+    def review(
+        self, access: _base.Access, *, key: str | None, is_open: bool
+    ) -> _base.Access:
+        """Returns what a request that was accepted earlier may run as now.
+
+        One whose key another workspace holds now doesn't run: it was counted
+        and queued for the former one.
+
+        Args:
+            access: What it could run as so far.
+            key: The key that its caller shows, or None.
+            is_open: True if its route needs no key.
+
+        Raises:
+            errors.RequestError: With UNKNOWN_KEY, KEY_WITHDRAWN or
+                KEYS_UNCONFIRMED; it may not be sent.
+        """
+        if self._read_directory() is None:
+            return _base.ANONYMOUS
+        if not access.hides_credentials:
+            # It was accepted before the configuration had workspaces.
+            return self.identify(key, is_open=is_open)
+        code = self.find_denial(access)
+        if code is None:
+            return access
+        if is_open:
+            return _base.OUTSIDE
+        raise _make_error(code, access.workspace)
 
     def find_denial(self, access: _base.Access) -> errors.Code | None:
         """Returns why a request may not be sent now, or None if it may.
 
         Args:
-            access: What it runs as.
+            access: What it would run as.
         """
+        directory = self._read_directory()
+        if directory is None:
+            is_stale = access.hides_credentials
+            return errors.Code.KEY_WITHDRAWN if is_stale else None
+        if not access.hides_credentials:
+            # It would pass its credentials on.
+            return errors.Code.KEY_WITHDRAWN
         if access.workspace is None:
             return None
-        directory = self._read_directory()
-        holder = None if directory is None else directory.find(access.key)
+        holder = directory.find(access.key)
         if holder is None or holder.name != access.workspace.name:
             return errors.Code.KEY_WITHDRAWN
         if not self._is_relied_on():
             return errors.Code.KEYS_UNCONFIRMED
         return None
 
+    def measure_age_s(self) -> float:
+        """Returns the age of belief in the configuration, in seconds."""
+        return self._measure_age_s()
+
     def _is_relied_on(self) -> bool:
         if self._max_age_s is None:
             return True
         return self._measure_age_s() <= self._max_age_s
+
+
+def _make_error(
+    code: errors.Code, workspace: _base.Workspace | None
+) -> _base.AccessError:
+    return _base.AccessError(
+        code=code,
+        detail=_DETAILS[code],
+        status=_STATUSES[code],
+        workspace=workspace.name if workspace else "",
+    )
--- a/sassafrasstile/workspaces/_directory.py
+++ b/sassafrasstile/workspaces/_directory.py
@@ -1,6 +1,7 @@
 """Finds workspaces by key."""
 
 from collections.abc import Iterable
+import hashlib
 import logging
 
 from sassafrasstile.workspaces import _base
@@ -11,7 +12,9 @@
 class WorkspaceDirectory:
     """The workspaces of a configuration by key.
 
-    A key that two workspaces hold belongs to the first of them.
+    Keys are looked up as digests, so that the duration of a lookup reveals
+    nothing about a key. A key that two workspaces hold belongs to the first
+    of them.
 
     Args:
         workspaces: The workspaces.
@@ -26,17 +29,24 @@
     """
 
     def __init__(self, *, workspaces: Iterable[_base.Workspace] = ()):
-        self._by_key: dict[str, _base.Workspace] = {}
+        self._by_digest: dict[bytes, _base.Workspace] = {}
+        shared = 0
         for workspace in workspaces:
             for key in workspace.keys:
-                holder = self._by_key.setdefault(key, workspace)
-                if holder is not workspace:
-                    _LOG.warning(
-                        "config: workspaces %s and %s have a key in common.",
-                        holder.name,
-                        workspace.name,
-                    )
+                digest = _make_digest(key)
+                holder = self._by_digest.setdefault(digest, workspace)
+                shared += holder is not workspace
+        if shared:
+            _LOG.warning(
+                "config: %d keys belong to several workspaces.",
+                shared,
+                extra={"keys": shared},
+            )
 
     def find(self, key: str) -> _base.Workspace | None:
         """Returns the workspace that holds a key, or None."""
-        return self._by_key.get(key)
+        return self._by_digest.get(_make_digest(key))
+
+
+def _make_digest(key: str) -> bytes:
+    return hashlib.sha256(key.encode("utf-8", "surrogatepass")).digest()
