--- a/sassafrasstile/router/tests/test_workspaces.py
+++ b/sassafrasstile/router/tests/test_workspaces.py
@@ -285,7 +285,42 @@
 
     @testing.on_reactor
     async def test_queued_generation_is_refused_at_once(self):
-        """No engine is there; the caller would wait for seconds."""
+        """One request fills the only engine, and another one waits for it."""
+        count = ("X-Token-Count: 9000,500",)
+        site = await self.start_site(
+            {"decode0": lambda _request: standins.SILENCE},
+            workspaces=[_make_one(), _make_two()],
+        )
+        decode = site.endpoints["decode0"]
+        callers = []
+        for key in (_OTHER_KEY, _KEY):
+            caller = await site.connect()
+            callers.append(caller)
+            caller.send(
+                testing.make_request(
+                    "/slow/", headers=(*count, *_show(key)), deadline_ms=9000
+                )
+            )
+            await self.wait_until(lambda: self.list_runs(site))
+        await self.sleep(0.3)
+        admission = site.daemon._router._generations.admission
+        queued = admission.queued
+        await self.reconfigure(site, _make_two())
+        answer = await callers[1].read_within(2.0)
+        in_flight = site.daemon._router.in_flight
+        callers[0].disconnect()
+        await self.close_sites()
+        self.assertEqual(queued, 1)
+        self.assertEqual(admission.queued, 0)
+        self.assertEqual(answer.status, _UNAUTHORIZED)
+        # The other one goes on.
+        self.assertEqual(in_flight, 1)
+        self.assertEqual(len(decode.requests), len(self.list_runs(site)))
+        self.assertEqual(len(self.list_runs(site)), 1)
+
+    @testing.on_reactor
+    async def test_generation_that_is_prefilled_is_refused_at_once(self):
+        """Its prefill takes longer than its caller waits."""
         for left in ([_make_two()], [_make_two(_OTHER_KEY, _KEY)]):
             site = await self.start_site(
                 {"prefill0": lambda _request: standins.SILENCE},
@@ -493,3 +528,121 @@
         # It learns nothing: the answer is that to a stream that never was.
         self.assertEqual(theirs.body, never.body)
         self.assertEqual(own.status, 200)
+
+
+class RecordTest(WorkspaceTestCase):
+    """What logs, metrics and pages say of workspaces, and never of keys."""
+
+    async def fetch_pages(self, site):
+        """Returns all pages of the admin port."""
+        port = site.daemon._admin_ports[0].getHost().port
+        pages = b""
+        for path in ("/metrics", "/status"):
+            caller = await testing.connect(self.reactor, port)
+            caller.send(testing.make_request(path, method="GET"))
+            pages += (await caller.read_all()).body
+        return pages.decode()
+
+    async def play(self):
+        """Has requests served, refused, cut short, and a record rejected."""
+        site = await self.start_site(
+            {
+                "desk0": standins.make_answer,
+                "decode0": _answer_engine,
+                "prefill0": _answer_prefill,
+            },
+            workspaces=[_make_one(), _make_two()],
+            other_gateways=120,
+        )
+        await site.call("/once/", headers=_show(_KEY))
+        await site.call("/once/", headers=_show("k-nobody"))
+        await site.call("/gen/", headers=(*_COUNT, *_show(_KEY)))
+        site.endpoints["decode0"].script = standins.make_refusal
+        caller = await site.connect()
+        caller.send(
+            testing.make_request(
+                "/slow/",
+                request_id="r9",
+                headers=(*_COUNT, *_show(_KEY)),
+                deadline_ms=15000,
+            )
+        )
+        decode = site.endpoints["decode0"]
+        seen = len(decode.requests)
+        await self.wait_until(lambda: len(decode.requests) > seen)
+        site.workspaces = [{**_make_two(), "priority": _OTHER_KEY}]
+        site.configure()
+        await self.sleep(0.3)
+        await self.reconfigure(site, _make_two())
+        await caller.read_all()
+        pages = await self.fetch_pages(site)
+        shown = [repr(site.daemon.__dict__), repr(site.daemon._context)]
+        current = site.daemon._active_configuration.current
+        shown += [repr(current), pages]
+        await self.close_sites()
+        return pages, shown
+
+    @testing.on_reactor
+    async def test_decisions_name_the_workspace_and_no_text_holds_a_key(self):
+        with self.assertLogs(level="DEBUG") as logs:
+            pages, shown = await self.play()
+        for key in (_KEY, _OTHER_KEY, "k-nobody"):
+            for record in logs.records:
+                text = record.getMessage() + repr(record.__dict__)
+                self.assertNotIn(key, text)
+            for text in shown:
+                self.assertNotIn(key, text)
+        self.assertTrue(
+            any("config: record rejected" in item for item in logs.output)
+        )
+        self.check_records(logs.records)
+        refusals = 'workspace_refusals_total{reason="%s",workspace="%s"} 1.0'
+        self.assertIn(refusals % ("unknown_key", "none"), pages)
+        self.assertIn(refusals % ("key_withdrawn", "one"), pages)
+
+    def check_records(self, records):
+        """Checks which workspaces the records of decisions name."""
+        named = {}
+        for record in records:
+            if hasattr(record, "workspace"):
+                kind = record.getMessage().partition(":")[0]
+                named.setdefault(kind, set()).add(record.workspace)
+        # Arrival, capacity, hold, sends, the stream, the end.
+        for kind in ("room", "hold", "attempt", "stream"):
+            self.assertEqual(named[kind], {"one"}, kind)
+        self.assertEqual(named["request"], {"one", ""})
+        refusals = [
+            record
+            for record in records
+            if record.getMessage().startswith("keys: request")
+        ]
+        self.assertEqual(
+            [(item.workspace, item.outcome) for item in refusals],
+            [("", "unknown_key"), ("one", "key_withdrawn")],
+        )
+        for record in refusals:
+            self.assertEqual(record.belief_age_s, 0.0)
+        waits = [item for item in records if hasattr(item, "priority")]
+        self.assertEqual({item.priority for item in waits}, {0})
+
+    @testing.on_reactor
+    async def test_refusals_for_keys_are_logged_with_a_bound(self):
+        site = await self.start_site({}, workspaces=[_make_one()])
+        with self.assertLogs(level="DEBUG") as logs:
+            caller = await site.connect()
+            for _ in range(30):
+                caller.send(
+                    testing.make_request(
+                        "/once/", headers=_show("k"), close=False
+                    )
+                )
+            caller.send(testing.make_request("/once/", headers=_show("k")))
+            answer = await caller.read_all()
+            pages = await self.fetch_pages(site)
+        await self.close_sites()
+        self.assertEqual(answer.data.count(b" 401 "), 31)
+        lines = [item for item in logs.output if "keys: request" in item]
+        self.assertLess(len(lines), 20)
+        self.assertIn(
+            'refusals_total{reason="unknown_key",workspace="none"} 31.0', pages
+        )
