Frontend: callers' keys are looked up through workspaces.WorkspaceDirectory

One lookup under both interfaces; it keeps digests, as the frontend's did, so that the time of a lookup says nothing of a key. A key of two workspaces belongs to the first, no longer to the last. `deferred` stays: it chooses a queue's length and a time limit there, and isn't a priority.

--- a/benchmarks/bench_memory.py
+++ b/benchmarks/bench_memory.py
@@ -25,7 +25,7 @@
 from sassafrasstile import frontend, settings
 workspaces = {f"workspace-{i}": settings.WorkspaceSettings()
               for i in range(6000)}
-frontend.WorkspaceDirectory(workspaces=workspaces).start()
+frontend.CallerDirectory(workspaces=workspaces).start()
 """,
     "claims_100000": """
 from sassafrasstile import ownership
--- a/sassafrasstile/daemons/_gateway.py
+++ b/sassafrasstile/daemons/_gateway.py
@@ -55,9 +55,7 @@
         self._kernel = _base.KernelProxy(
             kernel=self._make_kernel(), violations=self.metrics.violations
         )
-        self._directory = frontend.WorkspaceDirectory(
-            workspaces=site.workspaces
-        )
+        self._directory = frontend.CallerDirectory(workspaces=site.workspaces)
         self._links: dict[str, wire.LinkClient] = {}
         self._exchanges: dict[str, frontend.Exchange] = {}
         self._timings = _timing.TimingTable(
--- a/sassafrasstile/frontend/_directory.py
+++ b/sassafrasstile/frontend/_directory.py
@@ -1,32 +1,25 @@
 """Finds the workspace that a caller belongs to."""
 
-import hashlib
 import os
 import pathlib
 
 from sassafrasstile import errors
 from sassafrasstile import settings
+from sassafrasstile import workspaces
 
 DEFAULT_WORKSPACE = "default"
 
 
-def _digest(key: str) -> bytes:
-    return hashlib.sha256(key.encode()).digest()
-
-
-class WorkspaceDirectory:
+class CallerDirectory:
     """Finds workspaces by key, or by name if they have no key.
 
-    Keys are stored and looked up as digests, so that the duration of a lookup
-    reveals nothing about a key.
-
     Args:
         workspaces: The configured workspaces by name.
     """
 
     def __init__(self, *, workspaces: dict[str, settings.WorkspaceSettings]):
         self.workspaces = workspaces
-        self._names: dict[bytes, str] = {}
+        self._keyed = _make_directory({})
         self._keyless: set[str] = set()
 
     def start(self) -> None:
@@ -35,12 +28,12 @@
         Raises:
             errors.ConfigurationError: If a key can't be read.
         """
-        for name, workspace in self.workspaces.items():
-            key = _read_key(name, workspace)
-            if key:
-                self._names[_digest(key)] = name
-            else:
-                self._keyless.add(name)
+        keys = {
+            name: _read_key(name, workspace)
+            for name, workspace in self.workspaces.items()
+        }
+        self._keyed = _make_directory(keys)
+        self._keyless = {name for name, key in keys.items() if not key}
         if not self.workspaces:
             self._keyless.add(DEFAULT_WORKSPACE)
 
@@ -57,9 +50,9 @@
         Raises:
             errors.RequestError: With UNKNOWN_WORKSPACE, if none matches.
         """
-        found = self._names.get(_digest(key)) if key else None
-        if found is not None and name in ("", found):
-            return found
+        found = self._keyed.find(key) if key else None
+        if found is not None and name in ("", found.name):
+            return found.name
         if not self.workspaces:
             return DEFAULT_WORKSPACE
         if name in self._keyless:
@@ -76,6 +69,16 @@
         return workspace is not None and workspace.deferred
 
 
+def _make_directory(keys: dict[str, str]) -> workspaces.WorkspaceDirectory:
+    return workspaces.WorkspaceDirectory(
+        workspaces=[
+            workspaces.Workspace(name=name, keys=frozenset([key]))
+            for name, key in keys.items()
+            if key
+        ]
+    )
+
+
 def _read_key(name: str, workspace: settings.WorkspaceSettings) -> str:
     if workspace.key_env:
         key = os.environ.get(workspace.key_env, "")
--- a/sassafrasstile/frontend/_generation.py
+++ b/sassafrasstile/frontend/_generation.py
@@ -32,7 +32,7 @@
         self,
         *,
         router: _base.Router,
-        directory: _directory.WorkspaceDirectory,
+        directory: _directory.CallerDirectory,
         models: dict[str, settings.ModelSettings],
         is_chat: bool,
     ):
--- a/sassafrasstile/frontend/_identity.py
+++ b/sassafrasstile/frontend/_identity.py
@@ -90,7 +90,7 @@
     return int(value)
 
 
-def find_workspace(request, directory: _directory.WorkspaceDirectory) -> str:
+def find_workspace(request, directory: _directory.CallerDirectory) -> str:
     """Returns the caller's workspace.
 
     Raises:
--- a/sassafrasstile/frontend/_root.py
+++ b/sassafrasstile/frontend/_root.py
@@ -122,7 +122,7 @@
 def make_site(
     *,
     router: _base.Router,
-    directory: _directory.WorkspaceDirectory,
+    directory: _directory.CallerDirectory,
     site: settings.Site,
 ) -> server.Site:
     """Returns the twisted.web site for callers.
--- a/sassafrasstile/frontend/_services.py
+++ b/sassafrasstile/frontend/_services.py
@@ -56,7 +56,7 @@
         self,
         *,
         router: _base.Router,
-        directory: _directory.WorkspaceDirectory,
+        directory: _directory.CallerDirectory,
         services: dict[str, settings.ServiceSettings],
     ):
         super().__init__()
