--- a/sassafrasstile/workspaces/_checker.py
+++ b/sassafrasstile/workspaces/_checker.py
@@ -84,8 +84,8 @@
     ) -> _base.Access:
         """Returns what a request that was accepted earlier may run as now.
 
-        One whose key another workspace holds now doesn't run: it was counted
-        and queued for the former one.
+        One whose key another workspace holds now doesn't run where a key is
+        needed: it was counted and queued for the former one.
 
         Args:
             access: What it could run as so far.
@@ -105,7 +105,7 @@
         if code is None:
             return access
         if is_open:
-            return _base.OUTSIDE
+            return self.identify(key, is_open=True)
         raise _make_error(code, access.workspace)
 
     def find_denial(self, access: _base.Access) -> errors.Code | None:
--- a/sassafrasstile/workspaces/tests/test_checker.py
+++ b/sassafrasstile/workspaces/tests/test_checker.py
@@ -138,6 +138,9 @@
         self.configure(one=["k5"], two=["k1"])
         self.check(_WITHDRAWN, _WITHDRAWN)
         self.assertEqual(self.identify("k1"), "two")
+        # It needs no key there.
+        self.is_open = True
+        self.check("two", _WITHDRAWN)
 
     def test_belief_that_has_become_too_old(self):
         self.accept("k1")
