--- a/sassafrasstile/workspaces/__init__.py
+++ b/sassafrasstile/workspaces/__init__.py
@@ -2,7 +2,9 @@
 
 from sassafrasstile.workspaces._base import (
     ANONYMOUS,
+    OUTSIDE,
     Access,
+    AccessError,
     Quota,
     QuotaUnit,
     Workspace,
@@ -20,8 +22,10 @@
 
 __all__ = [
     "ANONYMOUS",
+    "OUTSIDE",
     "Access",
     "AccessChecker",
+    "AccessError",
     "BeliefExchange",
     "Confirmation",
     "KeyBelief",
