--- a/sassafrasstile/router/tests/test_key_belief.py
+++ b/sassafrasstile/router/tests/test_key_belief.py
@@ -55,7 +55,7 @@
         self.fail(f"never answered {status}")
 
     def cut_from_store(self):
-        async def refuse(*_arguments):
+        async def refuse(*_arguments, **_options):
             raise stores.StoreError(
                 code=errors.Code.STORE_UNAVAILABLE, detail="turned away"
             )
