--- a/sassafrasstile/workspaces/tests/fleet.py
+++ b/sassafrasstile/workspaces/tests/fleet.py
@@ -161,6 +161,7 @@
         self.missed_s = 0.0
         self.lapses = 0
         self.sent = 0
+        self.sent_bytes = 0
         self.inbox = []
         self._fleet = fleet
         self._seen_at = {}
@@ -281,6 +282,7 @@
 
     def send(self, name, payload):
         self.sent += 1
+        self.sent_bytes += len(payload)
         self._fleet.send(self.name, name, payload)
 
     def close(self):
