--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -115,7 +115,7 @@
         metrics.buffered_bytes.set_function(lambda: self._meter.used_bytes)
         self._belief = workspaces.KeyBelief(
             read_version=self._read_configuration_version,
-            may_rely_on_store=lambda: self._restore_watch.may_rely_on_store(),
+            may_rely_on_store=self._may_rely_on_store,
             on_confirmed=lambda confirmation: metrics.key_confirmations.labels(
                 confirmation.source
             ).inc(),
@@ -137,7 +137,8 @@
             reactor=reactor, name=settings.name
         )
         self._exchange = self._make_exchange(record_decoder)
-        self._followers = self._make_records(record_decoder).followers
+        self._records = self._make_records(record_decoder)
+        self._followers = self._records.followers
         confirmation = _confirmation.TopicConfirmation(
             reactor=reactor,
             store=self._store,
@@ -526,6 +527,13 @@
                 self._router.admit_waiting,
             )
 
+    def _may_rely_on_store(self) -> bool:
+        """Returns whether a call to the store may confirm keys."""
+        return (
+            self._restore_watch.may_rely_on_store()
+            and not self._records.has_rejected_configuration()
+        )
+
     def _list_known_peers(self) -> Collection[str] | None:
         """Returns the peers, also silent ones; None before they are known."""
         if not self._directory.is_loaded:
--- a/sassafrasstile/router/_store_records.py
+++ b/sassafrasstile/router/_store_records.py
@@ -65,6 +65,8 @@
         self._versions = versions
         self._on_configuration = on_configuration
         self._on_progress = on_progress
+        # Keys of the configuration's topic whose newest record is rejected.
+        self._rejected: set[str] = set()
         make_follower = functools.partial(
             stores.Follower,
             reactor=reactor,
@@ -104,6 +106,13 @@
         for follower in self.followers.values():
             epochs.subscribe(follower.start_epoch)
 
+    def has_rejected_configuration(self) -> bool:
+        """Returns whether a newer configuration can't be read here.
+
+        It may be one of another software version, and withdraw keys.
+        """
+        return bool(self._rejected)
+
     def _now(self) -> float:
         return self._reactor.seconds()
 
@@ -116,7 +125,9 @@
                 reason,
                 extra={"key": change.key, "offset": change.offset},
             )
+            self._rejected.add(change.key)
             return
+        self._rejected.discard(change.key)
         if (
             configuration is not None
             and self._active_configuration.apply_if_newer(configuration)
--- a/sassafrasstile/router/tests/test_key_belief.py
+++ b/sassafrasstile/router/tests/test_key_belief.py
@@ -89,3 +89,14 @@
             self.assertEqual(await self.call(key), _UNCONFIRMED)
             self.assertEqual(await self.call(key, "/open/"), 200)
         await self.close_sites()
+
+    # It may be of another software version, and withdraw keys.
+    @testing.on_reactor
+    async def test_configuration_that_cannot_be_read_ends_the_belief(self):
+        await self.start_site()
+        self.site.store.put("keyed.op", "config", b"{broken")
+        await self.sleep(_MAX_KEY_AGE_S + 0.5)
+        self.assertEqual(await self.call(_KEY), _UNCONFIRMED)
+        self.configure(_KEY)
+        await self.wait_for_status(200, _KEY)
+        await self.close_sites()
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -309,7 +309,7 @@
         self._record_contact()
         self._apply_snapshot(snapshot)
         self._update_end(started_at)
-        self._on_confirmed(begun_at)
+        self._confirm(begun_at, snapshot.epoch)
         return True
 
     def _is_current(self, snapshot: _base.Snapshot, drops: int) -> bool:
@@ -364,10 +364,18 @@
             # The call covers everything that was reported before it.
             self._reported_offset = -1
         if page.is_last:
-            # However long the call was held open, it may prove no more.
-            self._on_confirmed(begun_at)
+            self._confirm(begun_at, page.epoch)
         return True
 
+    def _confirm(self, begun_at: float, epoch: int | None) -> None:
+        """Tells that the topic held nothing newer when a call was begun.
+
+        An answer that states no epoch, unlike earlier ones, may be of a
+        restored store.
+        """
+        if epoch == self._epoch:
+            self._on_confirmed(begun_at)
+
     def _record_epoch(self, epoch: int | None) -> None:
         if epoch is not None:
             self._epoch = epoch
--- a/sassafrasstile/stores/tests/test_follower.py
+++ b/sassafrasstile/stores/tests/test_follower.py
@@ -118,6 +118,13 @@
         self.assertEqual(len(self.begun), 2)
         self.assertEqual(self.changes[-1].offset, 2)
 
+    def test_answer_without_the_epoch_of_earlier_ones_confirms_nothing(self):
+        self.load(_make_change(0))
+        self.answer(next_offset=1, epoch=2)
+        self.clock.advance(1.0)
+        self.answer(next_offset=1)
+        self.assertEqual(len(self.begun), 2)
+
     def test_calls_that_fail_or_are_dropped_confirm_nothing(self):
         self.load(_make_change(0))
         _fail(self.store.follows[-1][0])
--- a/sassafrasstile/workspaces/_belief.py
+++ b/sassafrasstile/workspaces/_belief.py
@@ -5,6 +5,10 @@
 import enum
 import time
 
+# A version that a peer has told counts this long after its last report; the
+# peer may be gone, and the version lost in a restore of the store.
+_PEER_VERSION_LIFETIME_S = 20.0
+
 
 class Source(enum.StrEnum):
     """What has confirmed a configuration."""
@@ -90,6 +94,7 @@
         self._may_rely_on_store = may_rely_on_store
         self._on_confirmed = on_confirmed
         self._peer_version: int | None = None
+        self._peer_version_until = float("-inf")
         self._newest: Confirmation | None = None
 
     @property
@@ -110,8 +115,13 @@
 
     def record_peer_version(self, version: int | None) -> None:
         """Records the version that a peer has in force, or None for none."""
-        if version is not None:
-            self._peer_version = max(version, self._peer_version or version)
+        if version is None:
+            return
+        now = self._read_time_s()
+        known = self._peer_version
+        if known is None or version >= known or now > self._peer_version_until:
+            self._peer_version = version
+            self._peer_version_until = now + _PEER_VERSION_LIFETIME_S
 
     def record_call(self, begun_at: float) -> None:
         """Records a call to the store whose records are applied here.
@@ -153,7 +163,7 @@
                 gateway=gateway,
             )
         )
-        return Outcome.CONFIRMED if is_confirmed else Outcome.NOTHING
+        return Outcome.CONFIRMED if is_confirmed else Outcome.NEWER
 
     def _confirm(self, confirmation: Confirmation) -> bool:
         """Keeps a confirmation if it is the newest one.
@@ -161,12 +171,17 @@
         Returns:
             False when it proves nothing, since a peer has a newer version.
         """
-        if (
-            self._peer_version is not None
-            and self._peer_version > confirmation.version
-        ):
+        if self._has_newer_peer(confirmation.version):
             return False
         if self._newest is None or confirmation.at > self._newest.at:
             self._newest = confirmation
             self._on_confirmed(confirmation)
         return True
+
+    def _has_newer_peer(self, version: int) -> bool:
+        """Returns whether a peer has lately told a newer version."""
+        return (
+            self._peer_version is not None
+            and self._peer_version > version
+            and self._read_time_s() <= self._peer_version_until
+        )
--- a/sassafrasstile/workspaces/_codec.py
+++ b/sassafrasstile/workspaces/_codec.py
@@ -91,14 +91,21 @@
         match json.loads(data):
             case [str(), str(kind), int(number)] if kind == _QUESTION:
                 return VersionQuestion(number=number)
-            case [str(), str(kind), int(number), int(version), age, int(next)]:
-                if kind != _ANSWER or not 0 <= next <= _MAX_MS:
+            case [
+                str(),
+                str(kind),
+                int(number),
+                int(version),
+                age,
+                int(next_ms),
+            ]:
+                if kind != _ANSWER or not 0 <= next_ms <= _MAX_MS:
                     raise ValueError(f"unexpected fields of {kind!r:.20}")
                 return VersionAnswer(
                     number=number,
                     version=version,
                     age_s=_decode_age(age),
-                    next_s=next / _MS_PER_S,
+                    next_s=next_ms / _MS_PER_S,
                 )
             case fields:
                 raise ValueError(f"unexpected fields {fields!r:.100}")
--- a/sassafrasstile/workspaces/_exchange.py
+++ b/sassafrasstile/workspaces/_exchange.py
@@ -188,9 +188,15 @@
     async def _run(self) -> None:
         while True:
             pause_s = self._interval_s
-            if self._is_needed():
-                pause_s = await self._confirm()
-                self._check_lapse()
+            try:
+                if self._is_needed():
+                    pause_s = await self._confirm()
+                    self._check_lapse()
+            except defer.CancelledError:
+                raise
+            except Exception:
+                # Without another try, all keys would be refused for good.
+                _LOG.exception("keys: an error kept them from confirmation.")
             if not self._is_root:
                 self._due_at = self._now() + pause_s
             await task.deferLater(self._reactor, pause_s)
