Permits: amounts, leases and returns; questions and answers don't know where limits come from

The allocator takes amounts by a Limit, and messages are about a stated rate or a workspace's quota.

--- a/sassafrasstile/permits/__init__.py
+++ b/sassafrasstile/permits/__init__.py
@@ -1,4 +1,4 @@
-"""Permits to send to endpoints that name the rate that they take."""
+"""What all gateways together may use: rates of endpoints, and quotas."""
 
 from sassafrasstile.permits._allocator import PermitAllocator
 from sassafrasstile.permits._base import (
@@ -8,9 +8,11 @@
 )
 from sassafrasstile.permits._codec import is_message
 from sassafrasstile.permits._limiter import SharedRateLimiter
+from sassafrasstile.permits._limits import Limit
 from sassafrasstile.permits._rates import RateBook
 
 __all__ = [
+    "Limit",
     "PermitAllocator",
     "PermitDecision",
     "RateBook",
--- a/sassafrasstile/permits/_allocator.py
+++ b/sassafrasstile/permits/_allocator.py
@@ -1,32 +1,35 @@
-"""Hands out the permits of endpoints."""
+"""Hands out amounts of what gateways share."""
 
 import collections
 import dataclasses
 
 from sassafrasstile.permits import _base
+from sassafrasstile.permits import _limits
 
-# An endpoint that names no more than this is still asked now and then, or its
-# need would never be seen to end.
-_MIN_RATE_PER_S = 0.2
-# A bucket holds this many seconds of its rate, and no fewer permits than this.
-_BURST_S = 1.0
-_MIN_BURST = 2.0
-_FIRST_PERMITS = 1.0
-_MAX_REMEMBERED = 1000
+# A lease takes at most this share of what is left beyond what its gateway
+# needs at once, so that the others find something, too.
+_MAX_LEASED_SHARE = 0.25
+_MAX_REMEMBERED = 10_000
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Bucket:
-    permits: float
+    level: float
     refilled_at: float
 
+    def refill(self, limit: _limits.Limit, now: float) -> None:
+        refill = (now - self.refilled_at) * limit.rate_per_s
+        self.level = min(limit.burst, self.level + refill)
+        self.refilled_at = now
+
 
 class PermitAllocator:
-    """Token buckets of the endpoints whose permits this gateway hands out.
+    """Token buckets of the keys whose amounts this gateway hands out.
 
     >>> allocator = PermitAllocator()
+    >>> limit = _limits.make_permit_limit(2.0)
     >>> [
-    ...     allocator.take("e/1", rate_per_s=2.0, now=now).is_granted
+    ...     allocator.take("e/1", limit=limit, now=now).is_granted
     ...     for now in (0.0, 0.25, 0.5)
     ... ]
     [True, False, True]
@@ -38,30 +41,74 @@
         )
 
     def take(
-        self, key: str, *, rate_per_s: float, now: float
+        self,
+        key: str,
+        *,
+        limit: _limits.Limit,
+        now: float,
+        least: float = 1.0,
+        amount: float = 1.0,
+        unused_since: float | None = None,
     ) -> _base.PermitDecision:
-        """Takes a permit if there is one.
+        """Takes an amount if there is enough.
 
         Args:
-            key: The key of the endpoint's incarnation.
-            rate_per_s: The permits a second that may be handed out.
+            key: The key.
+            limit: The limit in force.
             now: The time in seconds.
+            least: What is needed at once.
+            amount: What is wanted, at least as much.
+            unused_since: Since when nothing was handed out for a key without
+                a bucket, in seconds; by default its bucket is new.
         """
-        rate_per_s = max(rate_per_s, _MIN_RATE_PER_S)
+        bucket = self._get_bucket(key, limit, now, unused_since)
+        bucket.refill(limit, now)
+        needed = _choose_needed(least, limit)
+        if bucket.level < needed:
+            wait_s = _base.MAX_AGE_S
+            if limit.rate_per_s > 0:
+                wait_s = (needed - bucket.level) / limit.rate_per_s
+            return _base.PermitDecision(wait_s=wait_s, left=bucket.level)
+        spare = max(0.0, bucket.level - least) * _MAX_LEASED_SHARE
+        taken = least + min(amount - least, spare)
+        bucket.level -= taken
+        return _base.PermitDecision(amount=taken, left=bucket.level)
+
+    def give_back(
+        self, key: str, amount: float, *, limit: _limits.Limit, now: float
+    ) -> None:
+        """Takes back what wasn't used; nothing for a key without a bucket."""
+        bucket = self._buckets.get(key)
+        if bucket is not None:
+            bucket.refill(limit, now)
+            bucket.level = min(limit.burst, bucket.level + amount)
+
+    def list_keys(self) -> list[str]:
+        """Returns the keys that have a bucket."""
+        return list(self._buckets)
+
+    def forget(self, key: str) -> None:
+        """Drops the bucket of a key that another gateway hands out."""
+        self._buckets.pop(key, None)
+
+    def _get_bucket(self, key, limit, now, unused_since) -> _Bucket:
         bucket = self._buckets.get(key)
         if bucket is None:
-            bucket = _Bucket(permits=_FIRST_PERMITS, refilled_at=now)
+            began_at = now if unused_since is None else unused_since
+            bucket = _Bucket(level=limit.first, refilled_at=began_at)
             self._buckets[key] = bucket
         self._buckets.move_to_end(key)
         if len(self._buckets) > _MAX_REMEMBERED:
             self._buckets.popitem(last=False)
-        size = max(_MIN_BURST, _BURST_S * rate_per_s)
-        refill = (now - bucket.refilled_at) * rate_per_s
-        bucket.permits = min(size, bucket.permits + refill)
-        bucket.refilled_at = now
-        if bucket.permits < 1:
-            return _base.PermitDecision(
-                wait_s=(1 - bucket.permits) / rate_per_s
-            )
-        bucket.permits -= 1
-        return _base.PermitDecision()
+        return bucket
+
+
+def _choose_needed(least: float, limit: _limits.Limit) -> float:
+    """Returns the level at which an amount may be taken.
+
+    One that a bucket can't hold is taken from a full bucket, which is below
+    zero after that.
+    """
+    if limit.burst < least <= limit.burst + limit.overdraft:
+        return limit.burst
+    return least
--- a/sassafrasstile/permits/_base.py
+++ b/sassafrasstile/permits/_base.py
@@ -1,8 +1,9 @@
-"""Data types of stated rates, permits and the messages about them."""
+"""Data types of stated rates, quotas and the messages about them."""
 
 import dataclasses
 
 from sassafrasstile import membership
+from sassafrasstile import workspaces
 
 # Times that lie further apart than this don't matter any more.
 MAX_AGE_S = 3600.0
@@ -36,13 +37,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PermitDecision:
-    """Whether a request may be sent now.
+    """What is handed out to a gateway that asks.
 
     Attributes:
-        wait_s: Seconds until it is worth asking again, or zero if it may.
+        wait_s: Seconds until it is worth asking again, or zero if something
+            is handed out.
+        amount: What is handed out; one permit by default.
+        left: What is left at the gateway that hands out.
+        is_firm: False if that gateway may only hand out a part, so that others
+            might hand out more.
     """
 
     wait_s: float = 0.0
+    amount: float = 1.0
+    left: float = 0.0
+    is_firm: bool = True
 
     @property
     def is_granted(self) -> bool:
@@ -67,17 +76,39 @@
     seen_age_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QuotaNews:
+    """What a gateway tells others about a workspace's quota.
+
+    Attributes:
+        key: The workspace's name.
+        version: The version of the configuration that says so.
+        quota: The quota, or None if there is none.
+    """
+
+    key: str
+    version: int
+    quota: workspaces.Quota | None
+
+
+News = RateNews | QuotaNews
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PermitRequest:
-    """Asks the gateway that hands out an endpoint's permits for one.
+    """Asks the gateway that hands out a key's amounts for some.
 
     Attributes:
         number: Identifies the request at its sender.
-        news: What the sender knows about the endpoint's rate.
+        news: What the sender knows about the limit.
+        least: What is needed at once.
+        amount: What is wanted, at least as much.
     """
 
     number: int
-    news: RateNews
+    news: News
+    least: float = 1.0
+    amount: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -86,13 +117,30 @@
 
     Attributes:
         number: The number of the request.
-        decision: Whether the permit is granted.
-        news: What the sender knows about the endpoint's rate.
+        decision: What is handed out.
+        news: What the sender knows about the limit.
     """
 
     number: int
     decision: PermitDecision
-    news: RateNews
+    news: News
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PermitReturn:
+    """Gives back what was handed out and not used.
+
+    Attributes:
+        number: Identifies the message at its sender.
+        news: What the sender knows about the limit.
+        amount: What is given back.
+        age_s: Seconds since it was handed out.
+    """
+
+    number: int
+    news: News
+    amount: float
+    age_s: float
 
 
-Message = RateNews | PermitRequest | PermitAnswer
+Message = RateNews | PermitRequest | PermitAnswer | PermitReturn
