Forwarding: a request is charged to its workspace's quota once, before it waits

Beyond the quota: 429, not run, with the time until its cost is there. What was refused later as not run, and what a caller left before it was sent, is given back once. Requests refused for a quota allow no retries. Metrics: quota_used, quota_refunded, quota_refused, quota_leased by workspace, with bounded labels.

QuotaBounds moved from router to permits.

--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -47,6 +47,8 @@
             no caller takes a stream up again.
         quarantine: Knows the prompts that crash engines.
         permits: Gives permits to send to endpoints that name a rate.
+        quotas: Charges requests to the quotas of their workspaces, or None
+            where no workspace has one.
         versions: The software versions that endpoints have had.
         meter: Counts what is buffered for all requests.
         read_bounds: Bounds on what is read from endpoints.
@@ -66,6 +68,7 @@
     generator: random.Random
     quarantine: quarantine.Quarantine
     permits: permits.SharedRateLimiter
+    quotas: permits.QuotaKeeper | None = None
     announce: Callable[[], None] = lambda: None
     count_gateways: Callable[[], int | None] = lambda: 1
     lengths: dispatch.OutputLengthEstimator = dataclasses.field(
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -12,6 +12,7 @@
 from sassafrasstile import web
 from sassafrasstile.forwarding import _answers
 from sassafrasstile.forwarding import _calls
+from sassafrasstile.forwarding import _charges
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _generations
 from sassafrasstile.forwarding import _task
@@ -72,9 +73,6 @@
         if not self._can_finish_in_time(task):
             self._refuse(exchange, 503, errors.Code.STOPPING)
             return
-        self._context.get_budget(task.service.name).record_request(
-            self._context.now()
-        )
         self._run(task)
 
     def admit_waiting(self) -> None:
@@ -172,10 +170,7 @@
         )
 
     def _run(self, task: _task.RequestTask) -> None:
-        forwarder = self._calls
-        if task.route.kind is routes.RouteKind.GENERATION:
-            forwarder = self._generations
-        running = defer.ensureDeferred(forwarder.forward(task))
+        running = defer.ensureDeferred(self._charge_and_forward(task))
         self._running[task] = running
         task.exchange.on_disconnect = running.cancel
         running.addTimeout(
@@ -185,6 +180,20 @@
         running.addErrback(self._answer_interrupted, task)
         running.addBoth(self._finish, task)
 
+    async def _charge_and_forward(self, task: _task.RequestTask) -> None:
+        refusal = await _charges.charge(self._context, task)
+        if refusal is not None:
+            _answers.fail_task(self._context, task, refusal)
+            return
+        # Requests that are refused at once allow no retries.
+        self._context.get_budget(task.service.name).record_request(
+            self._context.now()
+        )
+        forwarder = self._calls
+        if task.route.kind is routes.RouteKind.GENERATION:
+            forwarder = self._generations
+        await forwarder.forward(task)
+
     def _answer_interrupted(
         self, reason: failure.Failure, task: _task.RequestTask
     ) -> None:
@@ -214,6 +223,7 @@
             )
             task.exchange.abort()
         context = self._context
+        _charges.refund(context, task)
         self._running.pop(task, None)
         taken_s = context.now() - task.request.received_at
         kind = task.route.kind.value
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -5,6 +5,7 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
+from sassafrasstile import permits
 from sassafrasstile import quarantine
 from sassafrasstile import routes
 from sassafrasstile import verdicts
@@ -30,6 +31,7 @@
         arrived_at: When the caller's first attempt arrived at any gateway, in
             seconds; its targets count from then.
         access: What it runs as.
+        charge: What it was charged to its workspace's quota, or None.
         sends: How often it was sent to an endpoint to be run.
         hold_attempts: How often an engine was asked to set memory aside.
         prefill_attempts: How often it was sent to a prefill engine.
@@ -55,6 +57,7 @@
     caller_deadline: float
     arrived_at: float
     access: workspaces.Access = workspaces.ANONYMOUS
+    charge: permits.QuotaCharge | None = None
     sends: int = 0
     prefill_attempts: int = 0
     hold_attempts: int = 0
--- a/sassafrasstile/permits/tests/test_quotas.py
+++ b/sassafrasstile/permits/tests/test_quotas.py
@@ -328,6 +328,18 @@
         site.run_for(8.0, load=3.0)
         self.check_sum()
 
+    # Each start of the gateway that hands out would give a full burst more.
+    def test_gateway_that_has_just_started_hands_out_little(self):
+        site = self.start()
+        owner = site.gateways["g0"].limiter.rank("quota:w")[0]
+        site.kill(owner)
+        site.restart(owner)
+        for _ in range(20):
+            site.ask(site.generator.choice(list(site.gateways)), tokens=3300)
+        site.run_for(0.1)
+        little = _BOUNDS.slack / 8 + 0.2 * _RATE_PER_S
+        self.assertLessEqual(site.measure_used(self.began_at), little)
+
     # A gateway wakes and uses what it had leased long ago.
     def test_frozen_gateway_does_not_use_an_old_lease(self):
         site = self.start(gateways=3)
@@ -438,6 +450,13 @@
     def test_refund_lets_others_run(self):
         bounds = permits.QuotaBounds(window_s=8.0)
         site = self.start(gateways=4, bounds=bounds)
+        site.ask("g1", tokens=1)
+        site.run_for(1.0)
+        # The burst is there, and little comes after it.
+        site.version = 2
+        site.quotas = {"w": make_quota(rate_per_s=10.0)}
+        for gateway in site.gateways.values():
+            gateway.configure()
         charges = []
         for _ in range(4):
             asking = site.ask("g1", tokens=10_000)
--- a/sassafrasstile/platform/_settings.py
+++ b/sassafrasstile/platform/_settings.py
@@ -7,6 +7,7 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
+from sassafrasstile import permits
 from sassafrasstile import router
 from sassafrasstile import web
 from sassafrasstile.platform import _addresses
@@ -159,7 +160,7 @@
         )
         / _models.MS_PER_S,
         max_key_age_s=_choose_max_key_age_s(document.bounds),
-        quota_bounds=router.QuotaBounds(
+        quota_bounds=permits.QuotaBounds(
             window_s=document.bounds.quota_window_s,
             overshoot=document.bounds.quota_overshoot,
             slack=document.bounds.quota_slack,
--- a/sassafrasstile/router/__init__.py
+++ b/sassafrasstile/router/__init__.py
@@ -4,13 +4,11 @@
 from sassafrasstile.router._process import run_router
 from sassafrasstile.router._record_decoder import RecordDecoder
 from sassafrasstile.router._settings import (
-    QuotaBounds,
     RouterSettings,
     SettingsSource,
 )
 
 __all__ = [
-    "QuotaBounds",
     "RecordDecoder",
     "RouterDaemon",
     "RouterSettings",
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -1,5 +1,6 @@
 """Connects configuration, membership, routing and listening ports."""
 
+import collections
 from collections.abc import Mapping
 import logging
 import random
@@ -107,6 +108,13 @@
         self._permits = permits.SharedRateLimiter(
             reactor=reactor, name=settings.name
         )
+        self._quotas = permits.QuotaKeeper(
+            reactor=reactor,
+            exchange=self._permits,
+            read_quota=self._read_quota,
+            bounds=settings.quota_bounds,
+            count_gateways=self._count_gateways,
+        )
         self._meter = web.BufferMeter(
             max_bytes=settings.max_buffered_bytes,
             on_drop=metrics.buffers_dropped.inc,
@@ -197,6 +205,7 @@
             generator=self._generator,
             quarantine=self._quarantine,
             permits=self._permits,
+            quotas=self._quotas,
             origins=self._origins,
             versions=self._versions,
             meter=self._meter,
@@ -317,6 +326,7 @@
             self._origins,
             self._quarantine,
             self._permits,
+            self._quotas,
             self._directory,
             self._prober,
             self._roles,
@@ -506,6 +516,23 @@
         self._roster.tick(self._now())
         self._accept_callers_if_ready()
         self._router.admit_waiting()
+        self._record_leases()
+
+    def _record_leases(self) -> None:
+        leased: collections.Counter[str] = collections.Counter()
+        for workspace, amount in self._quotas.list_leased().items():
+            leased[self._metrics.workspaces.choose(workspace)] += amount
+        for label, amount in leased.items():
+            self._metrics.quota_leased.labels(label).set(amount)
+
+    def _read_quota(self, workspace: str) -> permits.StatedQuota | None:
+        """Returns what the configuration in force says about a quota."""
+        found = self._active_configuration.find_workspace(workspace)
+        if found is None:
+            return None
+        return permits.StatedQuota(
+            version=self._active_configuration.version, quota=found.quota
+        )
 
     def _describe(self) -> dict:
         return {
--- a/sassafrasstile/router/_settings.py
+++ b/sassafrasstile/router/_settings.py
@@ -4,27 +4,10 @@
 import dataclasses
 
 from sassafrasstile import dispatch
+from sassafrasstile import permits
 from sassafrasstile import web
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class QuotaBounds:
-    """By how much all gateways together may exceed a quota.
-
-    In any window, a workspace may use (rate x window + burst) x
-    (1 + overshoot) + slack.
-
-    Attributes:
-        window_s: The length of the window in seconds.
-        overshoot: The excess as a share of what the quota allows.
-        slack: The excess beyond that share, in the unit of the quota.
-    """
-
-    window_s: float = 0.0
-    overshoot: float = 0.0
-    slack: float = 0.0
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RouterSettings:
     """Addresses, ports and time limits of a gateway process.
@@ -75,7 +58,7 @@
     lease_s: float
     dispatch: dispatch.DispatchSettings
     max_key_age_s: float | None = None
-    quota_bounds: QuotaBounds = QuotaBounds()
+    quota_bounds: permits.QuotaBounds = permits.QuotaBounds()
     read_bounds: web.ReadBounds = web.DEFAULT_BOUNDS
     max_buffered_bytes: int = web.DEFAULT_MAX_BUFFERED_BYTES
     caller_stall_s: float = web.DEFAULT_CALLER_STALL_S
--- a/sassafrasstile/routes/_active.py
+++ b/sassafrasstile/routes/_active.py
@@ -30,12 +30,17 @@
         self.current: _base.Configuration | None = None
         self.table = _table.RouteTable(routes=())
         self.directory: workspaces.WorkspaceDirectory | None = None
+        self._workspaces: dict[str, workspaces.Workspace] = {}
 
     @property
     def version(self) -> int | None:
         """The active version, or None before the first configuration."""
         return None if self.current is None else self.current.version
 
+    def find_workspace(self, name: str) -> workspaces.Workspace | None:
+        """Returns the workspace of a name, or None."""
+        return self._workspaces.get(name)
+
     def apply_if_newer(self, configuration: _base.Configuration) -> bool:
         """Activates a configuration if its version is newer.
 
@@ -48,6 +53,9 @@
         self.table = _table.RouteTable(routes=configuration.routes)
         self.current = configuration
         self.directory = None
+        self._workspaces = {
+            item.name: item for item in configuration.workspaces
+        }
         if configuration.workspaces:
             self.directory = workspaces.WorkspaceDirectory(
                 workspaces=configuration.workspaces
--- a/sassafrasstile/telemetry/__init__.py
+++ b/sassafrasstile/telemetry/__init__.py
@@ -1,5 +1,6 @@
 """Logging and metrics."""
 
+from sassafrasstile.telemetry._labels import BoundedLabels
 from sassafrasstile.telemetry._logs import (
     BoundedStreamHandler,
     configure_bounded_logs,
@@ -13,6 +14,7 @@
 from sassafrasstile.telemetry._percentiles import compute_percentile
 
 __all__ = [
+    "BoundedLabels",
     "BoundedStreamHandler",
     "GatewayMetrics",
     "RouterMetrics",
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from sassafrasstile.telemetry import _labels
+
 _PREFIX = "sassafrasstile_"
 _FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.74, 1, 2, 5, 10, 30, 60)
 _PER_TOKEN_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.3, 1)
@@ -25,10 +27,10 @@
         )
 
     def _make_gauge(
-        self, name: str, description: str
+        self, name: str, description: str, labels: tuple[str, ...] = ()
     ) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
-            _PREFIX + name, description, registry=self.registry
+            _PREFIX + name, description, labels, registry=self.registry
         )
 
     def _make_histogram(
@@ -100,7 +102,11 @@
 
 
 class RouterMetrics(_ProcessMetrics):
-    """Metrics of a gateway that calls endpoints directly."""
+    """Metrics of a gateway that calls endpoints directly.
+
+    Attributes:
+        workspaces: Chooses the labels of workspaces.
+    """
 
     def __init__(self):
         super().__init__()
@@ -131,6 +137,27 @@
             "Requests not sent, since the endpoint wants none, by reason.",
             ("reason",),
         )
+        self.workspaces = _labels.BoundedLabels()
+        self.quota_used = self._make_counter(
+            "quota_used",
+            "What requests were charged to quotas, by workspace.",
+            ("workspace",),
+        )
+        self.quota_refunded = self._make_counter(
+            "quota_refunded",
+            "What was given back for requests not run, by workspace.",
+            ("workspace",),
+        )
+        self.quota_refused = self._make_counter(
+            "quota_refused",
+            "Requests refused beyond a quota, by workspace.",
+            ("workspace",),
+        )
+        self.quota_leased = self._make_gauge(
+            "quota_leased",
+            "What is leased of quotas and not used yet, by workspace.",
+            ("workspace",),
+        )
         self.reads_too_large = self._make_counter(
             "reads_too_large",
             "Answers cut off at a bound on what is read, by bound.",
--- a/sassafrasstile/testing/__init__.py
+++ b/sassafrasstile/testing/__init__.py
@@ -11,6 +11,7 @@
     make_endpoint_document,
     make_platform_route,
     make_request,
+    make_workspace_document,
 )
 from sassafrasstile.testing._ports import pick_port
 from sassafrasstile.testing._processes import ChildProcess, ProcessSite
@@ -44,6 +45,7 @@
     "make_request",
     "make_route",
     "make_samples",
+    "make_workspace_document",
     "on_reactor",
     "pick_port",
     "reactor",
--- a/sassafrasstile/testing/_platform_site.py
+++ b/sassafrasstile/testing/_platform_site.py
@@ -1,5 +1,6 @@
 """A gateway on the platform and its stand-ins, in one process."""
 
+from collections.abc import Sequence
 import dataclasses
 import random
 import socket
@@ -193,8 +194,17 @@
     }
 
 
+def make_workspace_document(name: str, *keys: str, **fields) -> dict:
+    """Returns a workspace in the format of the platform's configuration."""
+    return {"name": name, "apiKeys": list(keys), **fields}
+
+
 def make_configuration_document(
-    *, version: int, routes: list[dict], **limits
+    *,
+    version: int,
+    routes: list[dict],
+    workspaces: Sequence[dict] = (),
+    **limits,
 ) -> dict:
     """Returns a configuration in the format of the platform."""
     engine = {
@@ -204,7 +214,7 @@
         "kvTtlS": 0.5,
         "holdMs": 2000,
     }
-    return {
+    document = {
         "version": version,
         "routes": routes,
         "services": [
@@ -219,6 +229,9 @@
             **limits,
         },
     }
+    if workspaces:
+        document["tenants"] = list(workspaces)
+    return document
 
 
 class _FixedSettings(router.SettingsSource):
@@ -250,6 +263,7 @@
 
     Attributes:
         daemon: The first gateway.
+        workspaces: The workspaces that `configure` writes, as documents.
     """
 
     def __init__(
@@ -270,6 +284,7 @@
         self._listener = listener
         self._grace_s = grace_s
         self.routes = routes
+        self.workspaces: list[dict] = []
         self.version = 1
         self.endpoints: dict[str, standins.PlatformEndpoint] = {}
         self.server = standins.PlatformStoreServer(reactor=reactor)
@@ -395,7 +410,10 @@
         """Writes the configuration, with a higher version each time."""
         self.version += 1
         document = make_configuration_document(
-            version=self.version, routes=self.routes, **limits
+            version=self.version,
+            routes=self.routes,
+            workspaces=self.workspaces,
+            **limits,
         )
         self.store.put_json(_CONFIGURATION_TOPIC, "config", document)
 
