--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -5,6 +5,7 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
+from sassafrasstile import permits
 from sassafrasstile import quarantine
 from sassafrasstile import routes
 from sassafrasstile import verdicts
@@ -31,6 +32,7 @@
             seconds; its targets count from then.
         access: What it runs as.
         denial: Why it may not be sent for its key, or None if it may.
+        charge: What it was charged to its workspace's quota, or None.
         sends: How often it was sent to an endpoint to be run.
         hold_attempts: How often an engine was asked to set memory aside.
         prefill_attempts: How often it was sent to a prefill engine.
@@ -57,6 +59,7 @@
     arrived_at: float
     access: workspaces.Access = workspaces.ANONYMOUS
     denial: verdicts.NotRun | None = None
+    charge: permits.QuotaCharge | None = None
     sends: int = 0
     prefill_attempts: int = 0
     hold_attempts: int = 0
