--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -1,5 +1,6 @@
 """Connects configuration, membership, routing and listening ports."""
 
+import collections
 from collections.abc import Collection, Mapping
 import logging
 import random
@@ -108,6 +109,13 @@
         self._permits = permits.SharedRateLimiter(
             reactor=reactor, name=settings.name
         )
+        self._quotas = permits.QuotaKeeper(
+            reactor=reactor,
+            exchange=self._permits,
+            read_quota=self._read_quota,
+            bounds=settings.quota_bounds,
+            count_gateways=self._count_gateways,
+        )
         self._meter = web.BufferMeter(
             max_bytes=settings.max_buffered_bytes,
             on_drop=metrics.buffers_dropped.inc,
@@ -136,7 +144,7 @@
         self._topic_sharing = _topics.TopicSharing(
             reactor=reactor, name=settings.name
         )
-        self._exchange = self._make_exchange(record_decoder)
+        self._belief_exchange = self._make_belief_exchange(record_decoder)
         self._records = self._make_records(record_decoder)
         self._followers = self._records.followers
         confirmation = _confirmation.TopicConfirmation(
@@ -168,7 +176,7 @@
         self._origins.transport = self._channel
         self._quarantine.transport = self._channel
         self._permits.transport = self._channel
-        self._exchange.transport = self._channel
+        self._belief_exchange.transport = self._channel
         self._topic_sharing.connect(
             channel=self._channel, followers=self._followers
         )
@@ -190,7 +198,7 @@
         metrics.prompts_refused.set_function(self._quarantine.count_active)
         metrics.endpoints_leaving.set_function(self._endpoints.count_leaving)
         metrics.endpoints_with_rate.set_function(self._permits.count_named)
-        metrics.key_belief_age.set_function(self._exchange.measure_age_s)
+        metrics.key_belief_age.set_function(self._belief_exchange.measure_age_s)
         metrics.endpoints_backing_off.set_function(
             lambda: self._endpoints.count_backing_off(self._now())
         )
@@ -215,6 +223,7 @@
             generator=self._generator,
             quarantine=self._quarantine,
             permits=self._permits,
+            quotas=self._quotas,
             origins=self._origins,
             versions=self._versions,
             meter=self._meter,
@@ -241,10 +250,12 @@
             versions=self._versions,
             on_configuration=self._apply_configuration,
             on_progress=self._accept_callers_if_ready,
-            exchange=self._exchange,
+            belief_exchange=self._belief_exchange,
         )
 
-    def _make_exchange(self, record_decoder) -> workspaces.BeliefExchange:
+    def _make_belief_exchange(
+        self, record_decoder
+    ) -> workspaces.BeliefExchange:
         topic = record_decoder.configuration_topic
         return workspaces.BeliefExchange(
             reactor=self._reactor,
@@ -304,7 +315,7 @@
         elif permits.is_message(payload):
             self._permits.receive(sender, payload)
         elif workspaces.is_message(payload):
-            self._exchange.receive(sender, payload)
+            self._belief_exchange.receive(sender, payload)
         else:
             self._origins.receive(sender, payload)
 
@@ -359,7 +370,8 @@
             self._origins,
             self._quarantine,
             self._permits,
-            self._exchange,
+            self._quotas,
+            self._belief_exchange,
             self._directory,
             self._prober,
             self._roles,
@@ -562,6 +574,23 @@
         self._roster.tick(self._now())
         self._accept_callers_if_ready()
         self._router.admit_waiting()
+        self._record_leases()
+
+    def _record_leases(self) -> None:
+        leased: collections.Counter[str] = collections.Counter()
+        for workspace, amount in self._quotas.list_leased().items():
+            leased[self._metrics.workspaces.choose(workspace)] += amount
+        for label, amount in leased.items():
+            self._metrics.quota_leased.labels(label).set(amount)
+
+    def _read_quota(self, workspace: str) -> permits.StatedQuota | None:
+        """Returns what the configuration in force says about a quota."""
+        found = self._active_configuration.find_workspace(workspace)
+        if found is None:
+            return None
+        return permits.StatedQuota(
+            version=self._active_configuration.version, quota=found.quota
+        )
 
     def _describe(self) -> dict:
         return {
--- a/sassafrasstile/router/_store_records.py
+++ b/sassafrasstile/router/_store_records.py
@@ -34,7 +34,7 @@
         on_configuration: Called with each configuration that is in force now.
         on_progress: Called when a record of the configuration was read, and
             when all endpoints were.
-        exchange: Is told of each call that confirms the configuration.
+        belief_exchange: Is told of each call that confirms the configuration.
 
     Attributes:
         followers: The followers by topic.
@@ -55,7 +55,7 @@
         versions: streams.VersionHistory,
         on_configuration: Callable[[routes.Configuration], None],
         on_progress: Callable[[], None],
-        exchange: workspaces.BeliefExchange,
+        belief_exchange: workspaces.BeliefExchange,
     ):
         self._reactor = reactor
         self._record_decoder = record_decoder
@@ -88,8 +88,8 @@
                     topic_sharing.relay, configuration_topic
                 ),
                 read_time_s=workspaces.read_boot_time_s,
-                on_confirmed=exchange.record_call,
-                read_max_wait_s=lambda: exchange.max_wait_s,
+                on_confirmed=belief_exchange.record_call,
+                read_max_wait_s=lambda: belief_exchange.max_wait_s,
             ),
             membership_topic: make_follower(
                 topic=membership_topic,
