Workspaces: without a bound on withdrawn keys, an unknown key stays a 401

Cause: nobody keeps the belief young where no bound is set, so its true age made the checker answer 503 to keys that nobody holds. The age is 0.0 then, as before. The new test fails with the belief's own age; so did test_workspaces.RecordTest, which stays as it is.

--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -230,7 +230,7 @@
             read_bounds=self.settings.read_bounds,
             access=workspaces.AccessChecker(
                 read_directory=lambda: self._active_configuration.directory,
-                measure_age_s=self._belief.measure_age_s,
+                measure_age_s=lambda: self._belief_exchange.measure_age_s(),
                 max_age_s=self.settings.max_key_age_s,
                 fresh_age_s=self.settings.propagation_limit_s,
             ),
--- a/sassafrasstile/router/tests/test_key_belief.py
+++ b/sassafrasstile/router/tests/test_key_belief.py
@@ -6,6 +6,8 @@
 from sassafrasstile import testing
 
 _MAX_KEY_AGE_S = 2.0
+# That of the test's sites.
+_PROPAGATION_LIMIT_S = 2.0
 _KEY = "k-kept-11d0"
 _WITHDRAWN_KEY = "k-gone-52c7"
 _OTHER = "gateway-2"
@@ -16,7 +18,7 @@
 class KeyBeliefTest(testing.PlatformTestCase):
     """Two gateways; the second one can't reach the store."""
 
-    async def start_site(self):
+    async def start_site(self, max_key_age_s=_MAX_KEY_AGE_S):
         self.site = self.make_site(
             [
                 testing.make_platform_route(
@@ -26,7 +28,7 @@
                     "/open/", "desk", "safe", public=True
                 ),
             ],
-            max_key_age_s=_MAX_KEY_AGE_S,
+            max_key_age_s=max_key_age_s,
         )
         self.site.add_gateway(_OTHER, zone="a")
         self.site.add_endpoint("e0", standins.make_answer)
@@ -100,3 +102,14 @@
         self.configure(_KEY)
         await self.wait_for_status(200, _KEY)
         await self.close_sites()
+
+    # Nobody keeps the belief young then; the last known keys are relied on.
+    @testing.on_reactor
+    async def test_without_a_bound_other_keys_are_refused_as_unknown(self):
+        await self.start_site(max_key_age_s=None)
+        self.cut_from_store()
+        self.cut_from_peers()
+        await self.sleep(_PROPAGATION_LIMIT_S + 0.5)
+        self.assertEqual(await self.call("k-nobody"), _UNAUTHORIZED)
+        self.assertEqual(await self.call(_KEY), 200)
+        await self.close_sites()
