--- a/sassafrasstile/workspaces/_exchange.py
+++ b/sassafrasstile/workspaces/_exchange.py
@@ -219,18 +219,21 @@
             parent = self._generator.choice(others)
         answer = None if parent is None else await self._ask(parent)
         self._has_failed = answer is None
+        self._call_if_old()
+        return self._choose_pause_s(answer)
+
+    def _call_if_old(self) -> None:
         share = self._generator.uniform(*_CALL_AGE_SHARES)
         if self._belief.measure_age_s() > share * self._interval_s:
             self._read_store()
+
+    def _choose_pause_s(self, answer: _codec.VersionAnswer | None) -> float:
+        """Returns the time until the next question, in seconds."""
         if answer is None:
             return _RETRY_SHARE * self._interval_s
-        return min(
-            max(
-                answer.next_s + _FOLLOW_DELAY_S,
-                _MIN_PAUSE_SHARE * self._interval_s,
-            ),
-            self._interval_s,
-        )
+        due_s = answer.next_s + _FOLLOW_DELAY_S
+        least_s = _MIN_PAUSE_SHARE * self._interval_s
+        return min(max(due_s, least_s), self._interval_s)
 
     def _is_calm(self, age_s: float) -> bool:
         return age_s <= _CALM_AGE_SHARE * self._interval_s
