Fault soak: callers with keys of workspaces, and keys that are withdrawn

Off by default (--keys), so that the other faults of a seed stay the same; a gateway is cut off from the store for longer than the bound where faults are on. A gateway that never checks again at the send is caught.

--- a/sassafrasstile/faultsoak/__main__.py
+++ b/sassafrasstile/faultsoak/__main__.py
@@ -22,6 +22,7 @@
     seconds: float = 30.0,
     faults: bool = True,
     endless: bool = False,
+    keys: bool = False,
 ) -> int:
     """Run one seed after another; exit 1 when a guarantee was violated.
 
@@ -31,6 +32,7 @@
         seconds: How long callers send requests, per seed.
         faults: Inject faults; `make demo-platform` uses `--no-faults`.
         endless: Let answers of endpoints have no end.
+        keys: Give the site workspaces, and withdraw keys.
     """
     failed_seeds = 0
     for run_seed in range(seed, seed + seeds):
@@ -44,6 +46,7 @@
             endless=endless,
             crashes=faults,
             rates=faults,
+            keys=keys,
         )
         report = testing.run(run.run)
         failed_seeds += bool(report.violations)
--- a/sassafrasstile/faultsoak/_gateways.py
+++ b/sassafrasstile/faultsoak/_gateways.py
@@ -1,6 +1,6 @@
 """Gateway processes that can be signalled and restarted."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 import os
 import pathlib
 import signal
@@ -25,6 +25,7 @@
         folder: The folder for the settings file and the output.
         store_port: The port of the store or of a proxy in front of it.
         arguments: The interpreter's arguments that start the gateway.
+        bounds: Further bounds of its settings.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         folder: pathlib.Path,
         store_port: int,
         arguments: Sequence[str] = ARGUMENTS,
+        bounds: Mapping[str, object] | None = None,
     ):
         self.name = name
         self.port = testing.pick_port()
@@ -42,6 +44,7 @@
         self._output = folder / f"{name}.log"
         self._store_port = store_port
         self._arguments = tuple(arguments)
+        self._bounds = dict(bounds or {})
         self._process: subprocess.Popen | None = None
 
     def start(self) -> None:
@@ -56,7 +59,11 @@
                 "ready": f"127.0.0.1:{self._ready_port}",
             },
             "internalPorts": [internal_port, internal_port],
-            "bounds": {"graceS": 8, "budgetSlack": _RETRY_SLACK},
+            "bounds": {
+                "graceS": 8,
+                "budgetSlack": _RETRY_SLACK,
+                **self._bounds,
+            },
             "platform": {"address": f"127.0.0.1:{self._store_port}"},
         }
         self._path.write_text(yaml.safe_dump(settings))
--- a/sassafrasstile/faultsoak/_restores.py
+++ b/sassafrasstile/faultsoak/_restores.py
@@ -59,6 +59,7 @@
         gateways: The gateways.
         publish: Publishes a configuration, given its version and the paths of
             its additional routes.
+        on_rewrite: Called after what a restore had lost was written again.
     """
 
     def __init__(
@@ -69,11 +70,13 @@
         store,
         gateways: list[_gateways.GatewayProcess],
         publish: Callable[..., None],
+        on_rewrite: Callable[[], None] = lambda: None,
     ):
         self._reactor = reactor
         self._store = store
         self._gateways = gateways
         self._publish = publish
+        self._on_rewrite = on_rewrite
         # Of its own, so that the other faults of a seed stay the same.
         self._generator = random.Random(f"restores {seed}")
         self._spare = standins.PlatformEndpoint(
@@ -105,7 +108,7 @@
         while self._reactor.seconds() < until:
             former = self._store.make_copy()
             for _ in range(self._generator.choice((1, 1, 2, 3))):
-                self._publish_next()
+                self.publish_next()
                 await self._sleep(0.2 + self._generator.random())
             self._store.outage = self._generator.choice(("busy", "reset"))
             await self._sleep(0.5 * self._generator.random())
@@ -132,8 +135,8 @@
         """
         former = self._store.make_copy()
         self._store.put(_MEMBERSHIP_TOPIC, _SPARE_NAME, b"")
-        self._publish_next()
-        self._publish_next()
+        self.publish_next()
+        self.publish_next()
         await self._sleep(_APPLY_WAIT_S)
         self._store.outage = "busy"
         self._restore(former)
@@ -161,8 +164,10 @@
         for topic in _REWRITTEN_TOPICS:
             for key, value in lost.get(topic, ()):
                 self._store.put(topic, key, value)
+        self._on_rewrite()
 
-    def _publish_next(self) -> None:
+    def publish_next(self) -> None:
+        """Publishes the next version of the configuration."""
         self.version += 1
         self._publish(self.version, *self._list_paths())
 
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -18,6 +18,7 @@
 from sassafrasstile.faultsoak import _endless
 from sassafrasstile.faultsoak import _endpoints
 from sassafrasstile.faultsoak import _gateways
+from sassafrasstile.faultsoak import _keys
 from sassafrasstile.faultsoak import _notice_faults
 from sassafrasstile.faultsoak import _notice_log
 from sassafrasstile.faultsoak import _proxy
@@ -51,6 +52,8 @@
         silenced: The number of streams that a silence of their engine checked.
         prompts: How often deadly and sound prompts ended with each status,
             and how often engines crashed.
+        keys: How often requests with keys ended with each status, and how
+            often a gateway was cut off from the store for long.
         violations: The violated guarantees, one sentence each.
     """
 
@@ -63,6 +66,7 @@
     notices: int
     silenced: int
     prompts: dict[str, int]
+    keys: dict[str, int]
     violations: list[str]
 
 
@@ -80,6 +84,7 @@
         endless: Whether answers of endpoints have no end.
         crashes: Whether engines crash under some prompts.
         rates: Whether endpoints name the rate that they take.
+        keys: Whether the site has workspaces, and keys are withdrawn.
         arguments: The interpreter's arguments that start a gateway.
         states_epoch: Whether the store's answers show when it was restored.
     """
@@ -97,6 +102,7 @@
         endless: bool = False,
         crashes: bool = True,
         rates: bool = True,
+        keys: bool = False,
         arguments: Sequence[str] = _gateways.ARGUMENTS,
         states_epoch: bool = True,
     ):
@@ -110,6 +116,7 @@
         self._has_endless = endless
         self._has_crashes = crashes
         self._has_rates = rates
+        self._has_keys = keys
         self._generator = random.Random(seed)
         self._notice_generator = random.Random(f"notices {seed}")
         self._notice_log = _notice_log.NoticeLog()
@@ -147,6 +154,18 @@
             store=self._store_server.store,
             gateways=self.gateways,
             publish=self._configure,
+            on_rewrite=lambda: self._keys.delay_withdrawals(),
+        )
+        self._keys = _keys.KeyCallers(
+            reactor=reactor,
+            gateways=self.gateways,
+            proxies=lambda: [
+                proxy
+                for name, proxy in sorted(self._proxies.items())
+                if name.startswith("store")
+            ],
+            publish=self._restores.publish_next,
+            seed=seed,
         )
 
     async def run(self) -> SoakReport:
@@ -191,6 +210,9 @@
         if self._has_rates:
             ends_at = callers.stop_sending_at + _SETTLE_WAIT_S
             calling = testing.spawn(self._stated_rates.run(ends_at))
+        keying = defer.succeed(None)
+        if self._has_keys:
+            keying = self._start_keys(callers.stop_sending_at)
         while self._reactor.seconds() < callers.stop_sending_at:
             await self._sleep(0.2 + self._generator.random())
             if self._has_faults:
@@ -201,6 +223,7 @@
         await self._sleep(_SETTLE_WAIT_S)
         await prompting
         await calling
+        await keying
         callers.check_executions(self._execution_log.counts)
         callers.violations.extend(self._notice_log.check(callers.outcomes))
         await self._restores.publish_at_reused_offsets("/new/")
@@ -222,6 +245,7 @@
             notices=len(self._notice_log.notices),
             silenced=silent_engines.checked,
             prompts=dict(self._deadly_prompts.count()),
+            keys=self._keys.count(),
             violations=[
                 *callers.violations,
                 *self._returning.violations,
@@ -234,9 +258,19 @@
                 ),
                 *self._deadly_prompts.check(),
                 *self._stated_rates.check(),
+                *self._keys.check(),
             ],
         )
 
+    def _start_keys(self, until: float) -> defer.Deferred:
+        """Has keys withdrawn until a time, and requests with them sent."""
+        keying = [self._keys.run(until), self._keys.withdraw(until)]
+        if self._has_faults:
+            keying.append(self._keys.cut_off(until))
+        return defer.gatherResults(
+            list(map(testing.spawn, keying)), consumeErrors=False
+        )
+
     def _start_restores(self, until: float) -> None:
         self._running_faults.append(testing.spawn(self._restores.run(until)))
         self._running_faults.append(testing.spawn(self._restores.watch(until)))
@@ -275,6 +309,8 @@
         self._returning.start(self._store_server)
         self._deadly_prompts.start(self._store_server)
         self._stated_rates.start(self._store_server)
+        if self._has_keys:
+            self._keys.start(self._store_server)
         self._restores.start()
         self._silent_engines = _silences.SilentEngines(
             reactor=self._reactor,
@@ -296,6 +332,7 @@
                 folder=folder,
                 store_port=proxy.port,
                 arguments=self._arguments,
+                bounds=_keys.BOUNDS if self._has_keys else {},
             )
             gateway.start()
             self.gateways.append(gateway)
@@ -392,8 +429,14 @@
                 for path in extra_paths
             ),
         ]
+        workspaces = []
+        if self._has_keys:
+            # The other callers show no key.
+            routes = [{**item, "public": True} for item in routes]
+            routes.append(self._keys.make_route())
+            workspaces = self._keys.make_workspaces()
         document = testing.make_configuration_document(
-            version=version, routes=routes
+            version=version, routes=routes, workspaces=workspaces
         )
         (writer,) = (
             item for item in document["services"] if item["name"] == "writer"
@@ -404,6 +447,7 @@
                 _versions.SERVICE,
                 _silences.SINGLE_SERVICE,
                 _deadly_prompts.SERVICE,
+                _keys.SERVICE,
             )
         )
         self._store_server.store.put_json("keyed.op", "config", document)
@@ -419,6 +463,8 @@
         await self._returning.close()
         await self._deadly_prompts.close()
         await self._stated_rates.close()
+        if self._has_keys:
+            await self._keys.close()
         await self._restores.close()
         await self._silent_engines.close()
         await defer.maybeDeferred(self._store_server.close)
--- a/sassafrasstile/faultsoak/tests/deaf_gateway.py
+++ b/sassafrasstile/faultsoak/tests/deaf_gateway.py
@@ -9,6 +9,7 @@
 from sassafrasstile import dispatch
 from sassafrasstile import permits
 from sassafrasstile import quarantine
+from sassafrasstile import workspaces
 from sassafrasstile.platform import __main__ as platform_main
 
 _WITHOUT = {
@@ -39,6 +40,11 @@
     if sys.argv[1] == "peers":
         # Each gateway keeps all of a rate by itself.
         permits.SharedRateLimiter._rank = lambda self, key: [self._name]
+    elif sys.argv[1] == "keys":
+        # Keys are checked on arrival only.
+        checker = workspaces.AccessChecker
+        checker.find_denial = lambda self, access: None
+        checker.review = lambda self, access, **fields: access
     elif sys.argv[1] in _FIND:
         quarantine.Quarantine.find = _FIND[sys.argv[1]]
     else:
