Fault soak: gateways that are cut off from the store for longer than the bound on withdrawn keys

A restore delays only the withdrawals that it loses; before, each of them, which hid the cuts. A gateway that never doubts its keys is caught.

--- a/sassafrasstile/faultsoak/__main__.py
+++ b/sassafrasstile/faultsoak/__main__.py
@@ -47,6 +47,7 @@
             crashes=faults,
             rates=faults,
             keys=keys,
+            cuts=keys and faults,
         )
         report = testing.run(run.run)
         failed_seeds += bool(report.violations)
--- a/sassafrasstile/faultsoak/_keys.py
+++ b/sassafrasstile/faultsoak/_keys.py
@@ -25,7 +25,7 @@
 _WORKSPACES = ("one", "two", "three")
 _FOREIGN_KEY = "k-foreign"
 _CHANGE_INTERVAL_S = 1.5
-_CUT_S = 2 * REVOKE_S
+_CUT_S = 4 * REVOKE_S
 _BETWEEN_CUTS_S = 3.0
 # More than the only engine takes, so that requests wait for seconds.
 _REQUESTS_PER_S = 2.5
@@ -177,12 +177,15 @@
             self._publish()
             self.withdrawn_at[former] = self._reactor.seconds()
 
-    def delay_withdrawals(self) -> None:
-        """Counts the latest withdrawals from now; the store had lost them."""
-        now = self._reactor.seconds()
+    def delay_withdrawals(self, since: float) -> None:
+        """Counts withdrawals from now on; the store had lost them.
+
+        Args:
+            since: The time of the first that was lost, in seconds.
+        """
         for key, at in self.withdrawn_at.items():
-            if at > now - 2 * _CUT_S:
-                self.withdrawn_at[key] = now
+            if at >= since:
+                self.withdrawn_at[key] = self._reactor.seconds()
 
     async def cut_off(self, until: float) -> None:
         """Cuts gateways off from the store until a time, one at a time."""
@@ -208,9 +211,9 @@
     def _choose_key(self) -> str:
         workspace = self._generator.choice(_WORKSPACES)
         kind = self._generator.random()
-        if kind < 0.6:
+        if kind < 0.5:
             return self._make_key(workspace)
-        if kind < 0.9:
+        if kind < 0.7:
             return _make_permanent_key(workspace)
         return self._generator.choice([_FOREIGN_KEY, *self.withdrawn_at])
 
--- a/sassafrasstile/faultsoak/_restores.py
+++ b/sassafrasstile/faultsoak/_restores.py
@@ -59,7 +59,8 @@
         gateways: The gateways.
         publish: Publishes a configuration, given its version and the paths of
             its additional routes.
-        on_rewrite: Called after what a restore had lost was written again.
+        on_rewrite: Called after what a restore had lost was written again,
+            with the time of the first loss.
     """
 
     def __init__(
@@ -70,7 +71,7 @@
         store,
         gateways: list[_gateways.GatewayProcess],
         publish: Callable[..., None],
-        on_rewrite: Callable[[], None] = lambda: None,
+        on_rewrite: Callable[[float], None] = lambda since: None,
     ):
         self._reactor = reactor
         self._store = store
@@ -107,6 +108,7 @@
         """Publishes versions and restores the store until a time."""
         while self._reactor.seconds() < until:
             former = self._store.make_copy()
+            copied_at = self._reactor.seconds()
             for _ in range(self._generator.choice((1, 1, 2, 3))):
                 self.publish_next()
                 await self._sleep(0.2 + self._generator.random())
@@ -116,6 +118,7 @@
             self._store.outage = ""
             await self._sleep(0.5 + 2.0 * self._generator.random())
             self._write_again(lost)
+            self._on_rewrite(copied_at)
             await self._sleep(self._generator.random())
 
     async def watch(self, until: float) -> None:
@@ -164,7 +167,6 @@
         for topic in _REWRITTEN_TOPICS:
             for key, value in lost.get(topic, ()):
                 self._store.put(topic, key, value)
-        self._on_rewrite()
 
     def publish_next(self) -> None:
         """Publishes the next version of the configuration."""
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -85,6 +85,8 @@
         crashes: Whether engines crash under some prompts.
         rates: Whether endpoints name the rate that they take.
         keys: Whether the site has workspaces, and keys are withdrawn.
+        cuts: Whether gateways are cut off from the store meanwhile for longer
+            than the bound on withdrawn keys.
         arguments: The interpreter's arguments that start a gateway.
         states_epoch: Whether the store's answers show when it was restored.
     """
@@ -103,6 +105,7 @@
         crashes: bool = True,
         rates: bool = True,
         keys: bool = False,
+        cuts: bool = False,
         arguments: Sequence[str] = _gateways.ARGUMENTS,
         states_epoch: bool = True,
     ):
@@ -117,6 +120,7 @@
         self._has_crashes = crashes
         self._has_rates = rates
         self._has_keys = keys
+        self._has_cuts = cuts
         self._generator = random.Random(seed)
         self._notice_generator = random.Random(f"notices {seed}")
         self._notice_log = _notice_log.NoticeLog()
@@ -154,7 +158,7 @@
             store=self._store_server.store,
             gateways=self.gateways,
             publish=self._configure,
-            on_rewrite=lambda: self._keys.delay_withdrawals(),
+            on_rewrite=lambda since: self._keys.delay_withdrawals(since),
         )
         self._keys = _keys.KeyCallers(
             reactor=reactor,
@@ -265,7 +269,7 @@
     def _start_keys(self, until: float) -> defer.Deferred:
         """Has keys withdrawn until a time, and requests with them sent."""
         keying = [self._keys.run(until), self._keys.withdraw(until)]
-        if self._has_faults:
+        if self._has_cuts:
             keying.append(self._keys.cut_off(until))
         return defer.gatherResults(
             list(map(testing.spawn, keying)), consumeErrors=False
--- a/sassafrasstile/faultsoak/tests/deaf_gateway.py
+++ b/sassafrasstile/faultsoak/tests/deaf_gateway.py
@@ -45,6 +45,9 @@
         checker = workspaces.AccessChecker
         checker.find_denial = lambda self, access: None
         checker.review = lambda self, access, **fields: access
+    elif sys.argv[1] == "belief":
+        # The last known keys are relied on, however old they are.
+        workspaces.AccessChecker._is_relied_on = lambda self: True
     elif sys.argv[1] in _FIND:
         quarantine.Quarantine.find = _FIND[sys.argv[1]]
     else:
--- a/sassafrasstile/faultsoak/tests/test_keys.py
+++ b/sassafrasstile/faultsoak/tests/test_keys.py
@@ -6,6 +6,7 @@
 
 _SEED = 1
 _SECONDS = 10.0
+_CUT_SECONDS = 14.0
 _DEAF_GATEWAY = ("-m", "sassafrasstile.faultsoak.tests.deaf_gateway")
 
 
@@ -52,11 +53,11 @@
 class KeySoakTest(unittest.TestCase):
     """Keys are withdrawn while requests with them wait for an engine."""
 
-    def run_soak(self, **options):
+    def run_soak(self, *, seconds=_SECONDS, **options):
         run = faultsoak.SoakRun(
             reactor=testing.reactor,
             seed=_SEED,
-            seconds=_SECONDS,
+            seconds=seconds,
             gateways=1,
             faults=False,
             notices=False,
@@ -74,6 +75,13 @@
         self.assertGreater(report.keys["401"], 0)
         self.assertGreater(report.keys["200"], 0)
 
+    # Without another gateway, it can't hear of the withdrawals.
+    def test_gateway_that_is_cut_off_runs_nothing_late(self):
+        report = self.run_soak(cuts=True, seconds=_CUT_SECONDS)
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.keys["cuts"], 0)
+        self.assertGreater(report.keys["503"], 0)
+
     # A check that nothing can fail would show nothing.
     def test_gateway_that_never_checks_again_is_caught(self):
         report = self.run_soak(arguments=(*_DEAF_GATEWAY, "keys"))
@@ -81,3 +89,14 @@
             any("withdrawn key" in item for item in report.violations),
             report.violations,
         )
+
+    def test_gateway_that_never_doubts_its_keys_is_caught(self):
+        report = self.run_soak(
+            cuts=True,
+            seconds=_CUT_SECONDS,
+            arguments=(*_DEAF_GATEWAY, "belief"),
+        )
+        self.assertTrue(
+            any("withdrawn key" in item for item in report.violations),
+            report.violations,
+        )
