--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -27,10 +27,10 @@
         )
 
     def _make_gauge(
-        self, name: str, description: str
+        self, name: str, description: str, labels: tuple[str, ...] = ()
     ) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
-            _PREFIX + name, description, registry=self.registry
+            _PREFIX + name, description, labels, registry=self.registry
         )
 
     def _make_histogram(
@@ -143,6 +143,21 @@
             "Requests refused as not run, by workspace and reason.",
             ("workspace", "reason"),
         )
+        self.quota_used = self._make_counter(
+            "quota_used",
+            "What requests were charged to quotas, by workspace.",
+            ("workspace",),
+        )
+        self.quota_refunded = self._make_counter(
+            "quota_refunded",
+            "What was given back for requests not run, by workspace.",
+            ("workspace",),
+        )
+        self.quota_leased = self._make_gauge(
+            "quota_leased",
+            "What is leased of quotas and not used yet, by workspace.",
+            ("workspace",),
+        )
         self.reads_too_large = self._make_counter(
             "reads_too_large",
             "Answers cut off at a bound on what is read, by bound.",
