Quotas: a gateway gives old charges back from its own part of the slack

Refunds of older charges were bounded by a sixteenth of the slack at the gateway that hands out, 11,875 tokens of 190,000 in a window for each workspace. Now each gateway's part bounds them, half of the slack in all; a return carries no age any more.

Test: all charges given back by all gateways, once the bound is taken out more than the bounds allow runs in a window.

--- a/sassafrasstile/permits/_accounts.py
+++ b/sassafrasstile/permits/_accounts.py
@@ -70,13 +70,11 @@
 
     Attributes:
         amount: What is left of it.
-        leased_at: When it was asked for, in seconds.
         expires_at: From when on it may not be used, in seconds.
         gateway: Who handed it out.
     """
 
     amount: float
-    leased_at: float
     expires_at: float
     gateway: str
 
@@ -124,8 +122,8 @@
         is_asking: True while more is being asked for.
         unanswered_until: Until when nobody is asked, in seconds.
         level: What was left when the last request was turned down, or None.
-        reserve: What may be used if nobody answers.
-        old_refunds: What this gateway has taken back of older charges.
+        reserve: This gateway's own part of the slack. It may be used if nobody
+            answers, and to give back older charges.
         used_at: When it was last needed, in seconds.
     """
 
@@ -138,7 +136,6 @@
         self.unanswered_until = 0.0
         self.level: LevelReport | None = None
         self.reserve = WindowedAmount(window_s=bounds.window_s)
-        self.old_refunds = WindowedAmount(window_s=bounds.window_s)
         self.used_at = 0.0
         self._bounds = bounds
         self._leases: collections.deque[Lease] = collections.deque()
@@ -179,7 +176,6 @@
         lease_s = max(_MIN_LEASE_S, self.terms.lease_s)
         lease = Lease(
             amount=amount,
-            leased_at=asked_at,
             expires_at=asked_at + lease_s,
             gateway=gateway,
         )
--- a/sassafrasstile/permits/_base.py
+++ b/sassafrasstile/permits/_base.py
@@ -151,13 +151,11 @@
         number: Identifies the message at its sender.
         news: What the sender knows about the limit.
         amount: What is given back.
-        age_s: Seconds since it was handed out.
     """
 
     number: int
     news: News
     amount: float
-    age_s: float
 
 
 Message = RateNews | PermitRequest | PermitAnswer | PermitReturn
--- a/sassafrasstile/permits/_codec.py
+++ b/sassafrasstile/permits/_codec.py
@@ -58,8 +58,7 @@
                 fields += _round(decision.amount, decision.left)
                 fields.append(decision.is_firm)
         case _base.PermitReturn(number=number, news=news):
-            age_ms = round(message.age_s * _MS_PER_S)
-            fields = [_RETURN, *_list_fields(news), number, age_ms]
+            fields = [_RETURN, *_list_fields(news), number]
             fields += _round(message.amount)
     return json.dumps([_TAG, *fields], separators=(",", ":")).encode()
 
@@ -157,12 +156,11 @@
             return _base.PermitAnswer(
                 number=number, decision=decision, news=news
             )
-        case (str(tag), [int(number), age_ms, amount]) if tag == _RETURN:
+        case (str(tag), [int(number), amount]) if tag == _RETURN:
             return _base.PermitReturn(
                 number=number,
                 news=news,
                 amount=_check_amount(amount),
-                age_s=_decode_ms(age_ms),
             )
     raise ValueError(f"unexpected fields of {kind!r:.20}")
 
--- a/sassafrasstile/permits/_exchange.py
+++ b/sassafrasstile/permits/_exchange.py
@@ -149,12 +149,10 @@
                 )
         return decision
 
-    def give_back(
-        self, name: str, news: _base.News, *, amount: float, age_s: float
-    ) -> None:
+    def give_back(self, name: str, news: _base.News, amount: float) -> None:
         """Gives back to another gateway what wasn't used."""
         message = _base.PermitReturn(
-            number=next(self._numbers), news=news, amount=amount, age_s=age_s
+            number=next(self._numbers), news=news, amount=amount
         )
         self._messenger.send([name], _codec.encode_message(message))
 
--- a/sassafrasstile/permits/_quotas.py
+++ b/sassafrasstile/permits/_quotas.py
@@ -25,6 +25,8 @@
 # An answer by another version of the quota is asked for again after this time.
 _OUTDATED_WAIT_S = 0.001
 _IDLE_S = 60.0
+# A charge is old when it was made this much longer ago than a lease lasts.
+_OLD_CHARGE_S = 0.5
 # More is leased when no more than this share of it is left.
 _REFILL_SHARE = 1 / 3
 _MAX_LOG_LINES_PER_S = 5.0
@@ -187,12 +189,15 @@
         if charge.is_reserve:
             account.reserve.give_back(charge.amount, taken_at=charge.charged_at)
             return
-        self._give_back(
-            account,
-            self._exchange.rank(_make_key(account.name))[0],
-            amount=charge.amount,
-            age_s=now - charge.charged_at,
-        )
+        amount = charge.amount
+        if now - charge.charged_at > account.terms.lease_s + _OLD_CHARGE_S:
+            # It adds to what may be used in this window.
+            most = account.terms.measure_reserve(self._count_gateways())
+            left = account.reserve.measure_left(most=most, now=now)
+            amount = min(amount, left)
+            account.reserve.take(amount, most=most, now=now)
+        owner = self._exchange.rank(_make_key(account.name))[0]
+        self._give_back(account, owner, amount)
 
     def list_leased(self) -> dict[str, float]:
         """Returns what is leased at this gateway by workspace."""
@@ -422,44 +427,29 @@
         """Takes back what another gateway hasn't used."""
         account = self._find_account(message.news.key)
         if account.version == message.news.version:
-            self._take_back(account, message.amount, message.age_s)
+            self._take_back(account, message.amount)
 
     def receive_late(self, sender: str, answer: _base.PermitAnswer) -> None:
         """Gives back what was handed out too late."""
         account = self._accounts.get(answer.news.key)
         if account is not None and answer.decision.is_granted:
-            self._give_back(
-                account, sender, amount=answer.decision.amount, age_s=0.0
-            )
+            self._give_back(account, sender, answer.decision.amount)
 
-    def _give_back(
-        self, account, gateway: str, *, amount: float, age_s: float
-    ) -> None:
+    def _give_back(self, account, gateway: str, amount: float) -> None:
         if gateway == self._exchange.name:
-            self._take_back(account, amount, age_s)
-            return
-        self._exchange.give_back(
-            gateway,
-            self.describe(account.name),
-            amount=amount,
-            age_s=min(_base.MAX_AGE_S, age_s),
-        )
+            self._take_back(account, amount)
+        else:
+            news = self.describe(account.name)
+            self._exchange.give_back(gateway, news, amount)
 
-    def _take_back(self, account, amount: float, age_s: float) -> None:
-        terms = account.terms
-        if terms is None:
+    def _take_back(self, account, amount: float) -> None:
+        if account.terms is None:
             return
-        now = self._now()
-        # What was handed out before a window adds to what it may use.
-        is_old = age_s > terms.lease_s + 2 * _SWEEP_INTERVAL_S
-        if is_old:
-            most = terms.max_old_refund
-            left = account.old_refunds.measure_left(most=most, now=now)
-            amount = min(amount, left)
-            account.old_refunds.take(amount, most=most, now=now)
         key = _make_key(account.name)
-        limit = terms.choose_limit(self._find_standing(key))
-        self._exchange.allocator.give_back(key, amount, limit=limit, now=now)
+        limit = account.terms.choose_limit(self._find_standing(key))
+        self._exchange.allocator.give_back(
+            key, amount, limit=limit, now=self._now()
+        )
 
     def _find_standing(self, key: str) -> _terms.Standing:
         transport = self._exchange.transport
@@ -512,12 +502,7 @@
         now = self._now()
         for account in list(self._accounts.values()):
             for lease in account.drop_expired(now):
-                self._give_back(
-                    account,
-                    lease.gateway,
-                    amount=lease.amount,
-                    age_s=now - lease.leased_at,
-                )
+                self._give_back(account, lease.gateway, lease.amount)
             is_idle = not account.waiting and not account.is_asking
             if is_idle and now - account.used_at > _IDLE_S:
                 del self._accounts[account.name]
--- a/sassafrasstile/permits/_terms.py
+++ b/sassafrasstile/permits/_terms.py
@@ -9,12 +9,11 @@
 # Shares of the slack: what is leased, and as much on its way back, when a
 # window begins; what a new bucket begins with; what those hand out that stand
 # in for a silent gateway; what grows in a window where gateways don't hear each
-# other; refunds of older charges; what gateways use that nobody answers.
+# other; what gateways use that nobody answers, or give back of older charges.
 _LEASE_SHARE = 1 / 8
 _FIRST_SHARE = 1 / 8
 _STAND_IN_SHARE = 1 / 4
 _SPREAD_SHARE = 1 / 16
-_OLD_REFUND_SHARE = 1 / 16
 _RESERVE_SHARE = 1 / 2
 # This share of the overshoot is handed out as rate, the rest as burst.
 _RATE_SHARE = 1 / 2
@@ -92,13 +91,8 @@
         leased = self.bounds.slack * _LEASE_SHARE
         return min(_MAX_LEASE_S, leased / self.limit.rate_per_s)
 
-    @property
-    def max_old_refund(self) -> float:
-        """What is taken back of older charges in a window."""
-        return self.bounds.slack * _OLD_REFUND_SHARE
-
     def measure_reserve(self, gateways: int | None) -> float:
-        """Returns what a gateway may use in a window if nobody answers.
+        """Returns a gateway's own part of the slack for each window.
 
         Args:
             gateways: The number of gateways, or None if it isn't known.
