--- a/sassafrasstile/forwarding/_charges.py
+++ b/sassafrasstile/forwarding/_charges.py
@@ -28,12 +28,11 @@
     decision = await context.quotas.charge(
         workspace.name, task.details.stated_tokens
     )
-    label = context.metrics.workspaces.choose(workspace.name)
     if decision.is_granted:
+        label = context.metrics.workspaces.choose(workspace.name)
         task.charge = decision.charge
         context.metrics.quota_used.labels(label).inc(decision.cost)
         return None
-    context.metrics.quota_refused.labels(label).inc()
     return verdicts.NotRun(
         code=errors.Code.QUOTA_EXCEEDED, retry_after_s=decision.wait_s
     )
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -138,6 +138,11 @@
             ("reason",),
         )
         self.workspaces = _labels.BoundedLabels()
+        self.workspace_refusals = self._make_counter(
+            "workspace_refusals",
+            "Requests refused as not run, by workspace and reason.",
+            ("workspace", "reason"),
+        )
         self.quota_used = self._make_counter(
             "quota_used",
             "What requests were charged to quotas, by workspace.",
@@ -148,11 +153,6 @@
             "What was given back for requests not run, by workspace.",
             ("workspace",),
         )
-        self.quota_refused = self._make_counter(
-            "quota_refused",
-            "Requests refused beyond a quota, by workspace.",
-            ("workspace",),
-        )
         self.quota_leased = self._make_gauge(
             "quota_leased",
             "What is leased of quotas and not used yet, by workspace.",
--- a/sassafrasstile/workspaces/_base.py
+++ b/sassafrasstile/workspaces/_base.py
@@ -2,6 +2,11 @@
 
 import dataclasses
 import enum
+import hashlib
+
+from sassafrasstile import errors
+
+_DIGEST_BYTES = 12
 
 
 class QuotaUnit(enum.Enum):
@@ -20,6 +25,15 @@
         burst: The amount that may be used at once after a quiet time.
         unit: What is counted.
         unstated_cost: What a request without a token count costs, in tokens.
+
+    >>> quota = Quota(
+    ...     rate_per_s=10.0,
+    ...     burst=0.0,
+    ...     unit=QuotaUnit.TOKENS,
+    ...     unstated_cost=200.0,
+    ... )
+    >>> quota.measure_cost(1540), quota.measure_cost(None)
+    (1540.0, 200.0)
     """
 
     rate_per_s: float
@@ -33,15 +47,6 @@
         Args:
             tokens: The prompt tokens and the most output tokens together, or
                 None if the request states no count.
-
-        >>> quota = Quota(
-        ...     rate_per_s=10.0,
-        ...     burst=0.0,
-        ...     unit=QuotaUnit.TOKENS,
-        ...     unstated_cost=200.0,
-        ... )
-        >>> quota.measure_cost(1540), quota.measure_cost(None)
-        (1540.0, 200.0)
         """
         match self.unit:
             case QuotaUnit.REQUESTS:
@@ -90,6 +95,47 @@
         """The name of its workspace, or an empty string for none."""
         return self.workspace.name if self.workspace else ""
 
+    def qualify(self, name: str) -> str:
+        """Returns the name under which its workspace is remembered to use it.
+
+        Callers choose such names, for example the id of a prompt. What one
+        workspace has left under a name isn't found by others. Without
+        workspaces, and for an empty name, it is the name itself.
+
+        >>> Access().qualify("p1")
+        'p1'
+        >>> one = Access(workspace=Workspace(name="a"), hides_credentials=True)
+        >>> one.qualify("p1") == OUTSIDE.qualify("p1")
+        False
+        """
+        if not self.hides_credentials or not name:
+            return name
+        data = f"{self.workspace_name}\0{name}".encode("utf-8", "surrogatepass")
+        return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).hexdigest()
+
 
 # What requests run as where the configuration has no workspaces.
 ANONYMOUS = Access()
+# What requests without a valid key run as at open routes, where the
+# configuration has workspaces.
+OUTSIDE = Access(hides_credentials=True)
+
+
+class AccessError(errors.RequestError):
+    """A request is refused for its key, or since it shows none.
+
+    Attributes:
+        workspace: The name of the workspace that holds the key, or an empty
+            string if none does.
+    """
+
+    def __init__(
+        self,
+        *,
+        code: errors.Code,
+        detail: str,
+        status: int,
+        workspace: str = "",
+    ):
+        super().__init__(code=code, detail=detail, status=status)
+        self.workspace = workspace
