--- a/sassafrasstile/permits/tests/test_quotas.py
+++ b/sassafrasstile/permits/tests/test_quotas.py
@@ -114,6 +114,7 @@
 
     Attributes:
         used: The time and the amount of each request that ran, by workspace.
+        charges: The gateway and the charge of each of them.
         refused: The number of refused requests by workspace.
         unheard: Whom each gateway doesn't hear of.
         cut: Pairs of gateways that don't reach each other.
@@ -130,6 +131,7 @@
         self.cut = set()
         self.unheard = collections.defaultdict(set)
         self.used = collections.defaultdict(list)
+        self.charges = []
         self.refused = collections.Counter()
         self.gateways = {f"g{number}": None for number in range(gateways)}
         for name in self.gateways:
@@ -178,6 +180,7 @@
     def _record(self, decision, gateway, workspace):
         if decision.is_granted and not gateway.is_dead:
             if decision.charge is not None:
+                self.charges.append((gateway, decision.charge))
                 self.used[workspace].append(
                     [self.clock.seconds(), decision.charge.amount]
                 )
@@ -471,23 +474,21 @@
         site.run_for(0.05)
         self.assertEqual(site.refused["w"], 1)
 
-    # Requests that have waited for long are refused at once, all together.
+    # Requests that have waited for long are refused, one after the other, while
+    # others take what is given back.
     def test_sum_is_kept_when_old_charges_are_given_back(self):
         site = self.start()
         site.run_for(8.0, load=3.0)
-        charges = []
-        for name in site.gateways:
-            for _ in range(4):
-                asking = site.ask(name, tokens=3300)
-                asking.addCallback(lambda item: charges.append(item.charge))
-                site.run_for(0.05)
-        old = [item for item in charges if item is not None]
+        charges = list(site.charges)
         site.used.clear()
-        site.run_for(3.0, load=3.0)
-        for charge in old:
-            for gateway in site.gateways.values():
+        site.run_for(1.0, load=3.0)
+        count = len(charges) // 60
+        for _ in range(60):
+            for gateway, charge in charges[:count]:
                 gateway.keeper.refund(charge)
-        site.run_for(8.0, load=3.0)
+            del charges[:count]
+            site.run_for(0.1, load=3.0)
+        site.run_for(4.0, load=3.0)
         self.check_sum()
 
     # Callers came back earlier than there was anything for them.
