Fault soak: the variant without shared rates names its gateway again

The allocator of permits calls its name `name` now, so the variant raised an error at each permit and no rate was broken: the check of the soak had caught nothing. It is caught again (test_rates_that_each_gateway_keeps_alone_are_caught).

--- a/sassafrasstile/faultsoak/tests/deaf_gateway.py
+++ b/sassafrasstile/faultsoak/tests/deaf_gateway.py
@@ -39,7 +39,7 @@
 if __name__ == "__main__":
     if sys.argv[1] == "peers":
         # Each gateway keeps all of a rate by itself.
-        permits.SharedRateLimiter._rank = lambda self, key: [self._name]
+        permits.SharedRateLimiter._rank = lambda self, key: [self.name]
     elif sys.argv[1] == "keys":
         # Keys are checked on arrival only.
         checker = workspaces.AccessChecker
