--- a/sassafrasstile/permits/_limits.py
+++ b/sassafrasstile/permits/_limits.py
@@ -22,6 +22,9 @@
         first: What a new bucket begins with.
         overdraft: By how much a full bucket may be exceeded, for a single
             request that it can never hold.
+
+    >>> Limit(rate_per_s=10.0, burst=4.0).scale(0.5)
+    Limit(rate_per_s=5.0, burst=2.0, first=0.0, overdraft=0.0)
     """
 
     rate_per_s: float
@@ -30,11 +33,7 @@
     overdraft: float = 0.0
 
     def scale(self, share: float) -> "Limit":
-        """Returns a share of the limit.
-
-        >>> Limit(rate_per_s=10.0, burst=4.0).scale(0.5)
-        Limit(rate_per_s=5.0, burst=2.0, first=0.0, overdraft=0.0)
-        """
+        """Returns a share of the limit."""
         return Limit(
             rate_per_s=self.rate_per_s * share,
             burst=self.burst * share,
--- a/sassafrasstile/permits/_terms.py
+++ b/sassafrasstile/permits/_terms.py
@@ -64,6 +64,18 @@
     Attributes:
         quota: The quota.
         bounds: By how much all gateways together may exceed it.
+
+    >>> quota = workspaces.Quota(rate_per_s=10.0, burst=20.0)
+    >>> terms = QuotaTerms(quota, QuotaBounds(window_s=8.0, slack=64.0))
+    >>> [
+    ...     terms.choose_limit(standing).rate_per_s
+    ...     for standing in (
+    ...         Standing(is_first=True, share=1.0),
+    ...         Standing(is_first=True, share=0.25),
+    ...         Standing(is_first=False, share=1.0),
+    ...     )
+    ... ]
+    [10.0, 2.5, 0.5]
     """
 
     quota: workspaces.Quota
@@ -107,18 +119,6 @@
         A gateway that isn't the first one stands in for it, for a short time.
         One that doesn't hear all others hands out their share of the limit
         only, since the rest may be handed out elsewhere.
-
-        >>> quota = workspaces.Quota(rate_per_s=10.0, burst=20.0)
-        >>> terms = QuotaTerms(quota, QuotaBounds(window_s=8.0, slack=64.0))
-        >>> [
-        ...     terms.choose_limit(standing).rate_per_s
-        ...     for standing in (
-        ...         Standing(is_first=True, share=1.0),
-        ...         Standing(is_first=True, share=0.25),
-        ...         Standing(is_first=False, share=1.0),
-        ...     )
-        ... ]
-        [10.0, 2.5, 0.5]
         """
         limit, bounds = self.limit, self.bounds
         spread_per_s = 0.0
