--- a/sassafrasstile/faultsoak/_restores.py
+++ b/sassafrasstile/faultsoak/_restores.py
@@ -59,6 +59,8 @@
         gateways: The gateways.
         publish: Publishes a configuration, given its version and the paths of
             its additional routes.
+        on_rewrite: Called after what a restore had lost was written again,
+            with the time of the first loss.
     """
 
     def __init__(
@@ -69,11 +71,13 @@
         store,
         gateways: list[_gateways.GatewayProcess],
         publish: Callable[..., None],
+        on_rewrite: Callable[[float], None] = lambda since: None,
     ):
         self._reactor = reactor
         self._store = store
         self._gateways = gateways
         self._publish = publish
+        self._on_rewrite = on_rewrite
         # Of its own, so that the other faults of a seed stay the same.
         self._generator = random.Random(f"restores {seed}")
         self._spare = standins.PlatformEndpoint(
@@ -104,8 +108,9 @@
         """Publishes versions and restores the store until a time."""
         while self._reactor.seconds() < until:
             former = self._store.make_copy()
+            copied_at = self._reactor.seconds()
             for _ in range(self._generator.choice((1, 1, 2, 3))):
-                self._publish_next()
+                self.publish_next()
                 await self._sleep(0.2 + self._generator.random())
             self._store.outage = self._generator.choice(("busy", "reset"))
             await self._sleep(0.5 * self._generator.random())
@@ -113,6 +118,7 @@
             self._store.outage = ""
             await self._sleep(0.5 + 2.0 * self._generator.random())
             self._write_again(lost)
+            self._on_rewrite(copied_at)
             await self._sleep(self._generator.random())
 
     async def watch(self, until: float) -> None:
@@ -132,8 +138,8 @@
         """
         former = self._store.make_copy()
         self._store.put(_MEMBERSHIP_TOPIC, _SPARE_NAME, b"")
-        self._publish_next()
-        self._publish_next()
+        self.publish_next()
+        self.publish_next()
         await self._sleep(_APPLY_WAIT_S)
         self._store.outage = "busy"
         self._restore(former)
@@ -162,7 +168,8 @@
             for key, value in lost.get(topic, ()):
                 self._store.put(topic, key, value)
 
-    def _publish_next(self) -> None:
+    def publish_next(self) -> None:
+        """Publishes the next version of the configuration."""
         self.version += 1
         self._publish(self.version, *self._list_paths())
 
--- a/sassafrasstile/permits/tests/test_quotas.py
+++ b/sassafrasstile/permits/tests/test_quotas.py
@@ -114,6 +114,7 @@
 
     Attributes:
         used: The time and the amount of each request that ran, by workspace.
+        charges: The gateway and the charge of each of them.
         refused: The number of refused requests by workspace.
         unheard: Whom each gateway doesn't hear of.
         cut: Pairs of gateways that don't reach each other.
@@ -130,6 +131,7 @@
         self.cut = set()
         self.unheard = collections.defaultdict(set)
         self.used = collections.defaultdict(list)
+        self.charges = []
         self.refused = collections.Counter()
         self.gateways = {f"g{number}": None for number in range(gateways)}
         for name in self.gateways:
@@ -178,6 +180,7 @@
     def _record(self, decision, gateway, workspace):
         if decision.is_granted and not gateway.is_dead:
             if decision.charge is not None:
+                self.charges.append((gateway, decision.charge))
                 self.used[workspace].append(
                     [self.clock.seconds(), decision.charge.amount]
                 )
@@ -471,6 +474,23 @@
         site.run_for(0.05)
         self.assertEqual(site.refused["w"], 1)
 
+    # Requests that have waited for long are refused, one after the other, while
+    # others take what is given back.
+    def test_sum_is_kept_when_old_charges_are_given_back(self):
+        site = self.start()
+        site.run_for(8.0, load=3.0)
+        charges = list(site.charges)
+        site.used.clear()
+        site.run_for(1.0, load=3.0)
+        count = len(charges) // 60
+        for _ in range(60):
+            for gateway, charge in charges[:count]:
+                gateway.keeper.refund(charge)
+            del charges[:count]
+            site.run_for(0.1, load=3.0)
+        site.run_for(4.0, load=3.0)
+        self.check_sum()
+
     # Callers came back earlier than there was anything for them.
     def test_denial_tells_when_the_cost_is_there(self):
         site = self.start(gateways=4)
@@ -624,7 +644,7 @@
             b'["permits","take",["w",1,2,1,"x",1],7,1,1]',
             b'["permits","take",[7,1],7,1,1]',
             b'["permits","taken",["w",1],7,0,1,1e999,true]',
-            b'["permits","back",["w",1],7,0,-1]',
+            b'["permits","back",["w",1],7,-1]',
             b'["permits","back",["w",1]]',
         ):
             with self.subTest(payload=payload):
