--- a/sassafrasstile/router/tests/test_key_belief.py
+++ b/sassafrasstile/router/tests/test_key_belief.py
@@ -15,6 +15,12 @@
 _UNCONFIRMED = 503
 
 
+def _begin_stream(request):
+    """Answers with a stream that doesn't end."""
+    complete = standins.make_stream(request)
+    return standins.EndpointAnswer(segments=complete.segments[:-1])
+
+
 class KeyBeliefTest(testing.PlatformTestCase):
     """Two gateways; the second one can't reach the store."""
 
@@ -27,11 +33,22 @@
                 testing.make_platform_route(
                     "/open/", "desk", "safe", public=True
                 ),
+                testing.make_platform_route(
+                    "/gen/",
+                    "writer",
+                    "streaming",
+                    targetGapMs=2000,
+                    targetLatencyMs=15000,
+                    timeoutMs=60000,
+                ),
             ],
             max_key_age_s=max_key_age_s,
         )
         self.site.add_gateway(_OTHER, zone="a")
         self.site.add_endpoint("e0", standins.make_answer)
+        self.site.add_endpoint(
+            "d0", _begin_stream, service="writer", stage="decode"
+        )
         self.configure(_KEY, _WITHDRAWN_KEY)
         await self.wait_until_ready(self.site)
         await self.wait_until(self.site.get_gateway(_OTHER).is_ready)
@@ -92,6 +109,35 @@
             self.assertEqual(await self.call(key, "/open/"), 200)
         await self.close_sites()
 
+    # It would wait for its engine until its deadline.
+    @testing.on_reactor
+    async def test_queued_request_is_refused_when_the_belief_ends(self):
+        await self.start_site()
+        callers = []
+        for number in range(2):
+            caller = await self.site.connect(_OTHER)
+            caller.send(
+                testing.make_request(
+                    "/gen/",
+                    request_id=f"r{number}",
+                    deadline_ms=60000,
+                    # The engine's memory holds one of them.
+                    headers=(
+                        f"Authorization: Token {_KEY}",
+                        "X-Token-Count: 6000,500",
+                    ),
+                )
+            )
+            callers.append(caller)
+            await self.wait_until(lambda: self.site.endpoints["d0"].requests)
+        self.cut_from_store()
+        self.cut_from_peers()
+        answer = await callers[1].read_within(20.0)
+        callers[0].disconnect()
+        await self.close_sites()
+        self.assertEqual(answer.status, _UNCONFIRMED)
+        self.assertIn(b"keys_unconfirmed", answer.data)
+
     # It may be of another software version, and withdraw keys.
     @testing.on_reactor
     async def test_configuration_that_cannot_be_read_ends_the_belief(self):
