--- a/sassafrasstile/permits/_quotas.py
+++ b/sassafrasstile/permits/_quotas.py
@@ -22,6 +22,10 @@
 _MAX_ASKED = 2
 # Nobody is asked for this long after nobody has answered.
 _UNANSWERED_WAIT_S = 0.5
+# A process that has just started doesn't hear of the others yet. For this time,
+# requests that it can't decide on wait, and are decided on at this interval.
+_START_S = 1.5
+_START_INTERVAL_S = 0.05
 # An answer by another version of the quota is asked for again after this time.
 _OUTDATED_WAIT_S = 0.001
 _IDLE_S = 60.0
@@ -135,6 +139,7 @@
         self._count_gateways = count_gateways
         self._accounts: dict[str, _accounts.QuotaAccount] = {}
         self._live: list[str] = []
+        self._started_at = reactor.seconds()
         self._settled_at = reactor.seconds()
         self._watched_at = reactor.seconds()
         self._log_bucket = limits.TokenBucket(rate_per_s=_MAX_LOG_LINES_PER_S)
@@ -277,6 +282,9 @@
                 continue
             self._apply_grant(account, grant)
             self._serve_waiting(account, grant)
+            is_firm = grant is not None and grant.decision.is_firm
+            if account.waiting and not is_firm:
+                await task.deferLater(self._reactor, _START_INTERVAL_S)
 
     async def _request(self, account) -> _Grant | None:
         """Asks those that may hand out; returns None if nobody answers."""
@@ -358,11 +366,11 @@
                 waiting.decided.callback(
                     self._grant(account, cost, is_reserve=True)
                 )
+            elif self._now() - self._started_at < _START_S:
+                return
             else:
-                wait_s = _UNANSWERED_WAIT_S
-                if grant is not None and not grant.decision.is_granted:
-                    wait_s = grant.decision.wait_s
-                self._refuse(account, waiting, cost, wait_s)
+                # Others may be heard of again before the cost is there.
+                self._refuse(account, waiting, cost, _UNANSWERED_WAIT_S)
 
     def _spend_reserve(self, account, cost: float) -> bool:
         most = account.terms.measure_reserve(self._count_gateways())
--- a/sassafrasstile/permits/tests/test_quotas.py
+++ b/sassafrasstile/permits/tests/test_quotas.py
@@ -37,6 +37,7 @@
 
     Attributes:
         is_frozen: True while it does nothing.
+        knows_others: False until it has read who the others are.
         is_dead: True after it was killed.
     """
 
@@ -48,6 +49,7 @@
         self.version = site.version
         self.quotas = dict(site.quotas)
         self.sent = 0
+        self.knows_others = True
         self._inbox = []
         self.limiter = permits.SharedRateLimiter(
             reactor=site.clock, name=name, transport=self
@@ -57,7 +59,7 @@
             exchange=self.limiter,
             read_quota=self.read_quota,
             bounds=site.bounds,
-            count_gateways=lambda: len(site.gateways),
+            count_gateways=self.count_gateways,
         )
         self.keeper.start()
         self.keeper._loop.stop()
@@ -70,6 +72,9 @@
             self.keeper._sweep()
         self._site.clock.callLater(0.25, self._sweep)
 
+    def count_gateways(self):
+        return len(self._site.gateways) if self.knows_others else None
+
     def read_quota(self, workspace):
         return permits.StatedQuota(
             version=self.version, quota=self.quotas.get(workspace)
@@ -343,6 +348,28 @@
         little = _BOUNDS.slack / 8 + 0.2 * _RATE_PER_S
         self.assertLessEqual(site.measure_used(self.began_at), little)
 
+    # All processes start at once; callers were told to come back in an hour.
+    def test_requests_wait_while_all_gateways_start(self):
+        site = self.start()
+        for name in site.gateways:
+            site.kill(name)
+            site.restart(name)
+            site.unheard[name] = set(site.gateways) - {name}
+            site.gateways[name].knows_others = False
+        for _ in range(6):
+            for tokens in (200, 3300):
+                site.ask(
+                    site.generator.choice(list(site.gateways)), "w", tokens
+                )
+        site.run_for(0.3)
+        for gateway in site.gateways.values():
+            gateway.knows_others = True
+        site.run_for(0.3)
+        site.unheard.clear()
+        site.run_for(1.0)
+        self.assertEqual(site.refused["w"], 0)
+        self.assertEqual(len(site.used["w"]), 12)
+
     # A gateway wakes and uses what it had leased long ago.
     def test_frozen_gateway_does_not_use_an_old_lease(self):
         site = self.start(gateways=3)
