--- a/sassafrasstile/router/_store_records.py
+++ b/sassafrasstile/router/_store_records.py
@@ -10,6 +10,7 @@
 from sassafrasstile import routes
 from sassafrasstile import stores
 from sassafrasstile import streams
+from sassafrasstile import workspaces
 from sassafrasstile.router import _record_decoder
 from sassafrasstile.router import _topics
 
@@ -33,6 +34,7 @@
         on_configuration: Called with each configuration that is in force now.
         on_progress: Called when a record of the configuration was read, and
             when all endpoints were.
+        belief_exchange: Is told of each call that confirms the configuration.
 
     Attributes:
         followers: The followers by topic.
@@ -53,6 +55,7 @@
         versions: streams.VersionHistory,
         on_configuration: Callable[[routes.Configuration], None],
         on_progress: Callable[[], None],
+        belief_exchange: workspaces.BeliefExchange,
     ):
         self._reactor = reactor
         self._record_decoder = record_decoder
@@ -62,6 +65,8 @@
         self._versions = versions
         self._on_configuration = on_configuration
         self._on_progress = on_progress
+        # Keys of the configuration's topic whose newest record is rejected.
+        self._rejected: set[str] = set()
         make_follower = functools.partial(
             stores.Follower,
             reactor=reactor,
@@ -82,6 +87,9 @@
                 on_page=functools.partial(
                     topic_sharing.relay, configuration_topic
                 ),
+                read_time_s=workspaces.read_boot_time_s,
+                on_confirmed=belief_exchange.record_call,
+                read_max_wait_s=lambda: belief_exchange.max_wait_s,
             ),
             membership_topic: make_follower(
                 topic=membership_topic,
@@ -98,6 +106,13 @@
         for follower in self.followers.values():
             epochs.subscribe(follower.start_epoch)
 
+    def has_rejected_configuration(self) -> bool:
+        """Returns whether a newer configuration can't be read here.
+
+        It may be one of another software version, and withdraw keys.
+        """
+        return bool(self._rejected)
+
     def _now(self) -> float:
         return self._reactor.seconds()
 
@@ -110,7 +125,9 @@
                 reason,
                 extra={"key": change.key, "offset": change.offset},
             )
+            self._rejected.add(change.key)
             return
+        self._rejected.discard(change.key)
         if (
             configuration is not None
             and self._active_configuration.apply_if_newer(configuration)
