Dispatch: scarce engine memory goes by rank over all gateways, with a least share for each rank and workspaces that use far more than usual last

Gateways tell each other what waits (at most eight generations, in load reports, only where a configuration has two ranks), what they have admitted by rank and, with workspaces, what they admit for those. A gateway leaves the last places to what goes before elsewhere (dispatch/_levels.py); a rank that waits is owed a tenth of what more urgent ranks get (_shares.py); the expected wait follows from the admissions of all gateways (_drains.py), and so does Retry-After.

Test replaced: test_lower_priority_that_arrived_much_earlier_is_admitted_first held the old rule (0.4 s older goes before a more urgent one), which the issue asks to replace; in its place test_rank_is_admitted_in_time_once_it_is_owed_its_ share, which holds that a less urgent rank goes after ten of its size at the latest. test_resumed_share names the renamed attribute arrived_at.

Tests: sassafrasstile.dispatch.tests.test_ranks, test_queue, sassafrasstile.peers.tests.test_channel.

--- /dev/null
+++ b/sassafrasstile/dispatch/_levels.py
@@ -0,0 +1,198 @@
+"""Who goes first for scarce capacity, over all gateways."""
+
+import bisect
+import dataclasses
+
+from sassafrasstile import peers
+
+# What a gateway has told counts for this long: a report may be lost, and the
+# next one comes within half of it.
+_MAX_AGE_S = 1.0
+# Of two generations of one rank, the one whose target is this much earlier
+# goes first whichever gateway it came to. Within it, each gateway goes by its
+# own order, as what it hears is that old.
+_MARGIN_S = 0.1
+_MAX_PEERS = 1000
+# Merged again after this long, so that old news ends.
+_MERGE_INTERVAL_S = 0.1
+# Most generations that a gateway tells of, the first ones in its order.
+MAX_TOLD = 8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
+class Turn:
+    """A generation's place in the order over all gateways; less goes first.
+
+    Attributes:
+        urgency: Its class.
+        priority: Its rank in that class.
+        is_crowding: True if its workspace uses far more than usual.
+        target_at: Target time of its first token, in seconds.
+
+    >>> urgent = Turn(urgency=2, priority=0, is_crowding=False, target_at=9.0)
+    >>> early = Turn(urgency=2, priority=1, is_crowding=False, target_at=5.0)
+    >>> urgent < early
+    True
+    """
+
+    urgency: int
+    priority: int
+    is_crowding: bool
+    target_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Level:
+    """What goes before a generation at other gateways.
+
+    Attributes:
+        more_urgent: Generations of a more urgent class or rank.
+        same_rank: Those of its own class and rank.
+        age_s: Age of the oldest news of these, in seconds.
+    """
+
+    more_urgent: int = 0
+    same_rank: int = 0
+    age_s: float = 0.0
+
+    @property
+    def total(self) -> int:
+        """The number of generations that go before it."""
+        return self.more_urgent + self.same_rank
+
+
+OPEN_LEVEL = Level()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Told:
+    heard_at: float
+    waiting: tuple[peers.WaitingGeneration, ...]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Merged:
+    """The turns that all other gateways told for one service, in order."""
+
+    turns: list[Turn] = dataclasses.field(default_factory=list)
+    heard_at: float = float("inf")
+
+
+class AdmissionLevels:
+    """What waits for capacity at other gateways, as they have told.
+
+    A gateway that hears nothing goes by its own order.
+
+    >>> levels = AdmissionLevels()
+    >>> waiting = peers.WaitingGeneration(
+    ...     service="s",
+    ...     urgency=2,
+    ...     priority=0,
+    ...     is_crowding=False,
+    ...     remaining_s=0.8,
+    ... )
+    >>> levels.apply("g2", peers.QueueReport(waiting=(waiting,)), now=10.0)
+    >>> turn = Turn(urgency=2, priority=1, is_crowding=False, target_at=10.5)
+    >>> levels.measure("s", turn, now=10.1).more_urgent
+    1
+    >>> levels.measure("s", turn, now=12.0).more_urgent
+    0
+    """
+
+    def __init__(self):
+        self._peers: dict[str, _Told] = {}
+        self._merged: dict[str, _Merged] = {}
+        self._merged_at = float("-inf")
+
+    def apply(self, peer: str, report: peers.QueueReport, now: float) -> None:
+        """Records what waits at another gateway.
+
+        Args:
+            peer: The gateway's name.
+            report: What waits there.
+            now: The time in seconds.
+        """
+        if self._peers.pop(peer, None) or report.waiting:
+            self._merged_at = float("-inf")
+        if not report.waiting:
+            return
+        if len(self._peers) >= _MAX_PEERS:
+            self._drop_old(now)
+        if len(self._peers) < _MAX_PEERS:
+            self._peers[peer] = _Told(
+                heard_at=now, waiting=report.waiting[:MAX_TOLD]
+            )
+
+    def measure(self, service: str, turn: Turn, now: float) -> Level:
+        """Returns what goes before a generation at other gateways.
+
+        Args:
+            service: The required service.
+            turn: Its place in the order.
+            now: The time in seconds.
+        """
+        if not self._peers:
+            return OPEN_LEVEL
+        if now - self._merged_at >= _MERGE_INTERVAL_S:
+            self._merge(now)
+        merged = self._merged.get(service)
+        if merged is None:
+            return OPEN_LEVEL
+        of_rank = dataclasses.replace(
+            turn, is_crowding=False, target_at=float("-inf")
+        )
+        latest = dataclasses.replace(turn, target_at=turn.target_at - _MARGIN_S)
+        more_urgent = bisect.bisect_left(merged.turns, of_rank)
+        total = bisect.bisect_left(merged.turns, latest)
+        return Level(
+            more_urgent=more_urgent,
+            same_rank=total - more_urgent,
+            age_s=now - merged.heard_at if total else 0.0,
+        )
+
+    def count_gateways(self, priority: int, now: float) -> int:
+        """Returns at how many other gateways a rank waits.
+
+        Args:
+            priority: The rank.
+            now: The time in seconds.
+        """
+        return sum(
+            any(item.priority == priority for item in told.waiting)
+            for told in self._list_recent(now)
+        )
+
+    def _merge(self, now: float) -> None:
+        """Sorts what all gateways told lately, by service."""
+        self._merged_at = now
+        self._merged = {}
+        for told in self._list_recent(now):
+            for item in told.waiting:
+                merged = self._merged.setdefault(item.service, _Merged())
+                merged.turns.append(_find_turn(item, told.heard_at))
+                merged.heard_at = min(merged.heard_at, told.heard_at)
+        for merged in self._merged.values():
+            merged.turns.sort()
+
+    def _list_recent(self, now: float) -> list[_Told]:
+        return [
+            told
+            for told in self._peers.values()
+            if now - told.heard_at < _MAX_AGE_S
+        ]
+
+    def _drop_old(self, now: float) -> None:
+        self._peers = {
+            name: told
+            for name, told in self._peers.items()
+            if now - told.heard_at < _MAX_AGE_S
+        }
+
+
+def _find_turn(item: peers.WaitingGeneration, heard_at: float) -> Turn:
+    return Turn(
+        urgency=item.urgency,
+        priority=item.priority,
+        is_crowding=item.is_crowding,
+        target_at=heard_at + item.remaining_s,
+    )
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -214,6 +214,31 @@
             return VersionShortage(versions=versions)
         return Shortage.DECODE
 
+    def count_places(
+        self, service: routes.Service, size: _base.WorkSize, now: float
+    ) -> int:
+        """Returns for how many generations decode engines have capacity.
+
+        Args:
+            service: The required service.
+            size: The size of each generation.
+            now: The time in seconds.
+        """
+        capacity = _get_capacity(service)
+
+        def count(item: _endpoints.Endpoint) -> int:
+            if not item.is_available(now):
+                return 0
+            free = capacity - item.total_reserved_tokens
+            by_memory = max(0, free) // max(1, size.memory_tokens)
+            by_slots = max(0, item.record.slots - item.total_in_flight)
+            return max(min(by_memory, by_slots), int(not item.total_in_flight))
+
+        usable = self._endpoints.list_usable(
+            service=service.name, role=membership.Role.DECODE, now=now
+        )
+        return sum(map(count, usable))
+
     def is_load_timely(self, endpoint: _endpoints.Endpoint) -> bool:
         """Returns whether its load is known without delay.
 
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -1,28 +1,25 @@
 """The queue of generations that wait for capacity on engines."""
 
 import collections
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 import dataclasses
 import enum
 import itertools
 
+from sassafrasstile import peers
 from sassafrasstile import routes
 from sassafrasstile.dispatch import _base
+from sassafrasstile.dispatch import _drains
 from sassafrasstile.dispatch import _endpoints
 from sassafrasstile.dispatch import _grants
+from sassafrasstile.dispatch import _levels
 from sassafrasstile.dispatch import _placement
+from sassafrasstile.dispatch import _shares
 
 # Expected duration of prefill and KV cache transfer after admission.
 PREFILL_AND_TRANSFER_S = 0.25
-# Window over which the admission rate is measured.
-_RATE_WINDOW_S = 2.0
-# Delay in the order of arrival for each step of lower priority. It is bounded,
-# so that routes of low priority don't starve.
-_PRIORITY_DELAY_S = 0.25
 # Late generations whose expected wait is longer than this are rejected.
 _MAX_LATE_WAIT_S = 1.0
-# Admission rate assumed when fewer generations were admitted in the window.
-_MIN_RATE_PER_S = 3.0
 
 
 class Urgency(enum.IntEnum):
@@ -43,9 +40,11 @@
         size: The size of the generation.
         target_at: Target time of the first token, in seconds.
         wait_deadline: Time in seconds after which it is no longer queued.
-        adjusted_arrival_at: Arrival time in seconds plus a delay for routes
-            of lower priority; generations are admitted in this order.
-        sequence: Breaks ties between equal adjusted arrival times.
+        arrived_at: When its request arrived, in seconds.
+        sequence: Breaks ties between equal arrival times.
+        priority: Its rank; 0 is the most urgent.
+        workspace: The name of its workspace, or an empty string.
+        quota_per_s: The quota of its workspace in tokens a second, or None.
         prefilled_until: When its finished prefill expires, in seconds, or
             None without one.
         is_resumed: True when the caller already has a part of the output.
@@ -55,6 +54,8 @@
             for any.
         prefilled_version: The version that its finished prefill needs while it
             hasn't expired.
+        level: What went before it at other gateways when it was last its
+            turn here.
         grant: The granted capacity, once it is admitted.
     """
 
@@ -62,14 +63,18 @@
     size: _base.WorkSize
     target_at: float
     wait_deadline: float
-    adjusted_arrival_at: float
+    arrived_at: float
     sequence: int
+    priority: int = 0
+    workspace: str = ""
+    quota_per_s: float | None = None
     prefilled_until: float | None = None
     is_resumed: bool = False
     may_prefill_remotely: bool = True
     excluded: tuple[_endpoints.Endpoint, ...] = ()
     software_version: str | None = None
     prefilled_version: str | None = None
+    level: _levels.Level = _levels.OPEN_LEVEL
     grant: _grants.Grant | None = None
 
     def needs_prefill(self, now: float) -> bool:
@@ -98,11 +103,15 @@
 
     Resumed generations are admitted first, then those with a finished
     prefill, since it expires soon. Others that can still meet their target
-    follow in the order of arrival. Late ones come last, and only while some
+    follow, the most urgent rank first. Late ones come last, and only while some
     capacity is left over for new arrivals. Late generations that can't
     expect capacity soon are rejected immediately, which spares their
     callers a useless wait.
 
+    Within a rank, workspaces that use far more than usual come last, and the
+    target decides between the others. Capacity is left to what goes before at
+    other gateways, as far as they tell. Each rank gets a least share.
+
     Args:
         placement: Chooses the engines.
     """
@@ -111,7 +120,16 @@
         self._placement = placement
         self._waiters: list[Waiter] = []
         self._sequence = itertools.count()
-        self._admitted_at: collections.deque[float] = collections.deque()
+        self._levels = _levels.AdmissionLevels()
+        self._drains = _drains.DrainMeter()
+        self._least_shares = _shares.LeastShares()
+        self._workspace_shares = _shares.WorkspaceShares()
+        self._is_holding = False
+
+    @property
+    def is_holding(self) -> bool:
+        """True if capacity is left free for what waits at other gateways."""
+        return self._is_holding
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -125,6 +143,8 @@
         wait_deadline: float,
         arrived_at: float = 0.0,
         priority: int = 0,
+        workspace: str = "",
+        quota_per_s: float | None = None,
         prefilled_until: float | None = None,
         is_resumed: bool = False,
         may_prefill_remotely: bool = True,
@@ -141,7 +161,10 @@
             wait_deadline: Time in seconds after which it is no longer
                 queued.
             arrived_at: When its request arrived, in seconds.
-            priority: The priority of its route; 0 is the most urgent.
+            priority: Its rank; 0 is the most urgent.
+            workspace: The name of its workspace, or an empty string.
+            quota_per_s: The quota of its workspace in tokens a second, or
+                None.
             prefilled_until: When its finished prefill expires, in seconds,
                 or None without one.
             is_resumed: True when the caller already has a part of the
@@ -158,8 +181,11 @@
             size=size,
             target_at=target_at,
             wait_deadline=wait_deadline,
-            adjusted_arrival_at=arrived_at + _PRIORITY_DELAY_S * priority,
+            arrived_at=arrived_at,
             sequence=next(self._sequence),
+            priority=priority,
+            workspace=workspace,
+            quota_per_s=quota_per_s,
             prefilled_until=prefilled_until,
             is_resumed=is_resumed,
             may_prefill_remotely=may_prefill_remotely,
@@ -180,8 +206,16 @@
         admitted = []
         # Versions of engines that are full, by service.
         full_versions: dict[str, set[str]] = collections.defaultdict(set)
+        left_to_others: set[str] = set()
+        self._drains.set_waiting(self._list_priorities(), now)
         for waiter in self._sort(now):
-            full = full_versions[waiter.service.name]
+            service = waiter.service.name
+            if service in left_to_others:
+                continue
+            if self._must_leave(waiter, now):
+                left_to_others.add(service)
+                continue
+            full = full_versions[service]
             match self._choose(waiter, now, full):
                 case _placement.VersionShortage(versions=versions):
                     # Later generations leave the engines of these versions to
@@ -199,11 +233,112 @@
                 case grant:
                     waiter.grant = grant
             waiter.grant.reserve()
-            self._admitted_at.append(now)
             self._waiters.remove(waiter)
+            self._record(waiter, now)
             admitted.append(waiter)
+        self._is_holding = bool(left_to_others)
         return admitted
 
+    def _must_leave(self, waiter: Waiter, now: float) -> bool:
+        """Returns whether free capacity goes to other gateways first."""
+        if self._is_owed(waiter, now):
+            waiter.level = _levels.OPEN_LEVEL
+            return False
+        waiter.level = self._levels.measure(
+            waiter.service.name, self._find_turn(waiter, now), now
+        )
+        if not waiter.level.total:
+            return False
+        places = self.count_places(waiter.service, waiter.size, now)
+        return places <= waiter.level.total
+
+    def count_places(
+        self, service: routes.Service, size: _base.WorkSize, now: float
+    ) -> int:
+        """Returns for how many generations of a size there is capacity.
+
+        Args:
+            service: The required service.
+            size: The size.
+            now: The time in seconds.
+        """
+        return self._placement.count_places(service, size, now)
+
+    def _record(self, waiter: Waiter, now: float) -> None:
+        """Records an admission."""
+        tokens = waiter.size.memory_tokens
+        self._drains.record(waiter.priority, tokens=tokens, now=now)
+        self._least_shares.record(
+            waiter.priority, tokens=tokens, waiting=self._count_waiting(now)
+        )
+        if waiter.workspace:
+            self._workspace_shares.record(
+                waiter.workspace, tokens=tokens, now=now
+            )
+
+    # What gateways tell each other.
+
+    def make_report(
+        self, now: float, *, has_ranks: bool, is_complete: bool = True
+    ) -> peers.QueueReport:
+        """Returns what other gateways have to know of this queue.
+
+        Args:
+            now: The time in seconds.
+            has_ranks: False if all generations have the same rank.
+            is_complete: False to leave out what needn't be told each time.
+        """
+        first = self._sort(now)[: _levels.MAX_TOLD] if has_ranks else ()
+        waiting = tuple(self._describe(item, now) for item in first)
+        if not is_complete:
+            return peers.QueueReport(waiting=waiting)
+        return peers.QueueReport(
+            waiting=waiting,
+            admissions=self._drains.list_own() if has_ranks else (),
+            rates=self._workspace_shares.list_own(now),
+        )
+
+    def _describe(self, waiter: Waiter, now: float) -> peers.WaitingGeneration:
+        turn = self._find_turn(waiter, now)
+        return peers.WaitingGeneration(
+            service=waiter.service.name,
+            urgency=turn.urgency,
+            priority=turn.priority,
+            is_crowding=turn.is_crowding,
+            remaining_s=waiter.target_at - now,
+        )
+
+    def apply_report(
+        self, peer: str, report: peers.QueueReport, now: float
+    ) -> None:
+        """Records what waits at another gateway and what it has admitted.
+
+        Args:
+            peer: The gateway's name.
+            report: Its report.
+            now: The time in seconds.
+        """
+        self._levels.apply(peer, report, now)
+        self._workspace_shares.apply(peer, report, now)
+        news = self._drains.apply(peer, report, now)
+        if not news:
+            return
+        waiting = self._count_waiting(now)
+        for item in news:
+            self._least_shares.add(
+                item.priority, tokens=item.tokens, waiting=waiting
+            )
+
+    def _count_waiting(self, now: float) -> Mapping[int, int]:
+        """Returns at how many gateways each rank waits that waits here."""
+        return {
+            priority: 1 + self._levels.count_gateways(priority, now)
+            for priority in self._list_priorities()
+        }
+
+    def _list_priorities(self) -> set[int]:
+        return {item.priority for item in self._waiters}
+
     def _choose(
         self, waiter: Waiter, now: float, full_versions: Collection[str]
     ) -> _grants.Grant | _placement.Shortage | _placement.VersionShortage:
@@ -224,23 +359,71 @@
 
     def expire(self, now: float) -> list[Waiter]:
         """Removes and returns waiters that can't expect capacity in time."""
-        rate = self.measure_rate(now)
         backoffs_s = self._measure_backoffs(now)
         expired = []
-        ahead = 0
+        ahead: list[Waiter] = []
         for waiter in self._sort(now):
-            wait_s = ahead / rate
+            wait_s = self._estimate_wait_s(waiter, ahead, now)
             resumes_at = now + backoffs_s[waiter.service.name]
             if resumes_at >= waiter.wait_deadline or self._should_expire(
                 waiter, wait_s, now
             ):
                 expired.append(waiter)
             else:
-                ahead += 1
+                ahead.append(waiter)
         for waiter in expired:
             self._waiters.remove(waiter)
         return expired
 
+    def _estimate_wait_s(
+        self, waiter: Waiter, ahead: Collection[Waiter], now: float
+    ) -> float:
+        """Returns how long a generation waits behind others, in seconds."""
+        turn = self._find_turn(waiter, now)
+        level = self._levels.measure(waiter.service.name, turn, now)
+        same_rank = sum(
+            item.priority == waiter.priority
+            and item.get_urgency(now) is turn.urgency
+            for item in ahead
+        )
+        return self._drains.estimate_wait_s(
+            waiter.priority,
+            more_urgent=len(ahead) - same_rank + level.more_urgent,
+            same_rank=same_rank + level.same_rank,
+            now=now,
+        )
+
+    def estimate_drain_s(
+        self, service: routes.Service, priority: int, now: float
+    ) -> float:
+        """Returns when what waits now of a rank will have capacity, in seconds.
+
+        Args:
+            service: The required service.
+            priority: The rank.
+            now: The time in seconds.
+        """
+        last = _levels.Turn(
+            urgency=Urgency.LATE,
+            priority=priority,
+            is_crowding=True,
+            target_at=float("inf"),
+        )
+        level = self._levels.measure(service.name, last, now)
+        turns = [
+            self._find_turn(item, now)
+            for item in self._waiters
+            if item.service.name == service.name
+        ]
+        same_rank = sum(turn.priority == priority for turn in turns)
+        ahead = sum(turn < last for turn in turns)
+        return self._drains.estimate_wait_s(
+            priority,
+            more_urgent=max(0, ahead - same_rank) + level.more_urgent,
+            same_rank=same_rank + level.same_rank,
+            now=now,
+        )
+
     def _measure_backoffs(self, now: float) -> dict[str, float]:
         """Returns the seconds until an engine takes requests, by service."""
         services = {item.service.name for item in self._waiters}
@@ -249,12 +432,6 @@
             for service in services
         }
 
-    def measure_rate(self, now: float) -> float:
-        """Returns the recent admission rate per second."""
-        while self._admitted_at and self._admitted_at[0] < now - _RATE_WINDOW_S:
-            self._admitted_at.popleft()
-        return max(_MIN_RATE_PER_S, len(self._admitted_at) / _RATE_WINDOW_S)
-
     def _should_expire(self, waiter: Waiter, wait_s: float, now: float) -> bool:
         if now >= waiter.wait_deadline:
             return True
@@ -269,12 +446,39 @@
             case _:
                 return False
 
+    def _find_turn(self, waiter: Waiter, now: float) -> _levels.Turn:
+        return _levels.Turn(
+            urgency=waiter.get_urgency(now),
+            priority=waiter.priority,
+            is_crowding=self._workspace_shares.is_crowding(
+                waiter.workspace, now=now, quota_per_s=waiter.quota_per_s
+            ),
+            target_at=waiter.target_at,
+        )
+
+    def _is_owed(self, waiter: Waiter, now: float) -> bool:
+        """Returns whether a generation goes first for its rank's share."""
+        is_on_time = waiter.get_urgency(now) is Urgency.ON_TIME
+        return is_on_time and self._least_shares.owes(
+            waiter.priority, tokens=waiter.size.memory_tokens
+        )
+
     def _sort(self, now: float) -> list[Waiter]:
-        return sorted(
+        turns = {item: self._find_turn(item, now) for item in self._waiters}
+        ordered = sorted(
             self._waiters,
-            key=lambda item: (
-                item.get_urgency(now),
-                item.adjusted_arrival_at,
-                item.sequence,
-            ),
+            key=lambda item: (turns[item], item.arrived_at, item.sequence),
+        )
+        # The first of each rank that is owed its share goes before the others
+        # of its class.
+        owed: dict[int, Waiter] = {}
+        for waiter in ordered:
+            if self._is_owed(waiter, now):
+                owed.setdefault(waiter.priority, waiter)
+        if not owed:
+            return ordered
+        firsts = list(owed.values())
+        return sorted(
+            ordered,
+            key=lambda item: (turns[item].urgency, item not in firsts),
         )
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -7,6 +7,8 @@
 from twisted.internet import task as tasks
 
 from sassafrasstile import dispatch
+from sassafrasstile import peers
+from sassafrasstile import workspaces
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _task
@@ -28,6 +30,12 @@
 _MIN_RESUMED_WAIT_S = 2.0
 
 
+# A refused caller is asked to wait no longer than this: what is measured says
+# little of later times.
+_MAX_DRAIN_S = 4.0
+_NO_REPORT = peers.QueueReport()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Waiting:
     """A request in the queue.
@@ -58,6 +66,46 @@
         """The number of generations in the queue."""
         return len(self._queue)
 
+    def make_report(self, *, is_complete: bool) -> peers.QueueReport:
+        """Returns what other gateways have to know of the queue.
+
+        It is empty where all generations have the same rank and no workspace.
+
+        Args:
+            is_complete: False to leave out what needn't be told each time.
+        """
+        active = self._context.active_configuration
+        has_ranks = len(active.priorities) > 1
+        if not has_ranks and active.directory is None:
+            return _NO_REPORT
+        return self._queue.make_report(
+            self._context.now(), has_ranks=has_ranks, is_complete=is_complete
+        )
+
+    def apply_report(self, peer: str, report: peers.QueueReport) -> None:
+        """Records what waits at another gateway.
+
+        Args:
+            peer: The gateway's name.
+            report: What waits there.
+        """
+        self._queue.apply_report(peer, report, self._context.now())
+
+    def estimate_retry_s(self, task: _task.RequestTask) -> float:
+        """Returns when a refused request may expect capacity, in seconds.
+
+        It is zero where all generations have the same rank.
+
+        Args:
+            task: The request.
+        """
+        if len(self._context.active_configuration.priorities) < 2:
+            return 0.0
+        drain_s = self._queue.estimate_drain_s(
+            task.service, task.priority, self._context.now()
+        )
+        return min(_MAX_DRAIN_S, drain_s)
+
     async def acquire(
         self,
         task: _task.RequestTask,
@@ -183,6 +231,8 @@
             ),
             arrived_at=task.arrived_at,
             priority=task.priority,
+            workspace=task.access.workspace_name,
+            quota_per_s=_get_quota_per_s(task.access.workspace),
             prefilled_until=handle.expires_at if handle else None,
             prefilled_version=(
                 handle.endpoint.record.software_version if handle else None
@@ -194,15 +244,36 @@
         )
         decision: defer.Deferred = defer.Deferred()
         self._waiting[waiter] = _Waiting(task=task, decision=decision)
+        waiting = self._context.metrics.waiting.labels(str(task.priority))
+        waiting.inc()
+        began_at = self._context.now()
         self.admit()
         try:
             grant = await decision
         finally:
             self._waiting.pop(waiter, None)
             self._queue.remove(waiter)
-        self._log(task, grant)
+            waiting.dec()
+        self._count(task, grant, self._context.now() - began_at)
+        self._log(task, grant, waiter)
         return grant
 
+    def _count(
+        self,
+        task: _task.RequestTask,
+        grant: dispatch.Grant | None,
+        waited_s: float,
+    ) -> None:
+        metrics = self._context.metrics
+        priority = str(task.priority)
+        outcome = "refused" if grant is None else "admitted"
+        metrics.admissions.labels(priority, outcome).inc()
+        metrics.admission_wait.labels(priority).observe(waited_s)
+        workspace = task.access.workspace_name
+        if grant is not None and workspace:
+            tokens = grant.size.memory_tokens
+            metrics.admitted_tokens.labels(workspace).inc(tokens)
+
     def confirm(self, task: _task.RequestTask, grant: dispatch.Grant) -> None:
         """Moves a grant if its decode engine may no longer have capacity.
 
@@ -248,7 +319,9 @@
         """Admits generations that fit now; refuses those that can't in time."""
         now = self._context.now()
         admitted = self._queue.admit(now)
-        if admitted:
+        if self._queue.is_holding:
+            self._context.announce_room()
+        elif admitted:
             self._context.announce()
         for waiter in [*admitted, *self._queue.expire(now)]:
             waiting = self._waiting.pop(waiter, None)
@@ -265,7 +338,10 @@
                 waiting.decision.callback(None)
 
     def _log(
-        self, task: _task.RequestTask, grant: dispatch.Grant | None
+        self,
+        task: _task.RequestTask,
+        grant: dispatch.Grant | None,
+        waiter: dispatch.Waiter,
     ) -> None:
         now = self._context.now()
         waited_s = now - task.request.received_at
@@ -276,6 +352,11 @@
             "queued": len(self._queue),
             "waited_ms": round(waited_s * 1000),
             "age_ms": round((now - task.arrived_at) * 1000),
+            "priority": task.priority,
+            "workspace": task.access.workspace_name,
+            "places": self._queue.count_places(task.service, task.size, now),
+            "ahead_elsewhere": waiter.level.total,
+            "news_age_ms": round(waiter.level.age_s * 1000),
         }
         if grant is None:
             _LOG.info(
@@ -298,3 +379,11 @@
             engine.name,
             extra=fields,
         )
+
+
+def _get_quota_per_s(workspace: workspaces.Workspace | None) -> float | None:
+    """Returns a workspace's quota in tokens a second, or None without one."""
+    quota = workspace.quota if workspace else None
+    if quota is None or quota.unit is not workspaces.QuotaUnit.TOKENS:
+        return None
+    return quota.rate_per_s
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -39,6 +39,8 @@
         metrics: Counters and histograms.
         announce: Called after capacity was reserved, to notify the other
             gateways.
+        announce_room: Called after capacity was released that is left to
+            other gateways.
         count_gateways: Returns the number of gateways, this one included, or
             None while it isn't known.
         lengths: Estimates the output lengths of generations.
@@ -67,6 +69,7 @@
     quarantine: quarantine.Quarantine
     permits: permits.SharedRateLimiter
     announce: Callable[[], None] = lambda: None
+    announce_room: Callable[[], None] = lambda: None
     count_gateways: Callable[[], int | None] = lambda: 1
     lengths: dispatch.OutputLengthEstimator = dataclasses.field(
         default_factory=dispatch.OutputLengthEstimator
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -90,7 +90,8 @@
         backoff_s = self._context.placement.measure_decode_backoff_s(
             task.service.name, now
         )
-        return max(_NO_ENDPOINT_RETRY_AFTER_S, backoff_s)
+        drain_s = self.admission.estimate_retry_s(task)
+        return max(_NO_ENDPOINT_RETRY_AFTER_S, backoff_s, drain_s)
 
     async def _run_until_answered(
         self, task: _task.RequestTask, progress: _streams.Progress
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -7,6 +7,7 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import errors
+from sassafrasstile import peers
 from sassafrasstile import routes
 from sassafrasstile import verdicts
 from sassafrasstile import web
@@ -81,6 +82,23 @@
         """Admits the queued generations that fit now."""
         self._generations.admission.admit()
 
+    def make_queue_report(self, *, is_complete: bool) -> peers.QueueReport:
+        """Returns what other gateways have to know of the queue.
+
+        Args:
+            is_complete: False to leave out what needn't be told each time.
+        """
+        return self._generations.admission.make_report(is_complete=is_complete)
+
+    def apply_queue_report(self, peer: str, report: peers.QueueReport) -> None:
+        """Records what waits at another gateway.
+
+        Args:
+            peer: The gateway's name.
+            report: What waits there.
+        """
+        self._generations.admission.apply_report(peer, report)
+
     def begin_shutdown(self, ends_at: float) -> None:
         """Starts to refuse requests that wouldn't be answered in time.
 
--- a/sassafrasstile/peers/__init__.py
+++ b/sassafrasstile/peers/__init__.py
@@ -6,9 +6,13 @@
     PeerAddress,
     PeerMessage,
     PromptRefusal,
+    QueueReport,
+    RankAdmissions,
     TopicEndReport,
     TopicPage,
     TopicRecord,
+    WaitingGeneration,
+    WorkspaceRate,
 )
 from sassafrasstile.peers._channel import PeerChannel
 from sassafrasstile.peers._directory import PeerDirectory
@@ -30,9 +34,13 @@
     "PeerProtocol",
     "PromptRefusal",
     "QuestionTable",
+    "QueueReport",
+    "RankAdmissions",
     "TopicEndReport",
     "TopicPage",
     "TopicRecord",
     "Transport",
+    "WaitingGeneration",
+    "WorkspaceRate",
     "weigh",
 ]
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -80,6 +80,74 @@
     remaining_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WaitingGeneration:
+    """A generation that waits for capacity at a gateway.
+
+    Attributes:
+        service: The required service.
+        urgency: Its class in the order of admission; 0 goes first.
+        priority: Its rank in that class; 0 is the most urgent.
+        is_crowding: True if its workspace uses far more than usual.
+        remaining_s: Seconds until the target of its first token.
+    """
+
+    service: str
+    urgency: int
+    priority: int
+    is_crowding: bool
+    remaining_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RankAdmissions:
+    """What a gateway has admitted of one rank since its start.
+
+    Attributes:
+        priority: The rank.
+        generations: The number of generations.
+        tokens: Their KV cache in tokens.
+    """
+
+    priority: int
+    generations: int
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WorkspaceRate:
+    """What a gateway has lately admitted for one workspace.
+
+    Attributes:
+        workspace: The workspace's name.
+        tokens_per_s: KV cache admitted a second, in tokens.
+    """
+
+    workspace: str
+    tokens_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QueueReport:
+    """What waits for capacity at a gateway, and what it has admitted.
+
+    Attributes:
+        waiting: The first of the waiting generations.
+        admissions: What it has admitted, by rank. Only complete reports tell
+            of it and of the rates.
+        rates: What it admits for the workspaces that use the most.
+    """
+
+    waiting: tuple[WaitingGeneration, ...] = ()
+    admissions: tuple[RankAdmissions, ...] = ()
+    rates: tuple[WorkspaceRate, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """True when there is nothing to report."""
+        return not (self.waiting or self.admissions or self.rates)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LoadReport:
     """What one gateway tells the others about its work.
@@ -96,6 +164,8 @@
         refusals: The generations that it has refused lately.
         configuration_version: The configuration in force there, or None
             before it has one.
+        queue: What waits for capacity there; empty where all generations
+            have the same rank and no workspace.
     """
 
     sender: PeerAddress
@@ -108,6 +178,7 @@
     )
     refusals: tuple[PromptRefusal, ...] = ()
     configuration_version: int | None = None
+    queue: QueueReport = QueueReport()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -43,6 +43,7 @@
 # It may serve callers all the while, for example in a region that is cut off.
 _LOST_MEMORY_S = 7200.0
 _MAX_LOST = 100
+_NO_QUEUE = _base.QueueReport()
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -85,6 +86,10 @@
             before there is one.
         on_configuration_version: Called with the version that a peer has in
             force, or None.
+        read_queue: Returns what waits for capacity at this gateway; called
+            with whether it is for a complete report.
+        on_queue: Called with a peer's name and what waits there, before
+            `on_report`.
     """
 
     noisy = False
@@ -114,6 +119,12 @@
         on_configuration_version: Callable[
             [int | None], None
         ] = lambda _version: None,
+        read_queue: Callable[[bool], _base.QueueReport] = lambda _is_complete: (
+            _NO_QUEUE
+        ),
+        on_queue: Callable[
+            [str, _base.QueueReport], None
+        ] = lambda _name, _queue: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -129,6 +140,8 @@
         self._on_start = on_start
         self._read_configuration_version = read_configuration_version
         self._on_configuration_version = on_configuration_version
+        self._read_queue = read_queue
+        self._on_queue = on_queue
         self._peers: dict[str, _Peer] = {}
         self._lost_at: dict[str, float] = {}
         self._gateway_count = 1
@@ -221,6 +234,10 @@
         """Reports changed loads immediately, within the rate limit."""
         self._tick()
 
+    def announce_room(self) -> None:
+        """Reports released capacity immediately, within the rate limit."""
+        self._tick(with_releases=True)
+
     def announce_topics(self) -> None:
         """Reports the ends of topics immediately, within the rate limit."""
         self._near.has_news = True
@@ -302,19 +319,30 @@
         peer.is_live = True
         if not is_known:
             self._on_start(peer.address.name)
+        self._on_queue(peer.address.name, report.queue)
         self._on_report(peer.address.name, report.loads, report.is_complete)
         self._on_topics(report.topics)
         self._on_refusals(report.refusals)
         self._on_configuration_version(report.configuration_version)
 
-    def _tick(self) -> None:
+    def _tick(self, *, with_releases: bool = False) -> None:
         now = self._reactor.seconds()
         self._expire_silent_peers(now)
         if not self._peers:
             return
         loads = self._read_loads()
-        self._report(self._near, self._near_peers, loads, now)
-        self._report(self._far, self._far_peers, loads, now)
+        interval_s = self._choose_interval_s()
+        queue = self._read_queue(
+            self._near.is_complete_due(now, interval_s)
+            or self._far.is_complete_due(now, interval_s)
+        )
+        for schedule, group in (
+            (self._near, self._near_peers),
+            (self._far, self._far_peers),
+        ):
+            self._report(
+                schedule, group, loads, queue, now, with_releases=with_releases
+            )
 
     def _split_peers(self) -> None:
         """Separates the peers in this gateway's zone from the others."""
@@ -335,7 +363,10 @@
         schedule: _schedule.ReportSchedule,
         group: Collection[_Peer],
         loads: Mapping[str, _base.EndpointLoad],
+        queue: _base.QueueReport,
         now: float,
+        *,
+        with_releases: bool,
     ) -> None:
         """Sends a group its report if one is due and the rate allows it."""
         if not group:
@@ -345,11 +376,16 @@
         # Where changes would reach other zones late anyway, they wait for the
         # next complete report.
         if schedule is self._near or self._is_far_timely():
-            is_due = is_due or schedule.is_change_due(loads, now)
+            is_due = is_due or schedule.is_change_due(
+                loads, now, with_releases=with_releases
+            )
+            is_due = is_due or schedule.is_queue_change_due(queue, now)
         if not is_due or not schedule.take_tokens(len(group), now):
             return
-        reported = schedule.select(loads, now, is_complete=is_complete)
-        self._send(reported, group, is_complete=is_complete)
+        reported = schedule.select(
+            loads, now, is_complete=is_complete, queue=queue
+        )
+        self._send(reported, group, queue=queue, is_complete=is_complete)
 
     def _send(
         self,
@@ -357,6 +393,7 @@
         group: Collection[_Peer],
         *,
         is_complete: bool,
+        queue: _base.QueueReport = _NO_QUEUE,
     ) -> None:
         self._sequence += 1
         data = _codec.encode_report(
@@ -369,6 +406,7 @@
                 topics=self._read_topics(),
                 refusals=self._read_refusals(),
                 configuration_version=self._read_configuration_version(),
+                queue=queue,
             )
         )
         for peer in group:
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -4,6 +4,7 @@
 
 from sassafrasstile import errors
 from sassafrasstile.peers import _base
+from sassafrasstile.peers import _queue_codec
 
 _MS_PER_S = 1000
 
@@ -88,6 +89,8 @@
         ],
         report.configuration_version,
     ]
+    if not report.queue.is_empty:
+        fields.append(_queue_codec.encode_queue(report.queue))
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -107,6 +110,7 @@
             ends,
             refusals,
             configuration_version,
+            *queues,
         ) = json.loads(data)
         topics = {
             str(topic): _base.TopicEndReport(
@@ -149,6 +153,11 @@
                 for prompt_id, age_ms, remaining_ms in refusals
             ),
             configuration_version=_read_number(configuration_version),
+            queue=(
+                _queue_codec.decode_queue(queues[0])
+                if queues
+                else _base.QueueReport()
+            ),
         )
     except (ValueError, TypeError) as reason:
         raise errors.Error(
--- a/sassafrasstile/peers/_schedule.py
+++ b/sassafrasstile/peers/_schedule.py
@@ -8,7 +8,10 @@
 
 # Changes that only release capacity may be reported this much later.
 _RELEASE_DELAY_S = 0.1
+# Changes in what waits for capacity are reported at most this often.
+_QUEUE_INTERVAL_S = 0.05
 _NO_LOAD = _base.EndpointLoad()
+_NO_QUEUE = _base.QueueReport()
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -28,6 +31,7 @@
     _sent: Mapping[str, _base.EndpointLoad] = dataclasses.field(
         default_factory=dict
     )
+    _sent_waiting: tuple[tuple[int, int], ...] = ()
     _sent_at: float = float("-inf")
     _complete_sent_at: float = float("-inf")
 
@@ -41,16 +45,23 @@
         return now - self._complete_sent_at >= interval_s
 
     def is_change_due(
-        self, loads: Mapping[str, _base.EndpointLoad], now: float
+        self,
+        loads: Mapping[str, _base.EndpointLoad],
+        now: float,
+        *,
+        with_releases: bool = False,
     ) -> bool:
         """Returns whether changed loads have to be reported now.
 
         Args:
             loads: The loads by endpoint id.
             now: The time in seconds.
+            with_releases: True if peers wait for released capacity.
         """
         if loads == self._sent:
             return False
+        if with_releases:
+            return True
         is_delayed = now - self._sent_at >= _RELEASE_DELAY_S
         return is_delayed or any(
             _is_urgent(
@@ -59,6 +70,17 @@
             for name in loads.keys() | self._sent.keys()
         )
 
+    def is_queue_change_due(self, queue: _base.QueueReport, now: float) -> bool:
+        """Returns whether peers have to learn now that other work waits.
+
+        Args:
+            queue: What waits.
+            now: The time in seconds.
+        """
+        if now - self._sent_at < _QUEUE_INTERVAL_S:
+            return False
+        return _list_turns(queue) != self._sent_waiting
+
     def take_tokens(self, count: int, now: float) -> bool:
         """Takes what a due report to a number of gateways costs.
 
@@ -80,8 +102,10 @@
         now: float,
         *,
         is_complete: bool,
+        queue: _base.QueueReport = _NO_QUEUE,
     ) -> Mapping[str, _base.EndpointLoad]:
         """Returns the loads to report, and records them as reported."""
+        self._sent_waiting = _list_turns(queue)
         former, self._sent = self._sent, loads
         self._sent_at = now
         self.has_news = False
@@ -95,6 +119,10 @@
         }
 
 
+def _list_turns(queue: _base.QueueReport) -> tuple[tuple[int, int], ...]:
+    return tuple((item.urgency, item.priority) for item in queue.waiting)
+
+
 def _is_urgent(load: _base.EndpointLoad, former: _base.EndpointLoad) -> bool:
     """Returns whether a change must reach the peers immediately.
 
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -1,3 +1,4 @@
+import json
 import unittest
 
 from twisted.internet import task
@@ -40,6 +41,8 @@
         self.received_refusals = {"a": [], "b": []}
         self.versions = {"a": None, "b": None}
         self.received_versions = {"a": [], "b": []}
+        self.queues = {"a": peers.QueueReport(), "b": peers.QueueReport()}
+        self.received_queues = {"a": {}, "b": {}}
         self.topics = {"a": {}, "b": {}}
         self.received_topics = {"a": {}, "b": {}}
         self.channels = {
@@ -68,6 +71,8 @@
             ),
             read_configuration_version=lambda: self.versions[name],
             on_configuration_version=self.received_versions[name].append,
+            read_queue=lambda _is_complete: self.queues[name],
+            on_queue=self.received_queues[name].__setitem__,
         )
         channel.transport = self.network
         self.network.channels[("h", port)] = channel
@@ -160,6 +165,44 @@
         self.assertIn(refusal, self.received_refusals["b"])
 
     # A gateway that starts compares it with what the store holds.
+    def wait_in_queue(self, *priorities):
+        self.queues["a"] = peers.QueueReport(
+            waiting=tuple(
+                peers.WaitingGeneration(
+                    service="s",
+                    urgency=2,
+                    priority=priority,
+                    is_crowding=False,
+                    remaining_s=0.5,
+                )
+                for priority in priorities
+            )
+        )
+
+    # Guards against capacity being given to less urgent work elsewhere.
+    def test_what_waits_is_reported_before_the_next_complete_report(self):
+        self.advance(0.6)
+        self.wait_in_queue(0, 2)
+        self.advance(0.08)
+        self.assertEqual(self.received_queues["b"]["a"], self.queues["a"])
+        self.wait_in_queue(2)
+        self.advance(0.08)
+        self.assertEqual(self.received_queues["b"]["a"], self.queues["a"])
+
+    # Guards against gateways of the last version rejecting reports.
+    def test_empty_queue_leaves_reports_as_they_were(self):
+        self.advance(0.6)
+        self.assertEqual(len(json.loads(self.network.sent[-1])), 8)
+
+    def test_released_capacity_is_reported_at_once_where_others_wait(self):
+        self.reserve(100)
+        self.channels["a"].announce_loads()
+        self.reserve(40)
+        self.channels["a"].announce_loads()
+        self.assertEqual(self.received["b"]["a"]["e"].reserved_tokens, 100)
+        self.channels["a"].announce_room()
+        self.assertEqual(self.received["b"]["a"]["e"].reserved_tokens, 40)
+
     def test_configuration_version_is_reported(self):
         self.advance(1.0)
         self.assertEqual({*self.received_versions["b"]}, {None})
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -157,6 +157,7 @@
         )
         self._directory = self._make_directory(record_decoder, address)
         self._context.announce = self._channel.announce_loads
+        self._context.announce_room = self._channel.announce_room
         self._context.count_gateways = self._count_gateways
         self._roles = self._make_roles(record_decoder)
         self._caller_port = _caller_port.CallerPort(
@@ -252,6 +253,12 @@
             on_start=self._tell_starting_peer,
             read_configuration_version=self._read_configuration_version,
             on_configuration_version=self._start_gate.record_peer_configuration_version,
+            read_queue=lambda is_complete: self._router.make_queue_report(
+                is_complete=is_complete
+            ),
+            on_queue=lambda peer, queue: self._router.apply_queue_report(
+                peer, queue
+            ),
         )
 
     def _tell_starting_peer(self, name: str) -> None:
--- a/sassafrasstile/routes/_active.py
+++ b/sassafrasstile/routes/_active.py
@@ -16,6 +16,7 @@
         current: The configuration in force, or None before the first one.
         table: Its routes.
         directory: Its workspaces, or None if it has none.
+        priorities: The priorities that its generations may have.
 
     >>> active = ActiveConfiguration()
     >>> newer = _base.Configuration(version=4, routes=(), services={})
@@ -30,6 +31,7 @@
         self.current: _base.Configuration | None = None
         self.table = _table.RouteTable(routes=())
         self.directory: workspaces.WorkspaceDirectory | None = None
+        self.priorities: frozenset[int] = frozenset()
 
     @property
     def version(self) -> int | None:
@@ -48,6 +50,7 @@
         self.table = _table.RouteTable(routes=configuration.routes)
         self.current = configuration
         self.directory = None
+        self.priorities = _list_priorities(configuration)
         if configuration.workspaces:
             self.directory = workspaces.WorkspaceDirectory(
                 workspaces=configuration.workspaces
@@ -64,3 +67,14 @@
             },
         )
         return True
+
+
+def _list_priorities(configuration: _base.Configuration) -> frozenset[int]:
+    """Returns the priorities that generations may have."""
+    of_routes = {
+        route.priority
+        for route in configuration.routes
+        if route.kind is _base.RouteKind.GENERATION
+    }
+    of_workspaces = {item.priority for item in configuration.workspaces}
+    return frozenset(of_routes | of_workspaces - {None})
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -11,6 +11,7 @@
 from sassafrasstile import permits
 from sassafrasstile import quarantine
 from sassafrasstile import routes
+from sassafrasstile import telemetry
 from sassafrasstile import web
 from sassafrasstile.simulation import _base
 from sassafrasstile.simulation import _dispatchers
@@ -107,7 +108,7 @@
             settings=dispatch.DispatchSettings(
                 retry_slack=self._profile.retry_slack
             ),
-            metrics=None,
+            metrics=telemetry.RouterMetrics(),
             generator=generator,
             quarantine=quarantine.Quarantine(
                 reactor=self._reactor, generator=generator
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -25,10 +25,10 @@
         )
 
     def _make_gauge(
-        self, name: str, description: str
+        self, name: str, description: str, labels: tuple[str, ...] = ()
     ) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
-            _PREFIX + name, description, registry=self.registry
+            _PREFIX + name, description, labels, registry=self.registry
         )
 
     def _make_histogram(
@@ -177,6 +177,27 @@
         self.log_lines_dropped = self._make_counter(
             "log_lines_dropped", "Log lines dropped to stay within bounds."
         )
+        self.waiting = self._make_gauge(
+            "generations_waiting",
+            "Generations that wait for capacity, by priority.",
+            ("priority",),
+        )
+        self.admissions = self._make_counter(
+            "admissions",
+            "Decisions on generations' capacity, by priority and outcome.",
+            ("priority", "outcome"),
+        )
+        self.admission_wait = self._make_histogram(
+            "admission_wait_seconds",
+            "Seconds that generations waited for capacity, by priority.",
+            ("priority",),
+            buckets=_FIRST_TOKEN_BUCKETS,
+        )
+        self.admitted_tokens = self._make_counter(
+            "admitted_tokens",
+            "KV cache granted, in tokens, by workspace.",
+            ("workspace",),
+        )
         self.latency = self._make_histogram(
             "latency_seconds",
             "Seconds from a request's arrival to its end.",
