--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -102,7 +102,7 @@
         if len(self._context.active_configuration.priorities) < 2:
             return 0.0
         drain_s = self._queue.estimate_drain_s(
-            task.service, task.priority, self._context.now()
+            task.service, task.rank, self._context.now()
         )
         return min(_MAX_DRAIN_S, drain_s)
 
@@ -230,7 +230,7 @@
                 + (_MIN_RESUMED_WAIT_S if is_resumed else _MIN_WAIT_S),
             ),
             arrived_at=task.arrived_at,
-            priority=task.priority,
+            priority=task.rank,
             workspace=task.access.workspace_name,
             quota_per_s=_get_quota_per_s(task.access.workspace),
             prefilled_until=handle.expires_at if handle else None,
@@ -244,7 +244,7 @@
         )
         decision: defer.Deferred = defer.Deferred()
         self._waiting[waiter] = _Waiting(task=task, decision=decision)
-        waiting = self._context.metrics.waiting.labels(str(task.priority))
+        waiting = self._context.metrics.waiting.labels(task.rank_name)
         waiting.inc()
         began_at = self._context.now()
         self.admit()
@@ -265,10 +265,9 @@
         waited_s: float,
     ) -> None:
         metrics = self._context.metrics
-        priority = str(task.priority)
         outcome = "refused" if grant is None else "admitted"
-        metrics.admissions.labels(priority, outcome).inc()
-        metrics.admission_wait.labels(priority).observe(waited_s)
+        metrics.admissions.labels(task.rank_name, outcome).inc()
+        metrics.admission_wait.labels(task.rank_name).observe(waited_s)
         workspace = task.access.workspace_name
         if grant is not None and workspace:
             tokens = grant.size.memory_tokens
@@ -352,7 +351,7 @@
             "queued": len(self._queue),
             "waited_ms": round(waited_s * 1000),
             "age_ms": round((now - task.arrived_at) * 1000),
-            "priority": task.priority,
+            "rank": task.rank_name,
             "workspace": task.access.workspace_name,
             "places": self._queue.count_places(task.service, task.size, now),
             "ahead_elsewhere": waiter.level.total,
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -12,6 +12,9 @@
 from sassafrasstile import workspaces
 from sassafrasstile.forwarding import _base
 
+# Number of ranks of routes within each priority.
+_ROUTE_RANKS = 10
+
 
 @dataclasses.dataclass(kw_only=True, eq=False)
 class RequestTask:
@@ -80,6 +83,17 @@
             return self.route.priority
         return workspace.priority
 
+    @property
+    def rank(self) -> int:
+        """Its rank for scarce capacity: its priority, then its route's."""
+        minor = min(max(self.route.priority, 0), _ROUTE_RANKS - 1)
+        return _ROUTE_RANKS * self.priority + minor
+
+    @property
+    def rank_name(self) -> str:
+        """Its rank in logs and metrics, such as `1.0`."""
+        return f"{self.priority}.{self.route.priority}"
+
     @functools.cached_property
     def content(self) -> quarantine.Content:
         """What identifies its content among the requests to its service."""
--- a/sassafrasstile/simulation/__init__.py
+++ b/sassafrasstile/simulation/__init__.py
@@ -19,10 +19,12 @@
     ShortHandles,
     SlowLinks,
     Steady,
+    UrgentBurst,
     PATTERNS,
 )
 from sassafrasstile.simulation._profiles import (
     EngineProfile,
+    RankProfile,
     SITES,
     SiteProfile,
 )
@@ -46,6 +48,7 @@
     "POLICIES",
     "Pattern",
     "Plan",
+    "RankProfile",
     "SITES",
     "ShortHandles",
     "SiteProfile",
@@ -53,6 +56,7 @@
     "Steady",
     "Summary",
     "UnresponsivePrefills",
+    "UrgentBurst",
     "plot_figures",
     "simulate",
     "simulate_seeds",
--- a/sassafrasstile/simulation/_base.py
+++ b/sassafrasstile/simulation/_base.py
@@ -22,6 +22,8 @@
         declared_tokens: Maximum output length that the caller declares.
         arrived_at: Arrival time, in seconds.
         deadline: Time at which the caller disconnects, in seconds.
+        target_s: Target for the time to the first token.
+        rank: Its rank; 0 is the most urgent.
         first_event_at: Time of the first event, or None.
         last_event_at: Time of the last event, or None.
         longest_gap_s: The longest time between two events.
@@ -35,6 +37,8 @@
     declared_tokens: int
     arrived_at: float
     deadline: float
+    target_s: float
+    rank: int = 0
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_gap_s: float = 0.0
--- a/sassafrasstile/simulation/_callers.py
+++ b/sassafrasstile/simulation/_callers.py
@@ -29,6 +29,8 @@
         prompt_id: Identifies the prompt.
         prompt_tokens: Length of the prompt.
         output_tokens: Length that the output will have.
+        target_s: Target for the time to the first token.
+        rank: Its rank; 0 is the most urgent.
         attempts: Number of attempts.
         refusals: Number of refused attempts.
         is_complete: True once the caller has the complete answer.
@@ -40,6 +42,8 @@
     prompt_id: str
     prompt_tokens: int
     output_tokens: int
+    target_s: float
+    rank: int = 0
     attempts: int = 0
     refusals: int = 0
     is_complete: bool = False
@@ -89,7 +93,10 @@
         now = self._reactor.seconds()
         rate = self._rate_per_s
         match self._pattern:
-            case _patterns.Burst(factor=factor) if self._pattern.is_active(now):
+            case (
+                _patterns.Burst(factor=factor)
+                | _patterns.UrgentBurst(factor=factor)
+            ) if self._pattern.is_active(now):
                 rate *= factor
         delay_s = self._arrivals.expovariate(rate)
         if now + delay_s < until:
@@ -98,17 +105,44 @@
     def _start_request(self, until: float) -> None:
         self._schedule_next(until)
         now = self._reactor.seconds()
+        gateway = self._choose_fixed_gateway(now)
+        rank = self._choose_rank(is_urgent=gateway is not None)
         outcome = RequestOutcome(
             arrived_at=now,
             prompt_id=f"p{len(self.outcomes)}",
             prompt_tokens=self._sample_prompt(now),
             output_tokens=self._sample_output(),
+            target_s=rank.target_s,
+            rank=rank.rank,
         )
         self.outcomes.append(outcome)
-        running = defer.ensureDeferred(self._run_request(outcome))
+        running = defer.ensureDeferred(self._run_request(outcome, gateway))
         running.addErrback(lambda reason: reason.trap(defer.CancelledError))
 
-    async def _run_request(self, outcome: RequestOutcome) -> None:
+    def _choose_fixed_gateway(self, now: float) -> _gateways.Gateway | None:
+        """Returns the gateway of a burst, for the part of it that is added."""
+        match self._pattern:
+            case _patterns.UrgentBurst(factor=factor) if (
+                self._pattern.is_active(now)
+                and self._behaviour.random() < 1 - 1 / factor
+            ):
+                return self._gateways[0]
+        return None
+
+    def _choose_rank(self, *, is_urgent: bool) -> _profiles.RankProfile:
+        ranks = self._profile.ranks
+        if not ranks:
+            return _profiles.RankProfile(
+                rank=0, share=1.0, target_s=self._profile.target_s
+            )
+        if is_urgent:
+            return ranks[0]
+        weights = [item.share for item in ranks]
+        return self._behaviour.choices(ranks, weights)[0]
+
+    async def _run_request(
+        self, outcome: RequestOutcome, gateway: _gateways.Gateway | None
+    ) -> None:
         profile = self._profile
         retries_immediately, attempts = self._choose_retry_behaviour(
             outcome.arrived_at
@@ -124,8 +158,10 @@
                 declared_tokens=profile.max_output_tokens,
                 arrived_at=self._reactor.seconds(),
                 deadline=deadline,
+                target_s=outcome.target_s,
+                rank=outcome.rank,
             )
-            if await self._send(outcome, attempt, deadline):
+            if await self._send(outcome, attempt, deadline, gateway):
                 return
             remaining_s = deadline - self._reactor.seconds()
             wait_s = _RETRY_DELAY_S * (1 + self._behaviour.random())
@@ -141,19 +177,20 @@
         outcome: RequestOutcome,
         attempt: _base.RequestAttempt,
         deadline: float,
+        gateway: _gateways.Gateway | None,
     ) -> bool:
         """Sends one attempt.
 
         Returns:
             False if the attempt was refused.
         """
-        gateway = self._choose_gateway()
+        gateway = gateway or self._choose_gateway()
         serving = defer.ensureDeferred(gateway.serve(attempt))
         remaining_s = deadline - self._reactor.seconds()
         timeouts = [
             self._reactor.callLater(max(0.0, remaining_s), serving.cancel),
             self._reactor.callLater(
-                _FIRST_EVENT_TIMEOUT_TARGETS * self._profile.target_s,
+                _FIRST_EVENT_TIMEOUT_TARGETS * outcome.target_s,
                 lambda: attempt.first_event_at or serving.cancel(),
             ),
         ]
--- a/sassafrasstile/simulation/_dispatchers.py
+++ b/sassafrasstile/simulation/_dispatchers.py
@@ -6,6 +6,7 @@
 from sassafrasstile import dispatch
 from sassafrasstile import forwarding
 from sassafrasstile import membership
+from sassafrasstile import peers
 from sassafrasstile import plugins
 from sassafrasstile import policies
 from sassafrasstile import routes
@@ -45,6 +46,14 @@
     def release_prefill(self, grant: dispatch.Grant) -> None:
         """Releases the reservation of the prefill engine."""
 
+    @abc.abstractmethod
+    def make_report(self, *, is_complete: bool) -> peers.QueueReport:
+        """Returns what waits for engines."""
+
+    @abc.abstractmethod
+    def apply_report(self, peer: str, report: peers.QueueReport) -> None:
+        """Records what waits at another gateway."""
+
     @abc.abstractmethod
     def release(self, grant: dispatch.Grant) -> None:
         """Releases the reservations of both engines."""
@@ -72,6 +81,14 @@
         """Waits in the queue until engines have capacity."""
         return await self._admission.acquire(task, handle=handle)
 
+    def make_report(self, *, is_complete):
+        """Returns the report of the admission."""
+        return self._admission.make_report(is_complete=is_complete)
+
+    def apply_report(self, peer, report):
+        """Passes another gateway's report to the admission."""
+        self._admission.apply_report(peer, report)
+
     def confirm(self, task, grant):
         """Moves a grant if another gateway reserved the same capacity."""
         self._admission.confirm(task, grant)
@@ -160,6 +177,13 @@
         chosen = self._policies[role].choose(views, request=request, now=now)
         return usable[chosen.name]
 
+    def make_report(self, *, is_complete):
+        """Returns an empty report, since nothing waits."""
+        return peers.QueueReport()
+
+    def apply_report(self, peer, report):
+        """Does nothing: it sees only its own gateway's requests."""
+
     def confirm(self, task, grant):
         """Keeps the grant unchanged."""
 
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -42,6 +42,7 @@
         policy: `queue`, or the name of a registered policy.
         is_lagging: True if it asks engines to set memory aside, since it hears
             late of other gateways' reservations.
+        tells_queue: False if it doesn't tell the others what waits.
         generator: The random generator.
     """
 
@@ -55,6 +56,7 @@
         pools: _base.Pools,
         policy: str,
         is_lagging: bool,
+        tells_queue: bool,
         generator: random.Random,
     ):
         self.name = name
@@ -68,6 +70,9 @@
         self._service = _make_service(profile)
         self._is_lagging = is_lagging
         self._context = self._make_context(generator)
+        self._context.active_configuration.apply_if_newer(
+            _make_configuration(profile, has_ranks=tells_queue)
+        )
         self._dispatcher = self._make_dispatcher(policy, generator)
         self.address = peers.PeerAddress(
             name=name,
@@ -87,6 +92,12 @@
             on_refusals=lambda refusals: self._context.refusals.apply(
                 refusals, reactor.seconds()
             ),
+            read_queue=lambda is_complete: self._dispatcher.make_report(
+                is_complete=is_complete
+            ),
+            on_queue=lambda peer, queue: self._dispatcher.apply_report(
+                peer, queue
+            ),
         )
 
     def _make_context(self, generator) -> forwarding.ForwardingContext:
@@ -140,6 +151,7 @@
         """Starts the exchange of load reports with other gateways."""
         self.channel.start()
         self._context.announce = self.channel.announce_loads
+        self._context.announce_room = self.channel.announce_room
         for other in others:
             self.channel.add_peer(other.address)
 
@@ -271,7 +283,9 @@
                 last_event_id=None,
                 prompt_parts=(attempt.prompt_id,),
             ),
-            route=_make_route(self._profile),
+            route=_make_route(
+                self._profile, rank=attempt.rank, target_s=attempt.target_s
+            ),
             service=self._service,
             size=dispatch.WorkSize(
                 prompt_tokens=attempt.prompt_tokens, output_tokens=output_tokens
@@ -388,7 +402,24 @@
     )
 
 
-def _make_route(profile: _profiles.SiteProfile) -> routes.Route:
+def _make_configuration(
+    profile: _profiles.SiteProfile, *, has_ranks: bool
+) -> routes.Configuration:
+    """Returns a configuration with a route for each rank."""
+    ranks = profile.ranks if has_ranks else ()
+    return routes.Configuration(
+        version=1,
+        routes=tuple(
+            _make_route(profile, rank=item.rank, target_s=item.target_s)
+            for item in ranks
+        ),
+        services={},
+    )
+
+
+def _make_route(
+    profile: _profiles.SiteProfile, *, rank: int, target_s: float
+) -> routes.Route:
     return routes.Route(
         name="generation",
         host="",
@@ -396,6 +427,7 @@
         kind=routes.RouteKind.GENERATION,
         services=(routes.WeightedService(service=_base.SERVICE),),
         timeout_s=profile.deadline_s,
-        target_s=profile.target_s,
+        target_s=target_s,
+        priority=rank,
         target_gap_s=profile.gap_s,
     )
--- a/sassafrasstile/simulation/_patterns.py
+++ b/sassafrasstile/simulation/_patterns.py
@@ -93,6 +93,17 @@
     share: float = 0.7
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UrgentBurst(Pattern):
+    """More requests than usual, all of them urgent and at one gateway.
+
+    Attributes:
+        factor: Factor of the arrival rate.
+    """
+
+    factor: float = 1.5
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ImmediateRetries(Pattern):
     """Refused callers retry without a delay and more often.
@@ -117,5 +128,6 @@
         "slow_links": SlowLinks(),
         "one_zone": OneZone(),
         "repeat_at_once": ImmediateRetries(),
+        "urgent_burst": UrgentBurst(),
     }
 )
--- a/sassafrasstile/simulation/_profiles.py
+++ b/sassafrasstile/simulation/_profiles.py
@@ -38,6 +38,21 @@
     hold_s: float = 2.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RankProfile:
+    """The requests of one rank.
+
+    Attributes:
+        rank: The rank; 0 is the most urgent.
+        share: Their share of all requests.
+        target_s: Target for the time to the first token.
+    """
+
+    rank: int
+    share: float
+    target_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SiteProfile:
     """A site and the requests of its callers.
@@ -61,6 +76,8 @@
             to their share of the requests.
         late_weight: Weight of a late answer in the goodput; one on time
             counts as 1.
+        ranks: The ranks of requests, if there are several; their targets take
+            the place of `target_s`.
     """
 
     zones: tuple[str, ...] = ("a", "b", "c")
@@ -79,6 +96,7 @@
     deadline_s: float = 14.0
     retry_slack: float = 20.0
     late_weight: float = 0.2
+    ranks: tuple[RankProfile, ...] = ()
 
     @property
     def capacity_per_s(self) -> float:
@@ -131,5 +149,26 @@
             target_s=0.91,
             deadline_s=14.2,
         ),
+        "amman": SiteProfile(
+            gateways=6,
+            prefills=3,
+            decodes=5,
+            engine=EngineProfile(
+                memory_tokens=48_649,
+                step_s=0.00309,
+                step_request_s=0.0000165,
+                link_tokens_per_s=1_370_000.0,
+                tokens_per_event=14,
+            ),
+            output_tokens=980.0,
+            max_output_tokens=2380,
+            target_s=0.8,
+            retry_slack=88.0,
+            ranks=(
+                RankProfile(rank=0, share=0.24, target_s=0.8),
+                RankProfile(rank=1, share=0.32, target_s=1.0),
+                RankProfile(rank=2, share=0.44, target_s=2.0),
+            ),
+        ),
     }
 )
--- a/sassafrasstile/simulation/_report.py
+++ b/sassafrasstile/simulation/_report.py
@@ -1,6 +1,6 @@
 """The figures of a simulated run."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import dataclasses
 
 from sassafrasstile import telemetry
@@ -22,6 +22,8 @@
         first_event_p50_s: Median time to the first event.
         first_event_p95_s: 95th percentile of the time to the first event.
         requests: Requests of callers, retries not counted.
+        urgent_on_time: Share of the most urgent rank answered on time.
+        least_on_time: The same of the least urgent rank.
     """
 
     goodput: float
@@ -32,6 +34,8 @@
     first_event_p50_s: float
     first_event_p95_s: float
     requests: int
+    urgent_on_time: float
+    least_on_time: float
 
 
 def make_figures(
@@ -51,7 +55,7 @@
     on_time = [
         item
         for item in complete
-        if item.first_event_s <= profile.target_s
+        if item.first_event_s <= item.target_s
         and item.longest_gap_s <= profile.gap_s
     ]
     refused = [
@@ -71,9 +75,23 @@
         first_event_p50_s=round(telemetry.compute_percentile(times, 50), 4),
         first_event_p95_s=round(telemetry.compute_percentile(times, 95), 4),
         requests=len(outcomes),
+        urgent_on_time=_measure_rank(min, outcomes, on_time),
+        least_on_time=_measure_rank(max, outcomes, on_time),
     )
 
 
+def _measure_rank(
+    choose: Callable[..., int],
+    outcomes: Sequence[_callers.RequestOutcome],
+    on_time: Sequence[_callers.RequestOutcome],
+) -> float:
+    """Returns the share on time of one of the ranks."""
+    rank = choose((item.rank for item in outcomes), default=0)
+    count = sum(item.rank == rank for item in outcomes)
+    served = sum(item.rank == rank for item in on_time)
+    return round(served / max(1, count), 4)
+
+
 def plot_figures(
     rows: Sequence[tuple[str, float, Figures]], *, path: str
 ) -> None:
--- a/sassafrasstile/simulation/_run.py
+++ b/sassafrasstile/simulation/_run.py
@@ -18,12 +18,14 @@
 # `queue` is the dispatch of real gateways. In `queue_own`, gateways don't
 # exchange load reports; in `queue_reports`, they receive each other's load
 # only every `_REPORT_INTERVAL_S`; in `queue_unconfirmed` too, but they never
-# ask engines to set memory aside. The others are plain policies.
+# ask engines to set memory aside. In `queue_untold`, they don't tell each other
+# what waits. The others are plain policies.
 POLICIES = (
     "queue",
     "queue_own",
     "queue_reports",
     "queue_unconfirmed",
+    "queue_untold",
     "random",
     "round_robin",
     "least_loaded",
@@ -128,6 +130,7 @@
             pools=self._pools,
             policy="queue" if policy.startswith("queue") else policy,
             is_lagging=policy == "queue_reports",
+            tells_queue=policy == "queue",
             generator=self._generator,
         )
 
@@ -136,7 +139,7 @@
         plan = self._plan
         for gateway in self._gateways:
             gateway.start()
-            if plan.policy == "queue":
+            if plan.policy in ("queue", "queue_untold"):
                 gateway.connect_peers(self._gateways)
         if plan.policy in ("queue_reports", "queue_unconfirmed"):
             self._report()
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -179,18 +179,18 @@
         )
         self.waiting = self._make_gauge(
             "generations_waiting",
-            "Generations that wait for capacity, by priority.",
-            ("priority",),
+            "Generations that wait for capacity, by rank.",
+            ("rank",),
         )
         self.admissions = self._make_counter(
             "admissions",
-            "Decisions on generations' capacity, by priority and outcome.",
-            ("priority", "outcome"),
+            "Decisions on generations' capacity, by rank and outcome.",
+            ("rank", "outcome"),
         )
         self.admission_wait = self._make_histogram(
             "admission_wait_seconds",
-            "Seconds that generations waited for capacity, by priority.",
-            ("priority",),
+            "Seconds that generations waited for capacity, by rank.",
+            ("rank",),
             buckets=_FIRST_TOKEN_BUCKETS,
         )
         self.admitted_tokens = self._make_counter(
