--- a/sassafrasstile/simulation/tests/test_patterns.py
+++ b/sassafrasstile/simulation/tests/test_patterns.py
@@ -77,6 +77,24 @@
         self.assertLess(ours.late, 0.75 * forgetful.late)
         self.assertGreater(ours.goodput, forgetful.goodput)
 
+    def test_burst_of_an_urgent_kind_at_one_gateway(self):
+        pattern = simulation.UrgentBurst(start_s=3.0, duration_s=8.0)
+        ours, untold = (
+            simulation.simulate_seeds(
+                simulation.Plan(
+                    site="amman",
+                    policy=policy,
+                    pattern=pattern,
+                    load=1.4,
+                    seconds=14.0,
+                ),
+                (1, 2),
+            ).mean
+            for policy in ("queue", "queue_untold")
+        )
+        self.assertGreater(ours.urgent_on_time, untold.urgent_on_time + 0.05)
+        self.assertGreater(ours.least_on_time, 0.5)
+
     def test_half_load_wastes_little_prefill(self):
         ours = _simulate("queue", "steady", 0.5)
         self.assertGreaterEqual(ours.goodput, 0.99)
