--- a/sassafrasstile/dispatch/_levels.py
+++ b/sassafrasstile/dispatch/_levels.py
@@ -138,10 +138,18 @@
         merged = self._merged.get(service)
         if merged is None:
             return OPEN_LEVEL
-        of_rank = dataclasses.replace(
-            turn, is_crowding=False, target_at=float("-inf")
+        of_rank = Turn(
+            urgency=turn.urgency,
+            priority=turn.priority,
+            is_crowding=False,
+            target_at=float("-inf"),
+        )
+        latest = Turn(
+            urgency=turn.urgency,
+            priority=turn.priority,
+            is_crowding=turn.is_crowding,
+            target_at=turn.target_at - _MARGIN_S,
         )
-        latest = dataclasses.replace(turn, target_at=turn.target_at - _MARGIN_S)
         more_urgent = bisect.bisect_left(merged.turns, of_rank)
         total = bisect.bisect_left(merged.turns, latest)
         return Level(
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -21,6 +21,8 @@
 # Late generations whose expected wait is longer than this are rejected.
 _MAX_LATE_WAIT_S = 1.0
 
+_NO_REPORT = peers.QueueReport()
+
 
 class Urgency(enum.IntEnum):
     """The classes of generations, in the order of their admission."""
@@ -288,10 +290,12 @@
             has_ranks: False if all generations have the same rank.
             is_complete: False to leave out what needn't be told each time.
         """
-        first = self._sort(now)[: _levels.MAX_TOLD] if has_ranks else ()
-        waiting = tuple(self._describe(item, now) for item in first)
+        waiting: tuple[peers.WaitingGeneration, ...] = ()
+        if has_ranks and self._waiters:
+            first = self._sort(now)[: _levels.MAX_TOLD]
+            waiting = tuple(self._describe(item, now) for item in first)
         if not is_complete:
-            return peers.QueueReport(waiting=waiting)
+            return peers.QueueReport(waiting=waiting) if waiting else _NO_REPORT
         return peers.QueueReport(
             waiting=waiting,
             admissions=self._drains.list_own() if has_ranks else (),
--- a/sassafrasstile/peers/_schedule.py
+++ b/sassafrasstile/peers/_schedule.py
@@ -9,7 +9,7 @@
 # Changes that only release capacity may be reported this much later.
 _RELEASE_DELAY_S = 0.1
 # Changes in what waits for capacity are reported at most this often.
-_QUEUE_INTERVAL_S = 0.05
+_QUEUE_INTERVAL_S = 0.1
 _NO_LOAD = _base.EndpointLoad()
 _NO_QUEUE = _base.QueueReport()
 
@@ -120,7 +120,12 @@
 
 
 def _list_turns(queue: _base.QueueReport) -> tuple[tuple[int, int], ...]:
-    return tuple((item.urgency, item.priority) for item in queue.waiting)
+    """Returns what others have to know at once: late work precedes none."""
+    return tuple(
+        (item.urgency, item.priority)
+        for item in queue.waiting
+        if item.remaining_s > 0
+    )
 
 
 def _is_urgent(load: _base.EndpointLoad, former: _base.EndpointLoad) -> bool:
