Dispatch: begun streams wait for nobody at other gateways, and nobody leaves memory to what waits for prefill or a version

Found on reading: after a crash many gateways resume streams, some of which only engines of a full version may take. Others would have left free memory of other versions to these until they gave up. Tests fail without it: test_begun_stream_does_not_wait_for_others, test_places_are_not_left_to_what_waits_for_prefill.

--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -56,6 +56,8 @@
             for any.
         prefilled_version: The version that its finished prefill needs while it
             hasn't expired.
+        lacks_decode: False if it waits for something else than memory of any
+            decode engine: for prefill, or for engines of its version.
         level: What went before it at other gateways when it was last its
             turn here.
         grant: The granted capacity, once it is admitted.
@@ -76,6 +78,7 @@
     excluded: tuple[_endpoints.Endpoint, ...] = ()
     software_version: str | None = None
     prefilled_version: str | None = None
+    lacks_decode: bool = True
     level: _levels.Level = _levels.OPEN_LEVEL
     grant: _grants.Grant | None = None
 
@@ -218,11 +221,13 @@
                 left_to_others.add(service)
                 continue
             full = full_versions[service]
+            waiter.lacks_decode = True
             match self._choose(waiter, now, full):
                 case _placement.VersionShortage(versions=versions):
                     # Later generations leave the engines of these versions to
                     # it, and needn't wait for those of others.
                     full.update(versions)
+                    waiter.lacks_decode = False
                     continue
                 case _placement.Shortage.DECODE:
                     # Smaller generations must not starve it.
@@ -231,6 +236,7 @@
                     # Generations that are already prefilled, or that a
                     # decode engine can prefill, need no prefill engine and
                     # so don't delay this one.
+                    waiter.lacks_decode = False
                     continue
                 case grant:
                     waiter.grant = grant
@@ -243,7 +249,8 @@
 
     def _must_leave(self, waiter: Waiter, now: float) -> bool:
         """Returns whether free capacity goes to other gateways first."""
-        if self._is_owed(waiter, now):
+        is_begun = waiter.get_urgency(now) < Urgency.ON_TIME
+        if is_begun or self._is_owed(waiter, now):
             waiter.level = _levels.OPEN_LEVEL
             return False
         waiter.level = self._levels.measure(
@@ -292,7 +299,9 @@
         """
         waiting: tuple[peers.WaitingGeneration, ...] = ()
         if has_ranks and self._waiters:
-            first = self._sort(now)[: _levels.MAX_TOLD]
+            # Others would leave memory to what can't use it.
+            ordered = [item for item in self._sort(now) if item.lacks_decode]
+            first = ordered[: _levels.MAX_TOLD]
             waiting = tuple(self._describe(item, now) for item in first)
         if not is_complete:
             return peers.QueueReport(waiting=waiting) if waiting else _NO_REPORT
--- a/sassafrasstile/dispatch/tests/test_ranks.py
+++ b/sassafrasstile/dispatch/tests/test_ranks.py
@@ -215,7 +215,7 @@
         self.assertLess(waits[len(waits) // 2], _TARGETS_S[2] / 2)
 
     def test_hot_workspace_crowds_out_its_own_requests(self):
-        """Load: a workspace sends eight times its usual at one gateway."""
+        """Load: a workspace sends eight times its usual, at one of three."""
 
         def add_load(site):
             for number in range(6):
@@ -287,6 +287,29 @@
         self.assertEqual(len(self.queue.admit(0.0)), 1)
         self.assertTrue(self.queue.is_holding)
 
+    def test_begun_stream_does_not_wait_for_others(self):
+        """Failure: streams are taken up again at many gateways."""
+        self.fill(leave=1)
+        self.tell(0, 0)
+        self.queue.add(
+            service=_SERVICE,
+            size=_SIZE,
+            target_at=-1.0,
+            wait_deadline=2.0,
+            is_resumed=True,
+        )
+        self.assertEqual(len(self.queue.admit(0.0)), 1)
+
+    def test_places_are_not_left_to_what_waits_for_prefill(self):
+        """Load: the prefill engines are behind at another gateway."""
+        self.fill(leave=1)
+        for endpoint in self.site.tables[1].list_all():
+            endpoint.prefill_tokens = 40_000
+        self.site.ask(1, 0)
+        self.assertEqual(self.site.queues[1].admit(0.0), [])
+        report = self.site.queues[1].make_report(0.0, has_ranks=True)
+        self.assertEqual(report.waiting, ())
+
     def test_urgent_request_does_not_wait_for_others(self):
         """Load: one place is free, less urgent requests wait elsewhere."""
         self.fill(leave=1)
