--- a/sassafrasstile/routes/_active.py
+++ b/sassafrasstile/routes/_active.py
@@ -16,6 +16,7 @@
         current: The configuration in force, or None before the first one.
         table: Its routes.
         directory: Its workspaces, or None if it has none.
+        priorities: The priorities that its generations may have.
 
     >>> active = ActiveConfiguration()
     >>> newer = _base.Configuration(version=4, routes=(), services={})
@@ -31,6 +32,7 @@
         self.table = _table.RouteTable(routes=())
         self.directory: workspaces.WorkspaceDirectory | None = None
         self._workspaces: dict[str, workspaces.Workspace] = {}
+        self.priorities: frozenset[int] = frozenset()
 
     @property
     def version(self) -> int | None:
@@ -56,6 +58,7 @@
         self._workspaces = {
             item.name: item for item in configuration.workspaces
         }
+        self.priorities = _list_priorities(configuration)
         if configuration.workspaces:
             self.directory = workspaces.WorkspaceDirectory(
                 workspaces=configuration.workspaces
@@ -72,3 +75,14 @@
             },
         )
         return True
+
+
+def _list_priorities(configuration: _base.Configuration) -> frozenset[int]:
+    """Returns the priorities that generations may have."""
+    of_routes = {
+        route.priority
+        for route in configuration.routes
+        if route.kind is _base.RouteKind.GENERATION
+    }
+    of_workspaces = {item.priority for item in configuration.workspaces}
+    return frozenset(of_routes | of_workspaces - {None})
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -213,6 +213,27 @@
         self.log_lines_dropped = self._make_counter(
             "log_lines_dropped", "Log lines dropped to stay within bounds."
         )
+        self.waiting = self._make_gauge(
+            "generations_waiting",
+            "Generations that wait for capacity, by rank.",
+            ("rank",),
+        )
+        self.admissions = self._make_counter(
+            "admissions",
+            "Decisions on generations' capacity, by rank and outcome.",
+            ("rank", "outcome"),
+        )
+        self.admission_wait = self._make_histogram(
+            "admission_wait_seconds",
+            "Seconds that generations waited for capacity, by rank.",
+            ("rank",),
+            buckets=_FIRST_TOKEN_BUCKETS,
+        )
+        self.admitted_tokens = self._make_counter(
+            "admitted_tokens",
+            "KV cache granted, in tokens, by workspace.",
+            ("workspace",),
+        )
         self.latency = self._make_histogram(
             "latency_seconds",
             "Seconds from a request's arrival to its end.",
