--- a/sassafrasstile/permits/_quotas.py
+++ b/sassafrasstile/permits/_quotas.py
@@ -510,7 +510,9 @@
         now = self._now()
         for account in list(self._accounts.values()):
             for lease in account.drop_expired(now):
-                self._give_back(account, lease.gateway, lease.amount)
+                # Where this process stood still, it was refilled long ago.
+                if now - lease.expires_at <= _OLD_CHARGE_S:
+                    self._give_back(account, lease.gateway, lease.amount)
             is_idle = not account.waiting and not account.is_asking
             if is_idle and now - account.used_at > _IDLE_S:
                 del self._accounts[account.name]
--- a/sassafrasstile/permits/tests/test_quotas.py
+++ b/sassafrasstile/permits/tests/test_quotas.py
@@ -383,6 +383,36 @@
         gateway.thaw()
         self.assertEqual(gateway.keeper.list_leased()["w"], 0)
 
+    def test_frozen_gateway_gives_no_old_lease_back(self):
+        """Its part was refilled long ago, so it would be handed out twice."""
+        site = self.start(gateways=3)
+        owner = site.gateways["g0"].limiter.rank("quota:w")[0]
+        name = next(name for name in site.gateways if name != owner)
+        site.run_for(4.0, load=0.8, names=[name])
+        gateway = site.gateways[name]
+        self.assertGreater(gateway.keeper.list_leased()["w"], 0)
+        gateway.is_frozen = True
+        site.run_for(6.0)
+        sent = gateway.sent
+        gateway.thaw()
+        site.run_for(1.0)
+        self.assertEqual(gateway.sent, sent)
+
+    def test_denial_by_a_gateway_that_stands_in_asks_for_a_short_wait(self):
+        """Without slack it can hand out nothing, but the first one is back."""
+        site = self.start(
+            gateways=3, bounds=permits.QuotaBounds(window_s=8.0)
+        )
+        owner = site.gateways["g0"].limiter.rank("quota:w")[0]
+        site.gateways[owner].is_frozen = True
+        name = next(name for name in site.gateways if name != owner)
+        decisions = []
+        site.ask(name, tokens=3300).addCallback(decisions.append)
+        site.run_for(1.0)
+        (decision,) = decisions
+        self.assertFalse(decision.is_granted)
+        self.assertLessEqual(decision.wait_s, 0.5)
+
     def test_sum_is_kept_when_the_gateway_that_hands_out_freezes(self):
         site = self.start()
         owner = site.gateways["g0"].limiter.rank("quota:w")[0]
