--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -22,6 +22,7 @@
     RestrictionChange,
     SendRestrictions,
 )
+from sassafrasstile.dispatch._speed_sharing import SpeedSharing
 
 __all__ = [
     "DispatchSettings",
@@ -38,6 +39,7 @@
     "RestrictionChange",
     "SendRestrictions",
     "Shortage",
+    "SpeedSharing",
     "VersionShortage",
     "Waiter",
     "WindowedRetryBudget",
--- a/sassafrasstile/dispatch/_base.py
+++ b/sassafrasstile/dispatch/_base.py
@@ -5,15 +5,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class WorkSize:
-    """The size of a generation in tokens.
+    """The size of a generation in tokens, and its targets.
 
     Attributes:
         prompt_tokens: Tokens of the prompt.
         output_tokens: Expected tokens of the output.
+        target_s: Target for the time to its first token, in seconds.
+        max_gap_s: Target for the time between two events, in seconds. The
+            other streams of an engine are taken to have about the same.
     """
 
     prompt_tokens: int = 0
     output_tokens: int = 0
+    target_s: float = 0.9
+    max_gap_s: float = 0.3
 
     @property
     def memory_tokens(self) -> int:
--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -7,6 +7,7 @@
 from sassafrasstile import errors
 from sassafrasstile import membership
 from sassafrasstile import peers
+from sassafrasstile import speeds as speed_models
 from sassafrasstile.dispatch import _base
 from sassafrasstile.dispatch import _health
 from sassafrasstile.dispatch import _restrictions
@@ -20,6 +21,8 @@
 # The restrictions of this many former endpoints are remembered. Their records
 # may return, for example when the store is restored from a copy.
 _MAX_REMEMBERED = 1000
+# What is typical of this many services is remembered.
+_MAX_SERVICES = 100
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -59,6 +62,7 @@
         record: What the endpoint announced.
         health: Its health, as observed from its responses.
         restrictions: What it has asked of this gateway.
+        speeds: How fast it is, as learned from its answers.
         in_flight: Requests of this gateway that it runs or queues.
         reserved_tokens: KV cache in tokens that these requests occupy when
             they end.
@@ -83,6 +87,9 @@
     restrictions: _restrictions.SendRestrictions = dataclasses.field(
         default_factory=_restrictions.SendRestrictions
     )
+    speeds: speed_models.EndpointSpeeds = dataclasses.field(
+        default_factory=speed_models.EndpointSpeeds
+    )
     in_flight: int = 0
     reserved_tokens: int = 0
     prefill_tokens: int = 0
@@ -231,6 +238,22 @@
         self._remembered: collections.OrderedDict[
             str, _RememberedRestrictions
         ] = collections.OrderedDict()
+        self._services: collections.OrderedDict[
+            str, speed_models.ServiceSpeeds
+        ] = collections.OrderedDict()
+
+    def find(self, endpoint_id: str) -> Endpoint | None:
+        """Returns the present incarnation of an endpoint, if it is known."""
+        return self._endpoints.get(endpoint_id)
+
+    def get_service_speeds(self, service: str) -> speed_models.ServiceSpeeds:
+        """Returns what is typical of the endpoints of a service."""
+        known = self._services.get(service)
+        if known is None:
+            known = self._services[service] = speed_models.ServiceSpeeds()
+            if len(self._services) > _MAX_SERVICES:
+                self._services.popitem(last=False)
+        return known
 
     def update_record(
         self, endpoint_id: str, record: membership.EndpointRecord | None
@@ -317,6 +340,9 @@
             record=record,
             health=_health.Health(silence_timeout_s=self._silence_timeout_s),
             restrictions=self._take_restrictions(record),
+            speeds=speed_models.EndpointSpeeds(
+                service=self.get_service_speeds(record.service)
+            ),
         )
         # A gateway's report may arrive before the endpoint's record.
         for peer, loads in self._peer_loads.items():
--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -7,6 +7,7 @@
 
 from sassafrasstile import membership
 from sassafrasstile import routes
+from sassafrasstile import speeds
 from sassafrasstile.dispatch import _base
 from sassafrasstile.dispatch import _costs
 from sassafrasstile.dispatch import _endpoints
@@ -92,7 +93,7 @@
         self._zone = zone
         self._generator = generator
         self._prefills = _prefills.PrefillChooser(
-            endpoints=endpoints, generator=generator
+            endpoints=endpoints, generator=generator, is_lagging=is_lagging
         )
 
     def choose_for_call(
@@ -365,7 +366,10 @@
             return is_free and used <= share * capacity
 
         def estimate(item: _endpoints.Endpoint) -> float:
-            cost = item.total_reserved_tokens / capacity
+            # Fast engines free their memory sooner.
+            used = item.total_reserved_tokens + size.memory_tokens
+            cost = used / capacity
+            cost *= item.speeds.estimate_factor(speeds.Kind.STEP, now)
             rate = item.health.compute_failure_rate(now)
             cost += _DECODE_FAILURE_COST * rate
             if not self.is_load_timely(item):
@@ -406,15 +410,30 @@
 
     @staticmethod
     def can_prefill_locally(
-        decode: _endpoints.Endpoint, size: _base.WorkSize
+        decode: _endpoints.Endpoint, size: _base.WorkSize, now: float = 0.0
     ) -> bool:
         """Returns whether a decode engine may prefill a prompt itself.
 
         Args:
             decode: The decode engine.
             size: The size of the generation.
+            now: The time in seconds.
+        """
+        return _prefills.can_prefill_locally(decode, size, now)
+
+    def estimate_start_s(
+        self, service: routes.Service, size: _base.WorkSize
+    ) -> float:
+        """Returns the expected seconds from admission to the first token.
+
+        They are those of engines that are typical of the service.
+
+        Args:
+            service: The required service.
+            size: The size of the generation.
         """
-        return _prefills.can_prefill_locally(decode, size)
+        typical = self._endpoints.get_service_speeds(service.name)
+        return typical.estimate_s(speeds.Kind.ADMISSION, size.prompt_tokens)
 
     def _choose_cheapest(
         self,
--- a/sassafrasstile/dispatch/_prefills.py
+++ b/sassafrasstile/dispatch/_prefills.py
@@ -1,32 +1,37 @@
 """Chooses the engine that prefills a generation's prompt."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import random
 
 from sassafrasstile import membership
 from sassafrasstile import routes
+from sassafrasstile import speeds
 from sassafrasstile.dispatch import _base
 from sassafrasstile.dispatch import _costs
 from sassafrasstile.dispatch import _endpoints
 
 # Cost of a prefill in another zone than the decode, in seconds of backlog.
 _PREFILL_ZONE_COST_S = 0.05
-# Maximum backlog at which a prefill engine gets another prompt.
+# Maximum backlog at which a prefill engine gets another prompt, as a share of
+# the target for the first token.
+_MAX_BACKLOG_SHARE = 1 / 3
+# The same for the prompt of a late generation.
+_MAX_LATE_BACKLOG_SHARE = 1 / 9
+# Maximum backlog in seconds for generations that have much time: others that
+# have less come after them.
 _MAX_BACKLOG_S = 0.3
-# Maximum backlog at which it gets the prompt of a late generation.
-_MAX_LATE_BACKLOG_S = 0.1
-# Longest prompt that a decode engine prefills beside other streams. It
-# prefills 1,024 tokens in 40 ms between two tokens of each stream, and an
-# event has seven tokens, so longer prompts delay the events of the others.
-_MAX_LOCAL_PREFILL_TOKENS = 6000
-# With at most this many streams, it prefills prompts of any length.
+# With at most this many streams, a decode engine prefills prompts of any
+# length.
 _FEW_STREAMS = 1
-# Assumed prefill rate, which turns tokens into a backlog in seconds.
-_PREFILL_TOKENS_PER_S = 50_000.0
+# Share of the longest pause between two events for which a prefill may hold
+# them up. The steps of the event itself take the rest.
+_LOCAL_PREFILL_GAP_SHARE = 0.85
+# Number of engines compared while gateways hear late of each other's choices.
+_LAGGING_SAMPLE = 2
 
 
 def can_prefill_locally(
-    decode: _endpoints.Endpoint, size: _base.WorkSize
+    decode: _endpoints.Endpoint, size: _base.WorkSize, now: float
 ) -> bool:
     """Returns whether a decode engine may prefill a prompt itself.
 
@@ -36,11 +41,17 @@
     Args:
         decode: The decode engine.
         size: The size of the generation.
+        now: The time in seconds.
     """
     if decode.total_prefill_tokens:
         return False
-    is_short = size.prompt_tokens <= _MAX_LOCAL_PREFILL_TOKENS
-    return is_short or decode.total_in_flight <= _FEW_STREAMS
+    if decode.total_in_flight <= _FEW_STREAMS:
+        return True
+    # A slow spell during the prefill would delay each of the other streams.
+    delay_s = decode.speeds.estimate_long_wait_s(
+        speeds.Kind.LOCAL_PREFILL, size.prompt_tokens, now
+    )
+    return delay_s <= _LOCAL_PREFILL_GAP_SHARE * size.max_gap_s
 
 
 class PrefillChooser:
@@ -52,6 +63,8 @@
     Args:
         endpoints: The endpoints.
         generator: The source of random numbers.
+        is_lagging: Returns whether this gateway hears late of what others
+            reserve just now.
     """
 
     def __init__(
@@ -59,9 +72,11 @@
         *,
         endpoints: _endpoints.EndpointTable,
         generator: random.Random,
+        is_lagging: Callable[[], bool] = lambda: False,
     ):
         self._endpoints = endpoints
         self._generator = generator
+        self._is_lagging = is_lagging
 
     def list_versions(
         self, service: routes.Service, size: _base.WorkSize, now: float
@@ -77,7 +92,10 @@
             The versions with engines of both kinds; None if any version will
             do, or if there is none with both.
         """
-        if size.prompt_tokens <= _MAX_LOCAL_PREFILL_TOKENS:
+        delay_s = self._endpoints.get_service_speeds(service.name).estimate_s(
+            speeds.Kind.LOCAL_PREFILL, size.prompt_tokens
+        )
+        if delay_s <= _LOCAL_PREFILL_GAP_SHARE * size.max_gap_s:
             return None
         prefills = self._list_reachable(service.name, now)
         decodes = self._endpoints.list_usable(
@@ -116,32 +134,43 @@
             for item in self._list_reachable(service.name, now)
             if item.record.software_version == version
         ]
-        limit_s = _MAX_LATE_BACKLOG_S if is_late else _MAX_BACKLOG_S
         prefill = self._choose_cheapest(
-            engines, now, decode.record.zone, limit_s
+            engines,
+            size,
+            now,
+            zone=decode.record.zone,
+            limit_s=_choose_backlog_limit_s(size, is_late=is_late),
         )
         if prefill is not None:
             return prefill
         # A stream that can go on nowhere else doesn't wait for a prefill
         # engine that doesn't exist.
         must_be_local = is_bound and not engines
-        is_local = must_be_local or can_prefill_locally(decode, size)
+        is_local = must_be_local or can_prefill_locally(decode, size, now)
         return decode if is_local else None
 
     def _choose_cheapest(
         self,
         engines: Sequence[_endpoints.Endpoint],
+        size: _base.WorkSize,
         now: float,
+        *,
         zone: str,
         limit_s: float,
     ) -> _endpoints.Endpoint | None:
         """Chooses the prefill engine expected to finish the prompt first."""
 
         def estimate_backlog(item: _endpoints.Endpoint) -> float:
-            return item.total_prefill_tokens / _PREFILL_TOKENS_PER_S
+            return item.speeds.estimate_wait_s(
+                speeds.Kind.PREFILL, item.total_prefill_tokens, now
+            )
 
         def estimate(item: _endpoints.Endpoint) -> float:
-            cost = estimate_backlog(item)
+            cost = item.speeds.estimate_s(
+                speeds.Kind.PREFILL,
+                item.total_prefill_tokens + size.prompt_tokens,
+                now,
+            )
             rate = item.health.compute_failure_rate(now)
             cost += _costs.FAILURE_COST_S * rate
             if item.record.zone != zone:
@@ -153,6 +182,10 @@
             for item in engines
             if item.is_available(now) and estimate_backlog(item) <= limit_s
         ]
+        if self._is_lagging():
+            usable = self._generator.sample(
+                usable, min(_LAGGING_SAMPLE, len(usable))
+            )
         return _costs.choose_cheapest(
             usable, estimate, generator=self._generator
         )
@@ -167,3 +200,10 @@
             )
             if item.health.is_reachable(now)
         ]
+
+
+def _choose_backlog_limit_s(size: _base.WorkSize, *, is_late: bool) -> float:
+    """Returns the longest backlog behind which a prompt is queued."""
+    share = _MAX_LATE_BACKLOG_SHARE if is_late else _MAX_BACKLOG_SHARE
+    target_s = min(size.target_s, _MAX_BACKLOG_S / _MAX_BACKLOG_SHARE)
+    return share * target_s
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -12,8 +12,6 @@
 from sassafrasstile.dispatch import _grants
 from sassafrasstile.dispatch import _placement
 
-# Expected duration of prefill and KV cache transfer after admission.
-PREFILL_AND_TRANSFER_S = 0.25
 # Window over which the admission rate is measured.
 _RATE_WINDOW_S = 2.0
 # Delay in the order of arrival for each step of lower priority. It is bounded,
@@ -55,6 +53,7 @@
             for any.
         prefilled_version: The version that its finished prefill needs while it
             hasn't expired.
+        start_s: Expected seconds from its admission to its first token.
         grant: The granted capacity, once it is admitted.
     """
 
@@ -70,6 +69,7 @@
     excluded: tuple[_endpoints.Endpoint, ...] = ()
     software_version: str | None = None
     prefilled_version: str | None = None
+    start_s: float = 0.0
     grant: _grants.Grant | None = None
 
     def needs_prefill(self, now: float) -> bool:
@@ -88,7 +88,7 @@
             return Urgency.RESUMED
         if not self.needs_prefill(now):
             return Urgency.PREFILLED
-        if self.target_at < now + PREFILL_AND_TRANSFER_S:
+        if self.target_at < now + self.start_s:
             return Urgency.LATE
         return Urgency.ON_TIME
 
@@ -166,6 +166,7 @@
             excluded=excluded,
             software_version=software_version,
             prefilled_version=prefilled_version,
+            start_s=self._placement.estimate_start_s(service, size),
         )
         self._waiters.append(waiter)
         return waiter
--- a/sassafrasstile/forwarding/_context.py
+++ b/sassafrasstile/forwarding/_context.py
@@ -52,6 +52,7 @@
         read_bounds: Bounds on what is read from endpoints.
         confirm_endpoints: Returns whether the known endpoints are those that
             the store lists, as of a time in seconds or later.
+        speed_sharing: Learns how fast endpoints are.
         access: Decides what each request may run as.
         generator: The random number generator.
     """
@@ -88,6 +89,7 @@
     )
 
     def __post_init__(self):
+        self.speed_sharing = dispatch.SpeedSharing(endpoints=self.endpoints)
         self._pools: dict[dispatch.Endpoint, web.ConnectionPool] = {}
         self._budgets: dict[str, dispatch.WindowedRetryBudget] = {}
         self._warnings = limits.TokenBucket(rate_per_s=_MAX_WARNINGS_PER_S)
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -14,6 +14,7 @@
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _holds
+from sassafrasstile.forwarding import _measurements
 from sassafrasstile.forwarding import _prefills
 from sassafrasstile.forwarding import _resumptions
 from sassafrasstile.forwarding import _retries
@@ -146,6 +147,7 @@
         progress: _streams.Progress,
     ) -> verdicts.Verdict | None:
         """Runs a request on the engines that it was granted."""
+        task.granted_at = self._context.now()
         denial = self._find_denial(task, grant.decode)
         if denial is not None:
             return denial
@@ -274,6 +276,7 @@
             request_id=task.request_id,
             number=task.sends,
         )
+        start = self._time_start(task, grant, progress)
         run_watch = context.quarantine.watch(
             task.content, engine.record, request_id=task.request_id
         )
@@ -303,7 +306,7 @@
                 if result.kind is not _base.AnswerKind.SUCCESS:
                     return await self._forward_failure(task, attempt, result)
                 return await self._streams.forward_events(
-                    task, attempt, result, progress, grant, run_watch
+                    task, attempt, result, progress, grant, run_watch, start
                 )
         finally:
             attempt.close()
@@ -316,6 +319,29 @@
             self._handle_refusal(task, engine, progress)
         return result
 
+    def _time_start(
+        self,
+        task: _task.RequestTask,
+        grant: dispatch.Grant,
+        progress: _streams.Progress,
+    ) -> _measurements.WorkTimer | None:
+        """Starts to measure the time to the first event, if it has one."""
+        if progress.events or task.details.is_resumption:
+            return None
+        if progress.handle is None:
+            return _measurements.time_local_prefill(
+                self._context, grant.decode, task.size
+            )
+        if not grant.has_remote_prefill:
+            # The prompt was prefilled for an earlier send.
+            return None
+        return _measurements.time_admission(
+            self._context,
+            grant.decode,
+            task.size,
+            granted_at=task.granted_at,
+        )
+
     async def _wait_for_head(
         self,
         task: _task.RequestTask,
@@ -343,7 +369,7 @@
     def _may_prefill_locally(self, grant: dispatch.Grant) -> bool:
         """Returns whether the decode engine may prefill locally."""
         return self._context.placement.can_prefill_locally(
-            grant.decode, grant.size
+            grant.decode, grant.size, self._context.now()
         )
 
     def _handle_refusal(
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -10,6 +10,7 @@
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _control_calls
+from sassafrasstile.forwarding import _measurements
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _sends
 from sassafrasstile.forwarding import _task
@@ -75,6 +76,7 @@
             request_id=task.request_id,
             number=0,
         )
+        timer = _measurements.time_prefill(context, engine)
         try:
             result = await attempt.start(
                 outgoing,
@@ -88,7 +90,7 @@
             if not isinstance(result, _attempts.Answered):
                 return None
             engine.record_acceptance()
-            return await self._read_handle(task, attempt, result)
+            return await self._read_handle(task, attempt, result, timer)
         finally:
             attempt.close()
 
@@ -122,6 +124,7 @@
         task: _task.RequestTask,
         attempt: _attempts.Attempt,
         answered: _attempts.Answered,
+        timer: _measurements.WorkTimer,
     ) -> _base.KvHandle | None:
         context = self._context
         try:
@@ -142,6 +145,7 @@
             return None
         now = context.now()
         attempt.record_success(now - attempt.began_at)
+        timer.record_end()
         engine = task.service.engine
         ttl_s = engine.handle_ttl_s if engine else _DEFAULT_HANDLE_TTL_S
         return _base.KvHandle(
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -124,6 +124,8 @@
             size=dispatch.WorkSize(
                 prompt_tokens=details.prompt_tokens,
                 output_tokens=output_tokens,
+                target_s=route.target_s,
+                max_gap_s=route.target_gap_s,
             ),
             exchange=exchange,
             deadline=request.received_at + timeout_s,
--- a/sassafrasstile/forwarding/_streams.py
+++ b/sassafrasstile/forwarding/_streams.py
@@ -15,6 +15,7 @@
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _events
 from sassafrasstile.forwarding import _holds
+from sassafrasstile.forwarding import _measurements
 from sassafrasstile.forwarding import _resumptions
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _standby
@@ -77,6 +78,7 @@
         progress: Progress,
         grant: dispatch.Grant,
         run_watch: quarantine.RunWatch,
+        start: _measurements.WorkTimer | None = None,
     ) -> verdicts.Verdict | None:
         """Forwards events until the stream ends or breaks off.
 
@@ -87,10 +89,18 @@
             progress: What the caller has received so far; is updated.
             grant: The capacity reserved for the generation.
             run_watch: Learns whether the engine survives the prompt.
+            start: Measures the time to the first event, or None for a stream
+                that goes on.
 
         Returns:
             None once the caller has the complete answer, else the verdict.
         """
+        meter = _measurements.StreamMeter(
+            context=self._context,
+            engine=attempt.endpoint,
+            tokens_per_event=self._get_tokens_per_event(task),
+            start=start,
+        )
         splitter = _events.EventSplitter(
             max_event_bytes=self._context.read_bounds.event_bytes
         )
@@ -107,12 +117,15 @@
                         task, attempt, answered, event, progress
                     )
                     run_watch.record_event(progress.sent_at)
+                    meter.record_event(progress.sent_at)
                 grant.update_output_tokens(self.count_tokens(task, progress))
                 if splitter.is_exceeded:
                     raise answered.reply.exceed(web.ReadKind.EVENT)
                 # Meanwhile nothing is read from the engine, and it isn't
                 # watched for silence.
+                meter.pause(self._context.now())
                 await task.exchange.wait_until_writable()
+                meter.resume(self._context.now())
             _check_end(splitter, progress)
         except web.ExchangeError as reason:
             if reason.code in _LOSS_CODES:
@@ -140,10 +153,14 @@
     @staticmethod
     def count_tokens(task: _task.RequestTask, progress: Progress) -> int:
         """Returns the number of tokens generated so far."""
-        engine = task.service.engine
-        per_event = engine.tokens_per_event if engine else 1
+        per_event = StreamForwarder._get_tokens_per_event(task)
         return progress.events * per_event
 
+    @staticmethod
+    def _get_tokens_per_event(task: _task.RequestTask) -> int:
+        engine = task.service.engine
+        return engine.tokens_per_event if engine else 1
+
     async def _read_chunk(
         self,
         task: _task.RequestTask,
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -29,6 +29,7 @@
             said so. Each attempt at a request has the same.
         arrived_at: When the caller's first attempt arrived at any gateway, in
             seconds; its targets count from then.
+        granted_at: When it last got its engines, in seconds.
         access: What it runs as.
         sends: How often it was sent to an endpoint to be run.
         hold_attempts: How often an engine was asked to set memory aside.
@@ -54,6 +55,7 @@
     deadline: float
     caller_deadline: float
     arrived_at: float
+    granted_at: float = 0.0
     access: workspaces.Access = workspaces.ANONYMOUS
     sends: int = 0
     prefill_attempts: int = 0
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -80,6 +80,27 @@
     remaining_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SpeedReport:
+    """How long a piece of work took at an endpoint.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        started_ms: When its incarnation started, in Unix milliseconds.
+        kind: The kind of work.
+        work: The amount of work, in the unit of its kind.
+        seconds: How long it took.
+        age_s: Seconds since it ended.
+    """
+
+    endpoint_id: str
+    started_ms: int
+    kind: str
+    work: float
+    seconds: float
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LoadReport:
     """What one gateway tells the others about its work.
@@ -96,6 +117,7 @@
         refusals: The generations that it has refused lately.
         configuration_version: The configuration in force there, or None
             before it has one.
+        speeds: How long work took at endpoints lately.
     """
 
     sender: PeerAddress
@@ -108,6 +130,7 @@
     )
     refusals: tuple[PromptRefusal, ...] = ()
     configuration_version: int | None = None
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -85,6 +85,9 @@
             before there is one.
         on_configuration_version: Called with the version that a peer has in
             force, or None.
+        read_speeds: Returns the observations of endpoints' speeds after the
+            one with a number, and the number of the last one.
+        on_speeds: Called with those that a peer reports.
     """
 
     noisy = False
@@ -114,6 +117,12 @@
         on_configuration_version: Callable[
             [int | None], None
         ] = lambda _version: None,
+        read_speeds: Callable[
+            [int], tuple[int, tuple[_base.SpeedReport, ...]]
+        ] = lambda number: (number, ()),
+        on_speeds: Callable[
+            [tuple[_base.SpeedReport, ...]], None
+        ] = lambda _speeds: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -129,6 +138,8 @@
         self._on_start = on_start
         self._read_configuration_version = read_configuration_version
         self._on_configuration_version = on_configuration_version
+        self._read_speeds = read_speeds
+        self._on_speeds = on_speeds
         self._peers: dict[str, _Peer] = {}
         self._lost_at: dict[str, float] = {}
         self._gateway_count = 1
@@ -306,6 +317,8 @@
         self._on_topics(report.topics)
         self._on_refusals(report.refusals)
         self._on_configuration_version(report.configuration_version)
+        if report.speeds:
+            self._on_speeds(report.speeds)
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
@@ -349,7 +362,12 @@
         if not is_due or not schedule.take_tokens(len(group), now):
             return
         reported = schedule.select(loads, now, is_complete=is_complete)
-        self._send(reported, group, is_complete=is_complete)
+        speeds: tuple[_base.SpeedReport, ...] = ()
+        if is_complete:
+            schedule.speeds_number, speeds = self._read_speeds(
+                schedule.speeds_number
+            )
+        self._send(reported, group, is_complete=is_complete, speeds=speeds)
 
     def _send(
         self,
@@ -357,6 +375,7 @@
         group: Collection[_Peer],
         *,
         is_complete: bool,
+        speeds: tuple[_base.SpeedReport, ...] = (),
     ) -> None:
         self._sequence += 1
         data = _codec.encode_report(
@@ -369,6 +388,7 @@
                 topics=self._read_topics(),
                 refusals=self._read_refusals(),
                 configuration_version=self._read_configuration_version(),
+                speeds=speeds,
             )
         )
         for peer in group:
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -6,6 +6,7 @@
 from sassafrasstile.peers import _base
 
 _MS_PER_S = 1000
+_US_PER_S = 1_000_000
 
 
 def encode_address(address: _base.PeerAddress) -> bytes:
@@ -87,6 +88,17 @@
             for item in report.refusals
         ],
         report.configuration_version,
+        [
+            [
+                item.endpoint_id,
+                item.started_ms,
+                item.kind,
+                round(item.work, 1),
+                round(item.seconds * _US_PER_S),
+                round(item.age_s * _MS_PER_S),
+            ]
+            for item in report.speeds
+        ],
     ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
@@ -107,6 +119,7 @@
             ends,
             refusals,
             configuration_version,
+            speeds,
         ) = json.loads(data)
         topics = {
             str(topic): _base.TopicEndReport(
@@ -149,6 +162,17 @@
                 for prompt_id, age_ms, remaining_ms in refusals
             ),
             configuration_version=_read_number(configuration_version),
+            speeds=tuple(
+                _base.SpeedReport(
+                    endpoint_id=str(endpoint),
+                    started_ms=int(started_ms),
+                    kind=str(kind),
+                    work=float(work),
+                    seconds=int(taken_us) / _US_PER_S,
+                    age_s=int(age_ms) / _MS_PER_S,
+                )
+                for endpoint, started_ms, kind, work, taken_us, age_ms in speeds
+            ),
         )
     except (ValueError, TypeError) as reason:
         raise errors.Error(
--- a/sassafrasstile/peers/_schedule.py
+++ b/sassafrasstile/peers/_schedule.py
@@ -20,11 +20,14 @@
         has_news: True when a report is due for a reason beside the loads.
         held_back_at: When the rate limit last held a due report back, in
             seconds.
+        speeds_number: The number of the last observation of an endpoint's
+            speed that the group was sent.
     """
 
     bucket: limits.TokenBucket
     has_news: bool = False
     held_back_at: float = float("-inf")
+    speeds_number: int = 0
     _sent: Mapping[str, _base.EndpointLoad] = dataclasses.field(
         default_factory=dict
     )
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -250,6 +250,12 @@
             ),
             on_message=self._receive_message,
             on_start=self._tell_starting_peer,
+            read_speeds=lambda number: self._context.speed_sharing.list_newer(
+                number, self._now()
+            ),
+            on_speeds=lambda reports: self._context.speed_sharing.apply(
+                reports, self._now()
+            ),
             read_configuration_version=self._read_configuration_version,
             on_configuration_version=self._start_gate.record_peer_configuration_version,
         )
--- a/sassafrasstile/simulation/_callers.py
+++ b/sassafrasstile/simulation/_callers.py
@@ -91,6 +91,8 @@
         match self._pattern:
             case _patterns.Burst(factor=factor) if self._pattern.is_active(now):
                 rate *= factor
+            case _patterns.Wave(swing=swing, period_s=period_s):
+                rate *= 1 + swing * math.sin(2 * math.pi * now / period_s)
         delay_s = self._arrivals.expovariate(rate)
         if now + delay_s < until:
             self._reactor.callLater(delay_s, self._start_request, until)
--- a/sassafrasstile/simulation/_dispatchers.py
+++ b/sassafrasstile/simulation/_dispatchers.py
@@ -79,7 +79,7 @@
     def can_prefill_locally(self, grant):
         """Returns the decision of the placement."""
         return self._context.placement.can_prefill_locally(
-            grant.decode, grant.size
+            grant.decode, grant.size, self._context.now()
         )
 
     def needs_hold(self, grant):
--- a/sassafrasstile/simulation/_engines.py
+++ b/sassafrasstile/simulation/_engines.py
@@ -54,8 +54,14 @@
         self._free_at = 0.0
         self.is_unresponsive = False
         self.ttl_s = profile.handle_ttl_s
+        self.slow_factor = 1.0
         self.prefilled_tokens = 0
 
+    @property
+    def tokens_per_s(self) -> float:
+        """The speed without a slow spell."""
+        return self._profile.prefill_tokens_per_s
+
     def prefill(self, tokens: int) -> defer.Deferred:
         """Prefills a prompt; the result is a `Handle`.
 
@@ -65,7 +71,8 @@
         if self.is_unresponsive:
             return done
         starts_at = max(self._free_at, self._reactor.seconds())
-        self._free_at = starts_at + tokens / self._profile.prefill_tokens_per_s
+        taken_s = self.slow_factor * tokens / self.tokens_per_s
+        self._free_at = starts_at + taken_s
         self.prefilled_tokens += tokens
         delay_s = self._free_at - self._reactor.seconds()
         self._reactor.callLater(delay_s, self._finish, done, tokens)
@@ -128,9 +135,15 @@
         self._is_stepping = False
         self._link_free_at = 0.0
         self.link_factor = 1.0
+        self.slow_factor = 1.0
         self.prefilled_tokens = 0
         self.recomputed_tokens = 0
 
+    @property
+    def step_s(self) -> float:
+        """Seconds of a step without requests and without a slow spell."""
+        return self._profile.step_s
+
     @property
     def used_tokens(self) -> int:
         """Tokens of KV cache in use or set aside."""
@@ -233,7 +246,7 @@
                 prefilling.pending_prefill_tokens,
             )
             step_s += chunk_tokens / profile.local_prefill_tokens_per_s
-        return step_s
+        return self.slow_factor * step_s
 
     def _find_prefilling(self) -> Sequence | None:
         for item in self._running:
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -11,6 +11,7 @@
 from sassafrasstile import permits
 from sassafrasstile import quarantine
 from sassafrasstile import routes
+from sassafrasstile import speeds
 from sassafrasstile import web
 from sassafrasstile.simulation import _base
 from sassafrasstile.simulation import _dispatchers
@@ -86,6 +87,12 @@
             on_refusals=lambda refusals: self._context.refusals.apply(
                 refusals, reactor.seconds()
             ),
+            read_speeds=lambda number: self._context.speed_sharing.list_newer(
+                number, reactor.seconds()
+            ),
+            on_speeds=lambda reports: self._context.speed_sharing.apply(
+                reports, reactor.seconds()
+            ),
         )
 
     def _make_context(self, generator) -> forwarding.ForwardingContext:
@@ -198,6 +205,7 @@
             grant = await self._dispatcher.acquire(task, handle)
             if grant is None:
                 return False
+            task.granted_at = self._reactor.seconds()
             try:
                 hold = await self._take_hold(task, grant)
                 if grant.prefill is not None:
@@ -273,7 +281,10 @@
             route=_make_route(self._profile),
             service=self._service,
             size=dispatch.WorkSize(
-                prompt_tokens=attempt.prompt_tokens, output_tokens=output_tokens
+                prompt_tokens=attempt.prompt_tokens,
+                output_tokens=output_tokens,
+                target_s=self._profile.target_s,
+                max_gap_s=self._profile.gap_s,
             ),
             exchange=None,
             deadline=attempt.deadline,
@@ -300,6 +311,7 @@
             return None
         task.prefill_attempts += 1
         engine = grant.prefill
+        work = engine.total_prefill_tokens
         prefilling = self._pools.prefills[engine.name].prefill(
             task.size.prompt_tokens
         )
@@ -315,7 +327,9 @@
         finally:
             engine.health.remove_pending(task.request_id)
             self._dispatcher.release_prefill(grant)
-        engine.health.record_activity(self._reactor.seconds())
+        ended_at = self._reactor.seconds()
+        engine.health.record_activity(ended_at)
+        self._observe(engine, speeds.Kind.PREFILL, work, ended_at - now)
         if hold is None:
             self._dispatcher.confirm(task, grant)
         return forwarding.KvHandle(
@@ -341,10 +355,13 @@
             return False, None
         task.sends += 1
         engine = self._pools.decodes[grant.decode.name]
+        meter = speeds.StepMeter(
+            tokens_per_event=self._profile.engine.tokens_per_event
+        )
         sequence = _engines.Sequence(
             prompt_tokens=attempt.prompt_tokens,
             output_tokens=attempt.output_tokens,
-            on_event=lambda: self._record_event(attempt, grant),
+            on_event=lambda: self._record_event(attempt, grant, meter),
         )
         try:
             engine.run(sequence, handle and handle.token, hold)
@@ -356,6 +373,7 @@
         grant.decode.record_acceptance()
         try:
             await sequence.done
+            self._observe_start(task, grant, attempt, began_at=now)
         finally:
             engine.cancel(sequence)
         self._context.lengths.record(
@@ -365,10 +383,53 @@
         )
         return True, None
 
+    def _observe_start(
+        self,
+        task: forwarding.RequestTask,
+        grant: dispatch.Grant,
+        attempt: _base.RequestAttempt,
+        *,
+        began_at: float,
+    ) -> None:
+        """Records the time to the first event of a first send."""
+        if task.sends > 1:
+            return
+        kind = speeds.Kind.LOCAL_PREFILL
+        if grant.has_remote_prefill:
+            kind, began_at = speeds.Kind.ADMISSION, task.granted_at
+        self._observe(
+            grant.decode,
+            kind,
+            attempt.prompt_tokens,
+            attempt.first_event_at - began_at,
+        )
+
+    def _observe(
+        self,
+        endpoint: dispatch.Endpoint,
+        kind: speeds.Kind,
+        work: float,
+        seconds: float,
+    ) -> None:
+        self._context.speed_sharing.record(
+            endpoint,
+            speeds.Observation(kind=kind, work=work, seconds=seconds),
+            self._reactor.seconds(),
+        )
+
     def _record_event(
-        self, attempt: _base.RequestAttempt, grant: dispatch.Grant
+        self,
+        attempt: _base.RequestAttempt,
+        grant: dispatch.Grant,
+        meter: speeds.StepMeter,
     ) -> None:
-        attempt.record_event(self._reactor.seconds())
+        now = self._reactor.seconds()
+        attempt.record_event(now)
+        observation = meter.record_event(
+            now, in_flight=grant.decode.total_in_flight
+        )
+        if observation is not None:
+            self._context.speed_sharing.record(grant.decode, observation, now)
         per_event = self._profile.engine.tokens_per_event
         grant.update_output_tokens(attempt.events * per_event)
 
--- a/sassafrasstile/simulation/_patterns.py
+++ b/sassafrasstile/simulation/_patterns.py
@@ -107,6 +107,34 @@
     retries: int = 3
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Wave(Pattern):
+    """The arrival rate rises and falls.
+
+    Attributes:
+        swing: The largest change, as a share of the mean rate.
+        period_s: Seconds from one peak to the next.
+    """
+
+    start_s: float = 0.0
+    duration_s: float = float("inf")
+    swing: float = 0.55
+    period_s: float = 13.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SlowSpell(Pattern):
+    """The fastest engines of each kind are slow.
+
+    Attributes:
+        share: Share of the engines.
+        factor: Factor of the time that they take.
+    """
+
+    share: float = 0.2
+    factor: float = 5.0
+
+
 PATTERNS: Mapping[str, Pattern] = types.MappingProxyType(
     {
         "steady": Steady(),
@@ -117,5 +145,7 @@
         "slow_links": SlowLinks(),
         "one_zone": OneZone(),
         "repeat_at_once": ImmediateRetries(),
+        "wave": Wave(),
+        "slow_spell": SlowSpell(),
     }
 )
--- a/sassafrasstile/simulation/_profiles.py
+++ b/sassafrasstile/simulation/_profiles.py
@@ -37,6 +37,22 @@
     tokens_per_event: int = 7
     hold_s: float = 2.0
 
+    def scale(self, speed: float) -> "EngineProfile":
+        """Returns the profile of an engine that computes faster.
+
+        Args:
+            speed: The factor; links aren't affected.
+        """
+        return dataclasses.replace(
+            self,
+            step_s=self.step_s / speed,
+            step_request_s=self.step_request_s / speed,
+            prefill_tokens_per_s=self.prefill_tokens_per_s * speed,
+            local_prefill_tokens_per_s=(
+                self.local_prefill_tokens_per_s * speed
+            ),
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SiteProfile:
@@ -47,7 +63,8 @@
         gateways: Number of gateways.
         prefills: Number of prefill engines.
         decodes: Number of decode engines.
-        engine: Speed and capacity of each engine.
+        engine: Speed and capacity of an engine of speed one.
+        speeds: Relative speeds of the engines, which take them in turn.
         prompt_tokens: Mean length of a prompt.
         prompt_sigma: Standard deviation of the logarithm of prompt lengths.
         max_prompt_tokens: Maximum length of a prompt.
@@ -68,6 +85,7 @@
     prefills: int = 2
     decodes: int = 7
     engine: EngineProfile = EngineProfile()
+    speeds: tuple[float, ...] = (1.0,)
     prompt_tokens: float = 5200.0
     prompt_sigma: float = 0.5
     max_prompt_tokens: int = 11_300
@@ -80,6 +98,26 @@
     retry_slack: float = 20.0
     late_weight: float = 0.2
 
+    def scale_time(self, factor: float) -> "SiteProfile":
+        """Returns a site where all but the network takes longer.
+
+        Args:
+            factor: The factor of each duration.
+        """
+        engine = self.engine.scale(1 / factor)
+        engine = dataclasses.replace(
+            engine,
+            handle_ttl_s=factor * engine.handle_ttl_s,
+            hold_s=factor * engine.hold_s,
+        )
+        return dataclasses.replace(
+            self,
+            engine=engine,
+            target_s=factor * self.target_s,
+            gap_s=factor * self.gap_s,
+            deadline_s=factor * self.deadline_s,
+        )
+
     @property
     def capacity_per_s(self) -> float:
         """Requests per second that the site can serve.
@@ -120,6 +158,17 @@
             target_s=0.92,
             deadline_s=14.3,
         ),
+        "uneven-grown": SiteProfile(
+            gateways=26,
+            prefills=5,
+            decodes=19,
+            engine=EngineProfile(
+                memory_tokens=42_492, link_tokens_per_s=1_280_000.0
+            ),
+            speeds=(0.6, 1.0, 1.6),
+            target_s=0.92,
+            deadline_s=14.3,
+        ),
         "fellesvarsel-large": SiteProfile(
             zones=("a", "b", "c", "d", "e"),
             gateways=68,
--- a/sassafrasstile/simulation/_report.py
+++ b/sassafrasstile/simulation/_report.py
@@ -19,6 +19,8 @@
         late: Share of requests answered completely but late.
         refused: Share of requests refused at least once and never completed.
         wasted_prefill: Share of prefilled tokens that no complete answer used.
+        misplaced_prefill: Share of prefilled tokens that a faster engine
+            should have had.
         first_event_p50_s: Median time to the first event.
         first_event_p95_s: 95th percentile of the time to the first event.
         requests: Requests of callers, retries not counted.
@@ -29,6 +31,7 @@
     late: float
     refused: float
     wasted_prefill: float
+    misplaced_prefill: float
     first_event_p50_s: float
     first_event_p95_s: float
     requests: int
@@ -39,6 +42,7 @@
     *,
     profile: _profiles.SiteProfile,
     prefilled_tokens: int,
+    misplaced_prefill: float,
 ) -> Figures:
     """Returns the figures of a run.
 
@@ -46,6 +50,7 @@
         outcomes: The outcome of each request.
         profile: The site.
         prefilled_tokens: Prompt tokens that the engines prefilled.
+        misplaced_prefill: Share of them that a faster engine should have had.
     """
     complete = [item for item in outcomes if item.is_complete]
     on_time = [
@@ -68,6 +73,7 @@
         late=round(late / count, 4),
         refused=round(len(refused) / count, 4),
         wasted_prefill=round(wasted / max(1, prefilled_tokens), 4),
+        misplaced_prefill=round(misplaced_prefill, 4),
         first_event_p50_s=round(telemetry.compute_percentile(times, 50), 4),
         first_event_p95_s=round(telemetry.compute_percentile(times, 95), 4),
         requests=len(outcomes),
--- a/sassafrasstile/simulation/_run.py
+++ b/sassafrasstile/simulation/_run.py
@@ -44,6 +44,7 @@
         pattern: The load or fault pattern.
         load: Requests as a share of the site's capacity.
         seconds: Duration of the arrivals, in virtual seconds.
+        time_factor: Factor of each duration but those of the network.
         seed: Seeds all random generators.
     """
 
@@ -52,6 +53,7 @@
     pattern: _patterns.Pattern = _patterns.Steady()
     load: float = 1.0
     seconds: float = 25.0
+    time_factor: float = 1.0
     seed: int = 1
 
 
@@ -60,7 +62,7 @@
 
     def __init__(self, *, plan: Plan):
         self._plan = plan
-        self._profile = _profiles.SITES[plan.site]
+        self._profile = _profiles.SITES[plan.site].scale_time(plan.time_factor)
         self._generator = random.Random(f"policy {plan.seed}")
         self._reactor = _network.VirtualReactor(
             generator=random.Random(f"network {plan.seed}")
@@ -81,16 +83,20 @@
         )
 
     def _make_pools(self) -> _base.Pools:
-        engine = self._profile.engine
+        def make_profile(number: int) -> _profiles.EngineProfile:
+            all_speeds = self._profile.speeds
+            speed = all_speeds[number % len(all_speeds)]
+            return self._profile.engine.scale(speed)
+
         prefills = {
             f"prefill-{number}": _engines.PrefillEngine(
-                reactor=self._reactor, profile=engine
+                reactor=self._reactor, profile=make_profile(number)
             )
             for number in range(self._profile.prefills)
         }
         decodes = {
             f"decode-{number}": _engines.DecodeEngine(
-                reactor=self._reactor, profile=engine
+                reactor=self._reactor, profile=make_profile(number)
             )
             for number in range(self._profile.decodes)
         }
@@ -148,6 +154,7 @@
             self._callers.outcomes,
             profile=self._profile,
             prefilled_tokens=self._count_prefilled_tokens(),
+            misplaced_prefill=self._measure_misplaced_prefill(),
         )
 
     def _find_pattern_end(self) -> float:
@@ -169,6 +176,24 @@
             case _patterns.SlowLinks(factor=factor):
                 for engine in self._pools.decodes.values():
                     engine.link_factor = factor if is_active else 1.0
+            case _patterns.SlowSpell(share=share, factor=factor):
+                for engine in self._list_fastest(share):
+                    engine.slow_factor = factor if is_active else 1.0
+
+    def _list_fastest(
+        self, share: float
+    ) -> list[_engines.PrefillEngine | _engines.DecodeEngine]:
+        """Returns a share of the engines of each kind, at least one."""
+        prefills = sorted(
+            self._pools.prefills.values(), key=lambda item: -item.tokens_per_s
+        )
+        decodes = sorted(
+            self._pools.decodes.values(), key=lambda item: item.step_s
+        )
+        return [
+            *prefills[: max(1, round(share * len(prefills)))],
+            *decodes[: max(1, round(share * len(decodes)))],
+        ]
 
     def _report(self) -> None:
         """Sends each gateway the other gateways' loads, at intervals."""
@@ -183,6 +208,23 @@
                     gateway.endpoints.update_peer_loads(name, load, now)
         self._reactor.callLater(_REPORT_INTERVAL_S, self._report)
 
+    def _measure_misplaced_prefill(self) -> float:
+        """Returns the share that other prefill engines should have had.
+
+        Each should have a share of the work in proportion to its speed.
+        """
+        engines = self._pools.prefills.values()
+        tokens = sum(item.prefilled_tokens for item in engines)
+        speed = sum(item.tokens_per_s for item in engines)
+        return sum(
+            max(
+                0.0,
+                item.prefilled_tokens / max(1, tokens)
+                - item.tokens_per_s / speed,
+            )
+            for item in engines
+        )
+
     def _count_prefilled_tokens(self) -> int:
         decodes = self._pools.decodes.values()
         return sum(
