--- a/sassafrasstile/simulation/_engines.py
+++ b/sassafrasstile/simulation/_engines.py
@@ -62,6 +62,10 @@
         """The speed without a slow spell."""
         return self._profile.prefill_tokens_per_s
 
+    def set_speed(self, speed: float) -> None:
+        """Changes the speed by a factor, as a replaced engine does."""
+        self._profile = self._profile.scale(speed)
+
     def prefill(self, tokens: int) -> defer.Deferred:
         """Prefills a prompt; the result is a `Handle`.
 
--- a/sassafrasstile/simulation/_profiles.py
+++ b/sassafrasstile/simulation/_profiles.py
@@ -158,6 +158,19 @@
             target_s=0.92,
             deadline_s=14.3,
         ),
+        "uneven": SiteProfile(
+            prefills=3,
+            decodes=9,
+            engine=EngineProfile(memory_tokens=42_492),
+            speeds=(0.6, 1.0, 1.6),
+        ),
+        "one-fast": SiteProfile(
+            gateways=26,
+            prefills=5,
+            decodes=19,
+            engine=EngineProfile(memory_tokens=42_492),
+            speeds=(1.0, 1.0, 1.0, 1.0, 2.0),
+        ),
         "uneven-grown": SiteProfile(
             gateways=26,
             prefills=5,
--- a/sassafrasstile/simulation/_run.py
+++ b/sassafrasstile/simulation/_run.py
@@ -57,27 +57,31 @@
     seed: int = 1
 
 
-class _Site:
-    """The engines, gateways and callers of one run."""
+class Site:
+    """The engines, gateways and callers of one run.
+
+    Args:
+        plan: The parameters of the run.
+    """
 
     def __init__(self, *, plan: Plan):
         self._plan = plan
         self._profile = _profiles.SITES[plan.site].scale_time(plan.time_factor)
         self._generator = random.Random(f"policy {plan.seed}")
-        self._reactor = _network.VirtualReactor(
+        self.reactor = _network.VirtualReactor(
             generator=random.Random(f"network {plan.seed}")
         )
-        self._pools = self._make_pools()
-        self._gateways = [
+        self.pools = self._make_pools()
+        self.gateways = [
             self._make_gateway(number)
             for number in range(self._profile.gateways)
         ]
         self._callers = _callers.Callers(
-            reactor=self._reactor,
+            reactor=self.reactor,
             profile=self._profile,
             pattern=plan.pattern,
             rate_per_s=plan.load * self._profile.capacity_per_s,
-            gateways=self._gateways,
+            gateways=self.gateways,
             arrivals=random.Random(f"arrivals {plan.seed}"),
             behaviour=random.Random(f"manners {plan.seed}"),
         )
@@ -90,13 +94,13 @@
 
         prefills = {
             f"prefill-{number}": _engines.PrefillEngine(
-                reactor=self._reactor, profile=make_profile(number)
+                reactor=self.reactor, profile=make_profile(number)
             )
             for number in range(self._profile.prefills)
         }
         decodes = {
             f"decode-{number}": _engines.DecodeEngine(
-                reactor=self._reactor, profile=make_profile(number)
+                reactor=self.reactor, profile=make_profile(number)
             )
             for number in range(self._profile.decodes)
         }
@@ -127,11 +131,11 @@
     def _make_gateway(self, number: int) -> _gateways.Gateway:
         policy = self._plan.policy
         return _gateways.Gateway(
-            reactor=self._reactor,
+            reactor=self.reactor,
             name=f"gateway-{number}",
             number=number,
             profile=self._profile,
-            pools=self._pools,
+            pools=self.pools,
             policy="queue" if policy.startswith("queue") else policy,
             is_lagging=policy == "queue_reports",
             generator=self._generator,
@@ -140,16 +144,17 @@
     def run(self) -> _report.Figures:
         """Runs the plan and returns its figures."""
         plan = self._plan
-        for gateway in self._gateways:
+        for gateway in self.gateways:
             gateway.start()
             if plan.policy == "queue":
-                gateway.connect_peers(self._gateways)
+                gateway.connect_peers(self.gateways)
         if plan.policy in ("queue_reports", "queue_unconfirmed"):
             self._report()
         for at_s in (plan.pattern.start_s, self._find_pattern_end()):
-            self._reactor.callLater(at_s, self._apply_pattern)
-        self._callers.start(plan.seconds)
-        self._reactor.run_until(plan.seconds + _DRAIN_S)
+            self.reactor.callLater(at_s, self._apply_pattern)
+        seconds = plan.time_factor * plan.seconds
+        self._callers.start(seconds)
+        self.reactor.run_until(seconds + plan.time_factor * _DRAIN_S)
         return _report.make_figures(
             self._callers.outcomes,
             profile=self._profile,
@@ -163,8 +168,8 @@
     def _apply_pattern(self) -> None:
         """Applies or reverts the pattern's changes to engines and links."""
         pattern = self._plan.pattern
-        is_active = pattern.is_active(self._reactor.seconds())
-        prefills = list(self._pools.prefills.values())
+        is_active = pattern.is_active(self.reactor.seconds())
+        prefills = list(self.pools.prefills.values())
         match pattern:
             case _patterns.UnresponsivePrefills(share=share):
                 for engine in prefills[: round(share * len(prefills))]:
@@ -174,7 +179,7 @@
                 for engine in prefills:
                     engine.ttl_s = ttl_s if is_active else default_ttl_s
             case _patterns.SlowLinks(factor=factor):
-                for engine in self._pools.decodes.values():
+                for engine in self.pools.decodes.values():
                     engine.link_factor = factor if is_active else 1.0
             case _patterns.SlowSpell(share=share, factor=factor):
                 for engine in self._list_fastest(share):
@@ -185,10 +190,10 @@
     ) -> list[_engines.PrefillEngine | _engines.DecodeEngine]:
         """Returns a share of the engines of each kind, at least one."""
         prefills = sorted(
-            self._pools.prefills.values(), key=lambda item: -item.tokens_per_s
+            self.pools.prefills.values(), key=lambda item: -item.tokens_per_s
         )
         decodes = sorted(
-            self._pools.decodes.values(), key=lambda item: item.step_s
+            self.pools.decodes.values(), key=lambda item: item.step_s
         )
         return [
             *prefills[: max(1, round(share * len(prefills)))],
@@ -197,23 +202,23 @@
 
     def _report(self) -> None:
         """Sends each gateway the other gateways' loads, at intervals."""
-        now = self._reactor.seconds()
+        now = self.reactor.seconds()
         loads = {
             gateway.name: gateway.endpoints.get_own_loads(now)
-            for gateway in self._gateways
+            for gateway in self.gateways
         }
-        for gateway in self._gateways:
+        for gateway in self.gateways:
             for name, load in loads.items():
                 if name != gateway.name:
                     gateway.endpoints.update_peer_loads(name, load, now)
-        self._reactor.callLater(_REPORT_INTERVAL_S, self._report)
+        self.reactor.callLater(_REPORT_INTERVAL_S, self._report)
 
     def _measure_misplaced_prefill(self) -> float:
         """Returns the share that other prefill engines should have had.
 
         Each should have a share of the work in proportion to its speed.
         """
-        engines = self._pools.prefills.values()
+        engines = self.pools.prefills.values()
         tokens = sum(item.prefilled_tokens for item in engines)
         speed = sum(item.tokens_per_s for item in engines)
         return sum(
@@ -226,10 +231,10 @@
         )
 
     def _count_prefilled_tokens(self) -> int:
-        decodes = self._pools.decodes.values()
+        decodes = self.pools.decodes.values()
         return sum(
             engine.prefilled_tokens
-            for engine in (*self._pools.prefills.values(), *decodes)
+            for engine in (*self.pools.prefills.values(), *decodes)
         )
 
 
@@ -242,7 +247,7 @@
     Returns:
         The figures of the run; equal plans give equal figures.
     """
-    return _Site(plan=plan).run()
+    return Site(plan=plan).run()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/speeds/_service.py
+++ b/sassafrasstile/speeds/_service.py
@@ -8,6 +8,13 @@
 
 # Weight of the newest observation in the mean factor of the endpoints.
 _LEVEL_WEIGHT = 0.05
+# This much of an endpoint's factor is left out of its observations. The rest
+# averages out over the endpoints, unless they differ by the amount of work.
+_FACTOR_SHARE = 0.5
+# After this many observations, what differs much from the expected says
+# nothing about the other endpoints.
+_KNOWN_COUNT = 10
+_MAX_SURPRISE = math.log(2.0)
 # The spread is exceeded by this share of the durations.
 _EXCEEDING_SHARE = 0.1
 # Change of its logarithm with each observation.
@@ -47,6 +54,7 @@
             for kind, assumption in _ASSUMPTIONS.items()
         }
         self._levels = dict.fromkeys(_base.Kind, 0.0)
+        self._counts = dict.fromkeys(_base.Kind, 0)
         self._spreads = dict.fromkeys(_base.Kind, 0.0)
 
     def get_curve(self, kind: _base.Kind) -> _curve.Curve:
@@ -69,21 +77,23 @@
             factor_log: The logarithm of the endpoint's factor.
         """
         kind = observation.kind
-        self._update_spread(observation, factor_log)
+        curve = self._curves[kind]
+        self._counts[kind] += 1
+        expected_s = curve.estimate_s(observation.work) * math.exp(factor_log)
+        self._update_spread(kind, observation.seconds / expected_s)
+        is_known = self._counts[kind] > _KNOWN_COUNT
+        surprise = abs(math.log(max(1e-9, observation.seconds / expected_s)))
+        if is_known and surprise > _MAX_SURPRISE:
+            return
         level = self._levels[kind]
         level += _LEVEL_WEIGHT * (factor_log - level)
         self._levels[kind] = level
-        typical_s = observation.seconds / math.exp(factor_log - level)
-        self._curves[kind].add(observation.work, typical_s)
+        share = math.exp(_FACTOR_SHARE * (factor_log - level))
+        curve.add(observation.work, observation.seconds / share)
 
-    def _update_spread(
-        self, observation: _base.Observation, factor_log: float
-    ) -> None:
+    def _update_spread(self, kind: _base.Kind, ratio: float) -> None:
         """Moves the spread towards the quantile that it stands for."""
-        kind = observation.kind
-        expected_s = self.estimate_s(kind, observation.work)
-        expected_s *= math.exp(factor_log)
         spread = self._spreads[kind]
-        is_exceeded = observation.seconds > expected_s * math.exp(spread)
+        is_exceeded = ratio > math.exp(spread)
         step = _SPREAD_STEP * (is_exceeded - _EXCEEDING_SHARE)
         self._spreads[kind] = max(0.0, spread + step)
