--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -490,6 +490,19 @@
         ]
         return max(0.0, min(ends, default=now) - now)
 
+    def list_slowness(self, kind: speed_models.Kind, now: float) -> list[float]:
+        """Returns how much slower than typical each known endpoint is.
+
+        Args:
+            kind: The kind of work; endpoints not seen at it are left out.
+            now: The time in seconds.
+        """
+        return [
+            item.speeds.estimate_factor(kind, now)
+            for item in self._endpoints.values()
+            if item.speeds.has_seen(kind)
+        ]
+
     def count_leaving(self) -> int:
         """Returns the number of endpoints that have announced to leave."""
         return sum(
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -53,7 +53,10 @@
     >>> report = _base.LoadReport(
     ...     sender=_base.PeerAddress(name="a", host="127.0.0.1", port=1),
     ...     incarnation="x", sequence=3, is_complete=True,
-    ...     loads={"e": _base.EndpointLoad(in_flight=1)})
+    ...     loads={"e": _base.EndpointLoad(in_flight=1)},
+    ...     speeds=(_base.SpeedReport(
+    ...         endpoint_id="e", started_ms=5, kind="prefill", work=5000.0,
+    ...         seconds=0.125, age_s=0.25),))
     >>> decode_report(encode_report(report)) == report
     True
     """
--- a/sassafrasstile/router/_daemon.py
+++ b/sassafrasstile/router/_daemon.py
@@ -1,6 +1,7 @@
 """Connects configuration, membership, routing and listening ports."""
 
 from collections.abc import Mapping
+import functools
 import logging
 import random
 import secrets
@@ -21,6 +22,7 @@
 from sassafrasstile import quarantine
 from sassafrasstile import roles
 from sassafrasstile import routes
+from sassafrasstile import speeds
 from sassafrasstile import stores
 from sassafrasstile import streams
 from sassafrasstile import telemetry
@@ -46,6 +48,8 @@
 # this time for each live peer.
 _ADMISSION_JITTER_PER_PEER_S = 0.01
 _MAX_STALL_WARNINGS_PER_S = 1.0
+# Endpoints' speeds are shown at these percentiles.
+_SLOWNESS_PERCENTILES = (10, 50, 90)
 # Upper bound of this delay, however many peers are live.
 _MAX_ADMISSION_JITTER_S = 0.25
 
@@ -172,11 +176,22 @@
         self._loop.clock = reactor
         metrics.prompts_refused.set_function(self._quarantine.count_active)
         metrics.endpoints_leaving.set_function(self._endpoints.count_leaving)
+        for kind in speeds.Kind:
+            for percentile in _SLOWNESS_PERCENTILES:
+                metrics.endpoint_slowness.labels(
+                    kind.value, percentile
+                ).set_function(
+                    functools.partial(self._measure_slowness, kind, percentile)
+                )
         metrics.endpoints_with_rate.set_function(self._permits.count_named)
         metrics.endpoints_backing_off.set_function(
             lambda: self._endpoints.count_backing_off(self._now())
         )
 
+    def _measure_slowness(self, kind: speeds.Kind, percentile: int) -> float:
+        values = self._endpoints.list_slowness(kind, self._now())
+        return telemetry.compute_percentile(values, percentile)
+
     def _make_context(self, codec) -> forwarding.ForwardingContext:
         placement = dispatch.Placement(
             endpoints=self._endpoints,
--- a/sassafrasstile/speeds/_endpoint.py
+++ b/sassafrasstile/speeds/_endpoint.py
@@ -57,12 +57,12 @@
         slope_s = self._service.get_curve(kind).slope_s
         return work * slope_s * self.estimate_factor(kind, now)
 
-    def estimate_long_wait_s(
+    def estimate_long_s(
         self, kind: _base.Kind, work: float, now: float
     ) -> float:
-        """Returns a wait for queued work that is rarely exceeded."""
+        """Returns a duration of work in seconds that is rarely exceeded."""
         spread = self._service.get_spread(_RELATIVES.get(kind, kind))
-        return spread * self.estimate_wait_s(kind, work, now)
+        return spread * self.estimate_s(kind, work, now)
 
     def estimate_factor(self, kind: _base.Kind, now: float) -> float:
         """Returns how much slower than a typical endpoint it is now."""
@@ -72,12 +72,9 @@
             return math.exp(prior_log)
         return factor.estimate(now, prior_log=prior_log)
 
-    def list_figures(self, now: float) -> list[tuple[_base.Kind, float, float]]:
-        """Returns kind, factor and the age in seconds of what is known."""
-        return [
-            (kind, self.estimate_factor(kind, now), factor.get_age_s(now))
-            for kind, factor in self._factors.items()
-        ]
+    def has_seen(self, kind: _base.Kind) -> bool:
+        """Returns whether it was observed at a kind of work."""
+        return kind in self._factors
 
     def add(self, observation: _base.Observation, now: float) -> float | None:
         """Adds an observation.
--- a/sassafrasstile/speeds/_service.py
+++ b/sassafrasstile/speeds/_service.py
@@ -29,7 +29,7 @@
             offset_s=0.15, slope_s=1 / 50_000, usual_work=5000.0
         ),
         _base.Kind.LOCAL_PREFILL: _curve.Assumption(
-            offset_s=0.02, slope_s=1 / 25_000, usual_work=5000.0
+            offset_s=0.0, slope_s=1 / 25_000, usual_work=5000.0
         ),
         _base.Kind.STEP: _curve.Assumption(
             offset_s=0.006, slope_s=0.0001, usual_work=8.0
--- a/sassafrasstile/speeds/tests/test_speeds.py
+++ b/sassafrasstile/speeds/tests/test_speeds.py
@@ -136,9 +136,9 @@
             seconds = 0.015 if is_slow else 0.006
             engine.add(_observe(_STEP, 5, seconds), self.now)
         kind = speeds.Kind.LOCAL_PREFILL
-        ratio = engine.estimate_long_wait_s(
+        ratio = engine.estimate_long_s(
             kind, 5000, self.now
-        ) / engine.estimate_wait_s(kind, 5000, self.now)
+        ) / engine.estimate_s(kind, 5000, self.now)
         self.assertGreater(ratio, 1.5)
         self.assertLess(ratio, 3.0)
 
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -25,10 +25,10 @@
         )
 
     def _make_gauge(
-        self, name: str, description: str
+        self, name: str, description: str, labels: tuple[str, ...] = ()
     ) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
-            _PREFIX + name, description, registry=self.registry
+            _PREFIX + name, description, labels, registry=self.registry
         )
 
     def _make_histogram(
@@ -154,6 +154,12 @@
             "endpoints_backing_off",
             "Endpoints that want no requests for a while.",
         )
+        self.endpoint_slowness = self._make_gauge(
+            "endpoint_slowness",
+            "Learned duration of work as a multiple of what is typical of the"
+            " service, by kind of work and percentile of the endpoints.",
+            ("kind", "percentile"),
+        )
         self.endpoints_with_rate = self._make_gauge(
             "endpoints_with_rate",
             "Incarnations of endpoints known to name the rate that they take.",
