--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -14,8 +14,6 @@
 from sassafrasstile.dispatch import _grants
 from sassafrasstile.dispatch import _prefills
 
-# Latency assumed for an endpoint without measurements.
-_DEFAULT_LATENCY_S = 0.1
 # Cost of a call to another availability zone, in seconds of latency: traffic
 # between zones is billed.
 _CALL_ZONE_COST_S = 0.02
@@ -112,7 +110,7 @@
         )
 
         def estimate(item: _endpoints.Endpoint) -> float:
-            latency_s = item.health.latency_s or _DEFAULT_LATENCY_S
+            latency_s = item.speeds.estimate_s(speeds.Kind.CALL, 1.0, now)
             load = (item.total_in_flight + 1) / max(1, item.record.slots)
             cost = latency_s * (max(1.0, 2 * load) + load)
             cost += _costs.FAILURE_COST_S * item.health.compute_failure_rate(
--- a/sassafrasstile/dispatch/tests/test_learned_placement.py
+++ b/sassafrasstile/dispatch/tests/test_learned_placement.py
@@ -127,3 +127,42 @@
             self.observe("decode-fast", speeds.Kind.ADMISSION, 5000, 0.5)
         after_s = self.placement.estimate_start_s(_SERVICE, _SIZE)
         self.assertGreater(after_s, 0.35)
+
+
+class LearnedCallTest(unittest.TestCase):
+    """Calls to endpoints of which one has a slow spell."""
+
+    def setUp(self):
+        self.table = dispatch.EndpointTable(silence_timeout_s=1.0)
+        for name in ("e1", "e2", "e3"):
+            record = testing.make_endpoint_record(
+                name, role=membership.Role.PLAIN
+            )
+            self.table.update_record(name, record)
+        self.placement = dispatch.Placement(
+            endpoints=self.table, zone="a", generator=random.Random(1)
+        )
+        for name in ("e1", "e2", "e3"):
+            for _ in range(20):
+                self.observe(name, 0.05)
+
+    def observe(self, name, seconds):
+        self.table.find(name).speeds.add(
+            speeds.Observation(
+                kind=speeds.Kind.CALL, work=1.0, seconds=seconds
+            ),
+            _NOW,
+        )
+
+    def count_choices(self, now):
+        chosen = [
+            self.placement.choose_for_call(service="engine", now=now).name
+            for _ in range(60)
+        ]
+        return {name: chosen.count(name) for name in ("e1", "e2", "e3")}
+
+    def test_endpoint_in_a_spell_gets_no_calls_until_it_is_forgotten(self):
+        for _ in range(3):
+            self.observe("e1", 0.25)
+        self.assertEqual(self.count_choices(_NOW)["e1"], 0)
+        self.assertGreater(self.count_choices(_NOW + 8.0)["e1"], 0)
--- a/sassafrasstile/forwarding/_calls.py
+++ b/sassafrasstile/forwarding/_calls.py
@@ -15,6 +15,7 @@
 from sassafrasstile.forwarding import _base
 from sassafrasstile.forwarding import _context
 from sassafrasstile.forwarding import _hedging
+from sassafrasstile.forwarding import _measurements
 from sassafrasstile.forwarding import _retries
 from sassafrasstile.forwarding import _sends
 from sassafrasstile.forwarding import _task
@@ -183,11 +184,12 @@
         )
         try:
             with _attempts.hold_slot(endpoint):
+                timer = _measurements.time_call(context, endpoint)
                 result = await attempt.start(
                     outgoing, timeout_s=remaining_s, overdue_s=overdue_s
                 )
                 if isinstance(result, _attempts.Answered):
-                    return await self._read(attempt, result, watch)
+                    return await self._read(attempt, result, watch, timer)
         finally:
             attempt.close()
         if result.code == errors.Code.ENDPOINT_LOST:
@@ -224,6 +226,7 @@
         attempt: _attempts.Attempt,
         answered: _attempts.Answered,
         watch: quarantine.RunWatch,
+        timer: _measurements.WorkTimer,
     ) -> _CompleteAnswer | verdicts.Verdict:
         """Reads the complete body, so that the caller gets no partial one."""
         context = self._context
@@ -236,6 +239,7 @@
         is_success = answered.kind is _base.AnswerKind.SUCCESS
         if is_success:
             attempt.record_success(context.now() - attempt.began_at)
+            timer.record_end()
         else:
             attempt.record_failure()
         return _CompleteAnswer(
--- a/sassafrasstile/forwarding/_measurements.py
+++ b/sassafrasstile/forwarding/_measurements.py
@@ -34,6 +34,25 @@
         self.context.speed_sharing.record(self.endpoint, observation, now)
 
 
+def time_call(
+    context: _context.ForwardingContext, endpoint: dispatch.Endpoint
+) -> WorkTimer:
+    """Starts to measure a call.
+
+    Args:
+        context: State shared by the parts of the router.
+        endpoint: The endpoint. Its load includes this call.
+    """
+    load = endpoint.total_in_flight / max(1, endpoint.record.slots)
+    return WorkTimer(
+        context=context,
+        endpoint=endpoint,
+        kind=speeds.Kind.CALL,
+        work=max(1.0, load),
+        began_at=context.now(),
+    )
+
+
 def time_prefill(
     context: _context.ForwardingContext, engine: dispatch.Endpoint
 ) -> WorkTimer:
