--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -424,7 +424,8 @@
     ) -> float:
         """Returns the expected seconds from admission to the first token.
 
-        They are those of engines that are typical of the service.
+        They are those of engines that are typical of the service, without a
+        queue.
 
         Args:
             service: The required service.
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -338,7 +338,7 @@
         return _measurements.time_admission(
             self._context,
             grant.decode,
-            task.size,
+            prefill_work=task.prefill_work,
             granted_at=task.granted_at,
         )
 
--- a/sassafrasstile/forwarding/_measurements.py
+++ b/sassafrasstile/forwarding/_measurements.py
@@ -95,8 +95,8 @@
 def time_admission(
     context: _context.ForwardingContext,
     engine: dispatch.Endpoint,
-    size: dispatch.WorkSize,
     *,
+    prefill_work: float,
     granted_at: float,
 ) -> WorkTimer:
     """Measures the time from an admission to the first event.
@@ -104,14 +104,15 @@
     Args:
         context: State shared by the parts of the router.
         engine: The decode engine.
-        size: The size of the generation.
+        prefill_work: Prompt tokens of the prefill engine's queue, its own
+            included.
         granted_at: When its engines were granted, in seconds.
     """
     return WorkTimer(
         context=context,
         endpoint=engine,
         kind=speeds.Kind.ADMISSION,
-        work=size.prompt_tokens,
+        work=prefill_work,
         began_at=granted_at,
     )
 
--- a/sassafrasstile/forwarding/_prefills.py
+++ b/sassafrasstile/forwarding/_prefills.py
@@ -77,6 +77,7 @@
             number=0,
         )
         timer = _measurements.time_prefill(context, engine)
+        task.prefill_work = timer.work
         try:
             result = await attempt.start(
                 outgoing,
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -30,6 +30,8 @@
         arrived_at: When the caller's first attempt arrived at any gateway, in
             seconds; its targets count from then.
         granted_at: When it last got its engines, in seconds.
+        prefill_work: Prompt tokens of its prefill engine's queue when its own
+            prompt was added.
         access: What it runs as.
         sends: How often it was sent to an endpoint to be run.
         hold_attempts: How often an engine was asked to set memory aside.
@@ -56,6 +58,7 @@
     caller_deadline: float
     arrived_at: float
     granted_at: float = 0.0
+    prefill_work: float = 0.0
     access: workspaces.Access = workspaces.ANONYMOUS
     sends: int = 0
     prefill_attempts: int = 0
--- a/sassafrasstile/simulation/_patterns.py
+++ b/sassafrasstile/simulation/_patterns.py
@@ -21,6 +21,14 @@
         """Returns whether the pattern is in effect at a time."""
         return self.start_s <= now < self.start_s + self.duration_s
 
+    def scale_time(self, factor: float) -> "Pattern":
+        """Returns the pattern with its times multiplied by a factor."""
+        return dataclasses.replace(
+            self,
+            start_s=factor * self.start_s,
+            duration_s=factor * self.duration_s,
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Steady(Pattern):
@@ -121,6 +129,11 @@
     swing: float = 0.55
     period_s: float = 13.0
 
+    def scale_time(self, factor: float) -> "Wave":
+        """Returns the wave with its times multiplied by a factor."""
+        scaled = super().scale_time(factor)
+        return dataclasses.replace(scaled, period_s=factor * self.period_s)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SlowSpell(Pattern):
--- a/sassafrasstile/simulation/_run.py
+++ b/sassafrasstile/simulation/_run.py
@@ -65,6 +65,9 @@
     """
 
     def __init__(self, *, plan: Plan):
+        plan = dataclasses.replace(
+            plan, pattern=plan.pattern.scale_time(plan.time_factor)
+        )
         self._plan = plan
         self._profile = _profiles.SITES[plan.site].scale_time(plan.time_factor)
         self._generator = random.Random(f"policy {plan.seed}")
--- a/sassafrasstile/speeds/_base.py
+++ b/sassafrasstile/speeds/_base.py
@@ -13,7 +13,7 @@
     # Work: prompt tokens, those queued before included.
     PREFILL = "prefill"
     # From the admission to the first event, where a prefill engine prefills.
-    # Work: prompt tokens.
+    # Work: prompt tokens, those queued before included.
     ADMISSION = "admission"
     # From the send to a decode engine that prefills itself to the first event.
     # Work: prompt tokens.
