--- a/sassafrasstile/dispatch/__init__.py
+++ b/sassafrasstile/dispatch/__init__.py
@@ -3,7 +3,11 @@
 This package does no I/O and reads no clock; callers pass the time in.
 """
 
-from sassafrasstile.dispatch._base import DispatchSettings, WorkSize
+from sassafrasstile.dispatch._base import (
+    DEFAULT_MAX_GAP_S,
+    DispatchSettings,
+    WorkSize,
+)
 from sassafrasstile.dispatch._budget import WindowedRetryBudget, divide_slack
 from sassafrasstile.dispatch._endpoints import Endpoint, EndpointTable
 from sassafrasstile.dispatch._grants import Grant
@@ -25,6 +29,7 @@
 from sassafrasstile.dispatch._speed_sharing import SpeedSharing
 
 __all__ = [
+    "DEFAULT_MAX_GAP_S",
     "DispatchSettings",
     "Endpoint",
     "EndpointNotice",
--- a/sassafrasstile/dispatch/_base.py
+++ b/sassafrasstile/dispatch/_base.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# The time between two events where a route has no target for it.
+DEFAULT_MAX_GAP_S = 0.3
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class WorkSize:
@@ -18,7 +21,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     target_s: float = 0.9
-    max_gap_s: float = 0.3
+    max_gap_s: float = DEFAULT_MAX_GAP_S
 
     @property
     def memory_tokens(self) -> int:
--- a/sassafrasstile/dispatch/_prefills.py
+++ b/sassafrasstile/dispatch/_prefills.py
@@ -23,12 +23,6 @@
 # With at most this many streams, a decode engine prefills prompts of any
 # length.
 _FEW_STREAMS = 1
-# Share of the longest pause between two events for which a prefill may hold
-# them up. The steps of the event itself take the rest.
-_LOCAL_PREFILL_GAP_SHARE = 0.85
-# A prompt waits rather than finish this much later than at an engine whose
-# backlog is too long, as a share of the target for the first token.
-_MAX_DETOUR_SHARE = 1 / 9
 # Number of engines compared while gateways hear late of each other's choices.
 _LAGGING_SAMPLE = 2
 
@@ -50,11 +44,11 @@
         return False
     if decode.total_in_flight <= _FEW_STREAMS:
         return True
-    # A slow spell during the prefill would delay each of the other streams.
-    delay_s = decode.speeds.estimate_long_s(
+    # The time to the first event has the steps of one event in it.
+    gap_s = decode.speeds.estimate_s(
         speeds.Kind.LOCAL_PREFILL, size.prompt_tokens, now
     )
-    return delay_s <= _LOCAL_PREFILL_GAP_SHARE * size.max_gap_s
+    return gap_s <= size.max_gap_s
 
 
 class PrefillChooser:
@@ -95,10 +89,10 @@
             The versions with engines of both kinds; None if any version will
             do, or if there is none with both.
         """
-        delay_s = self._endpoints.get_service_speeds(service.name).estimate_s(
+        gap_s = self._endpoints.get_service_speeds(service.name).estimate_s(
             speeds.Kind.LOCAL_PREFILL, size.prompt_tokens
         )
-        if delay_s <= _LOCAL_PREFILL_GAP_SHARE * size.max_gap_s:
+        if gap_s <= size.max_gap_s:
             return None
         prefills = self._list_reachable(service.name, now)
         decodes = self._endpoints.list_usable(
@@ -143,10 +137,6 @@
             now,
             zone=decode.record.zone,
             limit_s=_choose_backlog_limit_s(size, is_late=is_late),
-            # A late one doesn't wait for a fast engine while others are idle.
-            max_detour_s=(
-                float("inf") if is_late else _MAX_DETOUR_SHARE * size.target_s
-            ),
         )
         if prefill is not None:
             return prefill
@@ -164,7 +154,6 @@
         *,
         zone: str,
         limit_s: float,
-        max_detour_s: float,
     ) -> _endpoints.Endpoint | None:
         """Chooses the prefill engine expected to finish the prompt first."""
 
@@ -185,12 +174,10 @@
                 cost += _PREFILL_ZONE_COST_S
             return cost
 
-        available = [item for item in engines if item.is_available(now)]
-        max_cost = max_detour_s + min(map(estimate, available), default=0.0)
         usable = [
             item
-            for item in available
-            if estimate_backlog(item) <= limit_s and estimate(item) <= max_cost
+            for item in engines
+            if item.is_available(now) and estimate_backlog(item) <= limit_s
         ]
         if self._is_lagging():
             usable = self._generator.sample(
--- a/sassafrasstile/forwarding/_router.py
+++ b/sassafrasstile/forwarding/_router.py
@@ -125,7 +125,7 @@
                 prompt_tokens=details.prompt_tokens,
                 output_tokens=output_tokens,
                 target_s=route.target_s,
-                max_gap_s=route.target_gap_s,
+                max_gap_s=route.target_gap_s or dispatch.DEFAULT_MAX_GAP_S,
             ),
             exchange=exchange,
             deadline=request.received_at + timeout_s,
--- a/sassafrasstile/speeds/_endpoint.py
+++ b/sassafrasstile/speeds/_endpoint.py
@@ -57,13 +57,6 @@
         slope_s = self._service.get_curve(kind).slope_s
         return work * slope_s * self.estimate_factor(kind, now)
 
-    def estimate_long_s(
-        self, kind: _base.Kind, work: float, now: float
-    ) -> float:
-        """Returns a duration of work in seconds that is rarely exceeded."""
-        spread = self._service.get_spread(_RELATIVES.get(kind, kind))
-        return spread * self.estimate_s(kind, work, now)
-
     def estimate_factor(self, kind: _base.Kind, now: float) -> float:
         """Returns how much slower than a typical endpoint it is now."""
         prior_log = self._estimate_prior_log(kind, now)
--- a/sassafrasstile/speeds/_service.py
+++ b/sassafrasstile/speeds/_service.py
@@ -15,10 +15,6 @@
 # nothing about the other endpoints.
 _KNOWN_COUNT = 10
 _MAX_SURPRISE = math.log(2.0)
-# The spread is exceeded by this share of the durations.
-_EXCEEDING_SHARE = 0.1
-# Change of its logarithm with each observation.
-_SPREAD_STEP = 0.03
 
 _ASSUMPTIONS = types.MappingProxyType(
     {
@@ -29,7 +25,7 @@
             offset_s=0.15, slope_s=1 / 50_000, usual_work=5000.0
         ),
         _base.Kind.LOCAL_PREFILL: _curve.Assumption(
-            offset_s=0.0, slope_s=1 / 25_000, usual_work=5000.0
+            offset_s=0.04, slope_s=1 / 25_000, usual_work=5000.0
         ),
         _base.Kind.STEP: _curve.Assumption(
             offset_s=0.006, slope_s=0.0001, usual_work=8.0
@@ -55,7 +51,6 @@
         }
         self._levels = dict.fromkeys(_base.Kind, 0.0)
         self._counts = dict.fromkeys(_base.Kind, 0)
-        self._spreads = dict.fromkeys(_base.Kind, 0.0)
 
     def get_curve(self, kind: _base.Kind) -> _curve.Curve:
         """Returns the durations of a kind of work."""
@@ -65,10 +60,6 @@
         """Returns the expected duration in seconds at a typical endpoint."""
         return self._curves[kind].estimate_s(work)
 
-    def get_spread(self, kind: _base.Kind) -> float:
-        """Returns how many times the expected duration is rarely exceeded."""
-        return math.exp(self._spreads[kind])
-
     def add(self, observation: _base.Observation, factor_log: float) -> None:
         """Adds an observation.
 
@@ -80,7 +71,6 @@
         curve = self._curves[kind]
         self._counts[kind] += 1
         expected_s = curve.estimate_s(observation.work) * math.exp(factor_log)
-        self._update_spread(kind, observation.seconds / expected_s)
         is_known = self._counts[kind] > _KNOWN_COUNT
         surprise = abs(math.log(max(1e-9, observation.seconds / expected_s)))
         if is_known and surprise > _MAX_SURPRISE:
@@ -90,10 +80,3 @@
         self._levels[kind] = level
         share = math.exp(_FACTOR_SHARE * (factor_log - level))
         curve.add(observation.work, observation.seconds / share)
-
-    def _update_spread(self, kind: _base.Kind, ratio: float) -> None:
-        """Moves the spread towards the quantile that it stands for."""
-        spread = self._spreads[kind]
-        is_exceeded = ratio > math.exp(spread)
-        step = _SPREAD_STEP * (is_exceeded - _EXCEEDING_SHARE)
-        self._spreads[kind] = max(0.0, spread + step)
