--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -177,7 +177,7 @@
                 for endpoint, started_ms, kind, work, taken_us, age_ms in speeds
             ),
         )
-    except (ValueError, TypeError) as reason:
+    except (ValueError, TypeError, OverflowError) as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"load report: {reason}"
         ) from reason
