--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -7,14 +7,13 @@
 
 from sassafrasstile import membership
 from sassafrasstile import routes
+from sassafrasstile import speeds
 from sassafrasstile.dispatch import _base
 from sassafrasstile.dispatch import _costs
 from sassafrasstile.dispatch import _endpoints
 from sassafrasstile.dispatch import _grants
 from sassafrasstile.dispatch import _prefills
 
-# Latency assumed for an endpoint without measurements.
-_DEFAULT_LATENCY_S = 0.1
 # Cost of a call to another availability zone, in seconds of latency: traffic
 # between zones is billed.
 _CALL_ZONE_COST_S = 0.02
@@ -92,7 +91,7 @@
         self._zone = zone
         self._generator = generator
         self._prefills = _prefills.PrefillChooser(
-            endpoints=endpoints, generator=generator
+            endpoints=endpoints, generator=generator, is_lagging=is_lagging
         )
 
     def choose_for_call(
@@ -111,7 +110,7 @@
         )
 
         def estimate(item: _endpoints.Endpoint) -> float:
-            latency_s = item.health.latency_s or _DEFAULT_LATENCY_S
+            latency_s = item.speeds.estimate_s(speeds.Kind.CALL, 1.0, now)
             load = (item.total_in_flight + 1) / max(1, item.record.slots)
             cost = latency_s * (max(1.0, 2 * load) + load)
             cost += _costs.FAILURE_COST_S * item.health.compute_failure_rate(
@@ -390,7 +389,10 @@
             return is_free and used <= share * capacity
 
         def estimate(item: _endpoints.Endpoint) -> float:
-            cost = item.total_reserved_tokens / capacity
+            # Fast engines free their memory sooner.
+            used = item.total_reserved_tokens + size.memory_tokens
+            cost = used / capacity
+            cost *= item.speeds.estimate_factor(speeds.Kind.STEP, now)
             rate = item.health.compute_failure_rate(now)
             cost += _DECODE_FAILURE_COST * rate
             if not self.is_load_timely(item):
@@ -431,15 +433,31 @@
 
     @staticmethod
     def can_prefill_locally(
-        decode: _endpoints.Endpoint, size: _base.WorkSize
+        decode: _endpoints.Endpoint, size: _base.WorkSize, now: float = 0.0
     ) -> bool:
         """Returns whether a decode engine may prefill a prompt itself.
 
         Args:
             decode: The decode engine.
             size: The size of the generation.
+            now: The time in seconds.
+        """
+        return _prefills.can_prefill_locally(decode, size, now)
+
+    def estimate_start_s(
+        self, service: routes.Service, size: _base.WorkSize
+    ) -> float:
+        """Returns the expected seconds from admission to the first token.
+
+        They are those of engines that are typical of the service, without a
+        queue.
+
+        Args:
+            service: The required service.
+            size: The size of the generation.
         """
-        return _prefills.can_prefill_locally(decode, size)
+        typical = self._endpoints.get_service_speeds(service.name)
+        return typical.estimate_s(speeds.Kind.ADMISSION, size.prompt_tokens)
 
     def _choose_cheapest(
         self,
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -16,8 +16,6 @@
 from sassafrasstile.dispatch import _placement
 from sassafrasstile.dispatch import _shares
 
-# Expected duration of prefill and KV cache transfer after admission.
-PREFILL_AND_TRANSFER_S = 0.25
 # Late generations whose expected wait is longer than this are rejected.
 _MAX_LATE_WAIT_S = 1.0
 
@@ -60,6 +58,7 @@
             decode engine: for prefill, or for engines of its version.
         level: What went before it at other gateways when it was last its
             turn here.
+        start_s: Expected seconds from its admission to its first token.
         grant: The granted capacity, once it is admitted.
     """
 
@@ -80,6 +79,7 @@
     prefilled_version: str | None = None
     lacks_decode: bool = True
     level: _levels.Level = _levels.OPEN_LEVEL
+    start_s: float = 0.0
     grant: _grants.Grant | None = None
 
     def needs_prefill(self, now: float) -> bool:
@@ -98,7 +98,7 @@
             return Urgency.RESUMED
         if not self.needs_prefill(now):
             return Urgency.PREFILLED
-        if self.target_at < now + PREFILL_AND_TRANSFER_S:
+        if self.target_at < now + self.start_s:
             return Urgency.LATE
         return Urgency.ON_TIME
 
@@ -197,6 +197,7 @@
             excluded=excluded,
             software_version=software_version,
             prefilled_version=prefilled_version,
+            start_s=self._placement.estimate_start_s(service, size),
         )
         self._waiters.append(waiter)
         return waiter
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -33,6 +33,9 @@
             said so. Each attempt at a request has the same.
         arrived_at: When the caller's first attempt arrived at any gateway, in
             seconds; its targets count from then.
+        granted_at: When it last got its engines, in seconds.
+        prefill_work: Prompt tokens of its prefill engine's queue when its own
+            prompt was added.
         access: What it runs as.
         denial: Why it may not be sent for its key, or None if it may.
         charge: What it was charged to its workspace's quota, or None.
@@ -60,6 +63,8 @@
     deadline: float
     caller_deadline: float
     arrived_at: float
+    granted_at: float = 0.0
+    prefill_work: float = 0.0
     access: workspaces.Access = workspaces.ANONYMOUS
     denial: verdicts.NotRun | None = None
     charge: permits.QuotaCharge | None = None
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -148,6 +148,27 @@
         return not (self.waiting or self.admissions or self.rates)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SpeedReport:
+    """How long a piece of work took at an endpoint.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        started_ms: When its incarnation started, in Unix milliseconds.
+        kind: The kind of work.
+        work: The amount of work, in the unit of its kind.
+        seconds: How long it took.
+        age_s: Seconds since it ended.
+    """
+
+    endpoint_id: str
+    started_ms: int
+    kind: str
+    work: float
+    seconds: float
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LoadReport:
     """What one gateway tells the others about its work.
@@ -166,6 +187,7 @@
             before it has one.
         queue: What waits for capacity there; empty where all generations
             have the same rank and no workspace.
+        speeds: How long work took at endpoints lately.
     """
 
     sender: PeerAddress
@@ -179,6 +201,7 @@
     refusals: tuple[PromptRefusal, ...] = ()
     configuration_version: int | None = None
     queue: QueueReport = QueueReport()
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -90,6 +90,9 @@
             with whether it is for a complete report.
         on_queue: Called with a peer's name and what waits there, before
             `on_report`.
+        read_speeds: Returns the observations of endpoints' speeds after the
+            one with a number, and the number of the last one.
+        on_speeds: Called with those that a peer reports.
     """
 
     noisy = False
@@ -125,6 +128,12 @@
         on_queue: Callable[
             [str, _base.QueueReport], None
         ] = lambda _name, _queue: None,
+        read_speeds: Callable[
+            [int], tuple[int, tuple[_base.SpeedReport, ...]]
+        ] = lambda number: (number, ()),
+        on_speeds: Callable[
+            [tuple[_base.SpeedReport, ...]], None
+        ] = lambda _speeds: None,
     ):
         self._reactor = reactor
         self._address = address
@@ -142,6 +151,8 @@
         self._on_configuration_version = on_configuration_version
         self._read_queue = read_queue
         self._on_queue = on_queue
+        self._read_speeds = read_speeds
+        self._on_speeds = on_speeds
         self._peers: dict[str, _Peer] = {}
         self._lost_at: dict[str, float] = {}
         self._gateway_count = 1
@@ -326,6 +337,8 @@
         self._on_configuration_version(
             peer.address.name, report.configuration_version
         )
+        if report.speeds:
+            self._on_speeds(report.speeds)
 
     def _tick(self, *, with_releases: bool = False) -> None:
         now = self._reactor.seconds()
@@ -387,7 +400,18 @@
         reported = schedule.select(
             loads, now, is_complete=is_complete, queue=queue
         )
-        self._send(reported, group, queue=queue, is_complete=is_complete)
+        speeds: tuple[_base.SpeedReport, ...] = ()
+        if is_complete:
+            schedule.speeds_number, speeds = self._read_speeds(
+                schedule.speeds_number
+            )
+        self._send(
+            reported,
+            group,
+            queue=queue,
+            is_complete=is_complete,
+            speeds=speeds,
+        )
 
     def _send(
         self,
@@ -396,6 +420,7 @@
         *,
         is_complete: bool,
         queue: _base.QueueReport = _NO_QUEUE,
+        speeds: tuple[_base.SpeedReport, ...] = (),
     ) -> None:
         self._sequence += 1
         data = _codec.encode_report(
@@ -409,6 +434,7 @@
                 refusals=self._read_refusals(),
                 configuration_version=self._read_configuration_version(),
                 queue=queue,
+                speeds=speeds,
             )
         )
         for peer in group:
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -7,6 +7,7 @@
 from sassafrasstile.peers import _queue_codec
 
 _MS_PER_S = 1000
+_US_PER_S = 1_000_000
 
 
 def encode_address(address: _base.PeerAddress) -> bytes:
@@ -53,7 +54,10 @@
     >>> report = _base.LoadReport(
     ...     sender=_base.PeerAddress(name="a", host="127.0.0.1", port=1),
     ...     incarnation="x", sequence=3, is_complete=True,
-    ...     loads={"e": _base.EndpointLoad(in_flight=1)})
+    ...     loads={"e": _base.EndpointLoad(in_flight=1)},
+    ...     speeds=(_base.SpeedReport(
+    ...         endpoint_id="e", started_ms=5, kind="prefill", work=5000.0,
+    ...         seconds=0.125, age_s=0.25),))
     >>> decode_report(encode_report(report)) == report
     True
     """
@@ -89,11 +93,43 @@
         ],
         report.configuration_version,
     ]
-    if not report.queue.is_empty:
+    # Gateways that have nothing to say of these send what they always sent.
+    has_queue = not report.queue.is_empty
+    if report.speeds or has_queue:
+        fields.append(_list_speeds(report.speeds))
+    if has_queue:
         fields.append(_queue_codec.encode_queue(report.queue))
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
+def _list_speeds(speeds: tuple[_base.SpeedReport, ...]) -> list:
+    return [
+        [
+            item.endpoint_id,
+            item.started_ms,
+            item.kind,
+            round(item.work, 1),
+            round(item.seconds * _US_PER_S),
+            round(item.age_s * _MS_PER_S),
+        ]
+        for item in speeds
+    ]
+
+
+def _read_speeds(rows: list) -> tuple[_base.SpeedReport, ...]:
+    return tuple(
+        _base.SpeedReport(
+            endpoint_id=str(endpoint),
+            started_ms=int(started_ms),
+            kind=str(kind),
+            work=float(work),
+            seconds=int(taken_us) / _US_PER_S,
+            age_s=int(age_ms) / _MS_PER_S,
+        )
+        for endpoint, started_ms, kind, work, taken_us, age_ms in rows
+    )
+
+
 def decode_report(data: bytes) -> _base.LoadReport:
     """Decodes a datagram.
 
@@ -110,7 +146,7 @@
             ends,
             refusals,
             configuration_version,
-            *queues,
+            *optional,
         ) = json.loads(data)
         topics = {
             str(topic): _base.TopicEndReport(
@@ -153,13 +189,14 @@
                 for prompt_id, age_ms, remaining_ms in refusals
             ),
             configuration_version=_read_number(configuration_version),
+            speeds=_read_speeds(optional[0]) if optional else (),
             queue=(
-                _queue_codec.decode_queue(queues[0])
-                if queues
+                _queue_codec.decode_queue(optional[1])
+                if len(optional) > 1
                 else _base.QueueReport()
             ),
         )
-    except (ValueError, TypeError) as reason:
+    except (ValueError, TypeError, OverflowError) as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"load report: {reason}"
         ) from reason
--- a/sassafrasstile/permits/tests/test_quotas.py
+++ b/sassafrasstile/permits/tests/test_quotas.py
@@ -400,9 +400,7 @@
 
     def test_denial_by_a_gateway_that_stands_in_asks_for_a_short_wait(self):
         """Without slack it can hand out nothing, but the first one is back."""
-        site = self.start(
-            gateways=3, bounds=permits.QuotaBounds(window_s=8.0)
-        )
+        site = self.start(gateways=3, bounds=permits.QuotaBounds(window_s=8.0))
         owner = site.gateways["g0"].limiter.rank("quota:w")[0]
         site.gateways[owner].is_frozen = True
         name = next(name for name in site.gateways if name != owner)
--- a/sassafrasstile/simulation/_patterns.py
+++ b/sassafrasstile/simulation/_patterns.py
@@ -21,6 +21,14 @@
         """Returns whether the pattern is in effect at a time."""
         return self.start_s <= now < self.start_s + self.duration_s
 
+    def scale_time(self, factor: float) -> "Pattern":
+        """Returns the pattern with its times multiplied by a factor."""
+        return dataclasses.replace(
+            self,
+            start_s=factor * self.start_s,
+            duration_s=factor * self.duration_s,
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Steady(Pattern):
@@ -118,6 +126,39 @@
     retries: int = 3
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Wave(Pattern):
+    """The arrival rate rises and falls.
+
+    Attributes:
+        swing: The largest change, as a share of the mean rate.
+        period_s: Seconds from one peak to the next.
+    """
+
+    start_s: float = 0.0
+    duration_s: float = float("inf")
+    swing: float = 0.55
+    period_s: float = 13.0
+
+    def scale_time(self, factor: float) -> "Wave":
+        """Returns the wave with its times multiplied by a factor."""
+        scaled = super().scale_time(factor)
+        return dataclasses.replace(scaled, period_s=factor * self.period_s)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SlowSpell(Pattern):
+    """The fastest engines of each kind are slow.
+
+    Attributes:
+        share: Share of the engines.
+        factor: Factor of the time that they take.
+    """
+
+    share: float = 0.2
+    factor: float = 5.0
+
+
 PATTERNS: Mapping[str, Pattern] = types.MappingProxyType(
     {
         "steady": Steady(),
@@ -129,5 +170,7 @@
         "one_zone": OneZone(),
         "repeat_at_once": ImmediateRetries(),
         "urgent_burst": UrgentBurst(),
+        "wave": Wave(),
+        "slow_spell": SlowSpell(),
     }
 )
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -181,6 +181,12 @@
             "endpoints_backing_off",
             "Endpoints that want no requests for a while.",
         )
+        self.endpoint_slowness = self._make_gauge(
+            "endpoint_slowness",
+            "Learned duration of work as a multiple of what is typical of the"
+            " service, by kind of work and percentile of the endpoints.",
+            ("kind", "percentile"),
+        )
         self.endpoints_with_rate = self._make_gauge(
             "endpoints_with_rate",
             "Incarnations of endpoints known to name the rate that they take.",
