--- a/sassafrasstile/peers/_schedule.py
+++ b/sassafrasstile/peers/_schedule.py
@@ -9,7 +9,7 @@
 # Changes that only release capacity may be reported this much later.
 _RELEASE_DELAY_S = 0.1
 # Changes in what waits for capacity are reported at most this often.
-_QUEUE_INTERVAL_S = 0.1
+_QUEUE_INTERVAL_S = 0.05
 _NO_LOAD = _base.EndpointLoad()
 _NO_QUEUE = _base.QueueReport()
 
