--- a/sassafrasstile/faultsoak/_keys.py
+++ b/sassafrasstile/faultsoak/_keys.py
@@ -273,7 +273,8 @@
             for request_id, item in permanent
             if item.status == _UNAUTHORIZED
         )
-        if not any(item.status == 200 for item in self.requests.values()):
+        statuses = {item.status for item in self.requests.values()}
+        if statuses and 200 not in statuses:
             violations.append("no request with a key was answered")
         return violations
 
