--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,10 @@
 	$(KIT)/grown/kvrd-dossier-grown.toml \
 	$(KIT)/further/bd-torino.toml \
 	$(KIT)/further-grown/bd-torino-grown.toml \
-	$(KIT)/large/fv-ruter-large.toml
+	$(KIT)/large/fv-ruter-large.toml \
+	$(KIT)/shifted/fv-ruter-now-grown.toml \
+	$(KIT)/demands/amman-fitness-grown.toml \
+	$(KIT)/demands/kuusiranta-palkka-grown.toml
 WHY ?= Regression
 
 .PHONY: demo demo-platform test lint format setup generate regression
