Quotas: a quota that changes between two decisions leaves nobody waiting

Found in the read-through, shown by two tests that failed. A request that is decided runs on at once; if it ends at once, its refund may apply another quota while the next request is decided: AttributeError, and three of five requests waited for good. The loop ends now where the version changed. A charge names its quota, so that tokens aren't given back to a quota of requests (a request ran on 3,300 of them). A refund of nothing sends nothing, and an account is kept for at least the stated window.

--- a/sassafrasstile/permits/_accounts.py
+++ b/sassafrasstile/permits/_accounts.py
@@ -159,6 +159,8 @@
         self.terms = None
         if quota is not None:
             self.terms = _terms.QuotaTerms(quota, self._bounds)
+        if before and quota and before.unit is not quota.unit:
+            self.reserve = WindowedAmount(window_s=self._bounds.window_s)
         self._leases.clear()
         self.level = None
         return True
--- a/sassafrasstile/permits/_quotas.py
+++ b/sassafrasstile/permits/_quotas.py
@@ -57,12 +57,14 @@
     Attributes:
         workspace: The workspace's name.
         amount: What it was charged.
+        quota: The quota by which.
         charged_at: When, in seconds.
         is_reserve: True if it was charged to this gateway's reserve.
     """
 
     workspace: str
     amount: float
+    quota: workspaces.Quota
     charged_at: float
     is_reserve: bool = False
 
@@ -136,6 +138,8 @@
         self._exchange = exchange
         self._read_quota = read_quota
         self._bounds = bounds
+        # An account knows what was used of the reserve in this window.
+        self._idle_s = max(_IDLE_S, bounds.window_s)
         self._count_gateways = count_gateways
         self._accounts: dict[str, _accounts.QuotaAccount] = {}
         self._live: list[str] = []
@@ -190,6 +194,8 @@
         account = self._accounts.get(charge.workspace)
         if account is None or account.terms is None:
             return
+        if charge.quota.unit is not account.terms.quota.unit:
+            return
         now = self._now()
         if charge.is_reserve:
             account.reserve.give_back(charge.amount, taken_at=charge.charged_at)
@@ -200,6 +206,8 @@
             most = account.terms.measure_reserve(self._count_gateways())
             left = account.reserve.measure_left(most=most, now=now)
             amount = min(amount, left)
+            if not amount:
+                return
             account.reserve.take(amount, most=most, now=now)
         owner = self._exchange.rank(_make_key(account.name))[0]
         self._give_back(account, owner, amount)
@@ -218,6 +226,7 @@
         charge = QuotaCharge(
             workspace=account.name,
             amount=cost,
+            quota=account.terms.quota,
             charged_at=self._now(),
             is_reserve=is_reserve,
         )
@@ -347,7 +356,10 @@
         """Decides on the first requests that wait, as far as is known."""
         is_enough = grant is not None and grant.is_enough
         is_firm = grant is not None and grant.decision.is_firm
-        while account.waiting and account.terms is not None:
+        version = account.version
+        # A request that is decided runs on at once, and what it leads to may
+        # apply another quota here.
+        while account.waiting and account.version == version:
             waiting = account.waiting[0]
             cost = account.terms.quota.measure_cost(waiting.tokens)
             if account.spend(cost, self._now()):
@@ -514,7 +526,7 @@
                 if now - lease.expires_at <= _OLD_CHARGE_S:
                     self._give_back(account, lease.gateway, lease.amount)
             is_idle = not account.waiting and not account.is_asking
-            if is_idle and now - account.used_at > _IDLE_S:
+            if is_idle and now - account.used_at > self._idle_s:
                 del self._accounts[account.name]
 
     def _now(self) -> float:
--- a/sassafrasstile/permits/tests/test_quotas.py
+++ b/sassafrasstile/permits/tests/test_quotas.py
@@ -411,6 +411,51 @@
         self.assertFalse(decision.is_granted)
         self.assertLessEqual(decision.wait_s, 0.5)
 
+    def test_requests_wait_on_when_the_quota_changes_between_two(self):
+        """The first one ends at once, and by then the quota is another."""
+        site = self.start(gateways=2)
+        owner = site.gateways["g0"].limiter.rank("quota:w")[0]
+        name = next(name for name in site.gateways if name != owner)
+        gateway = site.gateways[name]
+        decisions = []
+
+        def change(decision):
+            decisions.append(decision)
+            if len(decisions) < 2:
+                return
+            gateway.version = 7
+            gateway.quotas = {"w": make_quota(rate_per_s=20_000.0)}
+            if decision.charge is not None:
+                gateway.keeper.refund(decision.charge)
+
+        # The others are asked for together, after the first one's answer.
+        for tokens in (200, 3300, 60_000, 60_000, 60_000):
+            site.ask(name, tokens=tokens).addCallback(change)
+        site.run_for(3.0)
+        self.assertEqual(len(decisions), 5)
+
+    def test_charge_by_another_quota_is_not_given_back(self):
+        """Tokens aren't requests."""
+        site = self.start(gateways=2)
+        owner = site.gateways["g0"].limiter.rank("quota:w")[0]
+        name = next(name for name in site.gateways if name != owner)
+        gateway = site.gateways[owner]
+        decisions = []
+        site.ask(owner, tokens=3300).addCallback(decisions.append)
+        site.run_for(0.1)
+        requests = workspaces.Quota(rate_per_s=0.01, burst=2.0)
+        site.version, site.quotas = 2, {"w": requests}
+        for item in site.gateways.values():
+            item.configure()
+        for _ in range(200):
+            site.ask(owner, tokens=1)
+        site.run_for(0.1)
+        site.used.clear()
+        gateway.keeper.refund(decisions[0].charge)
+        site.ask(name, tokens=1)
+        site.run_for(0.1)
+        self.assertEqual(site.measure_used(0.0), 0)
+
     def test_sum_is_kept_when_the_gateway_that_hands_out_freezes(self):
         site = self.start()
         owner = site.gateways["g0"].limiter.rank("quota:w")[0]
