Scarce room: the newest admissions of many ranks are told; one memory of peers' news

Found in the read-through, shown by a test that failed: a gateway told of each rank that it had ever admitted, in order of first use, and others read the first 16, so the rates of ranks met later were wrong for good. What peers told stood three times, twice without forgetting gateways that are gone; it is dispatch/_peer_news.py now.

--- a/sassafrasstile/dispatch/_drains.py
+++ b/sassafrasstile/dispatch/_drains.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from sassafrasstile import peers
+from sassafrasstile.dispatch import _peer_news
 from sassafrasstile.dispatch import _shares
 
 # Window over which admissions are measured.
@@ -19,7 +20,6 @@
 _LEAST_RATE_SHARE = _shares.LEAST_SHARE
 # Totals of a gateway that was silent for longer than this start anew.
 _MAX_SILENCE_S = 4.0
-_MAX_PEERS = 1000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -29,12 +29,6 @@
     generations: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Totals:
-    heard_at: float
-    by_priority: dict[int, peers.RankAdmissions]
-
-
 class DrainMeter:
     """Measures admissions by rank, at this gateway and as others tell.
 
@@ -49,8 +43,11 @@
 
     def __init__(self):
         self._admissions: collections.deque[_Admission] = collections.deque()
+        # The ranks admitted last come last.
         self._own: dict[int, peers.RankAdmissions] = {}
-        self._peers: dict[str, _Totals] = {}
+        self._peer_totals: _peer_news.PeerNews[
+            dict[int, peers.RankAdmissions]
+        ] = _peer_news.PeerNews(max_age_s=_MAX_SILENCE_S)
         self._pressed_since: dict[int, float] = {}
 
     def record(self, priority: int, *, tokens: int, now: float) -> None:
@@ -61,7 +58,7 @@
             tokens: Its KV cache in tokens.
             now: The time in seconds.
         """
-        before = self._own.get(priority)
+        before = self._own.pop(priority, None)
         self._own[priority] = peers.RankAdmissions(
             priority=priority,
             generations=1 + (before.generations if before else 0),
@@ -70,8 +67,11 @@
         self._add(priority, 1, now)
 
     def list_own(self) -> tuple[peers.RankAdmissions, ...]:
-        """Returns what this gateway has admitted since its start, by rank."""
-        return tuple(self._own.values())
+        """Returns what this gateway has admitted since its start, by rank.
+
+        Only the ranks that it has admitted last are told.
+        """
+        return tuple(self._own.values())[-peers.MAX_REPORTED_RANKS :]
 
     def apply(
         self, peer: str, report: peers.QueueReport, now: float
@@ -88,15 +88,13 @@
         """
         if not report.admissions:
             return ()
-        known = self._peers.pop(peer, None)
-        if len(self._peers) >= _MAX_PEERS:
-            return ()
+        known = self._peer_totals.pop(peer, now)
         totals = {item.priority: item for item in report.admissions}
-        self._peers[peer] = _Totals(heard_at=now, by_priority=totals)
-        if known is None or now - known.heard_at > _MAX_SILENCE_S:
+        self._peer_totals.set(peer, {**(known or {}), **totals}, now)
+        if known is None:
             return ()
         added = [
-            _subtract(total, known.by_priority.get(priority))
+            _subtract(total, known.get(priority))
             for priority, total in totals.items()
         ]
         news = tuple(item for item in added if item.generations > 0)
--- a/sassafrasstile/dispatch/_levels.py
+++ b/sassafrasstile/dispatch/_levels.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from sassafrasstile import peers
+from sassafrasstile.dispatch import _peer_news
 
 # What a gateway has told counts for this long: a report may be lost, and the
 # next one comes within half of it.
@@ -12,7 +13,6 @@
 # goes first whichever gateway it came to. Within it, each gateway goes by its
 # own order, as what it hears is that old.
 _MARGIN_S = 0.1
-_MAX_PEERS = 1000
 # Merged again after this long, so that old news ends.
 _MERGE_INTERVAL_S = 0.1
 # Most generations that a gateway tells of, the first ones in its order.
@@ -64,12 +64,6 @@
 OPEN_LEVEL = Level()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Told:
-    heard_at: float
-    waiting: tuple[peers.WaitingGeneration, ...]
-
-
 @dataclasses.dataclass(kw_only=True)
 class _Merged:
     """The turns that all other gateways told for one service, in order."""
@@ -100,7 +94,9 @@
     """
 
     def __init__(self):
-        self._peers: dict[str, _Told] = {}
+        self._news: _peer_news.PeerNews[tuple[peers.WaitingGeneration, ...]] = (
+            _peer_news.PeerNews(max_age_s=_MAX_AGE_S)
+        )
         self._merged: dict[str, _Merged] = {}
         self._merged_at = float("-inf")
 
@@ -112,16 +108,10 @@
             report: What waits there.
             now: The time in seconds.
         """
-        if self._peers.pop(peer, None) or report.waiting:
+        if self._news.pop(peer, now) or report.waiting:
             self._merged_at = float("-inf")
-        if not report.waiting:
-            return
-        if len(self._peers) >= _MAX_PEERS:
-            self._drop_old(now)
-        if len(self._peers) < _MAX_PEERS:
-            self._peers[peer] = _Told(
-                heard_at=now, waiting=report.waiting[:MAX_TOLD]
-            )
+        if report.waiting:
+            self._news.set(peer, report.waiting[:MAX_TOLD], now)
 
     def measure(self, service: str, turn: Turn, now: float) -> Level:
         """Returns what goes before a generation at other gateways.
@@ -131,7 +121,7 @@
             turn: Its place in the order.
             now: The time in seconds.
         """
-        if not self._peers:
+        if not self._news:
             return OPEN_LEVEL
         if now - self._merged_at >= _MERGE_INTERVAL_S:
             self._merge(now)
@@ -166,36 +156,22 @@
             now: The time in seconds.
         """
         return sum(
-            any(item.priority == priority for item in told.waiting)
-            for told in self._list_recent(now)
+            any(item.priority == priority for item in told.content)
+            for told in self._news.list_recent(now)
         )
 
     def _merge(self, now: float) -> None:
         """Sorts what all gateways told lately, by service."""
         self._merged_at = now
         self._merged = {}
-        for told in self._list_recent(now):
-            for item in told.waiting:
+        for told in self._news.list_recent(now):
+            for item in told.content:
                 merged = self._merged.setdefault(item.service, _Merged())
                 merged.turns.append(_find_turn(item, told.heard_at))
                 merged.heard_at = min(merged.heard_at, told.heard_at)
         for merged in self._merged.values():
             merged.turns.sort()
 
-    def _list_recent(self, now: float) -> list[_Told]:
-        return [
-            told
-            for told in self._peers.values()
-            if now - told.heard_at < _MAX_AGE_S
-        ]
-
-    def _drop_old(self, now: float) -> None:
-        self._peers = {
-            name: told
-            for name, told in self._peers.items()
-            if now - told.heard_at < _MAX_AGE_S
-        }
-
 
 def _find_turn(item: peers.WaitingGeneration, heard_at: float) -> Turn:
     return Turn(
--- a/sassafrasstile/dispatch/_shares.py
+++ b/sassafrasstile/dispatch/_shares.py
@@ -5,6 +5,7 @@
 import math
 
 from sassafrasstile import peers
+from sassafrasstile.dispatch import _peer_news
 
 # A rank that waits gets at least this share of what each more urgent rank
 # gets, in tokens.
@@ -28,7 +29,6 @@
 _MAX_TOLD_AGE_S = 4.0
 # Number of workspaces in one report.
 _MAX_TOLD = 8
-_MAX_PEERS = 1000
 # Workspaces that use less than this count as idle.
 _MIN_TOKENS_PER_S = 1.0
 
@@ -110,12 +110,6 @@
         return math.exp(min(0.0, self.at - now) / _RECENT_S)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Told:
-    heard_at: float
-    rates: tuple[peers.WorkspaceRate, ...]
-
-
 class WorkspaceShares:
     """Which workspaces get far more than usual, over all gateways.
 
@@ -136,7 +130,9 @@
 
     def __init__(self):
         self._own: dict[str, _Meter] = {}
-        self._told: dict[str, _Told] = {}
+        self._news: _peer_news.PeerNews[tuple[peers.WorkspaceRate, ...]] = (
+            _peer_news.PeerNews(max_age_s=_MAX_TOLD_AGE_S)
+        )
         self._usual: dict[str, float] = {}
         self._began_at: float | None = None
         self._learned_at = float("-inf")
@@ -165,11 +161,7 @@
         """
         if not report.rates:
             return
-        self._told.pop(peer, None)
-        if len(self._told) < _MAX_PEERS:
-            self._told[peer] = _Told(
-                heard_at=now, rates=report.rates[:_MAX_TOLD]
-            )
+        self._news.set(peer, report.rates[:_MAX_TOLD], now)
         self._learn(now)
 
     def list_own(self, now: float) -> tuple[peers.WorkspaceRate, ...]:
@@ -217,11 +209,10 @@
         rates: dict[str, float] = {}
         for name, meter in self._own.items():
             rates[name] = meter.measure_per_s(now)
-        for told in self._told.values():
-            if now - told.heard_at < _MAX_TOLD_AGE_S:
-                for item in told.rates:
-                    known = rates.get(item.workspace, 0.0)
-                    rates[item.workspace] = known + item.tokens_per_s
+        for told in self._news.list_recent(now):
+            for item in told.content:
+                known = rates.get(item.workspace, 0.0)
+                rates[item.workspace] = known + item.tokens_per_s
         return {
             name: rate
             for name, rate in rates.items()
--- a/sassafrasstile/dispatch/tests/test_ranks.py
+++ b/sassafrasstile/dispatch/tests/test_ranks.py
@@ -7,8 +7,10 @@
 
 from sassafrasstile import dispatch
 from sassafrasstile import membership
+from sassafrasstile import peers
 from sassafrasstile import routes
 from sassafrasstile import testing
+from sassafrasstile.dispatch import _drains
 
 _SERVICE = routes.Service(
     name="engine",
@@ -257,6 +259,24 @@
         self.assertLess(waits[len(waits) // 2], 1.6)
 
 
+class DrainTest(unittest.TestCase):
+    """Load: more ranks than a report tells of, one after the other."""
+
+    def test_newest_admissions_of_many_ranks_are_told(self):
+        here, there = _drains.DrainMeter(), _drains.DrainMeter()
+        for priority in range(40):
+            here.record(priority, tokens=10, now=1.0)
+        there.apply("g1", peers.QueueReport(admissions=here.list_own()), 1.0)
+        here.record(0, tokens=10, now=1.5)
+        here.record(39, tokens=10, now=1.5)
+        told = here.list_own()
+        self.assertEqual(len(told), peers.MAX_REPORTED_RANKS)
+        news = there.apply("g1", peers.QueueReport(admissions=told), 1.5)
+        added = {item.priority: item.generations for item in news}
+        self.assertEqual(added[39], 1)
+        self.assertIn(0, added)
+
+
 class LevelTest(unittest.TestCase):
     """Two gateways, one of which tells what waits there."""
 
--- a/sassafrasstile/peers/__init__.py
+++ b/sassafrasstile/peers/__init__.py
@@ -1,6 +1,7 @@
 """Exchange of load reports between gateways over UDP."""
 
 from sassafrasstile.peers._base import (
+    MAX_REPORTED_RANKS,
     EndpointLoad,
     LoadReport,
     PeerAddress,
@@ -24,6 +25,7 @@
 from sassafrasstile.peers._transport import NoTransport, Transport
 
 __all__ = [
+    "MAX_REPORTED_RANKS",
     "EndpointLoad",
     "LoadReport",
     "Messenger",
--- a/sassafrasstile/peers/_base.py
+++ b/sassafrasstile/peers/_base.py
@@ -3,6 +3,9 @@
 from collections.abc import Mapping
 import dataclasses
 
+# A report tells of at most this many ranks.
+MAX_REPORTED_RANKS = 16
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PeerAddress:
--- a/sassafrasstile/peers/_queue_codec.py
+++ b/sassafrasstile/peers/_queue_codec.py
@@ -4,7 +4,7 @@
 
 _MS_PER_S = 1000
 # Further rows are ignored: a report has to fit into a datagram.
-_MAX_ROWS = 16
+_MAX_ROWS = _base.MAX_REPORTED_RANKS
 
 
 def encode_queue(queue: _base.QueueReport) -> list:
