Read-through: bounded labels of ranks, quotas that can't be are rejected, names and pages

A rank's label is bounded and says the rank that counts. An amount of a quota is a number that isn't negative; a long name of a workspace fits into messages. Most used services keep what is typical of them. The model takes the targets of ranks, also scaled. Pages: broken tables, stale sentences, the entry on quotas.

--- a/sassafrasstile/dispatch/_endpoints.py
+++ b/sassafrasstile/dispatch/_endpoints.py
@@ -253,6 +253,7 @@
             known = self._services[service] = speed_models.ServiceSpeeds()
             if len(self._services) > _MAX_SERVICES:
                 self._services.popitem(last=False)
+        self._services.move_to_end(service)
         return known
 
     def update_record(
--- a/sassafrasstile/dispatch/_shares.py
+++ b/sassafrasstile/dispatch/_shares.py
@@ -10,8 +10,8 @@
 # A rank that waits gets at least this share of what each more urgent rank
 # gets, in tokens.
 LEAST_SHARE = 0.1
-# Most that a rank is owed at a gateway, about one large generation: what it
-# didn't ask for in time isn't made up for.
+# Most that a rank is owed at a gateway: what it didn't ask for in time isn't
+# made up for.
 _MAX_OWED_TOKENS = 10_000.0
 # Time constant of a workspace's recent use.
 _RECENT_S = 2.0
--- a/sassafrasstile/faultsoak/_keys.py
+++ b/sassafrasstile/faultsoak/_keys.py
@@ -20,7 +20,7 @@
 # The bound that the gateways' settings state.
 REVOKE_S = 2.5
 BOUNDS = {"revokeFailClosed": True, "revokeMs": REVOKE_S * 1000}
-# A machine that runs the whole soak is slow at times.
+# Time that a request may take from a gateway's check to the endpoint.
 _ARRIVAL_MARGIN_S = 0.5
 _WORKSPACES = ("one", "two", "three")
 _FOREIGN_KEY = "k-foreign"
--- a/sassafrasstile/forwarding/_access.py
+++ b/sassafrasstile/forwarding/_access.py
@@ -12,7 +12,7 @@
 from sassafrasstile.forwarding import _task
 
 _LOG = logging.getLogger("sassafrasstile.forwarding")
-# A gateway asks about once a second whether its configuration is the newest.
+# By then it may be known again which keys are valid.
 UNCONFIRMED_RETRY_AFTER_S = 1.0
 _KEY_CODES = frozenset(
     (
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -243,11 +243,12 @@
         )
         decision: defer.Deferred = defer.Deferred()
         self._waiting[waiter] = _Waiting(task=task, decision=decision)
-        waiting = self._context.metrics.waiting.labels(task.rank_name)
+        metrics = self._context.metrics
+        waiting = metrics.waiting.labels(metrics.ranks.choose(task.rank_name))
         waiting.inc()
         began_at = self._context.now()
-        self.admit()
         try:
+            self.admit()
             grant = await decision
         finally:
             self._waiting.pop(waiter, None)
@@ -265,8 +266,9 @@
     ) -> None:
         metrics = self._context.metrics
         outcome = "refused" if grant is None else "admitted"
-        metrics.admissions.labels(task.rank_name, outcome).inc()
-        metrics.admission_wait.labels(task.rank_name).observe(waited_s)
+        rank = metrics.ranks.choose(task.rank_name)
+        metrics.admissions.labels(rank, outcome).inc()
+        metrics.admission_wait.labels(rank).observe(waited_s)
         workspace = task.workspace_name
         if grant is not None and workspace:
             tokens = grant.size.memory_tokens
--- a/sassafrasstile/forwarding/_retries.py
+++ b/sassafrasstile/forwarding/_retries.py
@@ -43,7 +43,7 @@
     HOLDS = "engines were asked for memory as often as allowed"
     MAY_HAVE_RUN = "it may have run, and no other endpoint may run it"
     BUDGET = "the retry budget is spent"
-    ACCESS = "its key isn't valid any more"
+    ACCESS = "it may not run with its key now"
     CONTENT = "endpoints were lost under requests like it"
 
 
--- a/sassafrasstile/forwarding/_task.py
+++ b/sassafrasstile/forwarding/_task.py
@@ -106,13 +106,16 @@
     @property
     def rank(self) -> int:
         """Its rank for scarce capacity: its priority, then its route's."""
-        minor = min(max(self.route.priority, 0), _ROUTE_RANKS - 1)
-        return _ROUTE_RANKS * self.priority + minor
+        return _ROUTE_RANKS * self.priority + self._route_rank
 
     @property
     def rank_name(self) -> str:
         """Its rank in logs and metrics, such as `1.0`."""
-        return f"{self.priority}.{self.route.priority}"
+        return f"{self.priority}.{self._route_rank}"
+
+    @property
+    def _route_rank(self) -> int:
+        return min(max(self.route.priority, 0), _ROUTE_RANKS - 1)
 
     @functools.cached_property
     def content(self) -> quarantine.Content:
--- a/sassafrasstile/forwarding/tests/test_admission.py
+++ b/sassafrasstile/forwarding/tests/test_admission.py
@@ -83,6 +83,7 @@
             service=_SERVICE,
             size=dispatch.WorkSize(prompt_tokens=4000, output_tokens=500),
             access=workspaces.Access(workspace=workspace),
+            workspace_name=workspace.name if workspace else "",
             arrived_at=0.0,
             may_have_run=[],
             software_version=None,
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -93,7 +93,7 @@
         ],
         report.configuration_version,
     ]
-    # Gateways that have nothing to say of these send what they always sent.
+    # Left out where they are empty: former versions reject further fields.
     has_queue = not report.queue.is_empty
     if report.speeds or has_queue:
         fields.append(_list_speeds(report.speeds))
--- a/sassafrasstile/permits/_codec.py
+++ b/sassafrasstile/permits/_codec.py
@@ -13,7 +13,8 @@
 _REQUEST = "take"
 _ANSWER = "taken"
 _RETURN = "back"
-_MAX_KEY_CHARS = 200
+# A workspace may have a long name; a message has to fit into a datagram.
+_MAX_KEY_CHARS = 1000
 # Digits after the point of an amount.
 _AMOUNT_DIGITS = 3
 
--- a/sassafrasstile/permits/_exchange.py
+++ b/sassafrasstile/permits/_exchange.py
@@ -145,7 +145,7 @@
                 _LOG.warning(
                     "permit: gateway %s doesn't answer.",
                     name,
-                    extra={"gateway": name, "endpoint": news.key},
+                    extra={"gateway": name, "key": news.key},
                 )
         return decision
 
--- a/sassafrasstile/platform/_codec.py
+++ b/sassafrasstile/platform/_codec.py
@@ -27,8 +27,6 @@
 _LOWEST_PRIORITY = 9
 # Statuses that guarantee callers that the request was not run.
 _NOT_RUN_STATUSES = frozenset((408, 429, 503))
-
-
 # What callers send of these is dropped where the configuration has workspaces.
 _CREDENTIALS = frozenset(
     (_names.AUTHORIZATION.lower(), _names.WORKSPACE.lower())
--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -1,6 +1,6 @@
 """Decodes the store's configuration and endpoint records."""
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import pydantic
 
@@ -15,6 +15,7 @@
 from sassafrasstile.platform import _names
 
 _TOKEN_UNIT = "tokens"
+_Amount = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
 _KINDS = {
     "safe": routes.RouteKind.IDEMPOTENT_CALL,
     "unsafe": routes.RouteKind.NON_IDEMPOTENT_CALL,
@@ -77,16 +78,16 @@
 class _Workspace(_models.Document):
     # It is sent as a header's value.
     name: str = pydantic.Field(
-        pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$"
+        pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$",
     )
     keys: list[str] = pydantic.Field(alias="apiKeys", default=[], repr=False)
     priority: int | None = None
     unit: str = ""
     # The cost in tokens of a request that states no token count.
-    plain_tokens: float = 1.0
+    plain_tokens: _Amount = 1.0
     # Zero means no limit.
-    rate_per_s: float = pydantic.Field(alias="ratePerS", default=0.0)
-    burst: float = 0.0
+    rate_per_s: _Amount = pydantic.Field(alias="ratePerS", default=0.0)
+    burst: _Amount = 0.0
 
 
 class _Configuration(_models.Document):
--- a/sassafrasstile/platform/tests/test_workspaces.py
+++ b/sassafrasstile/platform/tests/test_workspaces.py
@@ -57,6 +57,8 @@
             {**document, "apiKeys": _KEY},
             {**document, "apiKeys": [_KEY, 1]},
             {**document, "priority": _KEY},
+            {**document, "ratePerS": -1},
+            {**document, "burst": "NaN"},
         ):
             with self.subTest(broken=broken):
                 with self.assertRaises(errors.ConfigurationError) as raised:
--- a/sassafrasstile/simulation/_gateways.py
+++ b/sassafrasstile/simulation/_gateways.py
@@ -298,7 +298,7 @@
             size=dispatch.WorkSize(
                 prompt_tokens=attempt.prompt_tokens,
                 output_tokens=output_tokens,
-                target_s=self._profile.target_s,
+                target_s=attempt.target_s,
                 max_gap_s=self._profile.gap_s,
             ),
             exchange=None,
--- a/sassafrasstile/simulation/_profiles.py
+++ b/sassafrasstile/simulation/_profiles.py
@@ -134,6 +134,10 @@
             target_s=factor * self.target_s,
             gap_s=factor * self.gap_s,
             deadline_s=factor * self.deadline_s,
+            ranks=tuple(
+                dataclasses.replace(rank, target_s=factor * rank.target_s)
+                for rank in self.ranks
+            ),
         )
 
     @property
--- a/sassafrasstile/speeds/_service.py
+++ b/sassafrasstile/speeds/_service.py
@@ -16,6 +16,7 @@
 _KNOWN_COUNT = 10
 _MAX_SURPRISE = math.log(2.0)
 
+# Assumed until something is observed.
 _ASSUMPTIONS = types.MappingProxyType(
     {
         _base.Kind.PREFILL: _curve.Assumption(
@@ -78,5 +79,5 @@
         level = self._levels[kind]
         level += _LEVEL_WEIGHT * (factor_log - level)
         self._levels[kind] = level
-        share = math.exp(_FACTOR_SHARE * (factor_log - level))
-        curve.add(observation.work, observation.seconds / share)
+        slowness = math.exp(_FACTOR_SHARE * (factor_log - level))
+        curve.add(observation.work, observation.seconds / slowness)
--- a/sassafrasstile/telemetry/_metrics.py
+++ b/sassafrasstile/telemetry/_metrics.py
@@ -106,6 +106,7 @@
 
     Attributes:
         workspaces: Chooses the labels of workspaces.
+        ranks: Chooses the labels of ranks.
     """
 
     def __init__(self):
@@ -138,6 +139,7 @@
             ("reason",),
         )
         self.workspaces = _labels.BoundedLabels()
+        self.ranks = _labels.BoundedLabels()
         self.workspace_refusals = self._make_counter(
             "workspace_refusals",
             "Requests refused as not run, by workspace and reason.",
