Scarce room: a refused caller is told when its own rank gets capacity, wherever it waits

What waits of a rank at other gateways counted as more urgent unless it was late, so it was divided by the rate of all ranks: the new test saw 1.1 times the wait of one gateway in place of twice it. Found in the read-through.

--- a/sassafrasstile/dispatch/_levels.py
+++ b/sassafrasstile/dispatch/_levels.py
@@ -121,11 +121,7 @@
             turn: Its place in the order.
             now: The time in seconds.
         """
-        if not self._news:
-            return OPEN_LEVEL
-        if now - self._merged_at >= _MERGE_INTERVAL_S:
-            self._merge(now)
-        merged = self._merged.get(service)
+        merged = self._find_merged(service, now)
         if merged is None:
             return OPEN_LEVEL
         of_rank = Turn(
@@ -148,6 +144,23 @@
             age_s=now - merged.heard_at if total else 0.0,
         )
 
+    def measure_rank(self, service: str, priority: int, now: float) -> Level:
+        """Returns what waits of a rank and of more urgent ones, of any class.
+
+        Args:
+            service: The required service.
+            priority: The rank.
+            now: The time in seconds.
+        """
+        merged = self._find_merged(service, now)
+        if merged is None:
+            return OPEN_LEVEL
+        return Level(
+            more_urgent=sum(item.priority < priority for item in merged.turns),
+            same_rank=sum(item.priority == priority for item in merged.turns),
+            age_s=now - merged.heard_at,
+        )
+
     def count_gateways(self, priority: int, now: float) -> int:
         """Returns at how many other gateways a rank waits.
 
@@ -160,6 +173,13 @@
             for told in self._news.list_recent(now)
         )
 
+    def _find_merged(self, service: str, now: float) -> _Merged | None:
+        if not self._news:
+            return None
+        if now - self._merged_at >= _MERGE_INTERVAL_S:
+            self._merge(now)
+        return self._merged.get(service)
+
     def _merge(self, now: float) -> None:
         """Sorts what all gateways told lately, by service."""
         self._merged_at = now
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -417,24 +417,17 @@
             priority: The rank.
             now: The time in seconds.
         """
-        last = _levels.Turn(
-            urgency=Urgency.LATE,
-            priority=priority,
-            is_crowding=True,
-            target_at=float("inf"),
-        )
-        level = self._levels.measure(service.name, last, now)
-        turns = [
-            self._find_turn(item, now)
+        level = self._levels.measure_rank(service.name, priority, now)
+        ranks = [
+            item.priority
             for item in self._waiters
             if item.service.name == service.name
         ]
-        same_rank = sum(turn.priority == priority for turn in turns)
-        ahead = sum(turn < last for turn in turns)
         return self._drains.estimate_wait_s(
             priority,
-            more_urgent=max(0, ahead - same_rank) + level.more_urgent,
-            same_rank=same_rank + level.same_rank,
+            more_urgent=sum(rank < priority for rank in ranks)
+            + level.more_urgent,
+            same_rank=ranks.count(priority) + level.same_rank,
             now=now,
         )
 
--- a/sassafrasstile/dispatch/tests/test_ranks.py
+++ b/sassafrasstile/dispatch/tests/test_ranks.py
@@ -368,3 +368,18 @@
         after = self.queue.estimate_drain_s(_SERVICE, 2, 0.0)
         self.assertEqual(before, 0.0)
         self.assertEqual(after, 1.0)
+
+    def test_drain_of_a_rank_is_its_own_also_for_what_waits_elsewhere(self):
+        """Load: urgent requests get all, and others wait at two gateways."""
+        self.fill(leave=0)
+        self.site.ask(0, 2)
+        self.queue.admit(0.0)
+        for _ in range(20):
+            self.queue._drains.record(0, tokens=10, now=0.9)
+        alone = self.queue.estimate_drain_s(_SERVICE, 2, 1.0)
+        self.site.now = 0.9
+        self.site.ask(1, 2)
+        report = self.site.queues[1].make_report(0.9, has_ranks=True)
+        self.queue.apply_report("g1", report, 0.9)
+        both = self.queue.estimate_drain_s(_SERVICE, 2, 1.0)
+        self.assertAlmostEqual(both, 2 * alone)
