--- a/sassafrasstile/dispatch/_drains.py
+++ b/sassafrasstile/dispatch/_admission_rates.py
@@ -29,15 +29,15 @@
     generations: int
 
 
-class DrainMeter:
+class AdmissionRates:
     """Measures admissions by rank, at this gateway and as others tell.
 
-    >>> drains = DrainMeter()
+    >>> rates = AdmissionRates()
     >>> for _ in range(20):
-    ...     drains.record(0, tokens=100, now=1.0)
-    >>> drains.measure_rate(2.0)
+    ...     rates.record(0, tokens=100, now=1.0)
+    >>> rates.measure_rate(2.0)
     10.0
-    >>> drains.estimate_wait_s(0, more_urgent=0, same_rank=5, now=2.0)
+    >>> rates.estimate_wait_s(0, more_urgent=0, same_rank=5, now=2.0)
     0.5
     """
 
--- a/sassafrasstile/dispatch/_queue.py
+++ b/sassafrasstile/dispatch/_queue.py
@@ -8,13 +8,13 @@
 
 from sassafrasstile import peers
 from sassafrasstile import routes
+from sassafrasstile.dispatch import _admission_rates
 from sassafrasstile.dispatch import _base
-from sassafrasstile.dispatch import _drains
 from sassafrasstile.dispatch import _endpoints
 from sassafrasstile.dispatch import _grants
-from sassafrasstile.dispatch import _levels
 from sassafrasstile.dispatch import _placement
 from sassafrasstile.dispatch import _shares
+from sassafrasstile.dispatch import _turns
 
 # Late generations whose expected wait is longer than this are rejected.
 _MAX_LATE_WAIT_S = 1.0
@@ -56,8 +56,8 @@
             hasn't expired.
         lacks_decode: False if it waits for something else than memory of any
             decode engine: for prefill, or for engines of its version.
-        level: What went before it at other gateways when it was last its
-            turn here.
+        ahead_elsewhere: What went before it at other gateways when it was last
+            its turn here.
         start_s: Expected seconds from its admission to its first token.
         grant: The granted capacity, once it is admitted.
     """
@@ -78,7 +78,7 @@
     software_version: str | None = None
     prefilled_version: str | None = None
     lacks_decode: bool = True
-    level: _levels.Level = _levels.OPEN_LEVEL
+    ahead_elsewhere: _turns.AheadElsewhere = _turns.NOTHING_AHEAD
     start_s: float = 0.0
     grant: _grants.Grant | None = None
 
@@ -125,8 +125,8 @@
         self._placement = placement
         self._waiters: list[Waiter] = []
         self._sequence = itertools.count()
-        self._levels = _levels.AdmissionLevels()
-        self._drains = _drains.DrainMeter()
+        self._peer_turns = _turns.PeerTurns()
+        self._rates = _admission_rates.AdmissionRates()
         self._least_shares = _shares.LeastShares()
         self._workspace_shares = _shares.WorkspaceShares()
         self._is_holding = False
@@ -213,7 +213,7 @@
         # Versions of engines that are full, by service.
         full_versions: dict[str, set[str]] = collections.defaultdict(set)
         left_to_others: set[str] = set()
-        self._drains.set_waiting(self._list_priorities(), now)
+        self._rates.set_waiting(self._list_priorities(), now)
         for waiter in self._sort(now):
             service = waiter.service.name
             if service in left_to_others:
@@ -252,15 +252,15 @@
         """Returns whether free capacity goes to other gateways first."""
         is_begun = waiter.get_urgency(now) < Urgency.ON_TIME
         if is_begun or self._is_owed(waiter, now):
-            waiter.level = _levels.OPEN_LEVEL
+            waiter.ahead_elsewhere = _turns.NOTHING_AHEAD
             return False
-        waiter.level = self._levels.measure(
+        waiter.ahead_elsewhere = self._peer_turns.measure(
             waiter.service.name, self._find_turn(waiter, now), now
         )
-        if not waiter.level.total:
+        if not waiter.ahead_elsewhere.total:
             return False
         places = self.count_places(waiter.service, waiter.size, now)
-        return places <= waiter.level.total
+        return places <= waiter.ahead_elsewhere.total
 
     def count_places(
         self, service: routes.Service, size: _base.WorkSize, now: float
@@ -277,7 +277,7 @@
     def _record(self, waiter: Waiter, now: float) -> None:
         """Records an admission."""
         tokens = waiter.size.memory_tokens
-        self._drains.record(waiter.priority, tokens=tokens, now=now)
+        self._rates.record(waiter.priority, tokens=tokens, now=now)
         self._least_shares.record(
             waiter.priority, tokens=tokens, waiting=self._count_waiting(now)
         )
@@ -302,13 +302,13 @@
         if has_ranks and self._waiters:
             # Others would leave memory to what can't use it.
             ordered = [item for item in self._sort(now) if item.lacks_decode]
-            first = ordered[: _levels.MAX_TOLD]
+            first = ordered[: _turns.MAX_TOLD]
             waiting = tuple(self._describe(item, now) for item in first)
         if not is_complete:
             return peers.QueueReport(waiting=waiting) if waiting else _NO_REPORT
         return peers.QueueReport(
             waiting=waiting,
-            admissions=self._drains.list_own() if has_ranks else (),
+            admissions=self._rates.list_own() if has_ranks else (),
             rates=self._workspace_shares.list_own(now),
         )
 
@@ -332,9 +332,9 @@
             report: Its report.
             now: The time in seconds.
         """
-        self._levels.apply(peer, report, now)
+        self._peer_turns.apply(peer, report, now)
         self._workspace_shares.apply(peer, report, now)
-        news = self._drains.apply(peer, report, now)
+        news = self._rates.apply(peer, report, now)
         if not news:
             return
         waiting = self._count_waiting(now)
@@ -346,7 +346,7 @@
     def _count_waiting(self, now: float) -> Mapping[int, int]:
         """Returns at how many gateways each rank waits that waits here."""
         return {
-            priority: 1 + self._levels.count_gateways(priority, now)
+            priority: 1 + self._peer_turns.count_gateways(priority, now)
             for priority in self._list_priorities()
         }
 
@@ -394,20 +394,20 @@
     ) -> float:
         """Returns how long a generation waits behind others, in seconds."""
         turn = self._find_turn(waiter, now)
-        level = self._levels.measure(waiter.service.name, turn, now)
+        elsewhere = self._peer_turns.measure(waiter.service.name, turn, now)
         same_rank = sum(
             item.priority == waiter.priority
             and item.get_urgency(now) is turn.urgency
             for item in ahead
         )
-        return self._drains.estimate_wait_s(
+        return self._rates.estimate_wait_s(
             waiter.priority,
-            more_urgent=len(ahead) - same_rank + level.more_urgent,
-            same_rank=same_rank + level.same_rank,
+            more_urgent=len(ahead) - same_rank + elsewhere.more_urgent,
+            same_rank=same_rank + elsewhere.same_rank,
             now=now,
         )
 
-    def estimate_drain_s(
+    def estimate_queue_end_s(
         self, service: routes.Service, priority: int, now: float
     ) -> float:
         """Returns when what waits now of a rank will have capacity, in seconds.
@@ -417,17 +417,17 @@
             priority: The rank.
             now: The time in seconds.
         """
-        level = self._levels.measure_rank(service.name, priority, now)
+        elsewhere = self._peer_turns.measure_rank(service.name, priority, now)
         ranks = [
             item.priority
             for item in self._waiters
             if item.service.name == service.name
         ]
-        return self._drains.estimate_wait_s(
+        return self._rates.estimate_wait_s(
             priority,
             more_urgent=sum(rank < priority for rank in ranks)
-            + level.more_urgent,
-            same_rank=ranks.count(priority) + level.same_rank,
+            + elsewhere.more_urgent,
+            same_rank=ranks.count(priority) + elsewhere.same_rank,
             now=now,
         )
 
@@ -453,8 +453,8 @@
             case _:
                 return False
 
-    def _find_turn(self, waiter: Waiter, now: float) -> _levels.Turn:
-        return _levels.Turn(
+    def _find_turn(self, waiter: Waiter, now: float) -> _turns.Turn:
+        return _turns.Turn(
             urgency=waiter.get_urgency(now),
             priority=waiter.priority,
             is_crowding=self._workspace_shares.is_crowding(
--- a/sassafrasstile/dispatch/_levels.py
+++ b/sassafrasstile/dispatch/_turns.py
@@ -42,7 +42,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Level:
+class AheadElsewhere:
     """What goes before a generation at other gateways.
 
     Attributes:
@@ -61,7 +61,7 @@
         return self.more_urgent + self.same_rank
 
 
-OPEN_LEVEL = Level()
+NOTHING_AHEAD = AheadElsewhere()
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -72,12 +72,12 @@
     heard_at: float = float("inf")
 
 
-class AdmissionLevels:
+class PeerTurns:
     """What waits for capacity at other gateways, as they have told.
 
     A gateway that hears nothing goes by its own order.
 
-    >>> levels = AdmissionLevels()
+    >>> turns = PeerTurns()
     >>> waiting = peers.WaitingGeneration(
     ...     service="s",
     ...     urgency=2,
@@ -85,11 +85,11 @@
     ...     is_crowding=False,
     ...     remaining_s=0.8,
     ... )
-    >>> levels.apply("g2", peers.QueueReport(waiting=(waiting,)), now=10.0)
+    >>> turns.apply("g2", peers.QueueReport(waiting=(waiting,)), now=10.0)
     >>> turn = Turn(urgency=2, priority=1, is_crowding=False, target_at=10.5)
-    >>> levels.measure("s", turn, now=10.1).more_urgent
+    >>> turns.measure("s", turn, now=10.1).more_urgent
     1
-    >>> levels.measure("s", turn, now=12.0).more_urgent
+    >>> turns.measure("s", turn, now=12.0).more_urgent
     0
     """
 
@@ -113,7 +113,7 @@
         if report.waiting:
             self._news.set(peer, report.waiting[:MAX_TOLD], now)
 
-    def measure(self, service: str, turn: Turn, now: float) -> Level:
+    def measure(self, service: str, turn: Turn, now: float) -> AheadElsewhere:
         """Returns what goes before a generation at other gateways.
 
         Args:
@@ -123,7 +123,7 @@
         """
         merged = self._find_merged(service, now)
         if merged is None:
-            return OPEN_LEVEL
+            return NOTHING_AHEAD
         of_rank = Turn(
             urgency=turn.urgency,
             priority=turn.priority,
@@ -138,13 +138,15 @@
         )
         more_urgent = bisect.bisect_left(merged.turns, of_rank)
         total = bisect.bisect_left(merged.turns, latest)
-        return Level(
+        return AheadElsewhere(
             more_urgent=more_urgent,
             same_rank=total - more_urgent,
             age_s=now - merged.heard_at if total else 0.0,
         )
 
-    def measure_rank(self, service: str, priority: int, now: float) -> Level:
+    def measure_rank(
+        self, service: str, priority: int, now: float
+    ) -> AheadElsewhere:
         """Returns what waits of a rank and of more urgent ones, of any class.
 
         Args:
@@ -154,8 +156,8 @@
         """
         merged = self._find_merged(service, now)
         if merged is None:
-            return OPEN_LEVEL
-        return Level(
+            return NOTHING_AHEAD
+        return AheadElsewhere(
             more_urgent=sum(item.priority < priority for item in merged.turns),
             same_rank=sum(item.priority == priority for item in merged.turns),
             age_s=now - merged.heard_at,
--- a/sassafrasstile/dispatch/tests/test_ranks.py
+++ b/sassafrasstile/dispatch/tests/test_ranks.py
@@ -10,7 +10,7 @@
 from sassafrasstile import peers
 from sassafrasstile import routes
 from sassafrasstile import testing
-from sassafrasstile.dispatch import _drains
+from sassafrasstile.dispatch import _admission_rates
 
 _SERVICE = routes.Service(
     name="engine",
@@ -259,11 +259,14 @@
         self.assertLess(waits[len(waits) // 2], 1.6)
 
 
-class DrainTest(unittest.TestCase):
+class AdmissionRatesTest(unittest.TestCase):
     """Load: more ranks than a report tells of, one after the other."""
 
     def test_newest_admissions_of_many_ranks_are_told(self):
-        here, there = _drains.DrainMeter(), _drains.DrainMeter()
+        here, there = (
+            _admission_rates.AdmissionRates(),
+            _admission_rates.AdmissionRates(),
+        )
         for priority in range(40):
             here.record(priority, tokens=10, now=1.0)
         there.apply("g1", peers.QueueReport(admissions=here.list_own()), 1.0)
@@ -277,7 +280,7 @@
         self.assertIn(0, added)
 
 
-class LevelTest(unittest.TestCase):
+class PeerTurnsTest(unittest.TestCase):
     """Two gateways, one of which tells what waits there."""
 
     def setUp(self):
@@ -360,26 +363,26 @@
         later = self.queue.expire(0.7)
         self.assertEqual([item.priority for item in later], [1])
 
-    def test_drain_of_a_rank_counts_what_goes_first(self):
+    def test_queue_end_of_a_rank_counts_what_goes_first(self):
         """Load: urgent requests wait at another gateway."""
         self.fill(leave=0)
-        before = self.queue.estimate_drain_s(_SERVICE, 2, 0.0)
+        before = self.queue.estimate_queue_end_s(_SERVICE, 2, 0.0)
         self.tell(0, 0, 0)
-        after = self.queue.estimate_drain_s(_SERVICE, 2, 0.0)
+        after = self.queue.estimate_queue_end_s(_SERVICE, 2, 0.0)
         self.assertEqual(before, 0.0)
         self.assertEqual(after, 1.0)
 
-    def test_drain_of_a_rank_is_its_own_also_for_what_waits_elsewhere(self):
+    def test_queue_end_of_a_rank_is_its_own_also_for_what_waits_elsewhere(self):
         """Load: urgent requests get all, and others wait at two gateways."""
         self.fill(leave=0)
         self.site.ask(0, 2)
         self.queue.admit(0.0)
         for _ in range(20):
-            self.queue._drains.record(0, tokens=10, now=0.9)
-        alone = self.queue.estimate_drain_s(_SERVICE, 2, 1.0)
+            self.queue._rates.record(0, tokens=10, now=0.9)
+        alone = self.queue.estimate_queue_end_s(_SERVICE, 2, 1.0)
         self.site.now = 0.9
         self.site.ask(1, 2)
         report = self.site.queues[1].make_report(0.9, has_ranks=True)
         self.queue.apply_report("g1", report, 0.9)
-        both = self.queue.estimate_drain_s(_SERVICE, 2, 1.0)
+        both = self.queue.estimate_queue_end_s(_SERVICE, 2, 1.0)
         self.assertAlmostEqual(both, 2 * alone)
--- a/sassafrasstile/forwarding/_admission.py
+++ b/sassafrasstile/forwarding/_admission.py
@@ -31,7 +31,7 @@
 _MIN_RESUMED_WAIT_S = 2.0
 # A refused caller is asked to wait no longer than this: what is measured says
 # little of later times.
-_MAX_DRAIN_S = 4.0
+_MAX_RETRY_WAIT_S = 4.0
 _NO_REPORT = peers.QueueReport()
 
 
@@ -100,10 +100,10 @@
         """
         if len(self._context.active_configuration.priorities) < 2:
             return 0.0
-        drain_s = self._queue.estimate_drain_s(
+        queue_end_s = self._queue.estimate_queue_end_s(
             task.service, task.rank, self._context.now()
         )
-        return min(_MAX_DRAIN_S, drain_s)
+        return min(_MAX_RETRY_WAIT_S, queue_end_s)
 
     async def acquire(
         self,
@@ -364,8 +364,8 @@
             "age_ms": round((now - task.arrived_at) * 1000),
             "rank": task.rank_name,
             "places": self._queue.count_places(task.service, task.size, now),
-            "ahead_elsewhere": waiter.level.total,
-            "news_age_ms": round(waiter.level.age_s * 1000),
+            "ahead_elsewhere": waiter.ahead_elsewhere.total,
+            "news_age_ms": round(waiter.ahead_elsewhere.age_s * 1000),
         }
         if grant is None:
             _LOG.info(
--- a/sassafrasstile/forwarding/_generations.py
+++ b/sassafrasstile/forwarding/_generations.py
@@ -92,8 +92,8 @@
         backoff_s = self._context.placement.measure_decode_backoff_s(
             task.service.name, now
         )
-        drain_s = self.admission.estimate_retry_s(task)
-        return max(_NO_ENDPOINT_RETRY_AFTER_S, backoff_s, drain_s)
+        queue_end_s = self.admission.estimate_retry_s(task)
+        return max(_NO_ENDPOINT_RETRY_AFTER_S, backoff_s, queue_end_s)
 
     async def _run_until_answered(
         self, task: _task.RequestTask, progress: _streams.Progress
