--- a/sassafrasstile/workspaces/_base.py
+++ b/sassafrasstile/workspaces/_base.py
@@ -84,6 +84,12 @@
         key: The key that its caller has shown for that workspace.
         hides_credentials: True if endpoints are told the workspace's name in
             place of what the caller has sent.
+
+    >>> Access().qualify("p1")
+    'p1'
+    >>> one = Access(workspace=Workspace(name="a"), hides_credentials=True)
+    >>> one.qualify("p1") == OUTSIDE.qualify("p1")
+    False
     """
 
     workspace: Workspace | None = None
@@ -101,12 +107,6 @@
         Callers choose such names, for example the id of a prompt. What one
         workspace has left under a name isn't found by others. Without
         workspaces, and for an empty name, it is the name itself.
-
-        >>> Access().qualify("p1")
-        'p1'
-        >>> one = Access(workspace=Workspace(name="a"), hides_credentials=True)
-        >>> one.qualify("p1") == OUTSIDE.qualify("p1")
-        False
         """
         if not self.hides_credentials or not name:
             return name
