Fault soak: callers begin once all gateways accept connections

Beside load a gateway opened its port later than the fixed 3 s: connection refused, in four tests of one run at load 15, two of another.

--- a/sassafrasstile/faultsoak/_gateways.py
+++ b/sassafrasstile/faultsoak/_gateways.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 
@@ -91,6 +92,11 @@
         """The exit code of a process that has ended, or None."""
         return self._process.poll()
 
+    def accepts_callers(self) -> bool:
+        """Returns whether its port for callers is open."""
+        with socket.socket() as probe:
+            return probe.connect_ex(("127.0.0.1", self.port)) == 0
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal if the process is running."""
         if self.is_running:
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -27,6 +27,10 @@
 from sassafrasstile.faultsoak import _stated_rates
 from sassafrasstile.faultsoak import _versions
 
+# A busy machine takes its time to start the gateways.
+_MAX_STARTUP_S = 30.0
+_POLL_INTERVAL_S = 0.1
+# Then they read the store and find each other.
 _STARTUP_WAIT_S = 3.0
 _SETTLE_WAIT_S = 8.0
 _SHUTDOWN_WAIT_S = 5.0
@@ -181,13 +185,21 @@
             finally:
                 await self.close()
 
+    async def _wait_for_gateways(self) -> None:
+        deadline = self._reactor.seconds() + _MAX_STARTUP_S
+        while self._reactor.seconds() < deadline and not all(
+            gateway.accepts_callers() for gateway in self.gateways
+        ):
+            await self._sleep(_POLL_INTERVAL_S)
+        await self._sleep(_STARTUP_WAIT_S)
+
     async def _send_and_check(self) -> SoakReport:
         callers = _callers.Callers(
             reactor=self._reactor,
             gateways=self.gateways,
             generator=self._generator,
         )
-        await self._sleep(_STARTUP_WAIT_S)
+        await self._wait_for_gateways()
         silent_engines = self._silent_engines
         if self._has_silences:
             await silent_engines.check()
