Learned speeds: prefills go by them only where engines are seen to differ

Engines there are equal, but gateways with little processor time measure their own delay as well. The new test failed before.

--- a/sassafrasstile/dispatch/_placement.py
+++ b/sassafrasstile/dispatch/_placement.py
@@ -433,7 +433,7 @@
 
     @staticmethod
     def can_prefill_locally(
-        decode: _endpoints.Endpoint, size: _base.WorkSize, now: float
+        decode: _endpoints.Endpoint, size: _base.WorkSize, now: float = 0.0
     ) -> bool:
         """Returns whether a decode engine may prefill a prompt itself.
 
--- a/sassafrasstile/dispatch/_prefills.py
+++ b/sassafrasstile/dispatch/_prefills.py
@@ -12,14 +12,19 @@
 
 # Cost of a prefill in another zone than the decode, in seconds of backlog.
 _PREFILL_ZONE_COST_S = 0.05
+# Where engines are about equally fast, these are assumed: the longest prompt
+# that a decode engine prefills beside other streams; the rate of a prefill
+# engine; its longest backlog, and that for the prompt of a late generation.
+_MAX_LOCAL_PREFILL_TOKENS = 6000
+_PREFILL_TOKENS_PER_S = 50_000.0
+_MAX_BACKLOG_S = 0.3
+_MAX_LATE_BACKLOG_S = 0.1
 # Maximum backlog at which a prefill engine gets another prompt, as a share of
-# the target for the first token.
+# the target for the first token. It is at most the one above: generations that
+# have less time come after those that have much.
 _MAX_BACKLOG_SHARE = 1 / 3
 # The same for the prompt of a late generation.
 _MAX_LATE_BACKLOG_SHARE = 1 / 9
-# Maximum backlog in seconds for generations that have much time: others that
-# have less come after them.
-_MAX_BACKLOG_S = 0.3
 # With at most this many streams, a decode engine prefills prompts of any
 # length.
 _FEW_STREAMS = 1
@@ -44,6 +49,8 @@
         return False
     if decode.total_in_flight <= _FEW_STREAMS:
         return True
+    if not decode.speeds.is_uneven:
+        return size.prompt_tokens <= _MAX_LOCAL_PREFILL_TOKENS
     # The time to the first event has the steps of one event in it.
     gap_s = decode.speeds.estimate_s(
         speeds.Kind.LOCAL_PREFILL, size.prompt_tokens, now
@@ -89,10 +96,7 @@
             The versions with engines of both kinds; None if any version will
             do, or if there is none with both.
         """
-        gap_s = self._endpoints.get_service_speeds(service.name).estimate_s(
-            speeds.Kind.LOCAL_PREFILL, size.prompt_tokens
-        )
-        if gap_s <= size.max_gap_s:
+        if self._is_short(service, size):
             return None
         prefills = self._list_reachable(service.name, now)
         decodes = self._endpoints.list_usable(
@@ -102,6 +106,16 @@
         versions &= {item.record.software_version for item in decodes}
         return frozenset(versions) or None
 
+    def _is_short(self, service: routes.Service, size: _base.WorkSize) -> bool:
+        """Returns whether typical decode engines may prefill a prompt."""
+        typical = self._endpoints.get_service_speeds(service.name)
+        if not typical.is_uneven:
+            return size.prompt_tokens <= _MAX_LOCAL_PREFILL_TOKENS
+        gap_s = typical.estimate_s(
+            speeds.Kind.LOCAL_PREFILL, size.prompt_tokens
+        )
+        return gap_s <= size.max_gap_s
+
     def choose(
         self,
         decode: _endpoints.Endpoint,
@@ -136,7 +150,8 @@
             size,
             now,
             zone=decode.record.zone,
-            limit_s=_choose_backlog_limit_s(size, is_late=is_late),
+            is_late=is_late,
+            is_uneven=decode.speeds.is_uneven,
         )
         if prefill is not None:
             return prefill
@@ -153,21 +168,29 @@
         now: float,
         *,
         zone: str,
-        limit_s: float,
+        is_late: bool,
+        is_uneven: bool,
     ) -> _endpoints.Endpoint | None:
         """Chooses the prefill engine expected to finish the prompt first."""
+        limit_s = _choose_backlog_limit_s(
+            size, is_late=is_late, is_uneven=is_uneven
+        )
 
         def estimate_backlog(item: _endpoints.Endpoint) -> float:
+            if not is_uneven:
+                return item.total_prefill_tokens / _PREFILL_TOKENS_PER_S
             return item.speeds.estimate_wait_s(
                 speeds.Kind.PREFILL, item.total_prefill_tokens, now
             )
 
         def estimate(item: _endpoints.Endpoint) -> float:
-            cost = item.speeds.estimate_s(
-                speeds.Kind.PREFILL,
-                item.total_prefill_tokens + size.prompt_tokens,
-                now,
-            )
+            cost = estimate_backlog(item)
+            if is_uneven:
+                cost = item.speeds.estimate_s(
+                    speeds.Kind.PREFILL,
+                    item.total_prefill_tokens + size.prompt_tokens,
+                    now,
+                )
             rate = item.health.compute_failure_rate(now)
             cost += _costs.FAILURE_COST_S * rate
             if item.record.zone != zone:
@@ -179,7 +202,7 @@
             for item in engines
             if item.is_available(now) and estimate_backlog(item) <= limit_s
         ]
-        if self._is_lagging():
+        if is_uneven and self._is_lagging():
             usable = self._generator.sample(
                 usable, min(_LAGGING_SAMPLE, len(usable))
             )
@@ -199,8 +222,12 @@
         ]
 
 
-def _choose_backlog_limit_s(size: _base.WorkSize, *, is_late: bool) -> float:
+def _choose_backlog_limit_s(
+    size: _base.WorkSize, *, is_late: bool, is_uneven: bool
+) -> float:
     """Returns the longest backlog behind which a prompt is queued."""
+    if not is_uneven:
+        return _MAX_LATE_BACKLOG_S if is_late else _MAX_BACKLOG_S
     share = _MAX_LATE_BACKLOG_SHARE if is_late else _MAX_BACKLOG_SHARE
     target_s = min(size.target_s, _MAX_BACKLOG_S / _MAX_BACKLOG_SHARE)
     return share * target_s
--- a/sassafrasstile/dispatch/tests/test_learned_placement.py
+++ b/sassafrasstile/dispatch/tests/test_learned_placement.py
@@ -70,6 +70,15 @@
         self.learn()
         self.assertEqual(self.choose_prefill(), "prefill-fast")
 
+    def test_equal_engines_are_placed_as_assumed(self):
+        """Load: equal engines, whose answers a busy gateway reads late."""
+        for _ in range(40):
+            for speed in _SPEEDS:
+                self.observe(f"prefill-{speed}", speeds.Kind.PREFILL, 5000, 0.3)
+                self.observe(f"decode-{speed}", speeds.Kind.STEP, 4, 0.02)
+        self.set_backlogs(slow=14_000, medium=14_500, fast=14_900)
+        self.assertEqual(self.choose_prefill(), "prefill-slow")
+
     # Guards against idle slow engines in an overload.
     def test_late_prompt_takes_an_idle_slow_engine(self):
         self.learn()
--- a/sassafrasstile/speeds/_endpoint.py
+++ b/sassafrasstile/speeds/_endpoint.py
@@ -39,6 +39,11 @@
         self._factors: dict[_base.Kind, _factor.Factor] = {}
         self._noted: dict[_base.Kind, float] = {}
 
+    @property
+    def is_uneven(self) -> bool:
+        """True once the engines of its service are seen to differ much."""
+        return self._service.is_uneven
+
     def estimate_s(self, kind: _base.Kind, work: float, now: float) -> float:
         """Returns the expected duration of work in seconds.
 
--- a/sassafrasstile/speeds/_service.py
+++ b/sassafrasstile/speeds/_service.py
@@ -14,6 +14,10 @@
 # After this many observations, what differs much from the expected says
 # nothing about the other endpoints.
 _KNOWN_COUNT = 10
+# Endpoints are uneven if the logarithms of their factors differ by this much
+# from their mean, on average.
+_UNEVEN_SPREAD = 0.2
+_MIN_SPREAD_COUNT = 20
 _MAX_SURPRISE = math.log(2.0)
 
 # Assumed until something is observed.
@@ -51,8 +55,18 @@
             for kind, assumption in _ASSUMPTIONS.items()
         }
         self._levels = dict.fromkeys(_base.Kind, 0.0)
+        self._spreads = dict.fromkeys(_base.Kind, 0.0)
         self._counts = dict.fromkeys(_base.Kind, 0)
 
+    @property
+    def is_uneven(self) -> bool:
+        """True once its engines are seen to differ much in speed."""
+        return any(
+            self._counts[kind] >= _MIN_SPREAD_COUNT
+            and self._spreads[kind] > _UNEVEN_SPREAD
+            for kind in (_base.Kind.PREFILL, _base.Kind.STEP)
+        )
+
     def get_curve(self, kind: _base.Kind) -> _curve.Curve:
         """Returns the durations of a kind of work."""
         return self._curves[kind]
@@ -79,5 +93,8 @@
         level = self._levels[kind]
         level += _LEVEL_WEIGHT * (factor_log - level)
         self._levels[kind] = level
+        spread = self._spreads[kind]
+        spread += _LEVEL_WEIGHT * (abs(factor_log - level) - spread)
+        self._spreads[kind] = spread
         slowness = math.exp(_FACTOR_SHARE * (factor_log - level))
         curve.add(observation.work, observation.seconds / slowness)
