--- a/sassafrasstile/dispatch/_peer_news.py
+++ b/sassafrasstile/dispatch/_peer_news.py
@@ -23,13 +23,6 @@
 class PeerNews(Generic[_Content]):
     """The last news of each gateway, forgotten after some time.
 
-    >>> news = PeerNews(max_age_s=1.0)
-    >>> news.set("g2", "busy", now=10.0)
-    >>> [item.content for item in news.list_recent(10.5)]
-    ['busy']
-    >>> news.list_recent(11.5)
-    []
-
     Args:
         max_age_s: Seconds for which news counts.
     """
