Review: streams taken up again are refused after a round of restarts

Cause: where a stream began is told to other gateways once; one that starts again isn't told, and one that stops hands nothing on. Change: review/3 stops three gateways in turn; 14 clients take their streams up with Last-Event-Id and Resumes.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Clients take their streams up again after their gateway was killed."""
+"""Clients take streams up again after all gateways were stopped in turn."""
 
 import asyncio
 import json
@@ -11,10 +11,14 @@
 
 import site_lib as site  # noqa: E402
 
-_STREAMS = 10
-_EVENTS = 60
-_EVENT_S = 0.05
+_STREAMS = 14
+_EVENTS = 170
+_EVENT_S = 0.065
 _DEADLINE_MS = 14000
+# The pause between two stops.
+_GAP_S = 1.0
+# A client opens its next connection after a short pause.
+_RETURN_S = 0.3
 _PATH = "/note/1"
 
 
@@ -39,12 +43,8 @@
         headers = {"X-Attempt-Id": request.request_id}
         if request.headers.get("x-stage") == "prefill":
             self._handles += 1
-            answer = {
-                "kvHandle": f"handle-{self._handles}",
-                "tokens": 100,
-                "version": 1,
-            }
-            body = json.dumps(answer).encode()
+            answer = {"kvHandle": f"h{self._handles}", "tokens": 100}
+            body = json.dumps(answer | {"version": 1}).encode()
             writer.write(site.encode_answer(200, headers, body))
             return
         first = int(request.headers.get("last-event-id", "0")) + 1
@@ -85,11 +85,14 @@
         request_id = f"{self.name}-{self._attempts}"
         headers = {
             "X-Model": "m",
-            "X-Token-Count": "100,420",
+            "X-Token-Count": f"100,{7 * _EVENTS}",
             "X-Prompt-Prefix": f"5c1e07a2:80,{self.name}:20",
         }
+        text = f"client sends {request_id} to {gateway.name}"
         if self.last_id:
             headers["Last-Event-Id"] = str(self.last_id)
+            headers["Resumes"] = f"{self.name}-1"
+            text += f", Last-Event-Id: {self.last_id}"
         request = site.make_request(
             "POST",
             _PATH,
@@ -98,14 +101,11 @@
             headers=headers,
             body=b"prompt",
         )
-        self._record.write(
-            f"client sends {request_id} to {gateway.name}"
-            + (f", Last-Event-Id: {self.last_id}" if self.last_id else "")
-        )
+        self._record.write(text)
+        head = None
         reader, writer = await asyncio.open_connection(
             gateway.host, gateway.port
         )
-        head = None
         try:
             writer.write(request)
             head = await site.read_head(reader)
@@ -127,6 +127,7 @@
 
     async def take_up(self, gateway: site.Gateway) -> None:
         """Takes the stream up again, once more after a refusal."""
+        await asyncio.sleep(_RETURN_S)
         await self.attempt(gateway)
         if self.status == 503:
             await asyncio.sleep(self.retry_after_s)
@@ -147,7 +148,7 @@
 async def case(record: site.Record) -> bool:
     """Returns whether too few streams went on."""
     engines = Engines(record)
-    async with site.Site(gateways=2) as place:
+    async with site.Site(gateways=3) as place:
         for name, stage in (
             ("p1", "prefill"),
             ("d1", "decode"),
@@ -165,34 +166,58 @@
         await place.start_gateways()
         # Traffic starts 12 s after the machines do.
         await asyncio.sleep(12.0)
-        first, second = place.gateways
+        *others, last = place.gateways
         streams = [
             Stream(f"a{number:02}", record) for number in range(_STREAMS)
         ]
         running = [
-            asyncio.ensure_future(stream.attempt(first)) for stream in streams
+            asyncio.ensure_future(stream.attempt(last)) for stream in streams
         ]
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(0.5)
+        stops = []
         if site.is_troubled():
-            record.write(f"SIGKILL to {first.name}")
-            first.signal(signal.SIGKILL)
+            stops = await _stop_in_turn([*others, last], record)
         await asyncio.gather(*running)
         broken = [item for item in streams if not item.is_complete]
         record.write(f"streams broken off: {len(broken)}")
         new = [Stream(f"b{number:02}", record) for number in range(_STREAMS)]
         before = {item.name: item.last_id for item in broken}
         await asyncio.gather(
-            *(item.take_up(second) for item in broken),
-            *(item.attempt(second) for item in new),
+            *(item.take_up(others[0]) for item in broken),
+            *(item.attempt(others[0]) for item in new),
         )
+        for stop in stops:
+            stop.cancel()
+        await asyncio.gather(*stops, return_exceptions=True)
         went_on = sum(item.last_id > before[item.name] for item in broken)
         began = sum(item.last_id > 0 for item in new)
         record.write(f"new streams: {began} of {len(new)} began")
         record.write(f"taken up again: {went_on} of {len(broken)} went on")
-        if not broken:
+        if len(broken) < 12:
             return began < len(new)
         return went_on / len(broken) < 0.5 * began / len(new)
 
 
+async def _stop_in_turn(
+    gateways: list[site.Gateway], record: site.Record
+) -> list[asyncio.Task]:
+    """Sends each a SIGTERM and starts it again once it has ended."""
+
+    async def restart(gateway: site.Gateway) -> None:
+        code = await gateway.wait(12.0)
+        record.write(f"{gateway.name} has ended with {code}, starts again")
+        await gateway.start()
+        await gateway.wait_until_ready()
+        record.write(f"{gateway.name} is ready again")
+
+    stops = []
+    for gateway in gateways:
+        record.write(f"SIGTERM to {gateway.name}")
+        gateway.signal(signal.SIGTERM)
+        stops.append(asyncio.ensure_future(restart(gateway)))
+        await asyncio.sleep(_GAP_S)
+    return stops
+
+
 if __name__ == "__main__":
     sys.exit(site.run(case, FOLDER))
