--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import sys
 
@@ -14,6 +15,8 @@
 
 import site_lib as site  # noqa: E402
 
+# With TROUBLE=0 the case runs without its disruption.
+_IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 _CALLS_BEFORE = 60
 _WORK_S = 0.09
 _FULL_S = 5.0
@@ -54,7 +57,7 @@
         elif self.refusals_left and worker.name == "w0":
             self.refusals_left -= 1
             answer = await self._refuse(worker, request, writer, {})
-            if site.is_troubled() and not self.copies and not self._copied:
+            if _IS_TROUBLED and not self.copies and not self._copied:
                 self._copied[writer] = answer
         else:
             await self._run(worker, request, writer)
@@ -138,4 +141,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(site.run(case, FOLDER))
+    sys.exit(site.run(case, FOLDER, is_troubled=_IS_TROUBLED))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 import site_lib as site  # noqa: E402
 
+# With TROUBLE=0 the case runs without its disruption.
+_IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 _STREAMS = 14
 _EVENTS = 170
 _EVENT_S = 0.065
@@ -19,6 +23,9 @@
 _GAP_S = 1.0
 # A client opens its next connection after a short pause.
 _RETURN_S = 0.3
+# The rule counts from this number of streams on, at machines in touch.
+_MIN_STREAMS = 12
+_STABLE_WINDOW_S = 3.0
 _PATH = "/note/1"
 
 
@@ -175,11 +182,18 @@
         ]
         await asyncio.sleep(0.5)
         stops = []
-        if site.is_troubled():
-            stops = await _stop_in_turn([*others, last], record)
+        ready_at: dict[str, float] = {}
+        if _IS_TROUBLED:
+            stops = await _stop_in_turn([*others, last], ready_at, record)
         await asyncio.gather(*running)
         broken = [item for item in streams if not item.is_complete]
         record.write(f"streams broken off: {len(broken)}")
+        if _IS_TROUBLED:
+            # A machine is in touch only some time after its start.
+            served_s = time.monotonic() - ready_at.get(others[0].name, 1e9)
+            record.write(f"{others[0].name} has served for {served_s:.1f} s")
+            if len(broken) < _MIN_STREAMS or served_s < _STABLE_WINDOW_S:
+                raise site.CannotRunError("not enough streams at a machine")
         new = [Stream(f"b{number:02}", record) for number in range(_STREAMS)]
         before = {item.name: item.last_id for item in broken}
         await asyncio.gather(
@@ -193,13 +207,15 @@
         began = sum(item.last_id > 0 for item in new)
         record.write(f"new streams: {began} of {len(new)} began")
         record.write(f"taken up again: {went_on} of {len(broken)} went on")
-        if len(broken) < 12:
-            return began < len(new)
+        if not broken:
+            return False
         return went_on / len(broken) < 0.5 * began / len(new)
 
 
 async def _stop_in_turn(
-    gateways: list[site.Gateway], record: site.Record
+    gateways: list[site.Gateway],
+    ready_at: dict[str, float],
+    record: site.Record,
 ) -> list[asyncio.Task]:
     """Sends each a SIGTERM and starts it again once it has ended."""
 
@@ -208,6 +224,7 @@
         record.write(f"{gateway.name} has ended with {code}, starts again")
         await gateway.start()
         await gateway.wait_until_ready()
+        ready_at[gateway.name] = time.monotonic()
         record.write(f"{gateway.name} is ready again")
 
     stops = []
@@ -220,4 +237,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(site.run(case, FOLDER))
+    sys.exit(site.run(case, FOLDER, is_troubled=_IS_TROUBLED))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -11,6 +12,8 @@
 
 import site_lib as site  # noqa: E402
 
+# With TROUBLE=0 the case runs without its disruption.
+_IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 _SHORT_EVENTS = 20
 _LONG_EVENTS = 170
 _TOKENS_PER_EVENT = 7
@@ -26,6 +29,7 @@
 
     def __init__(self, record: site.Record):
         self.record = record
+        self.runs: set[str] = set()
         self._handles = 0
 
     async def serve(self, worker, request, writer) -> None:
@@ -48,6 +52,7 @@
             return
         tokens = int(request.headers["x-token-count"].split(",")[1])
         count = tokens // _TOKENS_PER_EVENT
+        self.runs.add(request.request_id)
         self.record.write(
             f"{worker.name} runs {request.request_id}: {count} events"
         )
@@ -145,7 +150,7 @@
             )
             if set(results) != {"whole"}:
                 raise site.CannotRunError(f"short streams: {results}")
-        if site.is_troubled():
+        if _IS_TROUBLED:
             record.write("SIGTERM")
             gateway.signal(signal.SIGTERM)
         await asyncio.sleep(_SENT_AFTER_S)
@@ -158,10 +163,15 @@
         )
         for client, result in zip(clients, results, strict=True):
             record.write(f"client: {client.name}-last: {result}")
-        if site.is_troubled():
+        if _IS_TROUBLED:
             record.write(f"exit code: {await gateway.wait(10.0)}")
-        return any(result.startswith("cut") for result in results)
+        # Only what was passed on to a worker counts; a request that crosses the
+        # end of its connection doesn't.
+        return any(
+            result.startswith("cut") and f"{client.name}-last" in engines.runs
+            for client, result in zip(clients, results, strict=True)
+        )
 
 
 if __name__ == "__main__":
-    sys.exit(site.run(case, FOLDER))
+    sys.exit(site.run(case, FOLDER, is_troubled=_IS_TROUBLED))
--- a/review/lib/site_lib.py
+++ b/review/lib/site_lib.py
@@ -637,21 +637,23 @@
             await gateway.wait_until_ready()
 
 
-def is_troubled() -> bool:
-    """Returns whether the case has its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
-def run(case, folder: pathlib.Path, *, limit_s: float = 110.0) -> int:
+def run(
+    case,
+    folder: pathlib.Path,
+    *,
+    is_troubled: bool,
+    limit_s: float = 100.0,
+) -> int:
     """Runs a case and returns the exit code of its script.
 
     Args:
         case: Called with the record; returns whether the rule was broken.
         folder: The folder of the case, which gets the record.
+        is_troubled: Whether the case has its disruption.
         limit_s: The time after which the case is given up.
     """
     record = Record(folder / "record.txt")
-    record.write(f"disruption: {'yes' if is_troubled() else 'no'}")
+    record.write(f"disruption: {'yes' if is_troubled else 'no'}")
     try:
         is_broken = asyncio.run(asyncio.wait_for(case(record), limit_s))
     except Exception as reason:
