Records: an endpoint is only what a call can be sent to, and a configuration only what can be computed with

A configuration with an infinite time-out, or a split route without weight, would have failed each request of its routes.

Cause: a record was checked for the types of its fields, not for whether its values can be used: the port went to the connect call, the id into a header, the number of slots and the start time into sums and logs.

Change: one check at the border for each field: the key is printable ASCII, the host is the IPv4 address of a host, the port is 1 to 65535, texts have 1 to 255 characters, whole numbers stay within 2**53, slots within a million. The numbers of a configuration are finite, and a route needs some weight.

--- a/sassafrasstile/platform/_addresses.py
+++ b/sassafrasstile/platform/_addresses.py
@@ -1,9 +1,12 @@
 """Parses settings files and addresses; it imports little."""
 
+import re
+
 import yaml
 
 # The loader in C, where the library was built with it.
 LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -16,6 +19,6 @@
     ('127.0.0.1', 80)
     """
     host, _, port = address.rpartition(":")
-    if not host:
-        raise ValueError(f"address is {address!r}; expected HOST:PORT")
+    if not host or not _PORT.fullmatch(port):
+        raise ValueError(f"address is {address[:80]!r}; expected HOST:PORT")
     return host, int(port)
--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -9,13 +9,21 @@
 from sassafrasstile import router
 from sassafrasstile import routes
 from sassafrasstile import stores
+from sassafrasstile import validation
 from sassafrasstile import workspaces
 from sassafrasstile.platform import _addresses
 from sassafrasstile.platform import _models
 from sassafrasstile.platform import _names
 
 _TOKEN_UNIT = "tokens"
-_Amount = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+_MAX_SLOTS = 1_000_000
+# The largest number that each writer of JSON keeps exactly.
+_MAX_WHOLE = 2**53
+_Text = Annotated[str, pydantic.Field(min_length=1, max_length=255)]
+_Amount = Annotated[float, pydantic.Field(ge=0, le=_MAX_WHOLE)]
+_Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_WHOLE)]
+_Size = Annotated[int, pydantic.Field(ge=1, le=_MAX_WHOLE)]
+_Rank = Annotated[int, pydantic.Field(ge=-_MAX_WHOLE, le=_MAX_WHOLE)]
 _KINDS = {
     "safe": routes.RouteKind.IDEMPOTENT_CALL,
     "unsafe": routes.RouteKind.NON_IDEMPOTENT_CALL,
@@ -30,7 +38,7 @@
 
 class _WeightedService(_models.Document):
     service: str
-    weight: float
+    weight: _Amount
 
 
 class _Route(_models.Document):
@@ -38,11 +46,11 @@
     hostname: str
     path_prefix: str
     route_type: Literal["safe", "unsafe", "streaming"]
-    timeout_ms: float
-    target_latency_ms: float
-    target_gap_ms: float = 0.0
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: _Amount
+    target_latency_ms: _Amount
+    target_gap_ms: _Amount = 0.0
+    priority: _Rank = 0
+    max_attempts: _Count = 1
     resumable: bool = False
     is_open: bool = pydantic.Field(alias="public", default=False)
     # A route has one service, or several with weights.
@@ -51,28 +59,28 @@
 
 
 class _Engine(_models.Document):
-    slots: int
-    kv_capacity_tokens: int
+    slots: _Size
+    kv_capacity_tokens: _Size
     # Tokens per stream event.
-    stride: int = 1
+    stride: _Size = 1
     # Time to live of a finished prefill's handle, in seconds.
-    kv_ttl_s: float = pydantic.Field(alias="kvTtlS", default=0.5)
+    kv_ttl_s: _Amount = pydantic.Field(alias="kvTtlS", default=0.5)
     # The longest time for which an engine sets memory aside, in milliseconds.
-    hold_ms: float = 0.0
+    hold_ms: _Amount = 0.0
 
 
 class _Service(_models.Document):
     name: str
     health_path: str = ""
-    max_connections: int = 1
+    max_connections: _Count = 1
     engine: _Engine | None = None
 
 
 class _Limits(_models.Document):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: _Count
+    max_body_bytes: _Count
+    header_timeout_ms: _Amount
+    idle_timeout_ms: _Amount
 
 
 class _Workspace(_models.Document):
@@ -81,7 +89,7 @@
         pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$",
     )
     keys: list[str] = pydantic.Field(alias="apiKeys", default=[], repr=False)
-    priority: int | None = None
+    priority: _Rank | None = None
     unit: str = ""
     # The cost in tokens of a request that states no token count.
     plain_tokens: _Amount = 1.0
@@ -91,7 +99,7 @@
 
 
 class _Configuration(_models.Document):
-    version: int
+    version: _Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -99,17 +107,21 @@
 
 
 class _Endpoint(_models.Document):
-    service: str
-    address: str
-    zone: str
-    slots: int = pydantic.Field(strict=True, gt=0)
+    service: _Text
+    address: _Text
+    zone: _Text
+    slots: int = pydantic.Field(strict=True, gt=0, le=_MAX_SLOTS)
     state: Literal["ready", "draining"]
     stage: Literal["prefill", "decode"] | None = None
     # The version of the endpoint's software. A stream goes on only at the one
     # that began it, so an endpoint that doesn't state its own can't be used.
     version: str = pydantic.Field(min_length=1, max_length=64)
+    # These two aren't used. Where one is of another type, the record isn't an
+    # endpoint's.
+    cold_remaining_ms: float = pydantic.Field(strict=True, ge=0, default=0.0)
+    sequence: int = pydantic.Field(strict=True, ge=0, le=_MAX_WHOLE, default=0)
     # Start time in Unix milliseconds; the endpoint's counters restart with it.
-    born: int = pydantic.Field(strict=True, default=0)
+    born: int = pydantic.Field(strict=True, ge=0, le=_MAX_WHOLE, default=0)
 
 
 def _make_route(route: _Route) -> routes.Route:
@@ -121,6 +133,8 @@
         services = [routes.WeightedService(service=route.service)]
     if not services:
         raise ValueError(f"route {route.name!r} names no service")
+    if not sum(item.weight for item in services):
+        raise ValueError(f"route {route.name!r} has no weight")
     return routes.Route(
         name=route.name,
         host=route.hostname.lower(),
@@ -221,6 +235,9 @@
         try:
             document = _Endpoint.model_validate_json(change.value)
             host, port = _addresses.split_address(document.address)
+            validation.check_token(change.key, label="endpoint")
+            validation.check_ip_address(host, label="host")
+            validation.check_port(port, label="port")
         except ValueError as reason:
             raise errors.Error(
                 code=errors.Code.BAD_VALUE, detail=str(reason)
--- a/sassafrasstile/testing/__init__.py
+++ b/sassafrasstile/testing/__init__.py
@@ -8,6 +8,11 @@
 )
 from sassafrasstile.testing._fixed_server import FixedServer, make_json_answer
 from sassafrasstile.testing._messages import make_samples
+from sassafrasstile.testing._odd_records import (
+    ODD_GATEWAYS,
+    ODD_LEASES,
+    make_odd_endpoints,
+)
 from sassafrasstile.testing._platform_case import PlatformTestCase
 from sassafrasstile.testing._platform_site import (
     Caller,
@@ -40,6 +45,8 @@
     "AMBIGUOUS_ANSWERS",
     "ANSWER_BODY",
     "DELIMITED_ANSWERS",
+    "ODD_GATEWAYS",
+    "ODD_LEASES",
     "UNFRAMED_HEADS",
     "Caller",
     "FixedServer",
@@ -55,6 +62,7 @@
     "make_endpoint_document",
     "make_endpoint_record",
     "make_json_answer",
+    "make_odd_endpoints",
     "make_platform_route",
     "make_request",
     "make_route",
--- a/sassafrasstile/validation/__init__.py
+++ b/sassafrasstile/validation/__init__.py
@@ -2,8 +2,18 @@
 
 from sassafrasstile.validation._checks import (
     check_fraction,
+    check_ip_address,
     check_name,
+    check_port,
     check_positive,
+    check_token,
 )
 
-__all__ = ["check_fraction", "check_name", "check_positive"]
+__all__ = [
+    "check_fraction",
+    "check_ip_address",
+    "check_name",
+    "check_port",
+    "check_positive",
+    "check_token",
+]
