Peers: an address in the store is checked before datagrams are sent there

With an infinite port or a deeply nested record the gateways stopped exchanging addresses for good.

Cause: the address was taken as it was. Twisted raises OverflowError or InvalidAddressError for a datagram to it, which isn't an OSError: it ended the loop that sends reports, and each reservation that announces itself. Reading the other two raises OverflowError and RecursionError, which ended the directory.

Change: name, host, port and zone are checked where addresses are decoded, also those in datagrams; the key has to be the name, so that no record redirects another gateway's reports; whatever reading a malformed document raises is BAD_VALUE. A datagram that is too long is logged like one that can't be sent.

The hosts of the channel's and the directory's tests were "h", which no datagram can be sent to; they are IPv4 addresses now, and what the tests ask is unchanged.

--- a/sassafrasstile/peers/_channel.py
+++ b/sassafrasstile/peers/_channel.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.internet import task
@@ -459,7 +460,7 @@
     def _write(self, data: bytes, address: _base.PeerAddress) -> None:
         try:
             self.transport.write(data, (address.host, address.port))
-        except OSError as reason:
+        except (OSError, error.MessageLengthError) as reason:
             _LOG.info("peers: report to %s not sent: %s", address.name, reason)
 
     def _expire_silent_peers(self, now: float) -> None:
--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -3,11 +3,20 @@
 import json
 
 from sassafrasstile import errors
+from sassafrasstile import validation
 from sassafrasstile.peers import _base
 from sassafrasstile.peers import _queue_codec
 
 _MS_PER_S = 1000
 _US_PER_S = 1_000_000
+# What reading a malformed document may raise.
+_MALFORMED = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 def encode_address(address: _base.PeerAddress) -> bytes:
@@ -20,13 +29,22 @@
 
 
 def _read_fields(fields: list) -> _base.PeerAddress:
-    """Returns an address; gateways of the last version write no zone."""
+    """Returns an address; gateways of the last version write no zone.
+
+    Raises:
+        errors.Error: With BAD_VALUE when no datagram can be sent there.
+        ValueError: There are too few fields.
+        TypeError: They aren't a list.
+    """
     name, host, port, *zones = fields
+    zone = zones[0] if zones else ""
+    if zone != "":
+        validation.check_token(zone, label="zone")
     return _base.PeerAddress(
-        name=str(name),
-        host=str(host),
-        port=int(port),
-        zone=str(zones[0]) if zones else "",
+        name=validation.check_token(name, label="gateway"),
+        host=validation.check_ip_address(host, label="host"),
+        port=validation.check_port(port, label="port"),
+        zone=zone,
     )
 
 
@@ -42,7 +60,7 @@
     """
     try:
         return _read_fields(json.loads(data))
-    except (ValueError, TypeError) as reason:
+    except _MALFORMED as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"peer address: {reason}"
         ) from reason
@@ -200,7 +218,7 @@
             ),
             is_leaving=bool(optional[2]) if len(optional) > 2 else False,
         )
-    except (ValueError, TypeError, OverflowError) as reason:
+    except _MALFORMED as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"load report: {reason}"
         ) from reason
@@ -265,7 +283,7 @@
             ),
             epoch=_read_number(epoch),
         )
-    except (ValueError, TypeError, AttributeError) as reason:
+    except _MALFORMED as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"page: {reason}"
         ) from reason
@@ -305,7 +323,7 @@
     try:
         _, *sender = json.loads(head)
         return _base.PeerMessage(sender=_read_fields(sender), payload=payload)
-    except (ValueError, TypeError) as reason:
+    except _MALFORMED as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"message: {reason}"
         ) from reason
--- a/sassafrasstile/peers/_directory.py
+++ b/sassafrasstile/peers/_directory.py
@@ -124,7 +124,7 @@
         is_listed = False
         for change in snapshot.entries:
             try:
-                address = _codec.decode_address(change.value)
+                address = self._decode(change)
             except errors.Error as reason:
                 _LOG.warning("peers: record ignored: %s", reason)
                 continue
@@ -139,6 +139,16 @@
             )
         return is_listed
 
+    @staticmethod
+    def _decode(change: stores.Change) -> _base.PeerAddress:
+        address = _codec.decode_address(change.value)
+        if address.name != change.key:
+            raise errors.Error(
+                code=errors.Code.BAD_VALUE,
+                detail=f"peer address: {address.name} isn't the record's key",
+            )
+        return address
+
     def _log_failure(self, reason) -> None:
         if not reason.check(defer.CancelledError):
             _LOG.critical(
--- a/sassafrasstile/peers/tests/test_channel.py
+++ b/sassafrasstile/peers/tests/test_channel.py
@@ -52,13 +52,13 @@
             for name, port in (("a", 1), ("b", 2))
         }
         self.channels["a"].add_peer(
-            peers.PeerAddress(name="b", host="h", port=2)
+            peers.PeerAddress(name="b", host="10.0.0.1", port=2)
         )
 
     def make_channel(self, name, port):
         channel = peers.PeerChannel(
             reactor=self.clock,
-            address=peers.PeerAddress(name=name, host="h", port=port),
+            address=peers.PeerAddress(name=name, host="10.0.0.1", port=port),
             incarnation="1",
             read_loads=lambda: self.loads[name],
             on_report=lambda peer, loads, is_complete: self.receive(
@@ -82,7 +82,7 @@
             on_queue=self.received_queues[name].__setitem__,
         )
         channel.transport = self.network
-        self.network.channels[("h", port)] = channel
+        self.network.channels[("10.0.0.1", port)] = channel
         channel.start()
         return channel
 
@@ -170,7 +170,7 @@
         self.network.drops = False
         self.channels["a"].send("b", b"question")
         self.channels["b"].add_peer(
-            peers.PeerAddress(name="a", host="h", port=1)
+            peers.PeerAddress(name="a", host="10.0.0.1", port=1)
         )
         self.assertEqual(self.channels["b"].count_lost(), 0)
 
@@ -281,7 +281,9 @@
     def make_channel(self, gateways):
         channel = peers.PeerChannel(
             reactor=self.clock,
-            address=peers.PeerAddress(name="a", host="h", port=1, zone="z0"),
+            address=peers.PeerAddress(
+                name="a", host="10.0.0.1", port=1, zone="z0"
+            ),
             incarnation="1",
             read_loads=lambda: self.loads,
             on_report=lambda *_: None,
@@ -292,7 +294,7 @@
             channel.add_peer(
                 peers.PeerAddress(
                     name=f"g{number}",
-                    host="h",
+                    host="10.0.0.1",
                     port=1 + number,
                     zone=f"z{number % 5}",
                 )
@@ -326,7 +328,10 @@
         channels = {}
         addresses = [
             peers.PeerAddress(
-                name=f"g{number}", host="h", port=number, zone=f"z{number % 5}"
+                name=f"g{number}",
+                host="10.0.0.1",
+                port=number + 1,
+                zone=f"z{number % 5}",
             )
             for number in range(100)
         ]
@@ -339,7 +344,7 @@
                 on_report=lambda *_: None,
             )
             channel.transport = network
-            network.channels["h", address.port] = channel
+            network.channels["10.0.0.1", address.port] = channel
             channels[address.name] = channel
             channel.start()
             for other in addresses:
--- a/sassafrasstile/peers/tests/test_directory.py
+++ b/sassafrasstile/peers/tests/test_directory.py
@@ -7,6 +7,7 @@
 from sassafrasstile import errors
 from sassafrasstile import peers
 from sassafrasstile import stores
+from sassafrasstile import testing
 
 
 class _Store(stores.Store):
@@ -68,7 +69,9 @@
             reactor=self.clock,
             store=self.store,
             topic="t",
-            address=peers.PeerAddress(name="a", host="h", port=1, zone="z"),
+            address=peers.PeerAddress(
+                name="a", host="10.0.0.1", port=1, zone="z"
+            ),
             channel=self.channel,
             generator=random.Random(1),
         )
@@ -92,6 +95,17 @@
         self.assertIn("a", self.store.records)
         self.assertEqual(self.store.puts, 2)
 
+    # Guards against gateways that send no report any more, or don't read the
+    # addresses, beside the record of another writer (issue 56).
+    def test_odd_addresses_are_ignored_and_the_others_are_read(self):
+        self.store.records |= testing.ODD_GATEWAYS
+        self.store.records["b"] = b'["b","10.0.0.2",1,"z"]'
+        self.directory.start_epoch(2)
+        self.advance(6.0)
+        self.assertEqual(self.channel.peers, ["a", "a", "b"])
+        self.advance(30.0)
+        self.assertEqual(self.store.loads, 3)
+
     # Each write has its price, and most records survive a restore.
     def test_address_that_the_copy_holds_is_not_written_again(self):
         self.advance(1.0)
@@ -108,7 +122,9 @@
                 reactor=self.clock,
                 store=self.store,
                 topic="t",
-                address=peers.PeerAddress(name="a", host="h", port=1, zone="z"),
+                address=peers.PeerAddress(
+                    name="a", host="10.0.0.1", port=1, zone="z"
+                ),
                 channel=self.channel,
                 generator=random.Random(seed),
             )
--- a/sassafrasstile/peers/tests/test_speed_reports.py
+++ b/sassafrasstile/peers/tests/test_speed_reports.py
@@ -15,13 +15,13 @@
         self.reserved_tokens = 0
         self.own = self.make_channel("a", 1)
         self.make_channel("b", 2)
-        self.own.add_peer(peers.PeerAddress(name="b", host="h", port=2))
+        self.own.add_peer(peers.PeerAddress(name="b", host="10.0.0.1", port=2))
 
     def make_channel(self, name, port):
         is_own = name == "a"
         channel = peers.PeerChannel(
             reactor=self.clock,
-            address=peers.PeerAddress(name=name, host="h", port=port),
+            address=peers.PeerAddress(name=name, host="10.0.0.1", port=port),
             incarnation="1",
             read_loads=lambda: self.read_loads() if is_own else {},
             on_report=lambda _peer, _loads, _is_complete: None,
@@ -33,7 +33,7 @@
             on_speeds=self.received.extend,
         )
         channel.transport = self.network
-        self.network.channels[("h", port)] = channel
+        self.network.channels[("10.0.0.1", port)] = channel
         channel.start()
         return channel
 
@@ -78,7 +78,7 @@
         self.observe(0.1)
         self.advance(2.0)
         data = next(item for item in self.network.sent if b"prefill" in item)
-        channel = self.network.channels[("h", 2)]
+        channel = self.network.channels[("10.0.0.1", 2)]
         received = list(self.received)
         for bad in (b"[]", b'"x"', b"null"):
             changed = data.replace(b"5000.0", bad)
