Roles: a record that is no name is no holder of the lease

What operators would have seen: after one deeply nested record in the topic of the lease, the gateway that reads it never checks the roles again.

Cause: reading it raises RecursionError, which nothing caught; any other JSON value was taken for a holder by its text.

Change: a holder is a name, and whatever else is there is ignored with a warning.

Evidence: test_odd_record_is_no_holder fails on (RecursionError out of `read`) and passes now. On real processes the record alone showed nothing in a trial: no order was due.

--- a/sassafrasstile/roles/_lease.py
+++ b/sassafrasstile/roles/_lease.py
@@ -5,6 +5,7 @@
 
 from sassafrasstile import errors
 from sassafrasstile import stores
+from sassafrasstile import validation
 
 _LOG = logging.getLogger("sassafrasstile.roles")
 _KEY = "holder"
@@ -147,8 +148,8 @@
     @staticmethod
     def _decode(value: bytes) -> str | None:
         try:
-            return str(json.loads(value))
-        except ValueError as reason:
+            return validation.check_token(json.loads(value), label="holder")
+        except (ValueError, RecursionError, errors.Error) as reason:
             _LOG.warning("roles: record ignored: %s", reason)
             return None
 
--- a/sassafrasstile/roles/tests/test_lease.py
+++ b/sassafrasstile/roles/tests/test_lease.py
@@ -127,6 +127,18 @@
         tokens = [token for _, _, token in self.orders]
         self.assertEqual(tokens, sorted(set(tokens)))
 
+    # Guards against roles that are never checked again after the record of
+    # another writer (issue 56).
+    def test_odd_record_is_no_holder(self):
+        for value in testing.ODD_LEASES:
+            self.store.records.append(("holder", value))
+            lease = roles.LeaderLease(
+                store=self.store, topic="orders", name="a"
+            )
+            reading = defer.ensureDeferred(lease.read())
+            self.assertIsNone(reading.result, value[:20])
+            self.assertIsNone(lease.holder)
+
     def test_only_one_of_two_gateways_sends_orders(self):
         self.start("a")
         self.start("b")
