Store: a record that can't be read or applied ends no following

Not seen on real processes; each form is shown by a test.

Cause: a record without a key made the whole page malformed, and the same page was asked for again for ever; one item that isn't a record failed each load; a key that can't be encoded, or an error while a record is applied, ended the follower.

Change: records without a key and items that aren't records are passed over with a warning, and the offsets count on. An error while one record is applied is logged and the next one is applied; one in a call is a failure of that call, after which the follower calls again. A page that repeats the last key ends the load.

--- a/sassafrasstile/platform/_store.py
+++ b/sassafrasstile/platform/_store.py
@@ -29,6 +29,17 @@
 # Records that are asked for when a page of the usual number is too large; with
 # records of the largest size they stay within the bound.
 _SHORT_PAGE_RECORDS = 8
+# What reading a malformed document may raise.
+_MALFORMED = (
+    ValueError,
+    KeyError,
+    IndexError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    struct.error,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -55,26 +66,57 @@
     return min((item for item in epochs if item is not None), default=None)
 
 
-def _decode_records(body: bytes, *, offset: int) -> list[stores.Change]:
-    """Decodes records, each as length, key length, key and value."""
+def _decode_records(
+    body: bytes, *, offset: int
+) -> tuple[list[stores.Change], int]:
+    """Decodes records, each as length, key length, key and value.
+
+    Returns:
+        The changes, and the offset behind the last record. Records that have
+        no key are left out.
+    """
     changes = []
     position = _HEADER.size
     while position < len(body):
         (length,) = _LENGTH.unpack_from(body, position)
         position += _LENGTH.size
         record = body[position : position + length]
-        if len(record) != length or not record:
+        if len(record) != length:
             raise ValueError(f"record {offset} is truncated")
         position += length
-        key_end = 1 + record[0]
-        changes.append(
-            stores.Change(
-                key=record[1:key_end].decode("utf-8", "replace"),
-                value=record[key_end:] or None,
-                offset=offset,
-            )
-        )
+        change = _decode_record(record, offset=offset)
+        if change is not None:
+            changes.append(change)
         offset += 1
+    return changes, offset
+
+
+def _decode_record(record: bytes, *, offset: int) -> stores.Change | None:
+    key_end = 1 + (record[0] if record else 0)
+    if not 1 < key_end <= len(record):
+        _LOG.warning("store: record %d has no key.", offset)
+        return None
+    return stores.Change(
+        key=record[1:key_end].decode("utf-8", "replace"),
+        value=record[key_end:] or None,
+        offset=offset,
+    )
+
+
+def _decode_items(items: list) -> list[stores.Change]:
+    """Decodes the newest records of keys; leaves out what isn't one."""
+    changes = []
+    for item in items:
+        try:
+            change = stores.Change(
+                key=str(item["key"]),
+                value=base64.b64decode(item["value"]) or None,
+                offset=int(item["offset"]),
+            )
+        except _MALFORMED as reason:
+            _LOG.warning("store: record ignored: %.200r", reason)
+            continue
+        changes.append(change)
     return changes
 
 
@@ -141,15 +183,18 @@
             epochs.append(answer.epoch)
             try:
                 page = json.loads(answer.body)
-                entries.extend(map(self._decode_item, page["items"]))
+                entries.extend(_decode_items(page["items"]))
                 if next_offset is None:
                     # Later pages may include newer records. Following from the
                     # first page's end offset misses none of them.
                     next_offset = int(page["endOffset"])
                 if not page.get("hasMore"):
                     break
-                query["after"] = page["items"][-1]["key"]
-            except (ValueError, KeyError, TypeError) as reason:
+                last_key = str(page["items"][-1]["key"])
+                if last_key == query.get("after"):
+                    raise ValueError("a page repeats the one before")
+                query["after"] = last_key
+            except _MALFORMED as reason:
                 raise self._make_error(
                     f"malformed response: {reason}", epoch=answer.epoch
                 ) from reason
@@ -161,14 +206,6 @@
             epoch=_find_lowest(epochs),
         )
 
-    @staticmethod
-    def _decode_item(item: dict) -> stores.Change:
-        return stores.Change(
-            key=str(item["key"]),
-            value=base64.b64decode(item["value"]) or None,
-            offset=int(item["offset"]),
-        )
-
     async def _follow(
         self, topic: str, offset: int, wait_s: float
     ) -> stores.ChangePage:
@@ -181,14 +218,14 @@
         answer = await self._read_page(query, wait_s + _CALL_TIMEOUT_S)
         try:
             end_offset, _ = _HEADER.unpack_from(answer.body)
-            changes = _decode_records(answer.body, offset=offset)
-        except (ValueError, struct.error) as reason:
+            changes, next_offset = _decode_records(answer.body, offset=offset)
+        except _MALFORMED as reason:
             raise self._make_error(
                 f"malformed response: {reason}", epoch=answer.epoch
             ) from reason
         return stores.ChangePage(
             changes=tuple(changes),
-            next_offset=offset + len(changes),
+            next_offset=next_offset,
             epoch=answer.epoch,
             end_offset=end_offset,
         )
@@ -220,14 +257,16 @@
         )
         try:
             offset = int(json.loads(answer.body)["offset"])
-        except (ValueError, KeyError, TypeError) as reason:
+        except _MALFORMED as reason:
             raise self._make_error(
                 f"malformed response: {reason}", epoch=answer.epoch
             ) from reason
         return stores.AppendedRecord(offset=offset, epoch=answer.epoch)
 
     async def _get(self, path: bytes, query: dict, timeout_s: float) -> _Answer:
-        target = path + b"?" + parse.urlencode(query).encode()
+        # A key may hold what can't be encoded otherwise.
+        text = parse.urlencode(query, errors="surrogateescape")
+        target = path + b"?" + text.encode()
         return await self._call(b"GET", target, timeout_s=timeout_s)
 
     async def _call(
--- a/sassafrasstile/platform/tests/test_store.py
+++ b/sassafrasstile/platform/tests/test_store.py
@@ -1,3 +1,5 @@
+import json
+
 from sassafrasstile import errors
 from sassafrasstile import standins
 from sassafrasstile import stores
@@ -5,8 +7,11 @@
 from sassafrasstile import testing
 from sassafrasstile import web
 from sassafrasstile.platform import _store
+from sassafrasstile.standins import _platform_store
 
 _TOPIC = "keyed.t"
+# Three: an empty one, one without a key, and one that ends within its key.
+_ODD_RECORDS = b"\0\0\0\0" + b"\0\0\0\2\0v" + b"\0\0\0\3\x09ab"
 
 
 class StoreTestCase(testing.ReactorTestCase):
@@ -91,6 +96,39 @@
         await self.close()
 
 
+class _OddStore(_platform_store.PlatformStoreResource):
+    """Writes records without a key, and items that aren't records."""
+
+    def _encode_records(self, request, topic, start):
+        data = super()._encode_records(request, topic, start)
+        return data[:16] + _ODD_RECORDS + data[16:]
+
+    def read_newest(self, request):
+        super().read_newest(request)
+        odd = [{}, 7, {"key": "a", "value": None, "offset": 0}, [], None]
+        odd.append({"key": "b", "value": "", "offset": float("inf")})
+        items = [*odd, {"key": "k", "value": "dg==", "offset": 5}]
+        return json.dumps({"items": items, "endOffset": 6}).encode()
+
+
+class OddRecordTest(StoreTestCase):
+    """Records of other writers that can't be read."""
+
+    # Guards against a topic that can't be read on, or not at all, since one
+    # record of it has no key (issue 56).
+    @testing.on_reactor
+    async def test_records_that_cannot_be_read_are_passed_over(self):
+        await self.start()
+        await self.put()
+        self.server.store.__class__ = _OddStore
+        page = await self.client.follow(_TOPIC, offset=0, wait_s=0.0)
+        self.assertEqual([item.offset for item in page.changes], [3])
+        self.assertEqual(page.next_offset, 4)
+        snapshot = await self.client.load(_TOPIC)
+        self.assertEqual([item.key for item in snapshot.entries], ["k"])
+        await self.close()
+
+
 class StoreBoundTest(StoreTestCase):
     """Answers of the store that are larger than a bound."""
 
--- a/sassafrasstile/stores/_follower.py
+++ b/sassafrasstile/stores/_follower.py
@@ -248,6 +248,18 @@
             except _base.StoreError as reason:
                 await self._handle_failure(reason)
                 continue
+            except defer.CancelledError:
+                raise
+            except Exception as reason:
+                # Whatever an answer holds, following goes on.
+                _LOG.exception("store: topic %s: an error.", self._topic)
+                await self._handle_failure(
+                    _base.StoreError(
+                        code=errors.Code.STORE_UNAVAILABLE,
+                        detail=f"the answer can't be used: {reason!r:.200}",
+                    )
+                )
+                continue
             spent_s = self._reactor.seconds() - started_at
             await self._sleep(max(0.0, self._choose_min_interval_s() - spent_s))
             await self._wait_until_due()
@@ -398,9 +410,7 @@
         for change in snapshot.entries:
             self._apply(change)
         for key in self._view.find_missing(snapshot):
-            self._view.mark_removed(key)
-            offset = snapshot.next_offset
-            self._on_change(_base.Change(key=key, value=None, offset=offset))
+            self._remove(key, offset=snapshot.next_offset)
         self._offset = snapshot.next_offset
         _LOG.info(
             "store: topic %s loaded.",
@@ -411,7 +421,22 @@
 
     def _apply(self, change: _base.Change) -> None:
         if self._view.apply(change):
+            self._pass_on(change)
+
+    def _remove(self, key: str, *, offset: int) -> None:
+        self._view.mark_removed(key)
+        self._pass_on(_base.Change(key=key, value=None, offset=offset))
+
+    def _pass_on(self, change: _base.Change) -> None:
+        try:
             self._on_change(change)
+        except Exception:
+            # One record keeps no other back.
+            _LOG.exception(
+                "store: topic %s: a record can't be applied.",
+                self._topic,
+                extra={"key": change.key, "offset": change.offset},
+            )
 
     def _record_contact(self) -> None:
         if self._failures:
--- a/sassafrasstile/stores/tests/test_follower.py
+++ b/sassafrasstile/stores/tests/test_follower.py
@@ -50,12 +50,18 @@
         self.calls = []
         self.pages = []
         self.is_watcher = True
-        self.follower = stores.Follower(
+        self.follower = self.make_follower(on_change=self.changes.append)
+        self.follower.start()
+        self.addCleanup(self.follower.close)
+
+    def make_follower(self, on_change):
+        """Returns a follower that isn't started."""
+        return stores.Follower(
             reactor=self.clock,
             store=self.store,
             topic="t",
             max_lag_s=_MAX_LAG_S,
-            on_change=self.changes.append,
+            on_change=on_change,
             on_loaded=lambda: self.calls.append("loaded"),
             on_outage=lambda: self.calls.append("outage"),
             on_contact=lambda: self.calls.append("contact"),
@@ -64,8 +70,6 @@
             on_page=lambda offset, page: self.pages.append((offset, page)),
             **self.make_options(),
         )
-        self.follower.start()
-        self.addCleanup(self.follower.close)
 
     def make_options(self):
         """Returns further arguments of the follower."""
@@ -158,6 +162,37 @@
         self.clock.advance(1.0)
         self.assertGreater(self.store.follows[-1][2], 0)
 
+    # Guards against a list that isn't followed any more since one record of it
+    # can't be applied (issue 56).
+    def test_record_that_cannot_be_applied_keeps_no_other_back(self):
+        self.follower.close()
+        follower = self.make_follower(on_change=self.apply_unless_odd)
+        follower.start()
+        self.addCleanup(follower.close)
+        with self.assertLogs("sassafrasstile.stores", "ERROR") as logs:
+            self.load(_make_change(0, b"odd"), _make_change(0, key="other"))
+            page = stores.ChangePage(
+                changes=(_make_change(1, b"odd"), _make_change(2)),
+                next_offset=3,
+            )
+            self.store.follows[-1][0].callback(page)
+        self.assertEqual(len(logs.records), 2)
+        applied = [(item.key, item.value) for item in self.changes]
+        self.assertEqual(applied, [("other", b"v"), ("k", b"v")])
+
+    def apply_unless_odd(self, change):
+        if change.value == b"odd":
+            raise OverflowError
+        self.changes.append(change)
+
+    # Guards against a list that isn't followed any more after one answer.
+    def test_unexpected_error_of_a_call_is_a_failure(self):
+        with self.assertLogs("sassafrasstile.stores", "ERROR"):
+            self.store.loads[-1].errback(RecursionError())
+        self.clock.advance(1.0)
+        self.load(_make_change(0))
+        self.assertEqual(len(self.changes), 1)
+
     def test_lost_history_causes_a_reload_but_no_outage(self):
         self.load(_make_change(0))
         _fail(self.store.follows[-1][0], errors.Code.HISTORY_GONE)
