--- a/sassafrasstile/faultsoak/tests/process_site.py
+++ b/sassafrasstile/faultsoak/tests/process_site.py
@@ -70,9 +70,16 @@
             testing.make_platform_route(
                 UNSAFE, "desk", "unsafe", timeoutMs=1500
             ),
-            testing.make_platform_route(STREAM, "writer", "streaming"),
             testing.make_platform_route(
-                RESUMABLE, "writer", "streaming", resumable=True, maxAttempts=2
+                STREAM, "writer", "streaming", timeoutMs=14000
+            ),
+            testing.make_platform_route(
+                RESUMABLE,
+                "writer",
+                "streaming",
+                timeoutMs=14000,
+                resumable=True,
+                maxAttempts=2,
             ),
             *more_routes,
         ]
