Logs: a value that can't be written fails nothing

What callers would see: a request or a topic that fails since its log line holds a value that can't be encoded, or a number with more digits than Python writes. Not seen on real processes; records of other writers put such values into lines.

Cause: the handler let errors of formatting and encoding out of the logging call.

Change: such a line is counted as dropped, and one that names its place is written.

Evidence: test_value_that_cannot_be_written_fails_nothing fails on (UnicodeEncodeError out of `warning`) and passes now.

--- a/sassafrasstile/telemetry/_logs.py
+++ b/sassafrasstile/telemetry/_logs.py
@@ -78,7 +78,18 @@
             self._dropped.inc()
             return
         self._unwritten = b""
-        self._write(self.format(record).encode() + b"\n")
+        self._write(self._encode(record) + b"\n")
+
+    def _encode(self, record: logging.LogRecord) -> bytes:
+        """Returns a record's line; what can't be written names its place."""
+        try:
+            return self.format(record).encode()
+        except Exception as reason:
+            # Its values may be a peer's, and logging must fail nothing.
+            self._dropped.inc()
+            place = f"{record.module}:{record.lineno}"
+            text = f"log: a line of {place} can't be written: {reason!r:.100}"
+            return text.encode("ascii", "backslashreplace")
 
     def _may_write(self, record: logging.LogRecord) -> bool:
         """Returns whether the rate allows a line, or it is a warning."""
--- a/sassafrasstile/telemetry/tests/test_bounded_logs.py
+++ b/sassafrasstile/telemetry/tests/test_bounded_logs.py
@@ -47,6 +47,17 @@
             logger.warning("line %d", number)
         self.assertEqual(os.read(self.reader, 65536).count(b"\n"), 5)
 
+    # Guards against requests and topics that fail since a value of another
+    # writer can't be logged (issue 56).
+    def test_value_that_cannot_be_written_fails_nothing(self):
+        logger = self.make_logger(10.0)
+        logger.warning("odd %s", "\ud800")
+        logger.warning("odd %d", 1 << 20000)
+        logger.warning("sound")
+        lines = os.read(self.reader, 65536).splitlines()
+        self.assertEqual((len(lines), lines[-1]), (3, b"sound"))
+        self.assertIn(b"test_bounded_logs:", lines[0])
+
     def test_stalled_reader_does_not_block_the_writer(self):
         logger = self.make_logger(1e9)
         for _ in range(2000):
