--- a/sassafrasstile/platform/tests/test_start_signals.py
+++ b/sassafrasstile/platform/tests/test_start_signals.py
@@ -103,8 +103,8 @@
             time.sleep(_POLL_INTERVAL_S / 10)
         self.assertEqual(self.process.returncode, 0)
 
-    # Guards against processes that are killed at the end of the grace time while
-    # the interpreter cleans up, which takes long on a busy machine (issue 53).
+    # Guards against processes that are killed at the end of the grace time: the
+    # interpreter's clean-up takes long on a busy machine (issue 53).
     def test_stop_leaves_the_interpreters_clean_up_out(self):
         self.start(arguments=("-c", _NOTICED_CLEAN_UP))
         self.wait_until_open(self.ready_port)
