--- a/sassafrasstile/faultsoak/__main__.py
+++ b/sassafrasstile/faultsoak/__main__.py
@@ -15,15 +15,15 @@
 )
 
 
-def _make_stops(
-    seed: int, seconds: float, logs: pathlib.Path | None
-) -> faultsoak.StopRun:
-    if logs is not None:
-        logs = logs / f"seed{seed}"
-        logs.mkdir(exist_ok=True)
-    return faultsoak.StopRun(
-        reactor=testing.reactor, seed=seed, seconds=seconds, logs=logs
-    )
+def _make_folder(
+    logs: pathlib.Path | None, *, seed: int
+) -> pathlib.Path | None:
+    """Returns the folder for the logs of a seed, or None."""
+    if logs is None:
+        return None
+    folder = logs / f"seed{seed}"
+    folder.mkdir(exist_ok=True)
+    return folder
 
 
 @app.default
@@ -48,12 +48,18 @@
         endless: Let answers of endpoints have no end.
         keys: Give the site workspaces, and withdraw keys.
         stops: Stop gateways under load, and inject no faults.
-        logs: An existing folder that keeps the gateways' logs of `--stops`.
+        logs: An existing folder that keeps the gateways' logs.
     """
     failed_seeds = 0
     for run_seed in range(seed, seed + seeds):
+        folder = _make_folder(logs, seed=run_seed)
         run = (
-            _make_stops(run_seed, seconds, logs)
+            faultsoak.StopRun(
+                reactor=testing.reactor,
+                seed=run_seed,
+                seconds=seconds,
+                logs=folder,
+            )
             if stops
             else faultsoak.SoakRun(
                 reactor=testing.reactor,
@@ -67,6 +73,7 @@
                 rates=faults,
                 keys=keys,
                 cuts=keys and faults,
+                logs=folder,
             )
         )
         report = testing.run(run.run)
--- a/sassafrasstile/faultsoak/_run.py
+++ b/sassafrasstile/faultsoak/_run.py
@@ -93,6 +93,8 @@
             than the bound on withdrawn keys.
         arguments: The interpreter's arguments that start a gateway.
         states_epoch: Whether the store's answers show when it was restored.
+        logs: An existing folder for the gateways' logs; without it, they are
+            deleted.
     """
 
     def __init__(
@@ -112,8 +114,10 @@
         cuts: bool = False,
         arguments: Sequence[str] = _gateways.ARGUMENTS,
         states_epoch: bool = True,
+        logs: pathlib.Path | None = None,
     ):
         self._reactor = reactor
+        self._logs = logs
         self._seed = seed
         self._seconds = seconds
         self._gateway_count = gateways
@@ -179,7 +183,7 @@
     async def run(self) -> SoakReport:
         """Runs the site to the end and returns the report."""
         with tempfile.TemporaryDirectory() as folder:
-            self.start(pathlib.Path(folder))
+            self.start(self._logs or pathlib.Path(folder))
             try:
                 return await self._send_and_check()
             finally:
