--- a/sassafrasstile/faultsoak/_stops.py
+++ b/sassafrasstile/faultsoak/_stops.py
@@ -33,6 +33,9 @@
 # In this share of the runs all gateways are always stopped at once.
 _ALL_SHARE = 0.25
 _LEARNING_S = 4.0
+# Callers that read nothing for three seconds are disconnected.
+_LONG_PAUSE_S = 1.0
+_PAUSE_CHECK_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -50,6 +53,9 @@
         excused: The number of requests without a whole answer that the rules
             excuse, by the reason.
         late: The gateways that had to be killed.
+        pauses: When this process, and with it all callers and endpoints, did
+            nothing for over a second, and for how many seconds. Nothing is
+            excused for it.
         violations: The violated guarantees, one line each.
     """
 
@@ -62,6 +68,7 @@
     slowest_stop_s: float
     excused: dict[str, int]
     late: list[str]
+    pauses: list[tuple[float, float]]
     violations: list[str]
 
 
@@ -112,10 +119,12 @@
         self._configured_at: list[float] = []
         self._signals: collections.Counter[str] = collections.Counter()
         self._stopping: dict[str, defer.Deferred] = {}
+        self._pauses: list[tuple[float, float]] = []
         self._is_over = False
 
     async def run(self) -> StopReport:
         """Runs the site to the end and returns the report."""
+        testing.spawn(self._watch_pauses())
         with tempfile.TemporaryDirectory() as folder:
             self._start(self._logs or pathlib.Path(folder))
             try:
@@ -123,6 +132,16 @@
             finally:
                 await self._close()
 
+    async def _watch_pauses(self) -> None:
+        began_at = last_at = self._now()
+        while not self._is_over:
+            await self._sleep(_PAUSE_CHECK_S)
+            pause_s = self._now() - last_at
+            if pause_s > _LONG_PAUSE_S:
+                since_s = last_at - began_at
+                self._pauses.append((round(since_s, 2), round(pause_s, 2)))
+            last_at = self._now()
+
     async def _send_and_check(self) -> StopReport:
         balancer = _stop_callers.Balancer(
             reactor=self._reactor, gateways=self._gateways
@@ -178,6 +197,7 @@
             slowest_stop_s=round(max(stops, default=0.0), 2),
             excused=dict(check.excused),
             late=check.late,
+            pauses=self._pauses,
             violations=check.violations,
         )
 
