--- a/sassafrasstile/peers/_codec.py
+++ b/sassafrasstile/peers/_codec.py
@@ -9,14 +9,6 @@
 
 _MS_PER_S = 1000
 _US_PER_S = 1_000_000
-# What reading a malformed document may raise.
-_MALFORMED = (
-    ValueError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
 
 
 def encode_address(address: _base.PeerAddress) -> bytes:
@@ -60,7 +52,7 @@
     """
     try:
         return _read_fields(json.loads(data))
-    except _MALFORMED as reason:
+    except validation.DOCUMENT_ERRORS as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"peer address: {reason}"
         ) from reason
@@ -218,7 +210,7 @@
             ),
             is_leaving=bool(optional[2]) if len(optional) > 2 else False,
         )
-    except _MALFORMED as reason:
+    except validation.DOCUMENT_ERRORS as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"load report: {reason}"
         ) from reason
@@ -283,7 +275,7 @@
             ),
             epoch=_read_number(epoch),
         )
-    except _MALFORMED as reason:
+    except validation.DOCUMENT_ERRORS as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"page: {reason}"
         ) from reason
@@ -323,7 +315,7 @@
     try:
         _, *sender = json.loads(head)
         return _base.PeerMessage(sender=_read_fields(sender), payload=payload)
-    except _MALFORMED as reason:
+    except validation.DOCUMENT_ERRORS as reason:
         raise errors.Error(
             code=errors.Code.BAD_VALUE, detail=f"message: {reason}"
         ) from reason
--- a/sassafrasstile/platform/_store.py
+++ b/sassafrasstile/platform/_store.py
@@ -13,6 +13,7 @@
 from sassafrasstile import limits
 from sassafrasstile import stores
 from sassafrasstile import telemetry
+from sassafrasstile import validation
 from sassafrasstile import web
 from sassafrasstile.platform import _names
 
@@ -29,17 +30,6 @@
 # Records that are asked for when a page of the usual number is too large; with
 # records of the largest size they stay within the bound.
 _SHORT_PAGE_RECORDS = 8
-# What reading a malformed document may raise.
-_MALFORMED = (
-    ValueError,
-    KeyError,
-    IndexError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    struct.error,
-)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -113,7 +103,7 @@
                 value=base64.b64decode(item["value"]) or None,
                 offset=int(item["offset"]),
             )
-        except _MALFORMED as reason:
+        except validation.DOCUMENT_ERRORS as reason:
             _LOG.warning("store: record ignored: %.200r", reason)
             continue
         changes.append(change)
@@ -194,7 +184,7 @@
                 if last_key == query.get("after"):
                     raise ValueError("a page repeats the one before")
                 query["after"] = last_key
-            except _MALFORMED as reason:
+            except validation.DOCUMENT_ERRORS as reason:
                 raise self._make_error(
                     f"malformed response: {reason}", epoch=answer.epoch
                 ) from reason
@@ -219,7 +209,7 @@
         try:
             end_offset, _ = _HEADER.unpack_from(answer.body)
             changes, next_offset = _decode_records(answer.body, offset=offset)
-        except _MALFORMED as reason:
+        except validation.DOCUMENT_ERRORS as reason:
             raise self._make_error(
                 f"malformed response: {reason}", epoch=answer.epoch
             ) from reason
@@ -257,7 +247,7 @@
         )
         try:
             offset = int(json.loads(answer.body)["offset"])
-        except _MALFORMED as reason:
+        except validation.DOCUMENT_ERRORS as reason:
             raise self._make_error(
                 f"malformed response: {reason}", epoch=answer.epoch
             ) from reason
--- a/sassafrasstile/roles/_lease.py
+++ b/sassafrasstile/roles/_lease.py
@@ -149,7 +149,7 @@
     def _decode(value: bytes) -> str | None:
         try:
             return validation.check_token(json.loads(value), label="holder")
-        except (ValueError, RecursionError, errors.Error) as reason:
+        except (*validation.DOCUMENT_ERRORS, errors.Error) as reason:
             _LOG.warning("roles: record ignored: %s", reason)
             return None
 
--- a/sassafrasstile/validation/__init__.py
+++ b/sassafrasstile/validation/__init__.py
@@ -1,6 +1,7 @@
 """Validates single values. Errors state the value and what is allowed."""
 
 from sassafrasstile.validation._checks import (
+    DOCUMENT_ERRORS,
     check_fraction,
     check_ip_address,
     check_name,
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    "DOCUMENT_ERRORS",
     "check_fraction",
     "check_ip_address",
     "check_name",
--- a/sassafrasstile/validation/_checks.py
+++ b/sassafrasstile/validation/_checks.py
@@ -2,9 +2,22 @@
 
 import re
 import socket
+import struct
 
 from sassafrasstile import errors
 
+# What taking a decoded document apart may raise when it has another shape or
+# holds values that can't be used.
+DOCUMENT_ERRORS = (
+    ValueError,
+    KeyError,
+    IndexError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    struct.error,
+)
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 # What a header's value may hold as it is.
 _TOKEN = re.compile(r"[!-~]{1,255}")
