--- a/sassafrasstile/platform/_records.py
+++ b/sassafrasstile/platform/_records.py
@@ -133,8 +133,6 @@
         services = [routes.WeightedService(service=route.service)]
     if not services:
         raise ValueError(f"route {route.name!r} names no service")
-    if not sum(item.weight for item in services):
-        raise ValueError(f"route {route.name!r} has no weight")
     return routes.Route(
         name=route.name,
         host=route.hostname.lower(),
